feat: add the workspace with base types, derive sets and the platform client

Cause: the crates of the system need one set of identifiers, one clock interface and one client of the object API before they can be written side by side. Nothing is measured yet; the crates build.

--- /dev/null
+++ b/crates/platform/src/object.rs
@@ -0,0 +1,65 @@
+//! Objects of the platform, their versions and changes.
+
+use cactusnotch_derive::{identifier, message, number, record};
+use derive_more::{Display, From, Into};
+
+/// The version of an object, or of the whole store; it only grows.
+#[number]
+#[derive(Display, From, Into)]
+#[serde(transparent)]
+pub struct Version(pub u64);
+
+/// Where an object is found.
+#[identifier]
+#[derive(Display)]
+#[display("{kind}/{name}")]
+pub struct Path {
+    /// The kind of the object, such as `revision` or `lease`.
+    pub kind: String,
+    /// The name of the object within its kind.
+    pub name: String,
+}
+
+impl Path {
+    /// Creates the path of object `name` of `kind`.
+    pub fn new(kind: impl Into<String>, name: impl Into<String>) -> Self {
+        Self {
+            kind: kind.into(),
+            name: name.into(),
+        }
+    }
+}
+
+/// An object as the platform holds it.
+#[message]
+pub struct Object {
+    /// Where the object is found.
+    pub path: Path,
+    /// The version of its last write; zero versions do not occur.
+    pub version: Version,
+    /// The value, at most a megabyte as JSON.
+    pub value: serde_json::Value,
+}
+
+/// The condition under which a write takes effect.
+#[record]
+#[derive(Copy)]
+pub enum Condition {
+    /// The object does not exist.
+    Absent,
+    /// The object exists at this version.
+    Version(Version),
+    /// None: the last writer wins.
+    Always,
+}
+
+/// What changed in a kind since a version.
+#[message]
+pub struct Changes {
+    /// The version up to which `objects` and `removed` are complete.
+    pub version: Version,
+    /// The objects written since, each at its latest version.
+    pub objects: Vec<Object>,
+    /// The names of the objects deleted since.
+    pub removed: Vec<String>,
+}
