--- /dev/null
+++ b/crates/popularity/src/rank.rs
@@ -0,0 +1,18 @@
+//! The number of a rank within its group.
+
+use cactusnotch_derive::number;
+use derive_more::{Display, From, Into};
+
+/// The number of a rank within its group.
+#[number]
+#[derive(Display, From, Into)]
+#[serde(transparent)]
+pub struct Rank(pub u16);
+
+impl Rank {
+    /// Returns the rank as an index into a table with a row for each rank.
+    #[must_use]
+    pub const fn index(self) -> usize {
+        self.0 as usize
+    }
+}
