feat: choose endpoints from lagging reports and own counts

Cause: an entry needs one decision for model and plain requests alike. Ruled out: hash tables (rows are a sorted vector), a full scan for the least load (every entry would pick the same endpoint from the same old report). Not measured yet. Conclusion: a few drawn endpoints compared by expected first-token time, with bounded prefix affinity, data-centre tiers and ejection.

--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,36 @@
+//! Decides which endpoint a request goes to.
+//!
+//! [`Router`] holds what one entry knows of its endpoints: the roster, their
+//! lagging load reports, the entry's own requests in flight and the times it
+//! measured. [`Router::choose`] picks an endpoint from that. The crate does no
+//! I/O; time and the random source are passed in.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod attempt;
+pub mod choice;
+pub mod load;
+pub mod member;
+pub mod options;
+pub mod prefix;
+pub mod report;
+pub mod request;
+pub mod service;
+pub mod state;
+
+mod average;
+mod health;
+mod router;
+mod row;
+mod selection;
+
+pub use attempt::Attempt;
+pub use choice::Choice;
+pub use load::Load;
+pub use member::Member;
+pub use options::Options;
+pub use report::Report;
+pub use request::Request;
+pub use router::Router;
+pub use service::Service;
+pub use state::State;
--- /dev/null
+++ b/crates/route/src/row.rs
@@ -0,0 +1,112 @@
+//! What an entry knows of one endpoint.
+
+use std::time::Instant;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::average::{Average, freshness};
+use crate::health::Health;
+use crate::{Load, Member, Options, Report, State};
+
+/// Bounds of a measured slowness, so that one sample cannot exile an endpoint.
+const SLOWNESS: std::ops::RangeInclusive<f64> = 0.1..=10.0;
+
+/// What an entry knows of one endpoint.
+#[derive(Debug, Clone)]
+pub(crate) struct Row {
+    pub(crate) member: Member,
+    /// The hash of the name, by which prefixes prefer endpoints.
+    pub(crate) hash: u64,
+    /// The rank of the data centre's distance.
+    pub(crate) distance: usize,
+    pub(crate) state: State,
+    pub(crate) slots: f64,
+    /// This entry's own requests.
+    pub(crate) own: Load,
+    /// The requests of the other entries, as last reported.
+    others: Load,
+    reported: Option<Instant>,
+    pub(crate) health: Health,
+    /// Measured first-token times as multiples of the undisturbed prediction.
+    pub(crate) first: Average,
+    /// Measured times between tokens, in seconds.
+    pub(crate) step: Average,
+}
+
+/// A load as the mean of what is known, for each slot.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct Density {
+    pub(crate) requests: f64,
+    pub(crate) backlog: f64,
+}
+
+/// The reference values of a service's endpoints, which stand in for what is
+/// not known of one of them.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Reference {
+    /// The other entries' load for each slot.
+    pub(crate) others: Density,
+    /// The mean of [`Row::first`].
+    pub(crate) first: f64,
+    /// The mean of [`Row::step`].
+    pub(crate) step: Option<f64>,
+}
+
+impl Row {
+    pub(crate) fn new(member: Member, distance: usize) -> Self {
+        Self {
+            hash: xxh3_64(member.name.as_str().as_bytes()),
+            slots: f64::from(member.slots.max(1)),
+            member,
+            distance,
+            state: State::default(),
+            own: Load::default(),
+            others: Load::default(),
+            reported: None,
+            health: Health::default(),
+            first: Average::default(),
+            step: Average::default(),
+        }
+    }
+
+    /// Takes over the roster's statement and keeps what was measured.
+    pub(crate) fn set_member(&mut self, member: Member, distance: usize) {
+        if self.reported.is_none() {
+            self.slots = f64::from(member.slots.max(1));
+        }
+        self.member = member;
+        self.distance = distance;
+    }
+
+    /// Takes a report unless a newer one is known.
+    pub(crate) fn set_report(&mut self, report: &Report, now: Instant) {
+        let made = now.checked_sub(report.age).unwrap_or(now);
+        if self.reported.is_some_and(|at| at > made) {
+            return;
+        }
+        self.reported = Some(made);
+        self.slots = f64::from(report.slots.max(1));
+        self.others = report.total.without(report.mine.unwrap_or(self.own));
+        if self.state != State::Unreachable {
+            self.state = self.state.max(report.state);
+        }
+    }
+
+    /// Returns the weight of the last report and the load it names.
+    pub(crate) fn reported(&self, options: &Options, now: Instant) -> (f64, Load) {
+        let weight = self
+            .reported
+            .map_or(0.0, |at| freshness(at, options.report_half_life, now));
+        (weight, self.others)
+    }
+
+    /// Returns how slow the endpoint is against the others of its service.
+    pub(crate) fn slowness(&self, reference: &Reference, options: &Options, now: Instant) -> f64 {
+        let half_life = options.slowness_half_life;
+        let first = self.first.get_towards(reference.first, half_life, now) / reference.first;
+        let step = reference.step.map_or(1.0, |mean| {
+            self.step.get_towards(mean, half_life, now) / mean
+        });
+        first.max(step).clamp(*SLOWNESS.start(), *SLOWNESS.end()) / self.member.speed
+    }
+}
--- /dev/null
+++ b/crates/route/src/selection.rs
@@ -0,0 +1,314 @@
+//! The choice among the endpoints of a service.
+
+use std::cmp::Reverse;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+use rand::seq::SliceRandom;
+
+use crate::choice::{Error, Reason};
+use crate::health::Fitness;
+use crate::row::{Density, Reference, Row};
+use crate::{Load, Options, Request, State, prefix};
+
+/// How much slower than the others a preferred endpoint may be.
+const AFFINITY_SLOWNESS: f64 = 1.5;
+
+/// How many slots, weighted by freshness, a mean must rest on.
+const SLOTS_SEEN: f64 = 0.01;
+
+/// An endpoint that could take a request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Candidate {
+    /// The position of the endpoint's row.
+    pub(crate) row: usize,
+    fitness: Fitness,
+    distance: usize,
+    slots: f64,
+    slowness: f64,
+    requests: f64,
+    backlog: f64,
+    weight: u64,
+}
+
+/// One decision: the candidates and what they are judged by.
+pub(crate) struct Selection<'a> {
+    pub(crate) options: &'a Options,
+    pub(crate) rows: &'a [Row],
+    pub(crate) reference: Reference,
+    /// Takes the mean of the others' load that this decision sees.
+    pub(crate) seen: &'a mut Density,
+    /// How long a request of the service holds its slot, in seconds.
+    pub(crate) residence: f64,
+    pub(crate) now: Instant,
+    pub(crate) candidates: &'a mut Vec<Candidate>,
+}
+
+/// The endpoint that was chosen.
+pub(crate) struct Pick {
+    pub(crate) row: usize,
+    pub(crate) reason: Reason,
+    pub(crate) predicted: Duration,
+    pub(crate) wait: Duration,
+    pub(crate) usual: Duration,
+}
+
+impl Selection<'_> {
+    /// Chooses among the endpoints at the positions `members`.
+    pub(crate) fn run(
+        mut self,
+        members: &[usize],
+        request: &Request<'_>,
+        rng: &mut impl Rng,
+    ) -> Result<Pick, Error> {
+        self.collect(members, request)?;
+        if request.may_probe
+            && let Some(due) = self.candidates.iter().find(|c| c.fitness == Fitness::Due)
+        {
+            return Ok(self.pick(*due, Reason::Probe, request));
+        }
+        let panic = self.drop_ejected();
+        let (tier, reason) = self.nearest_tier();
+        let reason = if panic { Reason::Panic } else { reason };
+        if reason != Reason::Full
+            && let Some(preferred) = self.preferred(tier, request)
+        {
+            return Ok(self.pick(preferred, Reason::Affinity, request));
+        }
+        let chosen = self.least_of_drawn(tier, request, rng);
+        Ok(self.pick(chosen, reason, request))
+    }
+
+    /// Collects the endpoints that take work and have not been tried.
+    fn collect(&mut self, members: &[usize], request: &Request<'_>) -> Result<(), Error> {
+        let (mut leaving, mut unreachable, mut serving) = (0, 0, 0);
+        let mut mean = Mean::default();
+        self.candidates.clear();
+        for &at in members {
+            let row = &self.rows[at];
+            match row.state {
+                State::Leaving => leaving += 1,
+                State::Unreachable => unreachable += 1,
+                State::Serving => {
+                    serving += 1;
+                    let (fresh, others) = row.reported(self.options, self.now);
+                    mean.add(fresh, row.slots, others);
+                    if !request.tried.contains(&row.member.name) {
+                        let candidate = self.candidate(at, row, fresh, others);
+                        self.candidates.push(candidate);
+                    }
+                }
+            }
+        }
+        mean.store(self.seen);
+        match (self.candidates.is_empty(), serving) {
+            (false, _) => Ok(()),
+            (true, 0) => Err(Error::Unavailable {
+                leaving,
+                unreachable,
+            }),
+            (true, endpoints) => Err(Error::Exhausted { endpoints }),
+        }
+    }
+
+    /// Estimates an endpoint's load: its own requests are known, those of
+    /// others fade from the last report to the service's mean.
+    fn candidate(&self, at: usize, row: &Row, fresh: f64, others: Load) -> Candidate {
+        let stale = (1.0 - fresh) * row.slots;
+        let Density { requests, backlog } = self.reference.others;
+        Candidate {
+            row: at,
+            fitness: row.health.fitness(self.now),
+            distance: row.distance,
+            slots: row.slots,
+            slowness: row.slowness(&self.reference, self.options, self.now),
+            requests: f64::from(row.own.requests)
+                + fresh * f64::from(others.requests)
+                + stale * requests,
+            backlog: f64::from(row.own.backlog)
+                + fresh * f64::from(others.backlog)
+                + stale * backlog,
+            weight: 0,
+        }
+    }
+
+    /// Drops ejected endpoints; returns whether there are too many to do so.
+    fn drop_ejected(&mut self) -> bool {
+        let fit = |c: &Candidate| c.fitness == Fitness::Fit;
+        let all = self.candidates.len();
+        let ejected = all - self.candidates.iter().filter(|c| fit(c)).count();
+        if ejected == 0 {
+            return false;
+        }
+        let panic = fraction(ejected, all) > self.options.ejected_max;
+        if !panic {
+            self.candidates.retain(fit);
+        }
+        panic
+    }
+
+    /// Moves the free endpoints of the nearest data centre that has any to the
+    /// front and returns their number, or takes all if none is free.
+    fn nearest_tier(&mut self) -> (usize, Reason) {
+        let full = self.options.full;
+        let free = |c: &Candidate| c.requests + 1.0 <= (c.slots * full).max(1.0);
+        let home = self.candidates.iter().map(|c| c.distance).min();
+        let nearest = self.candidates.iter().filter(|c| free(c));
+        let Some(distance) = nearest.map(|c| c.distance).min() else {
+            return (self.candidates.len(), Reason::Full);
+        };
+        let mut tier = 0;
+        for at in 0..self.candidates.len() {
+            let candidate = &self.candidates[at];
+            if candidate.distance == distance && free(candidate) {
+                self.candidates.swap(tier, at);
+                tier += 1;
+            }
+        }
+        let spilt = Some(distance) != home;
+        (tier, if spilt { Reason::Spill } else { Reason::Load })
+    }
+
+    /// Returns the first endpoint in the preference order of the request's
+    /// prefix that is loaded within the bound.
+    fn preferred(&mut self, tier: usize, request: &Request<'_>) -> Option<Candidate> {
+        let width = self.options.affinity_width.min(tier);
+        if width == 0 {
+            return None;
+        }
+        let key = prefix::key(request.prefix, self.options.affinity_blocks)?;
+        let rows = self.rows;
+        let tier = &mut self.candidates[..tier];
+        for candidate in tier.iter_mut() {
+            candidate.weight = prefix::weight(key, rows[candidate.row].hash);
+        }
+        tier.select_nth_unstable_by_key(width - 1, |c| Reverse(c.weight));
+        tier[..width].sort_unstable_by_key(|c| Reverse(c.weight));
+        let bound = Bound::new(tier, self.options);
+        let preferred = &tier[..width];
+        preferred.iter().copied().find(|c| bound.allows(c, request))
+    }
+
+    /// Draws a few endpoints and returns the one with the least expected cost.
+    fn least_of_drawn(
+        &mut self,
+        tier: usize,
+        request: &Request<'_>,
+        rng: &mut impl Rng,
+    ) -> Candidate {
+        let amount = self.options.choices.max(1);
+        let (drawn, _) = self.candidates[..tier].partial_shuffle(rng, amount);
+        let drawn = &*drawn;
+        let mut best = drawn[0];
+        let mut least = f64::INFINITY;
+        for candidate in drawn {
+            let cost = cost(candidate, self.options, self.residence, request);
+            if cost < least {
+                (best, least) = (*candidate, cost);
+            }
+        }
+        best
+    }
+
+    fn pick(&self, candidate: Candidate, reason: Reason, request: &Request<'_>) -> Pick {
+        let wait = wait(&candidate, self.residence);
+        let predicted = wait + processing(&candidate, self.options, request);
+        let usual = Duration::try_from_secs_f64(predicted / candidate.slowness);
+        let scale = |time: f64| Duration::try_from_secs_f64(time * self.reference.first);
+        Pick {
+            row: candidate.row,
+            reason,
+            predicted: scale(predicted).unwrap_or(Duration::MAX),
+            wait: scale(wait).unwrap_or(Duration::MAX),
+            usual: usual.unwrap_or(Duration::MAX),
+        }
+    }
+}
+
+/// The mean of the other entries' load, weighted by the reports' freshness.
+#[derive(Default)]
+struct Mean {
+    slots: f64,
+    sum: Density,
+}
+
+impl Mean {
+    fn add(&mut self, fresh: f64, slots: f64, others: Load) {
+        self.slots += fresh * slots;
+        self.sum.requests += fresh * f64::from(others.requests);
+        self.sum.backlog += fresh * f64::from(others.backlog);
+    }
+
+    /// Replaces `mean` unless there is too little to compute one from.
+    fn store(&self, mean: &mut Density) {
+        if self.slots >= SLOTS_SEEN {
+            mean.requests = self.sum.requests / self.slots;
+            mean.backlog = self.sum.backlog / self.slots;
+        }
+    }
+}
+
+/// The load up to which a prefix's preferred endpoint is taken.
+struct Bound<'a> {
+    options: &'a Options,
+    requests: f64,
+    backlog: f64,
+}
+
+impl<'a> Bound<'a> {
+    /// Computes the mean load of `tier`, with the request that is to come.
+    fn new(tier: &[Candidate], options: &'a Options) -> Self {
+        let capacity: f64 = tier.iter().map(capacity).sum();
+        let requests: f64 = tier.iter().map(|c| c.requests).sum();
+        let backlog: f64 = tier.iter().map(|c| c.backlog).sum();
+        Self {
+            options,
+            requests: (requests + 1.0) / capacity,
+            backlog: backlog / capacity,
+        }
+    }
+
+    fn allows(&self, candidate: &Candidate, request: &Request<'_>) -> bool {
+        let capacity = capacity(candidate);
+        let bound = self.options.affinity_bound * self.requests;
+        let requests = (bound.max(self.options.affinity_floor) * capacity).ceil();
+        let backlog = self.backlog * capacity + f64::from(request.tokens);
+        candidate.requests + 1.0 <= requests
+            && candidate.backlog <= backlog
+            && candidate.slowness <= AFFINITY_SLOWNESS
+    }
+}
+
+/// Returns the slots of an endpoint, discounted by its slowness.
+fn capacity(candidate: &Candidate) -> f64 {
+    candidate.slots / candidate.slowness
+}
+
+/// Returns the expected time until a slot is free, in seconds.
+fn wait(candidate: &Candidate, residence: f64) -> f64 {
+    let ahead = (candidate.requests + 1.0 - candidate.slots).max(0.0);
+    candidate.slowness * residence * ahead / candidate.slots
+}
+
+/// Returns the expected time from a free slot to the first token, in seconds.
+fn processing(candidate: &Candidate, options: &Options, request: &Request<'_>) -> f64 {
+    let tokens = candidate.backlog + f64::from(request.tokens);
+    let time = options.base_time.as_secs_f64() + options.token_time.as_secs_f64() * tokens;
+    candidate.slowness * time
+}
+
+/// Returns what sending the request to an endpoint costs, in seconds.
+fn cost(candidate: &Candidate, options: &Options, residence: f64, request: &Request<'_>) -> f64 {
+    let hops = u32::try_from(candidate.distance).map_or(f64::MAX, f64::from);
+    let occupancy = candidate.requests / capacity(candidate);
+    wait(candidate, residence)
+        + processing(candidate, options, request)
+        + hops * options.hop_time.as_secs_f64()
+        + occupancy * options.base_time.as_secs_f64()
+}
+
+/// Returns `part / whole` for numbers of endpoints.
+fn fraction(part: usize, whole: usize) -> f64 {
+    let float = |n: usize| u32::try_from(n).map_or(f64::MAX, f64::from);
+    float(part) / float(whole)
+}
