feat: add authenticated WebSocket links with CBOR messages

Cause: the processes need one way to reach each other that lets only members of the cluster in.

Both sides prove by HMAC-SHA256 over both hellos that they hold a secret of the cluster before the WebSocket is opened. Proving inside the WebSocket was ruled out: tokio-tungstenite can't raise a message limit later, so strangers would have had the application's limit of 4 MB.

--- /dev/null
+++ b/crates/link/src/link.rs
@@ -0,0 +1,231 @@
+//! Opening links.
+
+use std::sync::Arc;
+
+use futures_util::StreamExt;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpStream, ToSocketAddrs};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
+
+use crate::budget::Budget;
+use crate::counted::Counted;
+use crate::error::{Cause, Error, Step};
+use crate::preface::Preface;
+use crate::proof::Side;
+use crate::reader::Reader;
+use crate::shared::Shared;
+use crate::writer::Writer;
+use crate::{Identity, Options, Receiver, Sender, Stats, handshake, metric};
+
+/// The address that the upgrade asks for; nothing but its form matters.
+const UPGRADE_URL: &str = "ws://cactusnotch/link";
+
+/// A message that a link can carry.
+pub trait Body: Serialize + DeserializeOwned + Send + 'static {}
+
+impl<M: Serialize + DeserializeOwned + Send + 'static> Body for M {}
+
+/// An open link, both of whose sides have proved that they belong.
+#[derive(Debug)]
+pub struct Link<M> {
+    sender: Sender<M>,
+    receiver: Receiver<M>,
+}
+
+impl<M> Link<M> {
+    /// Returns who stands at the other side.
+    #[must_use]
+    pub fn peer(&self) -> &Identity {
+        self.sender.peer()
+    }
+
+    /// Splits the link into its halves.
+    #[must_use]
+    pub fn split(self) -> (Sender<M>, Receiver<M>) {
+        (self.sender, self.receiver)
+    }
+}
+
+/// Connects to `address` and opens a link.
+///
+/// # Errors
+///
+/// Returns the step that failed and why; see [`Cause`].
+pub async fn dial<M: Body>(
+    address: impl ToSocketAddrs + std::fmt::Display,
+    options: &Options,
+) -> Result<Link<M>, Error> {
+    let peer: Arc<str> = address.to_string().into();
+    let deadline = Instant::now() + options.handshake_timeout;
+    let connected = timeout_at(deadline, TcpStream::connect(address)).await;
+    let stream = connected
+        .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
+        .and_then(without_delay)
+        .map_err(|error| failed(Step::Connect, &peer, Cause::Io(error)))?;
+    open(stream, peer, options, Side::Dialer, deadline).await
+}
+
+/// Opens a link on a connection that a peer has made.
+///
+/// # Errors
+///
+/// Returns the step that failed and why; see [`Cause`].
+pub async fn accept<M: Body>(stream: TcpStream, options: &Options) -> Result<Link<M>, Error> {
+    let address = stream.peer_addr().map(|address| address.to_string());
+    let peer: Arc<str> = address.unwrap_or_else(|_| "unknown".to_owned()).into();
+    let stream =
+        without_delay(stream).map_err(|error| failed(Step::Connect, &peer, Cause::Io(error)))?;
+    let deadline = Instant::now() + options.handshake_timeout;
+    open(stream, peer, options, Side::Acceptor, deadline).await
+}
+
+/// Opens a link as the dialer on any byte stream; `peer` names the other side
+/// in errors.
+///
+/// # Errors
+///
+/// Returns the step that failed and why; see [`Cause`].
+pub async fn dial_on<M, S>(stream: S, peer: &str, options: &Options) -> Result<Link<M>, Error>
+where
+    M: Body,
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let deadline = Instant::now() + options.handshake_timeout;
+    open(stream, peer.into(), options, Side::Dialer, deadline).await
+}
+
+/// Opens a link as the acceptor on any byte stream; `peer` names the other
+/// side in errors.
+///
+/// # Errors
+///
+/// Returns the step that failed and why; see [`Cause`].
+pub async fn accept_on<M, S>(stream: S, peer: &str, options: &Options) -> Result<Link<M>, Error>
+where
+    M: Body,
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let deadline = Instant::now() + options.handshake_timeout;
+    open(stream, peer.into(), options, Side::Acceptor, deadline).await
+}
+
+async fn open<M, S>(
+    stream: S,
+    peer: Arc<str>,
+    options: &Options,
+    side: Side,
+    deadline: Instant,
+) -> Result<Link<M>, Error>
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let stats = Arc::new(Stats::new());
+    let mut stream = Counted::new(stream, Arc::clone(&stats));
+    let identity = prove(&mut stream, &peer, options, side, deadline)
+        .await
+        .inspect_err(count_failure)?;
+    let socket = timeout_at(deadline, upgrade(stream, options, side))
+        .await
+        .unwrap_or(Err(Cause::Timeout(options.handshake_timeout)))
+        .map_err(|cause| failed(Step::Upgrade, &peer, cause))?;
+    metrics::counter!(metric::OPENED).increment(1);
+    let shared = Arc::new(Shared::new(&peer, identity, stats, options));
+    Ok(start(socket, &shared, options))
+}
+
+async fn prove<S>(
+    stream: &mut S,
+    peer: &Arc<str>,
+    options: &Options,
+    side: Side,
+    deadline: Instant,
+) -> Result<Identity, Error>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let preface = Preface {
+        stream,
+        options,
+        peer: Arc::clone(peer),
+        deadline,
+    };
+    match side {
+        Side::Dialer => handshake::dial(preface).await,
+        Side::Acceptor => handshake::accept(preface).await,
+    }
+}
+
+async fn upgrade<S>(stream: S, options: &Options, side: Side) -> Result<WebSocketStream<S>, Cause>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let config = WebSocketConfig::default()
+        .max_message_size(Some(options.frame_limit))
+        .max_frame_size(Some(options.frame_limit));
+    let upgraded = match side {
+        Side::Dialer => client_async_with_config(UPGRADE_URL, stream, Some(config))
+            .await
+            .map(|(socket, _)| socket),
+        Side::Acceptor => accept_async_with_config(stream, Some(config)).await,
+    };
+    upgraded.map_err(Cause::from)
+}
+
+fn start<M, S>(socket: WebSocketStream<S>, shared: &Arc<Shared>, options: &Options) -> Link<M>
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let (sink, stream) = socket.split();
+    let (outgoing, to_write) = mpsc::channel(options.queue_messages);
+    let (received, incoming) = mpsc::channel(options.queue_messages);
+    let mut pings = interval(options.ping_interval);
+    pings.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let writer = Writer {
+        sink,
+        queue: to_write,
+        pings,
+        shared: Arc::clone(shared),
+    };
+    let reader = Reader {
+        stream,
+        queue: received,
+        budget: Budget::new(shared.queue_bytes),
+        idle_timeout: options.idle_timeout,
+        shared: Arc::clone(shared),
+    };
+    tokio::spawn(writer.run());
+    tokio::spawn(reader.run());
+    Link {
+        sender: Sender::new(outgoing, Arc::clone(shared)),
+        receiver: Receiver::new(incoming, Arc::clone(shared)),
+    }
+}
+
+fn without_delay(stream: TcpStream) -> std::io::Result<TcpStream> {
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+fn failed(step: Step, peer: &Arc<str>, cause: Cause) -> Error {
+    let error = Error {
+        step,
+        peer: Arc::clone(peer),
+        cause,
+    };
+    count_failure(&error);
+    error
+}
+
+fn count_failure(error: &Error) {
+    metrics::counter!(
+        metric::HANDSHAKE_FAILURES,
+        "step" => error.step.to_string(),
+        "cause" => error.cause.label()
+    )
+    .increment(1);
+}
