feat: add the ledger of an agent and the exchange of an entry

A non-idempotent request must start at most once, and not-run must be true for good. The agent's ledger decides what starts, by attempt and by key, and the entry's exchange decides what its caller is told. Both are steps without I/O. Wall clocks were ruled out for the latest start of an attempt, since an agent that was paused cannot know how old a frame is by them; ages of the agent's own incarnation take their place.

--- /dev/null
+++ b/crates/attempt/src/answer.rs
@@ -0,0 +1,62 @@
+//! What the caller is told in the end.
+
+use std::time::Duration;
+
+use cactusnotch_base::Outcome;
+use cactusnotch_base::number::Sequence;
+use cactusnotch_ledger::message;
+use derive_more::Display;
+
+/// Why a caller gets no whole answer.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Display)]
+pub enum Reason {
+    /// The agent refused.
+    #[display("refused by the agent: {_0}")]
+    Refused(message::Reason),
+    /// The run ended without its end mark.
+    #[display("{_0}")]
+    Broken(message::Fault),
+    /// The claim could not be recorded.
+    #[display("the claim of the key could not be recorded")]
+    Unavailable,
+    /// The key was claimed for a request with another payload.
+    #[display("the key names another request")]
+    Mismatch,
+    /// The attempt was given up before it started.
+    #[display("the attempt was given up before it started")]
+    GivenUp,
+    /// No endpoint takes the request.
+    #[display("no endpoint takes the request")]
+    Unroutable,
+    /// The agent that the key is bound to is gone.
+    #[display("the agent that the key is bound to is gone")]
+    Replaced,
+    /// The agent does not answer.
+    #[display("the agent does not answer")]
+    Silent,
+    /// The deadline of the request passed.
+    #[display("the deadline passed")]
+    Deadline,
+    /// The pieces of the answer did not fit together.
+    #[display("the pieces of the answer do not fit together")]
+    Garbled,
+}
+
+/// What the caller is told in the end.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Answer {
+    /// All pieces up to this one were passed on, and the answer is whole.
+    Whole {
+        /// The number of the last piece.
+        total: Sequence,
+    },
+    /// The answer is not whole, and the caller must be told so.
+    Refused {
+        /// What is known of the request.
+        outcome: Outcome,
+        /// The reason.
+        reason: Reason,
+        /// How long to wait before the request is sent again with its key.
+        retry_after: Duration,
+    },
+}
--- /dev/null
+++ b/crates/attempt/src/event.rs
@@ -0,0 +1,34 @@
+//! What an exchange is told.
+
+use cactusnotch_base::name::Endpoint;
+use cactusnotch_claim as claim;
+use cactusnotch_ledger::{Attempt, Reply, Terms};
+
+/// What an exchange is told.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Event {
+    /// The answer to [`Command::Route`](crate::Command::Route).
+    Routed {
+        /// The endpoint, its agent's incarnation and last known age.
+        terms: Terms,
+        /// A fresh random name for the attempt.
+        attempt: Attempt,
+    },
+    /// No endpoint takes the request.
+    Unroutable,
+    /// The answer to [`Command::Claim`](crate::Command::Claim).
+    Claimed {
+        /// The attempt that the claim named.
+        attempt: Attempt,
+        /// The answer.
+        answer: claim::Answer,
+    },
+    /// An agent replied.
+    Reply(Reply),
+    /// The connection to an endpoint's agent is gone.
+    LinkLost(Endpoint),
+    /// The time that [`Exchange::wake`](crate::Exchange::wake) told has come.
+    Timer,
+    /// The caller went away.
+    CallerGone,
+}
--- /dev/null
+++ b/crates/ledger/src/ledger.rs
@@ -0,0 +1,244 @@
+//! The ledger of an agent.
+
+use std::time::Instant;
+
+use cactusnotch_base::Table;
+use cactusnotch_base::name::Endpoint;
+use cactusnotch_base::number::Incarnation;
+
+use crate::message::{Fault, Repeat};
+use crate::row::{Row, State};
+use crate::stones::Stones;
+use crate::{Age, Attempt, Command, Event, Generations, Identity, Link, Options, Reply, Request};
+
+/// How many tables the rows of one lifetime are spread over.
+const PERIODS: u32 = 32;
+
+/// The runs of an endpoint, as its agent decides and remembers them.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Ledger {
+    pub(crate) options: Options,
+    pub(crate) endpoint: Endpoint,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) started: Instant,
+    pub(crate) draining: bool,
+    pub(crate) running: Table<Attempt, Row>,
+    /// The non-idempotent runs that ended.
+    pub(crate) once: Generations<Attempt, Row>,
+    /// The idempotent runs that ended.
+    pub(crate) repeatable: Generations<Attempt, Row>,
+    /// The attempt that runs each non-idempotent request.
+    pub(crate) running_keys: Table<u128, Attempt>,
+    /// The attempt that ran each request in `once`; forgotten together.
+    pub(crate) ended_keys: Generations<u128, Attempt>,
+    pub(crate) stones: Stones,
+    /// The bytes of answers and of identities.
+    pub(crate) bytes: usize,
+}
+
+impl Ledger {
+    /// Creates the ledger of an agent that started at `now` and has nothing
+    /// to remember. `incarnation` was never used for this endpoint before.
+    #[must_use]
+    pub fn new(
+        options: Options,
+        endpoint: Endpoint,
+        incarnation: Incarnation,
+        now: Instant,
+    ) -> Self {
+        Self {
+            endpoint,
+            incarnation,
+            started: now,
+            draining: false,
+            running: Table::new(),
+            once: Generations::new(options.lifetime / PERIODS),
+            repeatable: Generations::new(options.repeatable_lifetime / PERIODS),
+            running_keys: Table::new(),
+            ended_keys: Generations::new(options.lifetime / PERIODS),
+            stones: Stones::new(options.stones),
+            bytes: 0,
+            options,
+        }
+    }
+
+    /// Returns the age of the agent, which it reports to entries.
+    #[must_use]
+    pub fn age(&self, now: Instant) -> Age {
+        Age::from(now.saturating_duration_since(self.started))
+    }
+
+    /// Returns the endpoint of the agent.
+    #[must_use]
+    pub const fn endpoint(&self) -> &Endpoint {
+        &self.endpoint
+    }
+
+    /// Returns the incarnation of the agent.
+    #[must_use]
+    pub const fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Tells whether the agent refuses new work since it is leaving.
+    #[must_use]
+    pub const fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    /// Returns the number of runs that go on.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the number of runs that are remembered.
+    #[must_use]
+    pub fn remembered(&self) -> usize {
+        self.running.len() + self.once.len() + self.repeatable.len()
+    }
+
+    /// Returns the number of given-up attempts that are remembered.
+    #[must_use]
+    pub fn tombstones(&self) -> usize {
+        self.stones.len()
+    }
+
+    /// Returns the number of bytes kept of answers and of keys.
+    #[must_use]
+    pub const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Takes one event at `now` and returns what is to be done, in order.
+    ///
+    /// On [`Command::Start`] the driver gives the payload of the frame that it
+    /// stepped through to the endpoint. Unless the endpoint provably did not
+    /// take it, it is never returned twice for an attempt, nor for a
+    /// non-idempotent key within its lifetime.
+    #[must_use]
+    pub fn step(&mut self, event: Event, now: Instant) -> Vec<Command> {
+        let age = self.age(now);
+        let mut commands = self.sweep(age);
+        match event {
+            Event::Request { link, request } => self.request(link, request, age, &mut commands),
+            Event::LinkLost(link) => self.unlisten(age, |_, listener| listener == link),
+            Event::Piece { attempt, data } => self.piece(attempt, &data, &mut commands),
+            Event::Done(attempt) => self.end(attempt, State::Finished, age, &mut commands),
+            Event::Failed(attempt) => {
+                self.end(attempt, State::Broken(Fault::Failed), age, &mut commands);
+            }
+            Event::Unstarted(attempt) => self.unstarted(attempt, age, &mut commands),
+            Event::Drain => self.draining = true,
+            Event::Tick => {}
+        }
+        if self.draining && self.running.is_empty() {
+            commands.push(Command::Drained);
+        }
+        commands
+    }
+
+    fn request(&mut self, link: Link, request: Request, age: Age, commands: &mut Vec<Command>) {
+        match request {
+            Request::Run(run) => self.run(link, &run, age, commands),
+            Request::Tombstone(query) => {
+                let reply = self.tombstone(&query, age);
+                commands.push(Command::Send { link, reply });
+            }
+            Request::Attach { query, after } => self.attach(link, &query, after, age, commands),
+            Request::Cancel { attempt } => self.unlisten(age, |named, _| named == attempt),
+        }
+        commands.append(&mut self.stop_overdue(age));
+    }
+
+    fn unlisten(&mut self, age: Age, leaves: impl Fn(Attempt, Link) -> bool) {
+        for (_, row) in self.running.iter_mut() {
+            row.unlisten(age, |listener| leaves(listener.attempt, listener.link));
+        }
+    }
+
+    /// Ends what is overdue and forgets what is older than its lifetime.
+    fn sweep(&mut self, age: Age) -> Vec<Command> {
+        let commands = self.stop_overdue(age);
+        self.stones.expire(age);
+        while let Some(rows) = self.once.expire(age, self.options.lifetime) {
+            self.release(&rows);
+        }
+        while self.ended_keys.expire(age, self.options.lifetime).is_some() {}
+        while let Some(rows) = self
+            .repeatable
+            .expire(age, self.options.repeatable_lifetime)
+        {
+            self.release(&rows);
+        }
+        commands
+    }
+
+    fn stop_overdue(&mut self, age: Age) -> Vec<Command> {
+        let overdue: Vec<_> = self
+            .running
+            .iter()
+            .filter_map(|(attempt, row)| Some((*attempt, row.overdue(age)?)))
+            .collect();
+        let mut commands = Vec::new();
+        for (attempt, fault) in overdue {
+            commands.push(Command::Stop(attempt));
+            self.end(attempt, State::Broken(fault), age, &mut commands);
+        }
+        commands
+    }
+
+    pub(crate) fn release(&mut self, rows: &Table<Attempt, Row>) {
+        for row in rows.values() {
+            self.bytes -= row.answer.bytes() + row.identity.bytes();
+        }
+    }
+
+    /// Returns the row of an attempt, running or ended.
+    pub(crate) fn row(&self, attempt: Attempt) -> Option<&Row> {
+        self.running
+            .get(&attempt)
+            .or_else(|| self.once.get(&attempt))
+            .or_else(|| self.repeatable.get(&attempt))
+    }
+
+    /// Returns the attempt that runs or ran a non-idempotent request.
+    pub(crate) fn runner(&self, identity: &Identity) -> Option<Attempt> {
+        let print = identity.print();
+        self.running_keys
+            .get(&print)
+            .or_else(|| self.ended_keys.get(&print))
+            .copied()
+    }
+
+    /// Returns the attempt whose run `attempt` asks for: its own, or that of
+    /// the same key.
+    pub(crate) fn known(
+        &self,
+        attempt: Attempt,
+        identity: &Identity,
+        repeat: Repeat,
+    ) -> Option<Attempt> {
+        if self.row(attempt).is_some() {
+            return Some(attempt);
+        }
+        match repeat {
+            Repeat::Once => self.runner(identity),
+            Repeat::Idempotent => None,
+        }
+    }
+
+    pub(crate) fn refuse(
+        link: Link,
+        attempt: Attempt,
+        refusal: crate::admission::Refusal,
+        commands: &mut Vec<Command>,
+    ) {
+        let reply = Reply::Refused {
+            attempt,
+            outcome: refusal.outcome,
+            reason: refusal.reason,
+        };
+        commands.push(Command::Send { link, reply });
+    }
+}
