feat: add the tree of settings with typed values and checked edits

Operators need one tree whose nodes inherit or override, and edits that are valid as a whole or refused. Values hold no floating-point numbers (fractions are millionths), because a digest over an edit has to survive any number of encodings. A tree is checked as it is decoded, so that one from a peer or from the platform cannot be invalid.

Ruled out: one struct field a key (each key would be described in four places), and keeping children lists in the nodes (two places that can disagree about a move).

--- /dev/null
+++ b/crates/settings/examples/reference.rs
@@ -0,0 +1,5 @@
+//! Prints the settings reference.
+
+fn main() {
+    print!("{}", cactusnotch_settings::reference::markdown());
+}
--- /dev/null
+++ b/crates/settings/src/check.rs
@@ -0,0 +1,215 @@
+//! The rules that a valid tree keeps.
+
+use cactusnotch_base::Table;
+
+use crate::id::LENGTH_LIMIT;
+use crate::shape::is_text;
+use crate::{Error, Id, Key, Kind, Node, Value};
+
+/// The pairs of a floor and the cap that bounds the floors' sum.
+const FLOORS: [(Key, Key); 2] = [
+    (Key::RequestRateFloor, Key::RequestRateLimit),
+    (Key::ConcurrencyFloor, Key::ConcurrencyLimit),
+];
+
+/// Returns the rules that `nodes` break, in a fixed order.
+///
+/// The rules on names, endpoints and floors presuppose a sound shape and are
+/// checked only when there is one.
+pub(crate) fn faults(nodes: &Table<Id, Node>) -> Vec<Error> {
+    let mut faults = Vec::new();
+    if nodes.get(&Id::root()).map(|root| root.kind) != Some(Kind::Root) {
+        faults.push(Error::Rootless);
+    }
+    for (id, node) in nodes.iter() {
+        check_node(id, node, &mut faults);
+        check_place(nodes, id, node, &mut faults);
+    }
+    if faults.is_empty() {
+        check_names(nodes, &mut faults);
+        check_endpoints(nodes, &mut faults);
+        for (floor, limit) in FLOORS {
+            check_floors(nodes, floor, limit, &mut faults);
+        }
+    }
+    faults
+}
+
+fn check_node(id: &Id, node: &Node, faults: &mut Vec<Error>) {
+    if !id.is_well_formed() {
+        faults.push(Error::Malformed { node: id.clone() });
+    }
+    if node.name.is_empty() || node.name.len() > LENGTH_LIMIT || !is_text(&node.name) {
+        faults.push(Error::Name { node: id.clone() });
+    }
+    for (&key, value) in node.overrides.iter() {
+        if !key.spec().is_for(node.kind) {
+            faults.push(Error::Misplaced {
+                node: id.clone(),
+                key,
+                kind: node.kind,
+            });
+        }
+        if let Err(source) = key.shape().check(value) {
+            faults.push(Error::Value {
+                node: id.clone(),
+                key,
+                source,
+            });
+        }
+    }
+}
+
+fn check_place(nodes: &Table<Id, Node>, id: &Id, node: &Node, faults: &mut Vec<Error>) {
+    let Some(parent) = &node.parent else {
+        if *id != Id::root() {
+            faults.push(Error::Rootless);
+        }
+        return;
+    };
+    let Some(above) = nodes.get(parent) else {
+        faults.push(Error::Orphan {
+            node: id.clone(),
+            parent: parent.clone(),
+        });
+        return;
+    };
+    if !above.kind.holds(node.kind) {
+        faults.push(Error::Placement {
+            node: id.clone(),
+            kind: node.kind,
+            parent: parent.clone(),
+            parent_kind: above.kind,
+        });
+    }
+    if is_below_itself(nodes, id) {
+        faults.push(Error::Cycle { node: id.clone() });
+    }
+}
+
+fn is_below_itself(nodes: &Table<Id, Node>, id: &Id) -> bool {
+    let mut above = parent_of(nodes, id);
+    for _ in 0..nodes.len() {
+        match above {
+            None => return false,
+            Some(at) if at == id => return true,
+            Some(at) => above = parent_of(nodes, at),
+        }
+    }
+    false
+}
+
+fn parent_of<'a>(nodes: &'a Table<Id, Node>, id: &Id) -> Option<&'a Id> {
+    nodes.get(id)?.parent.as_ref()
+}
+
+fn check_names(nodes: &Table<Id, Node>, faults: &mut Vec<Error>) {
+    let siblings = |node: &Node| (node.parent.clone(), node.name.clone());
+    report_duplicates(nodes, |_| true, siblings, faults);
+    // Requests name an organisation, and operators a group, without its path.
+    for kind in [Kind::Organisation, Kind::ModelGroup] {
+        let name = |node: &Node| node.name.clone();
+        report_duplicates(nodes, |node| node.kind == kind, name, faults);
+    }
+}
+
+fn report_duplicates<K: Ord>(
+    nodes: &Table<Id, Node>,
+    concerned: impl Fn(&Node) -> bool,
+    key: impl Fn(&Node) -> K,
+    faults: &mut Vec<Error>,
+) {
+    let mut rows: Vec<(K, &Id)> = nodes
+        .iter()
+        .filter(|(_, node)| concerned(node))
+        .map(|(id, node)| (key(node), id))
+        .collect();
+    rows.sort();
+    for pair in rows.windows(2) {
+        if pair[0].0 == pair[1].0 {
+            let node = pair[1].1.clone();
+            faults.push(Error::Duplicate {
+                name: nodes
+                    .get(&node)
+                    .map_or_else(String::new, |n| n.name.clone()),
+                node,
+                other: pair[0].1.clone(),
+            });
+        }
+    }
+}
+
+fn check_endpoints(nodes: &Table<Id, Node>, faults: &mut Vec<Error>) {
+    let mut owners: Table<&str, &Id> = Table::new();
+    for (id, node) in nodes.iter() {
+        let listed = names(node, Key::Endpoints);
+        let selector = node.overrides.get(&Key::EndpointSelector);
+        let selects = selector
+            .and_then(Value::as_text)
+            .is_some_and(|text| !text.is_empty());
+        if selects && !listed.is_empty() {
+            faults.push(Error::Selector { node: id.clone() });
+        }
+        for endpoint in listed {
+            if let Some(other) = owners.insert(endpoint, id) {
+                faults.push(Error::Endpoint {
+                    node: id.clone(),
+                    endpoint: endpoint.clone(),
+                    other: other.clone(),
+                });
+            }
+        }
+    }
+}
+
+fn names(node: &Node, key: Key) -> &[String] {
+    node.overrides
+        .get(&key)
+        .and_then(Value::as_names)
+        .unwrap_or_default()
+}
+
+/// Checks that what is guaranteed at and below each node fits its cap.
+///
+/// An organisation needs its floor, or the sum of the parts below it if that
+/// is more; a policy and the root need the sum of what is below them.
+fn check_floors(nodes: &Table<Id, Node>, floor: Key, limit: Key, faults: &mut Vec<Error>) {
+    let mut order: Vec<(usize, &Id, &Node)> = nodes
+        .iter()
+        .filter(|(_, node)| node.kind != Kind::ModelGroup)
+        .map(|(id, node)| (depth(nodes, id), id, node))
+        .collect();
+    order.sort_by_key(|(depth, id, _)| (std::cmp::Reverse(*depth), *id));
+    let mut sums: Table<&Id, u64> = Table::new();
+    for (_, id, node) in order {
+        let below = sums.get(id).copied().unwrap_or_default();
+        let needed = match node.kind {
+            Kind::Organisation => below.max(integer(nodes, id, floor)),
+            _ => below,
+        };
+        let cap = integer(nodes, id, limit);
+        if needed > cap {
+            faults.push(Error::Floors {
+                node: id.clone(),
+                key: floor,
+                floors: needed,
+                limit_key: limit,
+                limit: cap,
+            });
+        }
+        if let Some(parent) = &node.parent {
+            *sums.get_or_insert_with(parent, || 0) += needed;
+        }
+    }
+}
+
+fn depth(nodes: &Table<Id, Node>, id: &Id) -> usize {
+    std::iter::successors(Some(id), |at| parent_of(nodes, at)).count()
+}
+
+fn integer(nodes: &Table<Id, Node>, id: &Id, key: Key) -> u64 {
+    std::iter::successors(Some(id), |at| parent_of(nodes, at))
+        .find_map(|at| nodes.get(at)?.overrides.get(&key)?.as_integer())
+        .or_else(|| key.default_value().as_integer())
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,44 @@
+//! The tree of settings: typed values that nodes inherit or override, edits
+//! that take effect as a whole or not at all, and the view of the tree that
+//! the request path looks values up in.
+//!
+//! This crate does no I/O. The order over edits is kept by
+//! `cactusnotch-history`.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+mod apply;
+mod check;
+mod edit;
+mod effective;
+mod error;
+mod id;
+mod key;
+mod kind;
+mod node;
+mod operation;
+pub mod reference;
+pub mod resolved;
+mod route;
+mod shape;
+mod spec;
+mod table;
+mod tree;
+mod value;
+
+pub use apply::apply;
+pub use edit::Edit;
+pub use effective::{Effective, Listing};
+pub use error::Error;
+pub use id::Id;
+pub use key::Key;
+pub use kind::Kind;
+pub use node::Node;
+pub use operation::Operation;
+pub use resolved::Resolved;
+pub use route::Route;
+pub use shape::{Mismatch, Shape};
+pub use spec::{Preset, Spec};
+pub use table::KEYS;
+pub use tree::Tree;
+pub use value::Value;
--- /dev/null
+++ b/crates/settings/src/node.rs
@@ -0,0 +1,33 @@
+//! Nodes of the tree.
+
+use cactusnotch_base::Table;
+use cactusnotch_derive::message;
+
+use crate::{Id, Key, Kind, Value};
+
+/// A node of the tree.
+#[message]
+#[derive(Eq)]
+#[serde(deny_unknown_fields)]
+pub struct Node {
+    /// The node right above; the root alone has none.
+    pub parent: Option<Id>,
+    /// What the node stands for.
+    pub kind: Kind,
+    /// The name that people see.
+    pub name: String,
+    /// The values that the node does not inherit.
+    pub overrides: Table<Key, Value>,
+}
+
+impl Node {
+    /// Creates a node without overrides.
+    pub fn new(parent: Option<Id>, kind: Kind, name: impl Into<String>) -> Self {
+        Self {
+            parent,
+            kind,
+            name: name.into(),
+            overrides: Table::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/operation.rs
@@ -0,0 +1,80 @@
+//! Operations of an edit.
+
+use cactusnotch_derive::message;
+use derive_more::Display;
+
+use crate::{Id, Key, Kind, Value};
+
+/// One change of the tree.
+#[message]
+#[derive(Eq, Display)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub enum Operation {
+    /// Adds a node without overrides.
+    #[display("create {kind} {node} under {parent} as {name:?}")]
+    Create {
+        /// The new node.
+        node: Id,
+        /// The node right above.
+        parent: Id,
+        /// What the node stands for.
+        kind: Kind,
+        /// The name that people see.
+        name: String,
+    },
+    /// Overrides a value.
+    #[display("set {node} {key} = {value}")]
+    Set {
+        /// The node that overrides.
+        node: Id,
+        /// The key of the value.
+        key: Key,
+        /// The value.
+        value: Value,
+    },
+    /// Inherits a value again.
+    #[display("unset {node} {key}")]
+    Unset {
+        /// The node that overrides no more.
+        node: Id,
+        /// The key of the value.
+        key: Key,
+    },
+    /// Puts a node, with all below it, under another parent.
+    #[display("move {node} under {parent}")]
+    Move {
+        /// The node that moves.
+        node: Id,
+        /// The new parent.
+        parent: Id,
+    },
+    /// Gives a node another name.
+    #[display("rename {node} to {name:?}")]
+    Rename {
+        /// The node.
+        node: Id,
+        /// The new name.
+        name: String,
+    },
+    /// Removes a node that has nothing below it.
+    #[display("delete {node}")]
+    Delete {
+        /// The node.
+        node: Id,
+    },
+}
+
+impl Operation {
+    /// Returns the node that the operation changes.
+    #[must_use]
+    pub const fn node(&self) -> &Id {
+        match self {
+            Self::Create { node, .. }
+            | Self::Set { node, .. }
+            | Self::Unset { node, .. }
+            | Self::Move { node, .. }
+            | Self::Rename { node, .. }
+            | Self::Delete { node } => node,
+        }
+    }
+}
