feat: estimate expert popularity and plan placements

Cause: counts of tokens arrive late, twice or not at all, so rates are kept as decayed tokens over decayed exposure: a lost report lowers both, and the order of arrival does not matter. Sums of tokens alone were ruled out, since a gap would pass for a fall in popularity. The planner searches each layer for loads that shorten the slowest rank, and makes those that pay back under the weights of the group, the worthiest for each byte first. A property test cuts plans short at every move; no skew or cost is measured yet.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,11 +1,40 @@
 //! Expert maps and the planner that decides replicas and places for hot
 //! experts.
+//!
+//! The planner does no I/O. A driver feeds it the reports of ranks, asks it
+//! for a plan every few seconds, loads the weights that the plan names and
+//! switches to the map that the plan gives for the moves that were made.
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod bound;
+pub mod budget;
 pub mod map;
+pub mod moves;
+pub mod options;
+pub mod pack;
+pub mod plan;
+pub mod planner;
 pub mod replica;
+pub mod state;
+pub mod weights;
 
-pub use cactusnotch_popularity::{Cell, Rank, Shape};
+mod bundle;
+mod draft;
+mod fill;
+mod forecast;
+mod improve;
+mod layer;
+mod restore;
+mod search;
+
+pub use budget::Budget;
+pub use cactusnotch_popularity::{Cell, Count, Popularity, Rank, Report, Shape, Share};
 pub use map::Map;
-pub use replica::{Replica, Share};
+pub use moves::Move;
+pub use options::Options;
+pub use plan::Plan;
+pub use planner::Planner;
+pub use replica::Replica;
+pub use state::State;
+pub use weights::Weights;
--- a/crates/placement/src/map.rs
+++ b/crates/placement/src/map.rs
@@ -1,12 +1,12 @@
 //! The expert map: which ranks hold each expert, and how its traffic is split.
 
 use cactusnotch_derive::message;
-use cactusnotch_popularity::{Cell, Rank, Shape};
+use cactusnotch_popularity::{Cell, Rank, Shape, Share};
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::replica::{Replica, Share};
+use crate::replica::Replica;
 
 /// Why a set of replicas is no expert map.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
--- /dev/null
+++ b/crates/placement/src/plan.rs
@@ -0,0 +1,78 @@
+//! A plan: moves in order, and the map after each.
+
+use cactusnotch_derive::message;
+use cactusnotch_popularity::Shape;
+
+use crate::layer::Layer;
+use crate::map::{self, Map};
+use crate::moves::Move;
+use crate::search::Step;
+
+/// What a plan is expected to bring. Skew is the time of the slowest rank over
+/// that of perfect balance, summed over the layers.
+#[message]
+#[derive(Copy)]
+pub struct Prediction {
+    /// The skew under the current map on the ranks that can be used.
+    pub before: f64,
+    /// The skew after traffic is split anew over the replicas there are.
+    pub split: f64,
+    /// The skew after all moves.
+    pub after: f64,
+    /// A lower bound on the skew of any placement.
+    pub bound: f64,
+    /// The bytes to load.
+    pub bytes: u64,
+}
+
+/// Moves in order, with the map after each of them.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Plan {
+    /// The moves, in the order in which they are to be made.
+    pub moves: Vec<Move>,
+    /// How many of the first moves are needed for every expert to have a
+    /// replica on a usable rank. The group cannot run before they are made.
+    pub required: usize,
+    /// What the plan is expected to bring.
+    pub predicted: Prediction,
+    pub(crate) shape: Shape,
+    pub(crate) speeds: Vec<f64>,
+    pub(crate) layers: Vec<Layer>,
+}
+
+impl Plan {
+    /// Returns the map after all moves.
+    ///
+    /// # Errors
+    ///
+    /// Never for a plan that a planner made.
+    pub fn map(&self) -> Result<Map, map::Error> {
+        self.after(self.moves.len())
+    }
+
+    /// Returns the map after the first `count` moves, with traffic split to
+    /// suit. Zero moves give the current replicas with a new split.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if fewer than the required moves are made.
+    pub fn after(&self, count: usize) -> Result<Map, map::Error> {
+        let mut layers = self.layers.clone();
+        for order in self.moves.iter().take(count) {
+            let layer = &mut layers[usize::from(order.cell.layer)];
+            Step::from(*order).apply(layer, &self.speeds);
+        }
+        let rows = layers.iter().flat_map(Layer::replicas).collect();
+        Map::new(self.shape, rows)
+    }
+}
+
+impl From<Move> for Step {
+    fn from(order: Move) -> Self {
+        Self {
+            expert: order.cell.expert,
+            rank: order.to.0,
+            evict: order.evict,
+        }
+    }
+}
