feat: add the agent's driver and the messages of the links

Cause: the ledger decides which requests run; it needs the process around it that takes links, calls the endpoint and sends the pieces back. Builds; the path is not run yet.

--- /dev/null
+++ b/crates/agent/src/options.rs
@@ -0,0 +1,27 @@
+//! How an agent runs.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cactusnotch_base::name::Endpoint;
+use cactusnotch_ledger as ledger;
+use cactusnotch_link as link;
+
+/// How an agent runs.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The address to take links on; port 0 takes any free one.
+    pub listen: SocketAddr,
+    /// Who the agent is and how its links are made.
+    pub link: link::Options,
+    /// The endpoint that the agent stands beside.
+    pub endpoint: Endpoint,
+    /// The base address of the endpoint, such as `http://127.0.0.1:8000`.
+    pub engine: String,
+    /// The requests that the endpoint can run at once.
+    pub slots: u32,
+    /// The bounds of the ledger.
+    pub ledger: ledger::Options,
+    /// How often the agent tells entries its endpoint's condition.
+    pub announce_interval: Duration,
+}
--- /dev/null
+++ b/crates/agent/src/server.rs
@@ -0,0 +1,184 @@
+//! The agent's process: links from entries, and runs at the endpoint.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use cactusnotch_base::Clock;
+use cactusnotch_ledger::{Attempt, Event, Ledger, Link, Request};
+use cactusnotch_link::{self as link, Listener, Receiver};
+use cactusnotch_wire::{Body, Call, Dispatch};
+use tokio::task::JoinHandle;
+use tokio::time::{MissedTickBehavior, interval};
+use tracing::Instrument;
+
+use crate::Options;
+use crate::engine::{Engine, Error};
+use crate::state::State;
+
+/// An agent that runs.
+#[derive(Debug)]
+pub struct Server<C: Clock> {
+    address: SocketAddr,
+    shared: Arc<Shared<C>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+#[derive(Debug)]
+struct Shared<C> {
+    state: State<C>,
+    engine: Engine,
+}
+
+impl<C: Clock> Server<C> {
+    /// Starts an agent on the current tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be taken.
+    pub async fn start(options: Options, clock: C) -> Result<Self, link::Error> {
+        let listener = Listener::bind(options.listen, options.link.clone()).await?;
+        let address = listener.address();
+        let ledger = Ledger::new(
+            options.ledger.clone(),
+            options.endpoint.clone(),
+            options.link.identity.incarnation,
+            clock.now(),
+        );
+        let shared = Arc::new(Shared {
+            state: State::new(ledger, options.slots, clock),
+            engine: Engine::new(&options.engine),
+        });
+        let tasks = vec![
+            tokio::spawn(accept(listener, Arc::clone(&shared))),
+            tokio::spawn(tick(options, Arc::clone(&shared))),
+        ];
+        Ok(Self {
+            address,
+            shared,
+            tasks,
+        })
+    }
+
+    /// Returns the address on which the agent takes links.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Refuses new work from now on and waits until all runs have ended.
+    pub async fn drain(&self) {
+        self.shared.state.step(Event::Drain);
+        self.shared.state.drained().await;
+    }
+}
+
+impl<C: Clock> Drop for Server<C> {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+async fn accept<C: Clock>(mut listener: Listener<Body>, shared: Arc<Shared<C>>) {
+    while let Some(accepted) = listener.accept().await {
+        match accepted {
+            Ok(link) => {
+                let peer = link.peer().clone();
+                let (sender, receiver) = link.split();
+                let number = shared.state.open(sender);
+                tracing::debug!(%peer, link = %number, "link opened");
+                tokio::spawn(serve(number, receiver, Arc::clone(&shared)));
+            }
+            Err(error) => tracing::warn!(%error, "link refused"),
+        }
+    }
+}
+
+async fn tick<C: Clock>(options: Options, shared: Arc<Shared<C>>) {
+    let mut ticks = interval(options.announce_interval);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        shared.state.step(Event::Tick);
+        shared.state.announce();
+    }
+}
+
+/// Takes what an entry asks until its link ends.
+async fn serve<C: Clock>(link: Link, mut receiver: Receiver<Body>, shared: Arc<Shared<C>>) {
+    while let Some(received) = receiver.recv().await {
+        match received {
+            Ok(Body::Dispatch(dispatch)) => take(link, *dispatch, &shared),
+            Ok(_) => {
+                tracing::warn!(%link, "link closed: the peer sent what only agents send");
+                break;
+            }
+            Err(error) => {
+                tracing::info!(%error, %link, "link lost");
+                break;
+            }
+        }
+    }
+    shared.state.step(Event::LinkLost(link));
+}
+
+fn take<C: Clock>(link: Link, dispatch: Dispatch, shared: &Arc<Shared<C>>) {
+    let Dispatch {
+        request,
+        call,
+        trace,
+    } = dispatch;
+    let key = match &request {
+        Request::Run(run) => run.identity.key.as_str().to_owned(),
+        _ => String::new(),
+    };
+    let event = Event::Request { link, request };
+    let Some(attempt) = shared.state.step(event) else {
+        return;
+    };
+    let Some(call) = call else {
+        shared.state.step(Event::Unstarted(attempt));
+        return;
+    };
+    let span = tracing::info_span!("run", %attempt);
+    let run = run(attempt, key, call, trace, Arc::clone(shared)).instrument(span);
+    let task = tokio::spawn(run);
+    shared.state.running(attempt, task.abort_handle());
+}
+
+/// Makes the call of one attempt and feeds the ledger with its pieces.
+async fn run<C: Clock>(
+    attempt: Attempt,
+    key: String,
+    call: Call,
+    trace: Option<String>,
+    shared: Arc<Shared<C>>,
+) {
+    let event = match relay(attempt, &key, &call, trace.as_deref(), &shared).await {
+        Ok(()) => Event::Done(attempt),
+        Err(error @ Error::Unstarted { .. }) => {
+            tracing::debug!(%error, %attempt, "run refused by the endpoint");
+            Event::Unstarted(attempt)
+        }
+        Err(error @ Error::Failed { .. }) => {
+            tracing::info!(%error, %attempt, "run failed");
+            Event::Failed(attempt)
+        }
+    };
+    shared.state.step(event);
+}
+
+async fn relay<C: Clock>(
+    attempt: Attempt,
+    key: &str,
+    call: &Call,
+    trace: Option<&str>,
+    shared: &Shared<C>,
+) -> Result<(), Error> {
+    let mut answer = shared.engine.call(attempt, key, call, trace).await?;
+    while let Some(data) = answer.next().await? {
+        shared.state.step(Event::Piece { attempt, data });
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/agent/src/state.rs
@@ -0,0 +1,201 @@
+//! The ledger of an agent with the connections and runs around it.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use cactusnotch_base::{Clock, Table};
+use cactusnotch_ledger::{Attempt, Command, Event, Ledger, Link, Reply};
+use cactusnotch_link::Sender;
+use cactusnotch_wire::{Announcement, Body};
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+
+/// A link from an entry.
+#[derive(Debug)]
+struct Peer {
+    sender: Sender<Body>,
+    /// The runs that came by this link and go on.
+    runs: u32,
+}
+
+/// A run at the endpoint.
+#[derive(Debug)]
+struct Run {
+    link: Link,
+    task: Option<AbortHandle>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    ledger: Ledger,
+    peers: Table<Link, Peer>,
+    runs: Table<Attempt, Run>,
+    next_link: Link,
+    slots: u32,
+}
+
+/// The ledger of an agent with the connections and runs around it.
+///
+/// Every event passes through the one lock, so that the replies to an entry
+/// leave in the order in which the ledger made them.
+#[derive(Debug, Clone)]
+pub(crate) struct State<C> {
+    clock: C,
+    inner: Arc<Mutex<Inner>>,
+    drained: watch::Sender<bool>,
+}
+
+impl<C: Clock> State<C> {
+    pub(crate) fn new(ledger: Ledger, slots: u32, clock: C) -> Self {
+        let inner = Inner {
+            ledger,
+            peers: Table::new(),
+            runs: Table::new(),
+            next_link: Link::default(),
+            slots,
+        };
+        Self {
+            clock,
+            inner: Arc::new(Mutex::new(inner)),
+            drained: watch::Sender::new(false),
+        }
+    }
+
+    /// Takes a link from an entry on and returns its number.
+    pub(crate) fn open(&self, sender: Sender<Body>) -> Link {
+        let mut inner = self.lock();
+        let link = inner.next_link;
+        inner.next_link = Link(link.0 + 1);
+        inner.peers.insert(link, Peer { sender, runs: 0 });
+        let announcement = self.announcement(&inner, link);
+        inner.send(link, &Body::Announce(announcement));
+        link
+    }
+
+    /// Takes one event and returns the attempt that is to be started, if any.
+    pub(crate) fn step(&self, event: Event) -> Option<Attempt> {
+        let mut inner = self.lock();
+        let was_draining = inner.ledger.is_draining();
+        let arrival = match &event {
+            Event::Request { link, .. } => Some(*link),
+            _ => None,
+        };
+        let start = self.take(&mut inner, event, arrival);
+        if inner.ledger.is_draining() != was_draining {
+            self.announce_to_all(&mut inner);
+        }
+        start
+    }
+
+    /// Tells every entry the endpoint's condition.
+    pub(crate) fn announce(&self) {
+        self.announce_to_all(&mut self.lock());
+    }
+
+    /// Keeps the handle by which the run of an attempt is stopped.
+    pub(crate) fn running(&self, attempt: Attempt, task: AbortHandle) {
+        match self.lock().runs.get_mut(&attempt) {
+            Some(run) => run.task = Some(task),
+            // The run has ended or was stopped already.
+            None => task.abort(),
+        }
+    }
+
+    /// Waits until all runs have ended after a drain.
+    pub(crate) async fn drained(&self) {
+        // The sender lives in `self`, so the wait cannot fail.
+        let _ = self.drained.subscribe().wait_for(|drained| *drained).await;
+    }
+
+    fn take(&self, inner: &mut Inner, event: Event, arrival: Option<Link>) -> Option<Attempt> {
+        if let Event::LinkLost(link) = event {
+            inner.peers.remove(&link);
+        }
+        let ended = match event {
+            Event::Done(attempt) | Event::Failed(attempt) | Event::Unstarted(attempt) => {
+                Some(attempt)
+            }
+            _ => None,
+        };
+        let mut start = None;
+        for command in inner.ledger.step(event, self.clock.now()) {
+            match command {
+                Command::Send { link, reply } => inner.reply(link, reply),
+                Command::Start(attempt) => {
+                    start = Some(attempt);
+                    inner.begin(attempt, arrival.unwrap_or_default());
+                }
+                Command::Stop(attempt) => inner.stop(attempt),
+                Command::Drained => {
+                    self.drained.send_replace(true);
+                }
+            }
+        }
+        if let Some(attempt) = ended {
+            inner.end(attempt);
+        }
+        start
+    }
+
+    fn announce_to_all(&self, inner: &mut Inner) {
+        let links: Vec<Link> = inner.peers.keys().copied().collect();
+        for link in links {
+            let announcement = self.announcement(inner, link);
+            inner.send(link, &Body::Announce(announcement));
+        }
+    }
+
+    fn announcement(&self, inner: &Inner, link: Link) -> Announcement {
+        Announcement {
+            endpoint: inner.ledger.endpoint().clone(),
+            incarnation: inner.ledger.incarnation(),
+            age: inner.ledger.age(self.clock.now()),
+            draining: inner.ledger.is_draining(),
+            slots: inner.slots,
+            requests: u32::try_from(inner.ledger.running()).unwrap_or(u32::MAX),
+            mine: inner.peers.get(&link).map_or(0, |peer| peer.runs),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn reply(&mut self, link: Link, reply: Reply) {
+        self.send(link, &Body::Reply(reply));
+    }
+
+    /// Queues a message; a link that takes no more is closed, and its reader
+    /// reports the loss.
+    fn send(&mut self, link: Link, body: &Body) {
+        let Some(peer) = self.peers.get(&link) else {
+            return;
+        };
+        if peer.sender.try_send(body).is_err() {
+            metrics::counter!("cactusnotch_agent_links_overrun_total").increment(1);
+            self.peers.remove(&link);
+        }
+    }
+
+    fn begin(&mut self, attempt: Attempt, link: Link) {
+        self.runs.insert(attempt, Run { link, task: None });
+        if let Some(peer) = self.peers.get_mut(&link) {
+            peer.runs += 1;
+        }
+    }
+
+    fn end(&mut self, attempt: Attempt) -> Option<Run> {
+        let run = self.runs.remove(&attempt)?;
+        if let Some(peer) = self.peers.get_mut(&run.link) {
+            peer.runs -= 1;
+        }
+        Some(run)
+    }
+
+    fn stop(&mut self, attempt: Attempt) {
+        if let Some(task) = self.end(attempt).and_then(|run| run.task) {
+            task.abort();
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/announcement.rs
@@ -0,0 +1,27 @@
+//! An agent's statement of its endpoint's condition.
+
+use cactusnotch_base::name::Endpoint;
+use cactusnotch_base::number::Incarnation;
+use cactusnotch_derive::message;
+use cactusnotch_ledger::Age;
+
+/// An agent's statement of its endpoint's condition, sent when a link opens,
+/// at an interval, and when the agent begins to drain.
+#[message]
+#[derive(Eq)]
+pub struct Announcement {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// The incarnation of the agent.
+    pub incarnation: Incarnation,
+    /// The age of the agent.
+    pub age: Age,
+    /// Whether the agent refuses new work since it is leaving.
+    pub draining: bool,
+    /// The requests that the endpoint can run at once.
+    pub slots: u32,
+    /// The requests that run or wait.
+    pub requests: u32,
+    /// The part of `requests` that came by this link.
+    pub mine: u32,
+}
--- /dev/null
+++ b/crates/wire/src/body.rs
@@ -0,0 +1,18 @@
+//! What a link carries.
+
+use cactusnotch_derive::message;
+use cactusnotch_ledger::Reply;
+
+use crate::{Announcement, Dispatch};
+
+/// What a link carries.
+#[message]
+#[serde(rename_all = "kebab-case")]
+pub enum Body {
+    /// An entry asks something of an agent about a request.
+    Dispatch(Box<Dispatch>),
+    /// An agent replies about a request.
+    Reply(Reply),
+    /// An agent states its endpoint's condition.
+    Announce(Announcement),
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,18 @@
+//! Messages between the processes of cactusnotch.
+//!
+//! A link carries [`Body`] values. The decisions define most of the messages;
+//! this crate adds what the drivers need around them.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+mod announcement;
+mod body;
+mod call;
+mod dispatch;
+pub mod head;
+
+pub use announcement::Announcement;
+pub use body::Body;
+pub use call::Call;
+pub use dispatch::Dispatch;
+pub use head::Head;
