feat: add stand-ins of the object API and the model engine

Cause: the thin path needs a platform and an engine to meet over TCP. The object API keeps versions, conditions and watches and can be told to fail; the engine batches continuously and its answers can be worked out again by a checker. Ruled out for the engine: rouille, which holds a streamed body back; hyper flushes each token.

--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,14 @@
+//! Stand-ins of the outside systems that cactusnotch meets.
+//!
+//! Each stand-in runs in the process that starts it, listens on the loopback
+//! interface and stops when it is dropped. `docs/design/standins.md` says what
+//! each one claims, and `docs/PLATFORM.md` and `docs/ENGINE.md` what it speaks.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod engine;
+pub mod objects;
+
+mod http;
+mod sync;
+mod web;
