feat: add leases and fencing over conditional updates

Cause: every right to act (a group's coordinator, an endpoint's order) needs one holder at a time without a coordination service of our own. Ruled out: comparing wall clocks, and taking an absent object at once (it may have been deleted under a holder).

--- /dev/null
+++ b/crates/lease/src/guard.rs
@@ -0,0 +1,46 @@
+//! The right to act, for a bounded time.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use cactusnotch_base::number::Fence;
+
+/// The right to act under a lease until [`Guard::deadline`].
+///
+/// A release is written only once all guards of the lease have been dropped
+/// or have ended.
+#[derive(Debug)]
+pub struct Guard {
+    fence: Fence,
+    deadline: Instant,
+    _use: Arc<()>,
+}
+
+impl Guard {
+    pub(crate) fn new(fence: Fence, deadline: Instant, usage: &Arc<()>) -> Self {
+        Self {
+            fence,
+            deadline,
+            _use: Arc::clone(usage),
+        }
+    }
+
+    /// Returns the fencing number to send with each order.
+    #[must_use]
+    pub const fn fence(&self) -> Fence {
+        self.fence
+    }
+
+    /// Returns the instant at which the right ends.
+    #[must_use]
+    pub const fn deadline(&self) -> Instant {
+        self.deadline
+    }
+
+    /// Tells whether the right still holds at `now`; asked again before each
+    /// order, since the process may have been paused in between.
+    #[must_use]
+    pub fn check(&self, now: Instant) -> bool {
+        now < self.deadline
+    }
+}
