--- /dev/null
+++ b/crates/claim/src/record.rs
@@ -0,0 +1,83 @@
+//! A claim as it is recorded in the platform.
+
+use cactusnotch_base::name::Endpoint;
+use cactusnotch_base::number::Incarnation;
+use cactusnotch_derive::message;
+use cactusnotch_ledger::{Age, Attempt, Holder, Terms, Window};
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
+
+use crate::Claim;
+
+/// A claim as it is recorded in the platform, with a hash in place of the key.
+#[message]
+#[derive(Eq, Hash)]
+#[serde(from = "Compact", into = "Compact")]
+pub struct Record {
+    /// The hash of the request's identity.
+    pub print: Uuid,
+    /// A hash of the payload.
+    pub digest: u64,
+    /// The attempt and the one agent that may start it.
+    pub holder: Holder,
+    /// The attempt that held the key and that provably never starts.
+    pub from: Option<Attempt>,
+}
+
+impl From<&Claim> for Record {
+    fn from(claim: &Claim) -> Self {
+        Self {
+            print: Uuid::from_u128(claim.identity.print()),
+            digest: claim.digest,
+            holder: claim.holder.clone(),
+            from: claim.from,
+        }
+    }
+}
+
+/// A record as a JSON array, since a log holds very many of them.
+#[derive(Serialize, Deserialize)]
+struct Compact(
+    Uuid,
+    u64,
+    Attempt,
+    Option<Attempt>,
+    Endpoint,
+    Incarnation,
+    Age,
+    Age,
+);
+
+impl From<Compact> for Record {
+    fn from(compact: Compact) -> Self {
+        let Compact(print, digest, attempt, from, endpoint, incarnation, age, start_by) = compact;
+        let terms = Terms {
+            endpoint,
+            incarnation,
+            age,
+        };
+        let window = Window { terms, start_by };
+        Self {
+            print,
+            digest,
+            holder: Holder { attempt, window },
+            from,
+        }
+    }
+}
+
+impl From<Record> for Compact {
+    fn from(record: Record) -> Self {
+        let Holder { attempt, window } = record.holder;
+        Self(
+            record.print,
+            record.digest,
+            attempt,
+            record.from,
+            window.terms.endpoint,
+            window.terms.incarnation,
+            window.terms.age,
+            window.start_by,
+        )
+    }
+}
--- /dev/null
+++ b/crates/claim/src/shard.rs
@@ -0,0 +1,341 @@
+//! One writer of one shard's log.
+
+use std::time::{Duration, Instant, SystemTime};
+
+use cactusnotch_ledger::{Attempt, Link};
+use uuid::Uuid;
+
+use crate::batch::{Batch, Entry, Id};
+use crate::event::Written;
+use crate::log::{Effect, Log};
+use crate::{Answer, Claim, Command, Event, Options, Record};
+
+/// How many old batches are deleted for each one that is appended.
+const TRIMMED_PER_BATCH: usize = 2;
+
+/// A claim that has no answer yet.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Waiting {
+    link: Link,
+    record: Record,
+    since: Instant,
+}
+
+/// The call to the platform that is out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Call {
+    Put { sent: Instant },
+    List { sent: Instant },
+}
+
+/// A batch whose fate is not known yet, with the claims that wait for it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Flight {
+    number: u64,
+    batch: Batch,
+    waiting: Vec<Waiting>,
+}
+
+/// One writer of one shard's log.
+///
+/// Any number of entries may write the same shard at once: safety rests on
+/// the log alone, and who is asked first is a hint that keeps them from
+/// racing. A claim is granted only after its batch was seen in the log.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Shard {
+    options: Options,
+    writer: Uuid,
+    count: u64,
+    log: Log,
+    /// When the end of the log was last known to be where it is now.
+    proven: Option<Instant>,
+    waiting: Vec<Waiting>,
+    flight: Option<Flight>,
+    call: Option<Call>,
+    /// When the next call may be made after one failed.
+    not_before: Option<Instant>,
+    backoff: Duration,
+}
+
+impl Shard {
+    /// Creates a writer that knows nothing of the log yet. `writer` is a
+    /// random name that no other writer ever had.
+    #[must_use]
+    pub fn new(options: Options, writer: Uuid) -> Self {
+        Self {
+            log: Log::new(&options),
+            backoff: options.backoff,
+            writer,
+            count: 0,
+            proven: None,
+            waiting: Vec::new(),
+            flight: None,
+            call: None,
+            not_before: None,
+            options,
+        }
+    }
+
+    /// Returns the number of keys that are remembered.
+    #[must_use]
+    pub fn keys(&self) -> usize {
+        self.log.keys()
+    }
+
+    /// Returns when [`Event::Tick`] is due, if anything waits.
+    #[must_use]
+    pub fn wake(&self) -> Option<Instant> {
+        let flying = self.flight.iter().flat_map(|flight| &flight.waiting);
+        let oldest = flying.chain(&self.waiting).map(|claim| claim.since).min();
+        let given_up = oldest.map(|since| since + self.options.patience);
+        if self.call.is_some() {
+            return given_up;
+        }
+        let flush = match &self.flight {
+            Some(_) => self.not_before,
+            None => self.flush_at(),
+        };
+        [given_up, flush].into_iter().flatten().min()
+    }
+
+    /// Takes one event at `now`, which is `wall` by the wall clock, and
+    /// returns what is to be done, in order.
+    #[must_use]
+    pub fn step(&mut self, event: Event, now: Instant, wall: SystemTime) -> Vec<Command> {
+        let wall_ms = milliseconds(wall);
+        let mut commands = Vec::new();
+        self.log.expire(wall_ms, &self.options);
+        match event {
+            Event::Ask { link, claim } => self.ask(link, &claim, now, &mut commands),
+            Event::Put(written) => self.written(written, now, wall_ms, &mut commands),
+            Event::Listed { version, entries } => self.listed(version, entries, &mut commands),
+            Event::Unlisted => self.fail(now),
+            Event::Tick => {}
+        }
+        self.give_up(now, &mut commands);
+        self.call(now, wall_ms, &mut commands);
+        commands
+    }
+
+    fn ask(&mut self, link: Link, claim: &Claim, now: Instant, commands: &mut Vec<Command>) {
+        let claim = Waiting {
+            link,
+            record: Record::from(claim),
+            since: now,
+        };
+        match decided(&self.log, &claim.record) {
+            Some(answer) => commands.push(answer_to(&claim, answer)),
+            None if self.waiting.len() >= self.options.queue => {
+                commands.push(answer_to(&claim, Answer::Unavailable));
+            }
+            None => self.waiting.push(claim),
+        }
+    }
+
+    fn written(
+        &mut self,
+        written: Written,
+        now: Instant,
+        wall_ms: u64,
+        commands: &mut Vec<Command>,
+    ) {
+        let Some(Call::Put { sent }) = self.call.take() else {
+            return;
+        };
+        match written {
+            Written::Created(version) if self.is_reliable(now) => {
+                self.backoff = self.options.backoff;
+                self.proven = Some(sent);
+                if let Some(flight) = self.flight.take() {
+                    self.log.append(&flight.batch, version);
+                    self.waiting.splice(0..0, flight.waiting);
+                }
+                self.answer_waiting(commands);
+                self.trim(wall_ms, commands);
+            }
+            Written::Refused => {
+                self.requeue();
+                self.fail(now);
+            }
+            Written::Created(_) | Written::Conflict => self.proven = None,
+            Written::Unanswered => {
+                self.proven = None;
+                self.fail(now);
+            }
+        }
+    }
+
+    fn trim(&mut self, wall_ms: u64, commands: &mut Vec<Command>) {
+        for _ in 0..TRIMMED_PER_BATCH {
+            if let Some(number) = self.log.trim(wall_ms, &self.options) {
+                commands.push(Command::Delete { number });
+            }
+        }
+    }
+
+    fn listed(&mut self, version: u64, entries: Vec<Entry>, commands: &mut Vec<Command>) {
+        let Some(Call::List { sent }) = self.call.take() else {
+            return;
+        };
+        self.backoff = self.options.backoff;
+        self.proven = Some(sent);
+        let appended = self.log.extend(version, entries);
+        if let Some(flight) = &self.flight {
+            let landed = appended
+                .iter()
+                .any(|entry| entry.batch.id == flight.batch.id);
+            if landed || self.log.next != flight.number || flight.waiting.is_empty() {
+                self.requeue();
+            }
+        }
+        self.answer_waiting(commands);
+    }
+
+    /// Puts the claims of the batch in flight back; those that it recorded
+    /// are then answered from the log.
+    fn requeue(&mut self) {
+        if let Some(flight) = self.flight.take() {
+            self.waiting.splice(0..0, flight.waiting);
+        }
+    }
+
+    fn fail(&mut self, now: Instant) {
+        self.call = None;
+        self.not_before = Some(now + self.backoff);
+        self.backoff = (self.backoff * 2).min(self.options.backoff_limit);
+    }
+
+    /// Answers the claims about which the log has decided.
+    fn answer_waiting(&mut self, commands: &mut Vec<Command>) {
+        let log = &self.log;
+        self.waiting.retain(|claim| {
+            let answer = decided(log, &claim.record);
+            let waits = answer.is_none();
+            commands.extend(answer.map(|answer| answer_to(claim, answer)));
+            waits
+        });
+    }
+
+    /// Refuses the claims that have waited for too long. Those in flight may
+    /// be recorded yet, but they are never granted after this.
+    fn give_up(&mut self, now: Instant, commands: &mut Vec<Command>) {
+        let patience = self.options.patience;
+        let mut keep = |claim: &Waiting| {
+            let waits = now < claim.since + patience;
+            if !waits {
+                commands.push(answer_to(claim, Answer::Unavailable));
+            }
+            waits
+        };
+        self.waiting.retain(&mut keep);
+        if let Some(flight) = &mut self.flight {
+            flight.waiting.retain(&mut keep);
+        }
+    }
+
+    /// Makes the next call to the platform, if one is due.
+    fn call(&mut self, now: Instant, wall_ms: u64, commands: &mut Vec<Command>) {
+        let held_back = self.not_before.is_some_and(|then| now < then);
+        let due = self.flight.is_some() || self.flush_at().is_some_and(|then| now >= then);
+        if self.call.is_some() || held_back || !due {
+            return;
+        }
+        self.not_before = None;
+        if !self.is_reliable(now) {
+            return self.list(now, commands);
+        }
+        if self.flight.is_none() {
+            self.flight = Some(self.batch(wall_ms));
+        }
+        if let Some(flight) = &self.flight {
+            self.call = Some(Call::Put { sent: now });
+            commands.push(Command::Put {
+                number: flight.number,
+                batch: flight.batch.clone(),
+            });
+        }
+    }
+
+    fn list(&mut self, now: Instant, commands: &mut Vec<Command>) {
+        self.call = Some(Call::List { sent: now });
+        commands.push(Command::List {
+            after: self.log.version,
+        });
+    }
+
+    /// Tells whether the end of the log is where it was last seen, unless
+    /// another writer appended to it meanwhile.
+    fn is_reliable(&self, now: Instant) -> bool {
+        self.proven
+            .is_some_and(|proven| now.saturating_duration_since(proven) < self.options.reliance())
+    }
+
+    /// Returns when the claims that wait are to be written.
+    fn flush_at(&self) -> Option<Instant> {
+        let oldest = self.waiting.iter().map(|claim| claim.since).min()?;
+        let full = self.waiting.len() >= self.options.batch;
+        let gathered = if full {
+            oldest
+        } else {
+            oldest + self.options.window
+        };
+        Some(gathered.max(self.not_before.unwrap_or(gathered)))
+    }
+
+    /// Takes the claims of the next batch, the first for each key.
+    fn batch(&mut self, wall_ms: u64) -> Flight {
+        self.count += 1;
+        let mut flying: Vec<Waiting> = Vec::new();
+        let mut later = Vec::new();
+        let mut prints = cactusnotch_base::Table::new();
+        for claim in std::mem::take(&mut self.waiting) {
+            let print = claim.record.print;
+            if flying.len() < self.options.batch && prints.insert(print, ()).is_none() {
+                flying.push(claim);
+            } else {
+                later.push(claim);
+            }
+        }
+        self.waiting = later;
+        let id = Id {
+            writer: self.writer,
+            count: self.count,
+        };
+        let records = flying.iter().map(|claim| claim.record.clone()).collect();
+        Flight {
+            number: self.log.next,
+            batch: Batch {
+                id,
+                made_ms: wall_ms,
+                records,
+            },
+            waiting: flying,
+        }
+    }
+}
+
+/// Returns the answer to a claim that needs no write.
+fn decided(log: &Log, record: &Record) -> Option<Answer> {
+    match log.effect(record) {
+        Effect::Takes => None,
+        Effect::Stands => Some(Answer::Granted),
+        Effect::Loses(held) if held.digest != record.digest => Some(Answer::Mismatch),
+        Effect::Loses(held) => Some(Answer::Held(held.holder.clone())),
+    }
+}
+
+fn answer_to(claim: &Waiting, answer: Answer) -> Command {
+    let attempt: Attempt = claim.record.holder.attempt;
+    Command::Answer {
+        link: claim.link,
+        attempt,
+        answer,
+    }
+}
+
+pub(crate) fn milliseconds(wall: SystemTime) -> u64 {
+    let since = wall
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
