--- /dev/null
+++ b/crates/entry/src/addresses.rs
@@ -0,0 +1,46 @@
+//! The addresses that callers may use.
+
+use cactusnotch_base::Clock;
+use cactusnotch_base::name::DataCentre;
+use hyper::Response;
+use serde::Serialize;
+
+use crate::body::Body;
+use crate::models::json;
+use crate::problem::Problem;
+use crate::shared::Shared;
+
+#[derive(Serialize)]
+struct Addresses {
+    addresses: Vec<Address>,
+    lifetime_seconds: u64,
+}
+
+#[derive(Serialize)]
+struct Address {
+    address: String,
+    data_centre: DataCentre,
+}
+
+/// Lists the entries that take callers' connections, the nearest first, and
+/// says for how long the list may be kept.
+pub(crate) fn answer<C: Clock>(shared: &Shared<C>) -> Result<Response<Body>, Problem> {
+    let own = &shared.options.link.identity.data_centre;
+    let mut addresses: Vec<Address> = shared
+        .control
+        .entries()
+        .into_iter()
+        .map(|(address, data_centre)| Address {
+            address,
+            data_centre,
+        })
+        .collect();
+    // Each caller gets its own order within a data centre, which spreads them.
+    rand::seq::SliceRandom::shuffle(addresses.as_mut_slice(), &mut rand::rng());
+    addresses.sort_by_key(|address| address.data_centre != *own);
+    let lifetime = shared.settings().system.address_lifetime;
+    Ok(json(&Addresses {
+        addresses,
+        lifetime_seconds: lifetime.as_secs(),
+    }))
+}
--- /dev/null
+++ b/crates/entry/src/caller.rs
@@ -0,0 +1,45 @@
+//! What callers ask over HTTP.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use cactusnotch_base::Clock;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+
+use crate::body::Body;
+use crate::problem::Problem;
+use crate::shared::Shared;
+use crate::{addresses, completion, models};
+
+/// The path of the addresses that callers may use.
+const ADDRESSES: &str = "/v1/addresses";
+
+/// The path of the models on offer.
+const MODELS: &str = "/v1/models";
+
+/// The paths that model servers answer.
+const COMPLETIONS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
+
+/// Answers one request of a caller.
+pub(crate) async fn answer<C: Clock>(
+    shared: Arc<Shared<C>>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Infallible> {
+    let answered = match (request.method(), request.uri().path()) {
+        (&Method::GET, ADDRESSES) => addresses::answer(&shared),
+        (&Method::GET, MODELS) => models::answer(&shared),
+        (&Method::POST, path) if COMPLETIONS.contains(&path) => {
+            completion::answer(&shared, request).await
+        }
+        (_, path) => match shared.router().service_of(path).cloned() {
+            Some(service) => completion::forward(&shared, service, request).await,
+            None => Err(Problem::absent(format!("no service under {path}"))),
+        },
+    };
+    Ok(answered.unwrap_or_else(|problem| {
+        let outcome = problem.outcome.to_string();
+        metrics::counter!("cactusnotch_entry_refusals_total", "outcome" => outcome).increment(1);
+        problem.response()
+    }))
+}
--- /dev/null
+++ b/crates/entry/src/completion.rs
@@ -0,0 +1,263 @@
+//! Requests for completions, and calls to plain services.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cactusnotch_attempt::{Order, Way};
+use cactusnotch_base::name::{Model, Organisation};
+use cactusnotch_base::number::Sequence;
+use cactusnotch_base::outcome::Key;
+use cactusnotch_base::{Clock, Outcome};
+use cactusnotch_ledger::message::Repeat;
+use cactusnotch_ledger::{Attempt, Identity};
+use cactusnotch_route::{Service, prefix};
+use cactusnotch_settings::resolved;
+use cactusnotch_wire::Call;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderMap};
+use hyper::{Request, Response, StatusCode};
+use serde::Deserialize;
+use uuid::Uuid;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::body::Body;
+use crate::drive::{self, Job};
+use crate::output::Output;
+use crate::problem::Problem;
+use crate::shared::Shared;
+
+/// The header that names the caller's organisation.
+const ORGANISATION: &str = "openai-organization";
+
+/// The header that names a request across retries.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// The header that says whether a request may be repeated.
+const IDEMPOTENT: &str = "cactusnotch-idempotent";
+
+/// The header that names the last event that a caller has.
+const LAST_EVENT_ID: &str = "last-event-id";
+
+/// The header of the W3C trace context.
+const TRACEPARENT: &str = "traceparent";
+
+/// The bytes of a prompt that make about one token.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// The part of a completion request that routing looks at.
+#[derive(Debug, Deserialize)]
+struct Ask {
+    model: String,
+}
+
+/// What a caller said about a request besides its payload.
+#[derive(Debug)]
+struct Manner {
+    organisation: Organisation,
+    key: Option<Key>,
+    repeat: Option<Repeat>,
+    after: Sequence,
+    trace: Option<String>,
+    content_type: Option<String>,
+}
+
+/// Answers a request for a completion.
+pub(crate) async fn answer<C: Clock>(
+    shared: &Arc<Shared<C>>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Problem> {
+    let manner = Manner::read(request.headers())?;
+    let (method, path) = target(&request);
+    let payload = receive(shared, request).await?;
+    let ask: Ask = serde_json::from_slice(&payload)
+        .map_err(|error| Problem::malformed(format!("body: {error}")))?;
+    let service = Service::Model(Model::new(ask.model));
+    start(shared, service, manner, method, path, payload).await
+}
+
+/// Forwards a call to a plain service.
+pub(crate) async fn forward<C: Clock>(
+    shared: &Arc<Shared<C>>,
+    service: Service,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Problem> {
+    let manner = Manner::read(request.headers())?;
+    let (method, path) = target(&request);
+    let payload = receive(shared, request).await?;
+    start(shared, service, manner, method, path, payload).await
+}
+
+async fn start<C: Clock>(
+    shared: &Arc<Shared<C>>,
+    service: Service,
+    manner: Manner,
+    method: String,
+    path: String,
+    payload: Bytes,
+) -> Result<Response<Body>, Problem> {
+    let settings = shared.settings();
+    let organisation = settings
+        .organisation(manner.organisation.as_str())
+        .ok_or_else(|| unknown_organisation(&manner.organisation))?;
+    let call = Call {
+        method,
+        path,
+        content_type: manner.content_type.clone(),
+        priority: u8::try_from(organisation.priority).unwrap_or(u8::MAX),
+        payload,
+    };
+    let order = order(shared, organisation, &manner, &call);
+    let seed = xxhash_rust::xxh3::xxh3_64(manner.organisation.as_str().as_bytes());
+    let job = Job {
+        order,
+        service,
+        tokens: u32::try_from(call.payload.len() / BYTES_PER_TOKEN).unwrap_or(u32::MAX),
+        prefix: prefix::blocks(seed, &call.payload),
+        call,
+        trace: manner.trace,
+    };
+    let (output, response) = Output::new();
+    tokio::spawn(drive::run(Arc::clone(shared), job, output));
+    response.await.map_err(|_| lost())
+}
+
+fn order<C: Clock>(
+    shared: &Shared<C>,
+    organisation: &resolved::Organisation,
+    manner: &Manner,
+    call: &Call,
+) -> Order {
+    let repeat = manner.repeat.unwrap_or(if organisation.is_idempotent {
+        Repeat::Idempotent
+    } else {
+        Repeat::Once
+    });
+    let (key, way) = match &manner.key {
+        Some(key) => (key.clone(), Way::Claim),
+        None => (Key::new(Uuid::new_v4().to_string()), Way::Private),
+    };
+    let linger = match way {
+        Way::Private => std::time::Duration::ZERO,
+        Way::Claim | Way::Ticket(_) | Way::Resume(_) => shared.options.linger,
+    };
+    Order {
+        identity: Identity {
+            organisation: manner.organisation.clone(),
+            key,
+        },
+        digest: digest(call),
+        repeat,
+        way,
+        conversation: Attempt(Uuid::new_v4()),
+        after: manner.after,
+        deadline: shared.clock.now() + organisation.deadline,
+        linger_ms: u64::try_from(linger.as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
+impl Manner {
+    fn read(headers: &HeaderMap) -> Result<Self, Problem> {
+        let organisation = text(headers, ORGANISATION)?
+            .ok_or_else(|| Problem::malformed(format!("the header {ORGANISATION} is missing")))?;
+        let repeat = match text(headers, IDEMPOTENT)? {
+            None => None,
+            Some("true") => Some(Repeat::Idempotent),
+            Some("false") => Some(Repeat::Once),
+            Some(other) => {
+                let detail = format!("header {IDEMPOTENT}: {other:?} is neither true nor false");
+                return Err(Problem::malformed(detail));
+            }
+        };
+        let after = match text(headers, LAST_EVENT_ID)? {
+            None => Sequence::default(),
+            Some(number) => number.parse().map(Sequence).map_err(|_| {
+                Problem::malformed(format!("header {LAST_EVENT_ID}: {number:?} is no number"))
+            })?,
+        };
+        Ok(Self {
+            organisation: Organisation::new(organisation),
+            key: text(headers, IDEMPOTENCY_KEY)?.map(Key::new),
+            repeat,
+            after,
+            trace: text(headers, TRACEPARENT)?.map(str::to_owned),
+            content_type: text(headers, CONTENT_TYPE.as_str())?.map(str::to_owned),
+        })
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Problem> {
+    headers
+        .get(name)
+        .map(|value| {
+            value
+                .to_str()
+                .map_err(|_| Problem::malformed(format!("header {name}: it is not plain text")))
+        })
+        .transpose()
+}
+
+fn target(request: &Request<Incoming>) -> (String, String) {
+    let path = request
+        .uri()
+        .path_and_query()
+        .map_or_else(|| request.uri().path().to_owned(), ToString::to_string);
+    (request.method().to_string(), path)
+}
+
+/// Reads the body of a request, within the bounds of size and time.
+async fn receive<C: Clock>(
+    shared: &Shared<C>,
+    request: Request<Incoming>,
+) -> Result<Bytes, Problem> {
+    let limit = shared.options.body_limit;
+    let body = Limited::new(request.into_body(), limit).collect();
+    match tokio::time::timeout(shared.options.receive_timeout, body).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Problem::new(
+            "too-large",
+            "The request is too large",
+            StatusCode::PAYLOAD_TOO_LARGE,
+            Outcome::NotRun,
+            format!("the body is longer than {limit} bytes"),
+        )),
+        Ok(Err(error)) => Err(Problem::malformed(format!("body: {error}"))),
+        Err(_) => Err(Problem::new(
+            "too-slow",
+            "The request came too slowly",
+            StatusCode::REQUEST_TIMEOUT,
+            Outcome::NotRun,
+            "the body did not come in time",
+        )),
+    }
+}
+
+/// Returns a hash of everything that makes two calls the same.
+fn digest(call: &Call) -> u64 {
+    let mut hasher = Xxh3::new();
+    for part in [call.method.as_bytes(), call.path.as_bytes(), &call.payload] {
+        hasher.update(&part.len().to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.digest()
+}
+
+fn unknown_organisation(name: &Organisation) -> Problem {
+    Problem::new(
+        "unknown-organisation",
+        "The organisation is not known",
+        StatusCode::FORBIDDEN,
+        Outcome::NotRun,
+        format!("no organisation {name} in the settings"),
+    )
+}
+
+fn lost() -> Problem {
+    Problem::new(
+        "internal",
+        "The entry failed",
+        StatusCode::INTERNAL_SERVER_ERROR,
+        Outcome::Unknown,
+        "the request's task ended without an answer",
+    )
+}
--- /dev/null
+++ b/crates/entry/src/mailbox.rs
@@ -0,0 +1,76 @@
+//! The way of agents' replies to the requests that wait for them.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use cactusnotch_attempt::Event;
+use cactusnotch_base::Table;
+use cactusnotch_base::name::Endpoint;
+use cactusnotch_ledger::{Attempt, Reply};
+use tokio::sync::mpsc;
+
+/// The replies that may wait for one request; one that falls further behind
+/// loses its mailbox.
+pub(crate) const DEPTH: usize = 8192;
+
+#[derive(Debug)]
+struct Slot {
+    endpoint: Endpoint,
+    sender: mpsc::Sender<Event>,
+}
+
+/// The mailboxes of the requests in flight, by the name of their conversation
+/// with an agent.
+#[derive(Debug, Default)]
+pub(crate) struct Mailboxes {
+    slots: Mutex<Table<Attempt, Slot>>,
+}
+
+impl Mailboxes {
+    /// Lets replies of `endpoint` in `conversation` go to `sender`.
+    pub(crate) fn open(
+        &self,
+        conversation: Attempt,
+        endpoint: Endpoint,
+        sender: mpsc::Sender<Event>,
+    ) {
+        let slot = Slot { endpoint, sender };
+        self.lock().insert(conversation, slot);
+    }
+
+    /// Ends a conversation.
+    pub(crate) fn close(&self, conversation: Attempt) {
+        self.lock().remove(&conversation);
+    }
+
+    /// Passes on a reply that came from `endpoint`. A reply in a conversation
+    /// that has ended, or that is held with another endpoint, is dropped.
+    pub(crate) fn deliver(&self, endpoint: &Endpoint, reply: Reply) {
+        let conversation = reply.attempt();
+        let mut slots = self.lock();
+        let Some(slot) = slots.get(&conversation) else {
+            return;
+        };
+        if slot.endpoint != *endpoint {
+            metrics::counter!("cactusnotch_entry_foreign_replies_total").increment(1);
+            return;
+        }
+        if slot.sender.try_send(Event::Reply(reply)).is_err() {
+            slots.remove(&conversation);
+        }
+    }
+
+    /// Tells every request that waits for `endpoint` that its link is gone.
+    pub(crate) fn link_lost(&self, endpoint: &Endpoint) {
+        self.lock().retain(|_, slot| {
+            slot.endpoint != *endpoint
+                || slot
+                    .sender
+                    .try_send(Event::LinkLost(endpoint.clone()))
+                    .is_ok()
+        });
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Table<Attempt, Slot>> {
+        self.slots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/options.rs
@@ -0,0 +1,39 @@
+//! How an entry runs.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cactusnotch_attempt as attempt;
+use cactusnotch_link as link;
+use cactusnotch_platform::http;
+use cactusnotch_route as route;
+
+/// How an entry runs.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The address to take callers' connections on.
+    pub listen: SocketAddr,
+    /// The address to take operators' calls on.
+    pub operator_listen: SocketAddr,
+    /// The address to take links of peers on.
+    pub peer_listen: SocketAddr,
+    /// Who the entry is and how its links are made.
+    pub link: link::Options,
+    /// How the platform is reached.
+    pub platform: http::Options,
+    /// The routing decision.
+    pub route: route::Options,
+    /// The times that bound a request.
+    pub attempt: attempt::Options,
+    /// What a first attempt earns, in thousandths of a retry.
+    pub retry_fraction: u32,
+    /// The most retries that are stored.
+    pub retry_store: u32,
+    /// The largest body of a caller's request, in bytes.
+    pub body_limit: usize,
+    /// How long a caller may take to send its request.
+    pub receive_timeout: Duration,
+    /// How long a run goes on after its caller went away, if the caller can
+    /// come back for the answer.
+    pub linger: Duration,
+}
