feat: keep one order over edits through the platform's object API

Operators race, replies get lost after the write took effect, and writers are paused and come back. Edits become revisions that are created if their number is free; each carries its predecessor's digest and is judged against it by the writer and again by each reader.

A floor object is therefore raised before anything is deleted, and read after each create and after each listing; entries at or below it prove nothing.

Ruled out: leaving a mark in place of each trimmed entry (listings grow without bound), and one head object with conditional updates (no numbered revisions for operators to look at, and the whole tail rewritten each time).

--- /dev/null
+++ b/crates/history/src/digest.rs
@@ -0,0 +1,34 @@
+//! Digests that chain the revisions.
+
+use cactusnotch_derive::identifier;
+use derive_more::Display;
+use sha2::Digest as _;
+use sha2::Sha256;
+
+use crate::Entry;
+
+/// The SHA-256 digest of an entry in hexadecimal.
+#[identifier]
+#[derive(Display)]
+#[serde(transparent)]
+pub struct Digest(String);
+
+impl Digest {
+    /// Returns the digest that the first entry carries.
+    #[must_use]
+    pub fn genesis() -> Self {
+        Self("0".repeat(2 * Sha256::output_size()))
+    }
+
+    /// Returns the digest of `entry`, taken over its JSON text in the order
+    /// of its fields.
+    ///
+    /// # Panics
+    ///
+    /// Never: an entry always has a JSON text.
+    #[must_use]
+    pub fn of(entry: &Entry) -> Self {
+        let text = serde_json::to_vec(entry).expect("an entry has a JSON text");
+        Self(format!("{:x}", Sha256::digest(text)))
+    }
+}
--- /dev/null
+++ b/crates/history/src/fold.rs
@@ -0,0 +1,132 @@
+//! Renewing the snapshot and trimming the entries behind it.
+
+use std::time::Duration;
+
+use cactusnotch_base::number::Revision;
+use cactusnotch_platform::object::{Condition, Version};
+
+use crate::{Call, Options, Replica, Reply, Snapshot, Step};
+
+/// Renews the snapshot, then raises the floor, then deletes the entries at and
+/// below the floor, each step only after the one before took effect.
+#[derive(Debug, Clone)]
+pub struct Fold {
+    snapshot: Box<Snapshot>,
+    options: Options,
+    state: State,
+}
+
+#[derive(Debug, Clone)]
+enum State {
+    CheckingFloor,
+    ReadingSnapshot,
+    WritingSnapshot,
+    ReadingFloor(Revision),
+    WritingFloor(Revision),
+    Listing(Revision),
+    Removing(Vec<Revision>),
+}
+
+impl Fold {
+    /// Creates the work of folding what `replica` holds.
+    #[must_use]
+    pub fn new(replica: &Replica, options: &Options) -> Self {
+        Self {
+            snapshot: Box::new(replica.snapshot().clone()),
+            options: *options,
+            state: State::CheckingFloor,
+        }
+    }
+
+    /// Begins.
+    #[must_use]
+    pub const fn start(&self) -> Call {
+        Call::ReadFloor
+    }
+
+    /// Takes in the reply to the last call; the result tells whether the fold
+    /// was completed. One that was not is made good by the next.
+    pub fn step(&mut self, reply: Reply) -> Step<bool> {
+        match (self.state.clone(), reply) {
+            (State::CheckingFloor, Reply::Floor { revision, .. }) => self.check(revision),
+            (
+                State::ReadingSnapshot,
+                Reply::Snapshot {
+                    snapshot,
+                    condition,
+                },
+            ) => self.write_snapshot(snapshot.as_deref(), condition),
+            (State::WritingSnapshot, Reply::Done) => self.read_floor(self.snapshot.revision),
+            (
+                State::ReadingFloor(target),
+                Reply::Floor {
+                    revision,
+                    condition,
+                },
+            ) => self.write_floor(target, revision, condition),
+            (State::WritingFloor(floor), Reply::Done) => self.list(floor),
+            (State::Listing(floor), Reply::Listed { entries, .. }) => {
+                let numbers = entries.iter().map(|entry| entry.revision);
+                self.remove(numbers.filter(|&number| number <= floor).collect())
+            }
+            (State::Removing(rest), Reply::Done) => self.remove(rest),
+            _ => Step::Done(false),
+        }
+    }
+
+    /// Goes on if enough entries have come together.
+    fn check(&mut self, floor: Revision) -> Step<bool> {
+        let waiting = self.snapshot.revision.0.saturating_sub(floor.0);
+        if waiting < self.options.fold_every + self.options.keep {
+            return Step::Done(true);
+        }
+        self.state = State::ReadingSnapshot;
+        Step::Call(Call::ReadSnapshot)
+    }
+
+    fn write_snapshot(&mut self, stored: Option<&Snapshot>, condition: Condition) -> Step<bool> {
+        let stored = stored.map_or(Revision(0), |stored| stored.revision);
+        if stored >= self.snapshot.revision {
+            return self.read_floor(stored);
+        }
+        self.state = State::WritingSnapshot;
+        Step::Call(Call::WriteSnapshot(self.snapshot.clone(), condition))
+    }
+
+    fn read_floor(&mut self, stored: Revision) -> Step<bool> {
+        let target = Revision(stored.0.saturating_sub(self.options.keep));
+        self.state = State::ReadingFloor(target);
+        Step::Call(Call::ReadFloor)
+    }
+
+    fn write_floor(
+        &mut self,
+        target: Revision,
+        floor: Revision,
+        condition: Condition,
+    ) -> Step<bool> {
+        if floor >= target {
+            return self.list(floor);
+        }
+        self.state = State::WritingFloor(target);
+        Step::Call(Call::WriteFloor(target, condition))
+    }
+
+    fn list(&mut self, floor: Revision) -> Step<bool> {
+        self.state = State::Listing(floor);
+        Step::Call(Call::List {
+            after: Version(0),
+            wait: Duration::ZERO,
+        })
+    }
+
+    fn remove(&mut self, mut rest: Vec<Revision>) -> Step<bool> {
+        match rest.pop() {
+            None => Step::Done(true),
+            Some(revision) => {
+                self.state = State::Removing(rest);
+                Step::Call(Call::Remove(revision))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/history/src/listing.rs
@@ -0,0 +1,92 @@
+//! The last edits as a table.
+
+use std::fmt;
+use std::time::{Duration, SystemTime};
+
+use cactusnotch_base::number::Revision;
+use cactusnotch_derive::record;
+use serde::Serialize;
+use uuid::Uuid;
+
+use crate::{Entry, Replica};
+
+/// An accepted edit for people to read.
+#[record]
+#[derive(Serialize)]
+pub struct Row {
+    /// The place in the order.
+    pub revision: Revision,
+    /// The identity of the edit.
+    pub edit: String,
+    /// When it was made, in seconds since the Unix epoch, if its identity
+    /// carries a time.
+    pub time: Option<u64>,
+    /// Who edited.
+    pub author: String,
+    /// Why.
+    pub reason: String,
+    /// What the edit did.
+    pub operations: Vec<String>,
+}
+
+/// The last edits, the newest first. It shows as a table of text and
+/// serializes for machines.
+#[record]
+#[derive(Serialize)]
+#[serde(transparent)]
+pub struct Listing {
+    /// The edits.
+    pub rows: Vec<Row>,
+}
+
+impl Listing {
+    /// Lists up to `count` of the edits that `replica` keeps.
+    #[must_use]
+    pub fn new(replica: &Replica, count: usize) -> Self {
+        let newest = replica.entries().iter().rev().take(count);
+        Self {
+            rows: newest.map(Row::new).collect(),
+        }
+    }
+}
+
+impl Row {
+    fn new(entry: &Entry) -> Self {
+        let edit = &entry.edit;
+        Self {
+            revision: entry.revision,
+            edit: edit.id.clone(),
+            time: seconds(&edit.id),
+            author: edit.author.clone(),
+            reason: edit.reason.clone(),
+            operations: edit.operations.iter().map(ToString::to_string).collect(),
+        }
+    }
+
+    fn age(&self) -> String {
+        let now = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+        match self.time {
+            Some(time) => format!("{}s ago", now.as_secs().saturating_sub(time)),
+            None => "-".to_owned(),
+        }
+    }
+}
+
+fn seconds(id: &str) -> Option<u64> {
+    let (seconds, _) = Uuid::try_parse(id).ok()?.get_timestamp()?.to_unix();
+    Some(Duration::from_secs(seconds).as_secs())
+}
+
+impl fmt::Display for Listing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for row in &self.rows {
+            let age = row.age();
+            writeln!(f, "revision {}  {age}  {}", row.revision, row.author)?;
+            writeln!(f, "  edit {}: {}", row.edit, row.reason)?;
+            for operation in &row.operations {
+                writeln!(f, "    {operation}")?;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/history/src/writer.rs
@@ -0,0 +1,98 @@
+//! Submitting edits to a store.
+
+use std::time::Duration;
+
+use cactusnotch_platform::Store;
+use cactusnotch_settings::Edit;
+use rand::Rng;
+
+use crate::{Call, Fold, Options, Replica, Reply, Step, Submission, Verdict, perform};
+
+/// The most doublings of the pause between repetitions.
+const DOUBLINGS: u32 = 6;
+
+/// Submits edits to a store, and folds the order now and then.
+#[derive(Debug, Clone)]
+pub struct Writer<S> {
+    store: S,
+    replica: Replica,
+    options: Options,
+}
+
+impl<S: Store> Writer<S> {
+    /// Creates a writer that starts from what `replica` holds.
+    #[must_use]
+    pub const fn new(store: S, replica: Replica, options: Options) -> Self {
+        Self {
+            store,
+            replica,
+            options,
+        }
+    }
+
+    /// Returns the writer's replica.
+    #[must_use]
+    pub const fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    /// Returns the writer's replica, to offer it what peers sent.
+    pub const fn replica_mut(&mut self) -> &mut Replica {
+        &mut self.replica
+    }
+
+    /// Submits `edit`, blocking until it is known what became of it or the
+    /// attempts are used up. Submitting an edit again is harmless.
+    pub fn submit(&mut self, edit: &Edit) -> Verdict {
+        let mut submission = Submission::new(edit.clone(), &self.options);
+        let mut step = submission.start(&self.replica);
+        let mut repeated = 0;
+        loop {
+            let call = match step {
+                Step::Call(call) => call,
+                Step::Done(verdict) => {
+                    self.fold_after(&verdict);
+                    return verdict;
+                }
+            };
+            let reply = perform(&self.store, &call);
+            if matches!(reply, Reply::Lost { .. } | Reply::Failed { .. }) {
+                self.pause(repeated);
+                repeated += 1;
+            }
+            step = submission.step(&mut self.replica, reply);
+        }
+    }
+
+    /// Renews the snapshot and trims the order if enough entries have come
+    /// together; tells whether that is done.
+    pub fn fold(&self) -> bool {
+        let mut fold = Fold::new(&self.replica, &self.options);
+        let mut call: Call = fold.start();
+        loop {
+            match fold.step(perform(&self.store, &call)) {
+                Step::Call(next) => call = next,
+                Step::Done(is_complete) => return is_complete,
+            }
+        }
+    }
+
+    fn fold_after(&self, verdict: &Verdict) {
+        let Verdict::Accepted { revision } = verdict else {
+            return;
+        };
+        // The floor is looked at once in a while, not after each edit.
+        if revision.0.is_multiple_of(self.options.fold_every) {
+            self.fold();
+        }
+    }
+
+    fn pause(&self, repeated: u32) {
+        let longest = self.options.pause * 2_u32.pow(repeated.min(DOUBLINGS));
+        let jitter = rand::rng().random_range(0.5..=1.0);
+        let pause: Duration = longest.mul_f64(jitter);
+        if !pause.is_zero() {
+            std::thread::sleep(pause);
+        }
+    }
+}
--- /dev/null
+++ b/crates/history/tests/interleaving.rs
@@ -0,0 +1,313 @@
+//! Random interleavings of operators, folds, readers and peers, call by call,
+//! with lost, late and refused calls, outages and restarts.
+
+mod support;
+
+use cactusnotch_base::Table;
+use cactusnotch_base::number::Revision;
+use cactusnotch_history::{
+    Call, Catchup, Digest, Fold, Options, Refusal, Replica, Step, Submission, Verdict, perform,
+};
+use cactusnotch_settings::{Edit, Tree};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::Rng;
+use rand::rngs::StdRng;
+use support::{Fault, Memory, edit, layout, random_operation, seeded};
+
+const PROCESSES: usize = 5;
+const STEPS: usize = 700;
+
+const OPTIONS: Options = Options {
+    attempts: 3,
+    races: 3,
+    pause: std::time::Duration::ZERO,
+    keep: 1,
+    fold_every: 1,
+};
+
+/// What a process is doing.
+enum Work {
+    Idle,
+    Submitting(Box<Submission>, Edit, Call),
+    Folding(Box<Fold>, Call),
+    Reading(Catchup, Call),
+}
+
+struct Process {
+    replica: Replica,
+    work: Work,
+}
+
+/// What the outside has been told, and what replicas have shown.
+#[derive(Default)]
+struct Record {
+    order: Table<Revision, (Digest, String)>,
+    accepted: Table<String, Revision>,
+    refused: Vec<String>,
+    open: Vec<Edit>,
+}
+
+impl Record {
+    /// Notes a verdict; `is_alone` tells that no other submission of the same
+    /// edit is running.
+    fn note(&mut self, edit: Edit, verdict: &Verdict, is_alone: bool) {
+        let was_open = self.open.contains(&edit);
+        match verdict {
+            Verdict::Accepted { revision } => {
+                let before = self.accepted.insert(edit.id, *revision);
+                assert!(
+                    before.is_none_or(|before| before == *revision),
+                    "accepted twice"
+                );
+            }
+            Verdict::Refused(Refusal::Expired { .. }) => {}
+            // Refused for good, even if an earlier submission died half-way
+            // and its write is still under way.
+            Verdict::Refused(_) if is_alone => self.refuse(&edit),
+            Verdict::Unavailable { .. } if !was_open => self.refuse(&edit),
+            Verdict::Refused(_) | Verdict::Unavailable { .. } => {}
+            Verdict::Unknown { .. } => self.leave_open(edit),
+        }
+    }
+
+    fn refuse(&mut self, edit: &Edit) {
+        self.open.retain(|open| open != edit);
+        self.refused.push(edit.id.clone());
+    }
+
+    fn leave_open(&mut self, edit: Edit) {
+        if !self.open.contains(&edit) {
+            self.open.push(edit);
+        }
+    }
+
+    fn observe(&mut self, replica: &Replica) {
+        for summary in &replica.snapshot().recent {
+            let row = (summary.digest.clone(), summary.edit.clone());
+            let seen = self
+                .order
+                .get_or_insert_with(summary.revision, || row.clone());
+            assert_eq!(*seen, row, "two orders at {}", summary.revision);
+        }
+        let nodes = replica.tree().nodes().clone();
+        assert!(
+            Tree::try_from(nodes).is_ok(),
+            "an accepted tree is not valid"
+        );
+    }
+
+    fn check(&self) {
+        let mut edits: Vec<_> = self.order.values().map(|(_, edit)| edit).collect();
+        edits.sort();
+        let count = edits.len();
+        edits.dedup();
+        assert_eq!(edits.len(), count, "an edit is in the order twice");
+        for (edit, revision) in self.accepted.iter() {
+            let found = self.order.get(revision).map(|(_, edit)| edit);
+            assert_eq!(found, Some(edit), "an acknowledged edit is missing");
+        }
+        for edit in &self.refused {
+            assert!(!edits.contains(&edit), "a refused edit is in the order");
+        }
+    }
+}
+
+struct World {
+    rng: StdRng,
+    store: Memory,
+    processes: Vec<Process>,
+    record: Record,
+    is_down: bool,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let store = Memory::new();
+        let mut record = Record::default();
+        let mut first = cactusnotch_history::Writer::new(store.clone(), Replica::new(), OPTIONS);
+        let setup = layout();
+        let verdict = first.submit(&setup);
+        record.note(setup, &verdict, true);
+        let new = |_| Process {
+            replica: Replica::new(),
+            work: Work::Idle,
+        };
+        Self {
+            rng: seeded(seed),
+            store,
+            processes: (0..PROCESSES).map(new).collect(),
+            record,
+            is_down: false,
+        }
+    }
+
+    fn tick(&mut self) {
+        match self.rng.random_range(0..100) {
+            0 => self.is_down = !self.is_down,
+            1 | 2 => self.store.deliver(self.rng.random_range(0..8)),
+            3 => self.restart(),
+            4..=6 => self.gossip(),
+            _ => self.advance(),
+        }
+    }
+
+    fn fault(&mut self) -> Fault {
+        match self.rng.random_range(0..100) {
+            _ if self.is_down => Fault::Before,
+            0..=2 => Fault::Before,
+            3..=7 => Fault::After,
+            8..=10 => Fault::Late,
+            11 => Fault::Refused,
+            _ => Fault::None,
+        }
+    }
+
+    /// Replaces a process; what it was submitting may be submitted again.
+    fn restart(&mut self) {
+        let at = self.rng.random_range(0..PROCESSES);
+        let work = std::mem::replace(&mut self.processes[at].work, Work::Idle);
+        if let Work::Submitting(_, edit, _) = work {
+            self.record.leave_open(edit);
+        }
+        self.processes[at].replica = Replica::new();
+    }
+
+    fn gossip(&mut self) {
+        let from = self.rng.random_range(0..PROCESSES);
+        let to = self.rng.random_range(0..PROCESSES);
+        let known = self.processes[to].replica.revision();
+        if let Some(offer) = self.processes[from].replica.after(known) {
+            let answer = self.processes[to].replica.offer(&offer);
+            assert!(answer.is_held(), "a peer's offer: {answer}");
+        }
+        self.observe(to, known);
+    }
+
+    fn advance(&mut self) {
+        let at = self.rng.random_range(0..PROCESSES);
+        let before = self.processes[at].replica.revision();
+        let fault = self.fault();
+        let work = std::mem::replace(&mut self.processes[at].work, Work::Idle);
+        let replica = &mut self.processes[at].replica;
+        let call = |call: &Call| {
+            self.store.fail_next(fault);
+            perform(&self.store, call)
+        };
+        let next = match work {
+            Work::Idle => self.begin(at),
+            Work::Submitting(mut submission, edit, pending) => {
+                match submission.step(replica, call(&pending)) {
+                    Step::Call(next) => Work::Submitting(submission, edit, next),
+                    Step::Done(verdict) => {
+                        let is_alone = self.is_alone(&edit);
+                        self.record.note(edit, &verdict, is_alone);
+                        Work::Idle
+                    }
+                }
+            }
+            Work::Folding(mut fold, pending) => match fold.step(call(&pending)) {
+                Step::Call(next) => Work::Folding(fold, next),
+                Step::Done(_) => Work::Idle,
+            },
+            Work::Reading(mut catchup, pending) => match catchup.step(replica, call(&pending)) {
+                Step::Call(next) => Work::Reading(catchup, next),
+                Step::Done(answer) => {
+                    assert!(answer.is_held(), "a reader's answer: {answer}");
+                    Work::Idle
+                }
+            },
+        };
+        self.processes[at].work = next;
+        self.observe(at, before);
+    }
+
+    fn begin(&mut self, at: usize) -> Work {
+        let replica = self.processes[at].replica.clone();
+        match self.rng.random_range(0..6) {
+            0 => {
+                let catchup = Catchup::new();
+                let call = catchup.start();
+                Work::Reading(catchup, call)
+            }
+            1 => {
+                let fold = Fold::new(&replica, &OPTIONS);
+                let call = fold.start();
+                Work::Folding(Box::new(fold), call)
+            }
+            _ => self.submit(&replica),
+        }
+    }
+
+    fn submit(&mut self, replica: &Replica) -> Work {
+        let is_again = !self.record.open.is_empty() && self.rng.random_bool(0.5);
+        let edit = if is_again {
+            let at = self.rng.random_range(0..self.record.open.len());
+            // It stays open: another process may submit it at the same time.
+            self.record.open[at].clone()
+        } else {
+            let count = self.rng.random_range(1..=2);
+            let operations = (0..count).map(|_| random_operation(&mut self.rng));
+            edit("operator", replica.revision(), operations.collect())
+        };
+        let mut submission = Submission::new(edit.clone(), &OPTIONS);
+        match submission.start(replica) {
+            Step::Call(call) => Work::Submitting(Box::new(submission), edit, call),
+            Step::Done(verdict) => {
+                let is_alone = self.is_alone(&edit);
+                self.record.note(edit, &verdict, is_alone);
+                Work::Idle
+            }
+        }
+    }
+
+    fn is_alone(&self, edit: &Edit) -> bool {
+        let is_submitting = |process: &Process| matches!(&process.work, Work::Submitting(_, other, _) if other == edit);
+        !self.processes.iter().any(is_submitting)
+    }
+
+    fn observe(&mut self, at: usize, before: Revision) {
+        let replica = &self.processes[at].replica;
+        assert!(replica.revision() >= before, "a replica went back");
+        if replica.revision() > before {
+            self.record.observe(replica);
+        }
+    }
+
+    /// Ends all faults, lets what is late arrive, and compares all replicas.
+    fn settle(&mut self) {
+        while self.store.late() > 0 {
+            self.store.deliver(0);
+        }
+        let mut head = None;
+        for at in 0..PROCESSES {
+            let store = self.store.clone();
+            let replica = self.processes[at].replica.clone();
+            let mut reader = cactusnotch_history::Reader::new(store, replica);
+            reader.sync().expect("without faults a reader gets through");
+            self.record.observe(reader.replica());
+            let digest = reader.replica().digest().clone();
+            assert_eq!(*head.get_or_insert_with(|| digest.clone()), digest);
+        }
+        self.record.check();
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        max_shrink_iters: 0,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn there_is_one_order_and_nothing_acknowledged_is_lost(seed in any::<u64>()) {
+        let mut world = World::new(seed);
+        for _ in 0..STEPS {
+            world.tick();
+        }
+        world.settle();
+    }
+}
