feat: add telemetry and checked process settings

Cause: both binaries need the same logs, traces, metrics and settings.

Telemetry: the names of all metrics stand in one table, from which their descriptions and docs/operators/metrics.md are made; links take their names from it. Processor time is counted in microseconds, because the counters of the metrics library are whole numbers. Ruled out for now: tracing-opentelemetry, since no collector is asked for.

Settings: every flag is an environment variable too, and a refused value is named with its flag and with what is allowed. The flag's name is told to the check, because bpaf's own message gives only the value. A secret is no flag, since command lines can be seen by other users.

--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -32,7 +32,6 @@
 mod identity;
 mod link;
 mod listener;
-pub mod metric;
 mod options;
 mod preface;
 mod proof;
--- a/crates/link/src/link.rs
+++ b/crates/link/src/link.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use cactusnotch_telemetry::metric;
 use futures_util::StreamExt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -20,7 +21,7 @@
 use crate::reader::Reader;
 use crate::shared::Shared;
 use crate::writer::Writer;
-use crate::{Identity, Options, Receiver, Sender, Stats, handshake, metric};
+use crate::{Identity, Options, Receiver, Sender, Stats, handshake};
 
 /// The address that the upgrade asks for; nothing but its form matters.
 const UPGRADE_URL: &str = "ws://cactusnotch/link";
@@ -133,7 +134,7 @@
         .await
         .unwrap_or(Err(Cause::Timeout(options.handshake_timeout)))
         .map_err(|cause| failed(Step::Upgrade, &peer, cause))?;
-    metrics::counter!(metric::OPENED).increment(1);
+    metrics::counter!(metric::LINK_OPENED).increment(1);
     let shared = Arc::new(Shared::new(&peer, identity, stats, options));
     Ok(start(socket, &shared, options))
 }
@@ -223,7 +224,7 @@
 
 fn count_failure(error: &Error) {
     metrics::counter!(
-        metric::HANDSHAKE_FAILURES,
+        metric::LINK_HANDSHAKE_FAILURES,
         "step" => error.step.to_string(),
         "cause" => error.cause.label()
     )
--- a/crates/link/src/listener.rs
+++ b/crates/link/src/listener.rs
@@ -121,11 +121,8 @@
 }
 
 async fn accepted(result: io::Result<(TcpStream, SocketAddr)>) -> Option<TcpStream> {
-    match result {
-        Ok((stream, _)) => Some(stream),
-        Err(_) => {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            None
-        }
+    if result.is_err() {
+        tokio::time::sleep(ACCEPT_PAUSE).await;
     }
+    result.ok().map(|(stream, _)| stream)
 }
--- a/crates/link/src/shared.rs
+++ b/crates/link/src/shared.rs
@@ -2,11 +2,12 @@
 
 use std::sync::{Arc, OnceLock};
 
+use cactusnotch_telemetry::metric;
 use tokio::sync::watch;
 
 use crate::budget::Budget;
 use crate::error::{Cause, Error, Step};
-use crate::{Identity, Options, Reason, Stats, metric};
+use crate::{Identity, Options, Reason, Stats};
 
 /// What the halves and the tasks of a link share.
 #[derive(Debug)]
@@ -76,7 +77,7 @@
         let first = self.ended.send_if_modified(|ended| {
             let first = ended.is_none();
             if first {
-                metrics::counter!(metric::CLOSED, "reason" => reason.label()).increment(1);
+                metrics::counter!(metric::LINK_CLOSED, "reason" => reason.label()).increment(1);
                 *ended = Some(reason);
             }
             first
--- a/crates/link/src/stats.rs
+++ b/crates/link/src/stats.rs
@@ -2,10 +2,9 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use cactusnotch_telemetry::metric;
 use metrics::Counter;
 
-use crate::metric;
-
 /// One direction's counters.
 #[derive(Debug)]
 struct Direction {
@@ -20,8 +19,8 @@
         Self {
             bytes: AtomicU64::new(0),
             messages: AtomicU64::new(0),
-            total_bytes: metrics::counter!(metric::BYTES, "direction" => direction),
-            total_messages: metrics::counter!(metric::MESSAGES, "direction" => direction),
+            total_bytes: metrics::counter!(metric::LINK_BYTES, "direction" => direction),
+            total_messages: metrics::counter!(metric::LINK_MESSAGES, "direction" => direction),
         }
     }
 
--- /dev/null
+++ b/crates/options/src/secrets.rs
@@ -0,0 +1,121 @@
+//! The cluster's secrets, from files or from the environment.
+
+use std::path::{Path, PathBuf};
+use std::{env, fs};
+
+use bpaf::{Bpaf, Parser};
+use cactusnotch_link::{Secret, secret};
+use derive_more::{Display, Error as StdError};
+
+use crate::value::variable;
+
+/// Holds the current secret, if there is no file.
+const CURRENT: &str = "CACTUSNOTCH_SECRET";
+
+/// Holds the previous secret, if there is no file.
+const PREVIOUS: &str = "CACTUSNOTCH_PREVIOUS_SECRET";
+
+/// The cluster's secrets: the current one and, during a rotation, the
+/// previous one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Secrets {
+    /// The secrets, the current one first.
+    pub list: Vec<Secret>,
+}
+
+/// Why there is no secret.
+#[derive(Debug, Display, StdError)]
+pub enum Error {
+    /// A file can't be read.
+    #[display("--{flag} ({}): can't read {}: {source}", variable(flag), path.display())]
+    Unreadable {
+        /// The flag that names the file.
+        flag: &'static str,
+        /// The file.
+        path: PathBuf,
+        /// Why it can't be read.
+        source: std::io::Error,
+    },
+    /// A secret isn't allowed.
+    #[display("{origin}: {source}")]
+    Refused {
+        /// Where the secret comes from.
+        origin: String,
+        /// Why it isn't allowed.
+        source: secret::Error,
+    },
+    /// No secret is given.
+    #[display(
+        "no secret: give --secret-file FILE (CACTUSNOTCH_SECRET_FILE) or set {CURRENT}; \
+         allowed: at least {} bytes",
+        secret::MIN_LENGTH
+    )]
+    Missing,
+}
+
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(generate(files))]
+struct Files {
+    /// File that holds the cluster's secret; without it `CACTUSNOTCH_SECRET` holds the secret itself
+    #[bpaf(
+        long("secret-file"),
+        env("CACTUSNOTCH_SECRET_FILE"),
+        argument("FILE"),
+        optional
+    )]
+    current: Option<PathBuf>,
+    /// File that holds the previous secret during a rotation; without it
+    /// `CACTUSNOTCH_PREVIOUS_SECRET` may hold it
+    #[bpaf(
+        long("previous-secret-file"),
+        env("CACTUSNOTCH_PREVIOUS_SECRET_FILE"),
+        argument("FILE"),
+        optional
+    )]
+    previous: Option<PathBuf>,
+}
+
+/// Returns the parser of [`Secrets`].
+///
+/// A secret itself is no flag, because other users of a host see the command
+/// lines of its processes; it stays out of help and errors too.
+#[must_use]
+pub fn secrets() -> impl Parser<Secrets> {
+    files().parse(|files| read(&files))
+}
+
+fn read(files: &Files) -> Result<Secrets, Error> {
+    let current = one("secret-file", files.current.as_deref(), CURRENT)?.ok_or(Error::Missing)?;
+    let previous = one("previous-secret-file", files.previous.as_deref(), PREVIOUS)?;
+    Ok(Secrets {
+        list: [Some(current), previous].into_iter().flatten().collect(),
+    })
+}
+
+fn one(
+    flag: &'static str,
+    path: Option<&Path>,
+    variable: &'static str,
+) -> Result<Option<Secret>, Error> {
+    let (origin, bytes) = if let Some(path) = path {
+        let origin = format!("--{flag} {}", path.display());
+        (origin, from_file(flag, path)?)
+    } else if let Some(text) = env::var_os(variable) {
+        (variable.to_owned(), text.into_encoded_bytes())
+    } else {
+        return Ok(None);
+    };
+    Secret::new(bytes)
+        .map(Some)
+        .map_err(|source| Error::Refused { origin, source })
+}
+
+/// Reads a file but for the line end that editors leave.
+fn from_file(flag: &'static str, path: &Path) -> Result<Vec<u8>, Error> {
+    let bytes = fs::read(path).map_err(|source| Error::Unreadable {
+        flag,
+        path: path.to_owned(),
+        source,
+    })?;
+    Ok(bytes.trim_ascii_end().to_vec())
+}
--- /dev/null
+++ b/crates/telemetry/src/counters.rs
@@ -0,0 +1,56 @@
+//! The counters' line in the log.
+
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use cactusnotch_base::Table;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::Exporter;
+
+/// The target under which counters are logged.
+pub const TARGET: &str = "cactusnotch::counters";
+
+/// The values of the last line, to show only what has changed since.
+#[derive(Debug, Default)]
+pub struct Summary {
+    last: Table<String, String>,
+}
+
+impl Summary {
+    /// Returns the series of `scrape` that have changed since the last call,
+    /// as `name=value` pairs, or `None` if none has.
+    pub fn next(&mut self, scrape: &str) -> Option<String> {
+        let mut line = String::new();
+        for (series, value) in scrape.lines().filter_map(sample) {
+            if self.last.get(series).is_some_and(|last| last == value) {
+                continue;
+            }
+            let gap = if line.is_empty() { "" } else { " " };
+            let _ = write!(line, "{gap}{series}={value}");
+            self.last.insert(series.to_owned(), value.to_owned());
+        }
+        (!line.is_empty()).then_some(line)
+    }
+}
+
+/// Logs the changed counters once per `period`, without end.
+pub async fn run(exporter: Exporter, period: Duration) {
+    let mut summary = Summary::default();
+    let mut ticks = interval(period);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if let Some(changed) = summary.next(&exporter.render()) {
+            tracing::info!(target: TARGET, changed);
+        }
+    }
+}
+
+/// Splits a sample of the scrape; comments and buckets aren't samples.
+fn sample(line: &str) -> Option<(&str, &str)> {
+    if line.starts_with('#') || line.contains("_bucket{") {
+        return None;
+    }
+    line.rsplit_once(' ')
+}
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,17 @@
+//! Logs, traces and metrics of the processes of cactusnotch.
+//!
+//! Counters come first: what happens often is counted and can be scraped,
+//! and the log has lines only for changes of state, for the spans of sampled
+//! requests and for one summary of the counters per interval.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod counters;
+pub mod exporter;
+pub mod log;
+pub mod metric;
+mod process;
+pub mod trace;
+
+pub use exporter::Exporter;
+pub use metric::Metric;
--- /dev/null
+++ b/crates/telemetry/src/metric.rs
@@ -0,0 +1,118 @@
+//! All metrics of the system in one table.
+
+use std::fmt::Write as _;
+
+use derive_more::Display;
+use metrics::Unit;
+
+/// The kind of a metric.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Kind {
+    /// A number that only grows while the process lives.
+    #[display("counter")]
+    Counter,
+    /// A number that goes up and down.
+    #[display("gauge")]
+    Gauge,
+    /// A distribution, in buckets.
+    #[display("histogram")]
+    Histogram,
+}
+
+/// What a metric is called and means.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Metric {
+    /// The name, as it is scraped.
+    pub name: &'static str,
+    /// The kind.
+    pub kind: Kind,
+    /// The unit of its values.
+    pub unit: Unit,
+    /// The labels that tell its series apart.
+    pub labels: &'static [&'static str],
+    /// What it means.
+    pub help: &'static str,
+}
+
+macro_rules! metrics {
+    ($($constant:ident = $name:literal, $kind:ident, $unit:ident, [$($label:literal),*], $help:literal;)*) => {
+        $(
+            #[doc = $help]
+            pub const $constant: &str = $name;
+        )*
+
+        /// All metrics, in the order of their names.
+        pub const TABLE: &[Metric] = &[$(
+            Metric {
+                name: $name,
+                kind: Kind::$kind,
+                unit: Unit::$unit,
+                labels: &[$($label),*],
+                help: $help,
+            },
+        )*];
+    };
+}
+
+metrics! {
+    LINK_BYTES = "cactusnotch_link_bytes_total", Counter, Bytes, ["direction"],
+        "Bytes on the links between processes, handshakes and framing included.";
+    LINK_CLOSED = "cactusnotch_link_closed_total", Counter, Count, ["reason"],
+        "Links that have ended, by reason: local, peer, idle or failed.";
+    LINK_HANDSHAKE_FAILURES = "cactusnotch_link_handshake_failures_total", Counter, Count,
+        ["step", "cause"],
+        "Links that could not be opened, by the step that failed and its cause.";
+    LINK_MESSAGES = "cactusnotch_link_messages_total", Counter, Count, ["direction"],
+        "Messages on the links between processes.";
+    LINK_OPENED = "cactusnotch_link_opened_total", Counter, Count, [],
+        "Links that have been opened.";
+    PROCESS_CPU = "process_cpu_microseconds_total", Counter, Microseconds, [],
+        "User and system processor time of the process.";
+    PROCESS_RESIDENT = "process_resident_memory_bytes", Gauge, Bytes, [],
+        "Resident memory of the process.";
+    PROCESS_RESIDENT_PEAK = "process_resident_memory_peak_bytes", Gauge, Bytes, [],
+        "The most resident memory that the process has had.";
+}
+
+/// Returns the metric called `name`.
+#[must_use]
+pub fn find(name: &str) -> Option<&'static Metric> {
+    let at = TABLE.binary_search_by(|metric| metric.name.cmp(name));
+    at.ok().map(|at| &TABLE[at])
+}
+
+/// Tells the installed recorder the unit and the meaning of every metric.
+pub fn describe() {
+    for metric in TABLE {
+        match metric.kind {
+            Kind::Counter => metrics::describe_counter!(metric.name, metric.unit, metric.help),
+            Kind::Gauge => metrics::describe_gauge!(metric.name, metric.unit, metric.help),
+            Kind::Histogram => metrics::describe_histogram!(metric.name, metric.unit, metric.help),
+        }
+    }
+}
+
+/// Returns the operators' page of metrics, as Markdown.
+#[must_use]
+pub fn page() -> String {
+    let mut page = String::from(
+        "# Metrics\n\n\
+         Made by `cargo run -p cactusnotch-telemetry --example metrics_page`; \
+         a test compares it with the table in the code.\n\n\
+         | Name | Kind | Unit | Labels | Meaning |\n\
+         |---|---|---|---|---|\n",
+    );
+    for metric in TABLE {
+        let labels: Vec<String> = metric.labels.iter().map(|l| format!("`{l}`")).collect();
+        let _ = writeln!(
+            page,
+            "| `{}` | {} | {} | {} | {} |",
+            metric.name,
+            metric.kind,
+            metric.unit.as_str(),
+            labels.join(", "),
+            metric.help
+        );
+    }
+    page
+}
