feat: add the orders path and the agreement on expert maps

Cause: a group's ranks must use one map in each step, whatever is lost, replaced or paused, and orders to engines must be fenced and settled by reading back.

Ruled out: a decision written to the platform, which stalls the group in an outage. Not yet run: no test covers this commit.

Conclusion: the API is usable to write drivers against.

--- /dev/null
+++ b/crates/switch/src/coordinator/event.rs
@@ -0,0 +1,94 @@
+//! What happens to a coordinator, and what it asks of its driver.
+
+use std::time::Duration;
+
+use cactusnotch_derive::record;
+use cactusnotch_platform::object::Version;
+
+use crate::lease::Lease;
+use crate::map::Map;
+use crate::message::{Message, Reason};
+use crate::proposal::Id;
+use crate::view::{Rank, View};
+
+/// What happens to a coordinator.
+#[record]
+#[derive(Hash)]
+pub enum Event {
+    /// The process has started.
+    Start,
+    /// The time of the last [`Command::Wake`] has come.
+    Wake,
+    /// The lease was read, after a [`Command::ReadLease`] or after the attempt
+    /// of a [`Command::WriteLease`], whatever came of it.
+    Lease(Option<(Version, Lease)>),
+    /// The group shall go over to the map with this content.
+    Want {
+        /// A digest of the map's content.
+        digest: u64,
+    },
+    /// The group's object was read, after a [`Command::ReadGroup`] or after
+    /// the attempt of a [`Command::WriteGroup`], whatever came of it.
+    Group {
+        /// The version of the object.
+        version: Version,
+        /// The view it holds.
+        view: View,
+    },
+    /// The content of the map is on the platform.
+    MapRecorded(Map),
+    /// A message of a rank came.
+    Message(Message),
+}
+
+/// What a coordinator asks of its driver.
+#[record]
+#[derive(Hash)]
+pub enum Command {
+    /// Read the lease from the platform.
+    ReadLease,
+    /// Write the lease if it is at `version`, or absent, then read it back.
+    WriteLease {
+        /// The version at which it was read.
+        version: Option<Version>,
+        /// The lease to write.
+        lease: Lease,
+    },
+    /// Read the group's object from the platform.
+    ReadGroup,
+    /// Write the group's object if it is at `version`, then read it back.
+    WriteGroup {
+        /// The version at which it was read.
+        version: Version,
+        /// The view to write.
+        view: View,
+    },
+    /// Write the content of the map to the platform, if it is absent.
+    RecordMap(Map),
+    /// Send a message to a rank.
+    Send {
+        /// The receiver.
+        to: Rank,
+        /// The message.
+        message: Message,
+    },
+    /// Bring [`Event::Wake`] after this time. Of several, the shortest counts,
+    /// and any wake clears the others.
+    Wake(Duration),
+    /// The switch has ended.
+    Ended(Ending),
+    /// Another agent holds the lease now.
+    Superseded,
+}
+
+/// How a switch ended.
+#[record]
+#[derive(Copy, Hash)]
+pub enum Ending {
+    /// Every rank uses the map.
+    Applied(Id, Map),
+    /// A rank vetoed, and no rank ever uses the map.
+    Vetoed(Id, Reason),
+    /// It was given up before it was proposed.
+    Abandoned,
+}
--- /dev/null
+++ b/crates/switch/src/coordinator/round.rs
@@ -0,0 +1,257 @@
+//! One switch, from the wanted map to the recorded one.
+
+use std::time::Instant;
+
+use cactusnotch_base::Table;
+use cactusnotch_base::number::Step;
+use cactusnotch_platform::object::Version;
+
+use super::{Command, Coordinator, Ending, Stage};
+use crate::ballot::Ballot;
+use crate::map::{Map, Switch};
+use crate::message::{Body, Reason, Verdict};
+use crate::proposal::{Id, Proposal};
+use crate::view::{Rank, View};
+
+impl Coordinator {
+    pub(super) fn want(&mut self, digest: u64, out: &mut Vec<Command>) {
+        if self.fence().is_none() || !self.is_idle() {
+            out.push(Command::Ended(Ending::Abandoned));
+            return;
+        }
+        self.stage = Stage::Reading { digest };
+        out.push(Command::ReadGroup);
+        out.push(Command::Wake(self.options.retry));
+    }
+
+    pub(super) fn group_read(&mut self, version: Version, view: View, out: &mut Vec<Command>) {
+        self.size = view.size();
+        match self.stage {
+            Stage::Reading { digest } => {
+                let epoch = view.base.map.epoch.next();
+                self.record(Map { epoch, digest }, out);
+            }
+            Stage::Closing { map, ending } if view.base.map.epoch >= map.epoch => {
+                self.end(ending, out);
+            }
+            Stage::Closing { map, .. } => {
+                let from = Step(0);
+                let base = Switch { map, from };
+                let view = View { base, ..view };
+                out.push(Command::WriteGroup { version, view });
+            }
+            _ => {}
+        }
+    }
+
+    fn record(&mut self, map: Map, out: &mut Vec<Command>) {
+        let Some(fence) = self.fence() else {
+            return;
+        };
+        self.sequence = self.sequence.next();
+        let sequence = self.sequence;
+        let id = Id { fence, sequence };
+        self.stage = Stage::Recording { id, map };
+        out.push(Command::RecordMap(map));
+    }
+
+    pub(super) fn map_recorded(&mut self, recorded: Map, now: Instant, out: &mut Vec<Command>) {
+        let Stage::Recording { id, map } = self.stage else {
+            return;
+        };
+        if map == recorded {
+            self.stage = Stage::Preparing {
+                id,
+                map,
+                until: now + self.options.prepare,
+                ready: Table::new(),
+            };
+            self.retry(now, out);
+        }
+    }
+
+    /// Repeats what has not been answered.
+    pub(super) fn retry(&mut self, now: Instant, out: &mut Vec<Command>) {
+        match &mut self.stage {
+            Stage::Idle => {}
+            Stage::Reading { .. } | Stage::Closing { .. } => out.push(Command::ReadGroup),
+            Stage::Recording { map, .. } => out.push(Command::RecordMap(*map)),
+            Stage::Preparing { until, .. } if now >= *until => self.end(Ending::Abandoned, out),
+            Stage::Preparing { id, map, ready, .. } => {
+                let body = Body::Prepare { id: *id, map: *map };
+                let lacking = lacking(self.size, |rank| ready.contains(&rank));
+                self.tell_all(lacking, &body, out);
+            }
+            Stage::Voting { wakes, .. } => {
+                *wakes += 1;
+                self.ask_votes(out);
+            }
+            Stage::Applying { proposal, applied } => {
+                let body = Body::Outcome {
+                    proposal: *proposal,
+                    verdict: Verdict::Commit,
+                };
+                let lacking = lacking(self.size, |rank| applied.contains(rank));
+                self.tell_all(lacking, &body, out);
+            }
+        }
+    }
+
+    /// Proposes to the ranks that have not voted, and in the end asks them
+    /// for the outcome, so that they veto if they have not promised.
+    fn ask_votes(&self, out: &mut Vec<Command>) {
+        let Stage::Voting {
+            proposal,
+            ballot,
+            wakes,
+        } = &self.stage
+        else {
+            return;
+        };
+        let body = if *wakes > self.options.repeats {
+            Body::Query {
+                proposal: *proposal,
+                ballot: ballot.clone(),
+            }
+        } else {
+            Body::Propose(*proposal)
+        };
+        let lacking = lacking(self.size, |rank| ballot.contains(rank));
+        self.tell_all(lacking, &body, out);
+    }
+
+    /// Proposes the switch once every rank of one view has loaded its weights.
+    pub(super) fn ready(
+        &mut self,
+        from: Rank,
+        id: Id,
+        view: u64,
+        next: Step,
+        out: &mut Vec<Command>,
+    ) {
+        let Stage::Preparing {
+            id: open,
+            map,
+            ready,
+            ..
+        } = &mut self.stage
+        else {
+            return;
+        };
+        if *open != id {
+            return;
+        }
+        ready.insert(from, (view, next));
+        let newest = ready.values().map(|(view, _)| *view).max();
+        ready.retain(|_, (view, _)| Some(*view) == newest);
+        if ready.len() < self.size {
+            return;
+        }
+        let furthest = ready.values().map(|(_, next)| next.0).max();
+        let from = Step(furthest.unwrap_or(next.0) + self.options.lead + 1);
+        let proposal = Proposal {
+            id,
+            view: newest.unwrap_or(view),
+            switch: Switch { map: *map, from },
+        };
+        self.stage = Stage::Voting {
+            proposal,
+            ballot: Ballot::default(),
+            wakes: 0,
+        };
+        self.ask_votes(out);
+        out.push(Command::Wake(self.options.retry));
+    }
+
+    pub(super) fn promised(&mut self, id: Id, promises: &Ballot, out: &mut Vec<Command>) {
+        let Stage::Voting {
+            proposal, ballot, ..
+        } = &mut self.stage
+        else {
+            return;
+        };
+        if proposal.id == id {
+            ballot.merge(promises);
+            if ballot.is_full(self.size) {
+                self.committed(id, out);
+            }
+        }
+    }
+
+    pub(super) fn committed(&mut self, id: Id, out: &mut Vec<Command>) {
+        let Stage::Voting { proposal, .. } = self.stage else {
+            return;
+        };
+        if proposal.id == id {
+            self.announce(proposal, Verdict::Commit, out);
+            self.stage = Stage::Applying {
+                proposal,
+                applied: Ballot::default(),
+            };
+        }
+    }
+
+    fn announce(&mut self, proposal: Proposal, verdict: Verdict, out: &mut Vec<Command>) {
+        self.last = Some((proposal.id, verdict.clone()));
+        let body = Body::Outcome { proposal, verdict };
+        self.tell_all(lacking(self.size, |_| false), &body, out);
+    }
+
+    pub(super) fn vetoed(&mut self, id: Id, reason: Reason, out: &mut Vec<Command>) {
+        match self.stage {
+            Stage::Preparing { id: open, .. } if open == id => {}
+            Stage::Voting { proposal, .. } if proposal.id == id => {
+                self.announce(proposal, Verdict::Abort, out);
+            }
+            _ => return,
+        }
+        let ending = Ending::Vetoed(id, reason);
+        match reason {
+            Reason::Epoch(current) => self.close(current.map, ending, out),
+            _ => self.end(ending, out),
+        }
+    }
+
+    pub(super) fn applied(&mut self, from: Rank, id: Id, out: &mut Vec<Command>) {
+        let Stage::Applying { proposal, applied } = &mut self.stage else {
+            return;
+        };
+        if proposal.id != id {
+            return;
+        }
+        applied.insert(from);
+        if applied.is_full(self.size) {
+            let map = proposal.switch.map;
+            self.close(map, Ending::Applied(id, map), out);
+        }
+    }
+
+    /// Records the map in force on the platform.
+    fn close(&mut self, map: Map, ending: Ending, out: &mut Vec<Command>) {
+        self.stage = Stage::Closing { map, ending };
+        out.push(Command::ReadGroup);
+    }
+
+    /// Answers a rank that asks for an outcome.
+    pub(super) fn queried(&self, from: Rank, proposal: Proposal, out: &mut Vec<Command>) {
+        let verdict = match (&self.stage, &self.last) {
+            (
+                Stage::Voting {
+                    proposal: open,
+                    ballot,
+                    ..
+                },
+                _,
+            ) if open.id == proposal.id => Verdict::Open(ballot.clone()),
+            (_, Some((last, verdict))) if *last == proposal.id => verdict.clone(),
+            _ => return,
+        };
+        self.tell_all([from], &Body::Outcome { proposal, verdict }, out);
+    }
+}
+
+/// Returns the ranks of a group of `size` for which `has` does not hold.
+fn lacking(size: usize, has: impl Fn(Rank) -> bool) -> Vec<Rank> {
+    let size = u16::try_from(size).unwrap_or(u16::MAX);
+    (0..size).map(Rank).filter(|rank| !has(*rank)).collect()
+}
--- /dev/null
+++ b/crates/switch/src/map.rs
@@ -0,0 +1,22 @@
+//! Expert maps by name, and from which step each is used.
+
+use cactusnotch_base::number::{Epoch, Step};
+use cactusnotch_derive::number;
+
+/// An expert map of a group; its content is an object of the platform.
+#[number]
+pub struct Map {
+    /// The number of the map within its group.
+    pub epoch: Epoch,
+    /// A digest of the map's content.
+    pub digest: u64,
+}
+
+/// A map and the first step that uses it.
+#[number]
+pub struct Switch {
+    /// The map.
+    pub map: Map,
+    /// The first step that uses the map.
+    pub from: Step,
+}
--- /dev/null
+++ b/crates/switch/src/rank/enrol.rs
@@ -0,0 +1,100 @@
+//! Taking the rank's seat and its engine.
+
+use std::time::Instant;
+
+use cactusnotch_base::Table;
+use cactusnotch_order::{Event as OrderEvent, Sender};
+use cactusnotch_platform::object::Version;
+
+use super::{Command, Member, Open, Phase, Retirement};
+use crate::engine::Wish;
+use crate::view::View;
+
+impl Member {
+    pub(super) fn enrol(&self, out: &mut Vec<Command>) {
+        out.push(Command::ReadGroup);
+        self.sleep(out);
+    }
+
+    pub(super) fn group_read(
+        &mut self,
+        version: Version,
+        view: View,
+        now: Instant,
+        out: &mut Vec<Command>,
+    ) {
+        if !matches!(self.phase, Phase::Enrolling { .. }) {
+            self.install(&view, now, out);
+            self.found_generation(version, &view, out);
+            return;
+        }
+        let seat = view.seat(self.rank).cloned();
+        let holder = seat.as_ref().map(|seat| &seat.process);
+        if let Some(seat) = seat.as_ref().filter(|seat| seat.process == self.process) {
+            self.incarnation = seat.incarnation;
+            self.view = view;
+            self.take_engine(now, out);
+        } else if self.is_former(holder) {
+            let former = holder.cloned();
+            self.phase = Phase::Enrolling { seen: true, former };
+            let view = view.with_seat(self.rank, &self.process);
+            out.push(Command::WriteGroup { version, view });
+        } else {
+            self.retire(Retirement::Replaced, out);
+        }
+    }
+
+    /// Tells whether the seat is still with the process that was seen there
+    /// first; if not, a newer process than this one has taken it.
+    fn is_former(&self, holder: Option<&cactusnotch_base::name::Process>) -> bool {
+        match &self.phase {
+            Phase::Enrolling { seen: true, former } => former.as_ref() == holder,
+            _ => true,
+        }
+    }
+
+    /// Sends the engine an order without effect, so that it refuses those of
+    /// a former agent, and reads its state from the answer.
+    fn take_engine(&mut self, now: Instant, out: &mut Vec<Command>) {
+        let takeover = matches!(
+            &self.phase,
+            Phase::Enrolling {
+                former: Some(_),
+                ..
+            }
+        );
+        self.phase = Phase::Recovering;
+        let sender = Sender::new(self.options.orders, self.incarnation, takeover, now);
+        self.sender = Some(sender);
+        self.order(OrderEvent::Want(Wish::Release(0.into())), now, out);
+        self.order(OrderEvent::Refresh, now, out);
+    }
+
+    /// Goes on from the state of the engine, once it is known.
+    ///
+    /// An engine that has started a step tells of the former agent's part. One
+    /// that has not is held before anything else, for a former agent may have
+    /// released it.
+    pub(super) fn recover(&mut self, now: Instant, out: &mut Vec<Command>) {
+        let Some(engine) = &self.engine else {
+            return;
+        };
+        if !engine.started && !engine.is_fresh() {
+            let hold = Wish::Hold(engine.next);
+            self.order(OrderEvent::Want(hold), now, out);
+            return;
+        }
+        if let Some(current) = engine.current() {
+            self.current = current;
+            if let Some(switch) = engine.staged() {
+                self.open = Open::Committed { id: None, switch };
+            }
+        }
+        self.phase = Phase::Joining {
+            reports: Table::new(),
+        };
+        self.ask_reports(out);
+        self.sleep(out);
+        self.reconsider(now, out);
+    }
+}
--- /dev/null
+++ b/crates/switch/src/rank/outcome.rs
@@ -0,0 +1,161 @@
+//! Learning how a proposal ended, and telling others.
+
+use std::time::Instant;
+
+use super::{Command, Member, Open, Phase};
+use crate::ballot::Ballot;
+use crate::message::{Body, Peer, Reason, Verdict};
+use crate::proposal::{Id, Proposal};
+use crate::view::Rank;
+
+impl Member {
+    /// Returns what this standing member knows of a proposal's outcome.
+    ///
+    /// A proposal that is neither open here nor committed was never promised
+    /// by this rank, or is known to be aborted, or was proposed in an earlier
+    /// view that has been settled.
+    pub(super) fn verdict(&self, proposal: &Proposal) -> Verdict {
+        match &self.open {
+            Open::Committed { switch, .. } if *switch == proposal.switch => Verdict::Commit,
+            _ if self.current == proposal.switch => Verdict::Commit,
+            Open::Holding(open) if open.id == proposal.id => Verdict::Open(Ballot::default()),
+            Open::Promised {
+                proposal: open,
+                ballot,
+            } if open.id == proposal.id => Verdict::Open(ballot.clone()),
+            _ => Verdict::Abort,
+        }
+    }
+
+    /// Answers a query; a rank that has not promised by then never will.
+    pub(super) fn queried(
+        &mut self,
+        from: Peer,
+        proposal: &Proposal,
+        ballot: &Ballot,
+        now: Instant,
+        out: &mut Vec<Command>,
+    ) {
+        if self.phase != Phase::Standing {
+            return;
+        }
+        match &self.open {
+            Open::Holding(open) if open.id == proposal.id => {
+                self.withdraw(proposal.id, Reason::Queried, now, out);
+            }
+            Open::Promised { proposal: open, .. } if open.id == proposal.id => {
+                self.merge(ballot, now, out);
+            }
+            _ if self.verdict(proposal) == Verdict::Abort => {
+                self.highest = self.highest.max(proposal.id);
+            }
+            _ => {}
+        }
+        let body = Body::Outcome {
+            proposal: *proposal,
+            verdict: self.verdict(proposal),
+        };
+        self.tell(from, body, out);
+    }
+
+    pub(super) fn learned(
+        &mut self,
+        proposal: &Proposal,
+        verdict: Verdict,
+        now: Instant,
+        out: &mut Vec<Command>,
+    ) {
+        let open = self.promised().is_some_and(|open| open.id == proposal.id);
+        match verdict {
+            Verdict::Open(ballot) if open => self.merge(&ballot, now, out),
+            Verdict::Open(_) => {}
+            Verdict::Commit if open => self.commit(*proposal, now, out),
+            Verdict::Commit => self.say_applied(proposal, out),
+            Verdict::Abort => self.learned_abort(proposal.id, now, out),
+        }
+    }
+
+    fn say_applied(&self, proposal: &Proposal, out: &mut Vec<Command>) {
+        if self.current.map >= proposal.switch.map {
+            let id = proposal.id;
+            self.tell(Peer::Coordinator(id.fence), Body::Applied { id }, out);
+        }
+    }
+
+    fn learned_abort(&mut self, id: Id, now: Instant, out: &mut Vec<Command>) {
+        self.highest = self.highest.max(id);
+        if self.prepared.as_ref().is_some_and(|old| old.id <= id) {
+            self.prepared = None;
+        }
+        let open = match &self.open {
+            Open::Holding(proposal) | Open::Promised { proposal, .. } => proposal.id,
+            _ => return,
+        };
+        if open == id {
+            self.open = Open::Nothing;
+            out.push(Command::Decided { id, switch: None });
+            self.pursue(now, out);
+        }
+    }
+
+    /// Takes in promises that others know of, unless the view has changed
+    /// since the proposal.
+    fn merge(&mut self, others: &Ballot, now: Instant, out: &mut Vec<Command>) {
+        let view = self.view.number;
+        if let Open::Promised { proposal, ballot } = &mut self.open
+            && proposal.view == view
+        {
+            ballot.merge(others);
+            self.count(now, out);
+        }
+    }
+
+    /// Commits if every rank is known to have promised.
+    pub(super) fn count(&mut self, now: Instant, out: &mut Vec<Command>) {
+        if let Open::Promised { proposal, ballot } = &self.open
+            && ballot.is_full(self.view.size())
+        {
+            self.commit(*proposal, now, out);
+        }
+    }
+
+    fn commit(&mut self, proposal: Proposal, now: Instant, out: &mut Vec<Command>) {
+        let (id, switch) = (proposal.id, proposal.switch);
+        self.prepared = None;
+        self.open = Open::Committed {
+            id: Some(id),
+            switch,
+        };
+        let switch = Some(switch);
+        out.push(Command::Decided { id, switch });
+        self.pursue(now, out);
+        self.sleep(out);
+    }
+
+    /// Asks the coordinator and one other rank how the open proposal ended.
+    ///
+    /// The distance to the rank that is asked doubles each time, so that what
+    /// any rank knows reaches all in as many rounds as the group's size has
+    /// binary digits.
+    pub(super) fn ask_outcome(&mut self, out: &mut Vec<Command>) {
+        let Open::Promised { proposal, ballot } = &self.open else {
+            return;
+        };
+        let query = Body::Query {
+            proposal: *proposal,
+            ballot: ballot.clone(),
+        };
+        let coordinator = Peer::Coordinator(proposal.id.fence);
+        self.tell(coordinator, query.clone(), out);
+        self.tell(Peer::Rank(self.next_peer()), query, out);
+        self.queries += 1;
+    }
+
+    fn next_peer(&self) -> Rank {
+        let size = u32::try_from(self.view.size()).unwrap_or(u32::MAX);
+        let rounds = size.next_power_of_two().trailing_zeros().max(1);
+        let distance = 1 << (self.queries % rounds);
+        let rank = (u32::from(self.rank.0) + distance) % size.max(1);
+        Rank(u16::try_from(rank).unwrap_or(u16::MAX))
+    }
+}
--- /dev/null
+++ b/crates/switch/src/rank/promise.rs
@@ -0,0 +1,123 @@
+//! Loading for a proposal and voting on it.
+
+use std::time::Instant;
+
+use cactusnotch_order::Event as OrderEvent;
+
+use super::{Command, Member, Open, Prepared};
+use crate::ballot::Ballot;
+use crate::map::Map;
+use crate::message::{Body, Peer, Reason, Verdict, Vote};
+use crate::proposal::{Id, Proposal};
+
+impl Member {
+    pub(super) fn prepare(&mut self, id: Id, map: Map, now: Instant, out: &mut Vec<Command>) {
+        if id <= self.highest {
+            self.veto(id, Reason::Fenced, out);
+        } else if self.open != Open::Nothing {
+            self.veto(id, Reason::Busy, out);
+        } else if map.epoch != self.current.map.epoch.next() {
+            self.veto(id, Reason::Epoch(self.current), out);
+        } else if self.prepared.as_ref().is_none_or(|old| old.id <= id) {
+            let ready = false;
+            self.prepared = Some(Prepared { id, map, ready });
+            self.order(OrderEvent::Refresh, now, out);
+            self.sleep(out);
+        }
+    }
+
+    /// Tells the coordinator that the weights of the prepared map are loaded.
+    pub(super) fn say_ready(&self, id: Id, out: &mut Vec<Command>) {
+        let Some(engine) = &self.engine else {
+            return;
+        };
+        let body = Body::Ready {
+            id,
+            view: self.view.number,
+            next: engine.next,
+        };
+        self.tell(Peer::Coordinator(id.fence), body, out);
+    }
+
+    pub(super) fn propose(&mut self, proposal: &Proposal, now: Instant, out: &mut Vec<Command>) {
+        match self.verdict(proposal) {
+            Verdict::Open(_) | Verdict::Commit => self.repeat_vote(proposal.id, out),
+            Verdict::Abort => match self.objection(proposal) {
+                Some(reason) => self.veto(proposal.id, reason, out),
+                None => self.hold(proposal, now, out),
+            },
+        }
+    }
+
+    fn objection(&self, proposal: &Proposal) -> Option<Reason> {
+        let ready = |prepared: &Prepared| prepared.ready && prepared.id == proposal.id;
+        let engine = self.engine.as_ref();
+        if proposal.id <= self.highest {
+            Some(Reason::Fenced)
+        } else if self.open != Open::Nothing {
+            Some(Reason::Busy)
+        } else if proposal.view != self.view.number {
+            Some(Reason::View)
+        } else if proposal.switch.map.epoch != self.current.map.epoch.next() {
+            Some(Reason::Epoch(self.current))
+        } else if !self.prepared.as_ref().is_some_and(ready) {
+            Some(Reason::Unprepared)
+        } else if proposal.hold() <= self.last_hold
+            || engine.is_none_or(|engine| engine.next > proposal.hold())
+        {
+            Some(Reason::Late)
+        } else {
+            None
+        }
+    }
+
+    fn hold(&mut self, proposal: &Proposal, now: Instant, out: &mut Vec<Command>) {
+        self.highest = proposal.id;
+        self.last_hold = proposal.hold();
+        self.queries = 0;
+        self.open = Open::Holding(*proposal);
+        self.pursue(now, out);
+        self.sleep(out);
+    }
+
+    /// Promises, now that the engine waits at the hold step.
+    pub(super) fn held(&mut self, now: Instant, out: &mut Vec<Command>) {
+        let Open::Holding(proposal) = self.open else {
+            return;
+        };
+        if proposal.view != self.view.number {
+            self.withdraw(proposal.id, Reason::View, now, out);
+            return;
+        }
+        let mut ballot = Ballot::default();
+        ballot.insert(self.rank);
+        self.open = Open::Promised { proposal, ballot };
+        self.repeat_vote(proposal.id, out);
+        self.count(now, out);
+    }
+
+    pub(super) fn repeat_vote(&self, id: Id, out: &mut Vec<Command>) {
+        let vote = match &self.open {
+            Open::Promised { proposal, .. } if proposal.id == id => Vote::Promise,
+            Open::Committed { id: decided, .. } if *decided == Some(id) => Vote::Promise,
+            _ => return,
+        };
+        self.tell(Peer::Coordinator(id.fence), Body::Vote { id, vote }, out);
+    }
+
+    /// Gives up a proposal that the rank has not promised.
+    pub(super) fn withdraw(&mut self, id: Id, why: Reason, now: Instant, out: &mut Vec<Command>) {
+        self.open = Open::Nothing;
+        self.veto(id, why, out);
+        self.pursue(now, out);
+    }
+
+    pub(super) fn veto(&mut self, id: Id, reason: Reason, out: &mut Vec<Command>) {
+        self.highest = self.highest.max(id);
+        if self.prepared.as_ref().is_some_and(|old| old.id == id) {
+            self.prepared = None;
+        }
+        let vote = Vote::Veto(reason);
+        self.tell(Peer::Coordinator(id.fence), Body::Vote { id, vote }, out);
+    }
+}
