--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,29 @@
+//! The entry of cactusnotch: the process that callers connect to.
+//!
+//! An entry takes callers' requests over HTTP, lets the routing and attempt
+//! decisions say what becomes of each, and talks to the agents beside the
+//! endpoints over links. Operators see its status on a port of its own.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+mod addresses;
+mod agents;
+mod body;
+mod caller;
+mod claims;
+mod completion;
+mod control;
+mod drive;
+mod follow;
+mod mailbox;
+mod models;
+mod operator;
+mod options;
+mod output;
+mod problem;
+mod server;
+mod shared;
+
+pub use operator::{Seen, Status};
+pub use options::Options;
+pub use server::{Error, Server};
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,168 @@
+//! The entry's process: its ports and its tasks.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use cactusnotch_base::Clock;
+use derive_more::{Display, Error};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
+use tokio::task::JoinHandle;
+
+use crate::shared::Shared;
+use crate::{Options, caller, follow, operator};
+
+/// How long a caller may take to send the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The largest head of a caller's request, in bytes.
+const HEAD_LIMIT: usize = 32 << 10;
+
+/// The threads that answer operators.
+const OPERATOR_THREADS: usize = 4;
+
+/// The pause after a connection that could not be accepted, such as for want
+/// of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// How often the operators' port looks whether it is to stop.
+const OPERATOR_POLL: Duration = Duration::from_millis(50);
+
+/// An entry that could not be started.
+#[derive(Debug, Display, Error)]
+pub enum Error {
+    /// A port could not be opened.
+    #[display("start of the entry: {port} port {address}: {detail}")]
+    Listen {
+        /// Whose port it is.
+        port: &'static str,
+        /// The address that was asked for.
+        address: SocketAddr,
+        /// The failure.
+        detail: String,
+    },
+}
+
+/// An entry that runs.
+#[derive(Debug)]
+pub struct Server {
+    callers: SocketAddr,
+    operators: SocketAddr,
+    tasks: Vec<JoinHandle<()>>,
+    stop: Arc<AtomicBool>,
+}
+
+impl Server {
+    /// Starts an entry on the current tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails if one of the ports cannot be opened.
+    pub async fn start<C: Clock>(options: Options, clock: C) -> Result<Self, Error> {
+        let listener = TcpListener::bind(options.listen)
+            .await
+            .map_err(|error| listen("callers'", options.listen, error))?;
+        let callers = listener
+            .local_addr()
+            .map_err(|error| listen("callers'", options.listen, error))?;
+        let shared = Arc::new(Shared::new(options, clock));
+        let stop = Arc::new(AtomicBool::new(false));
+        let operators = serve_operators(&shared, &stop)?;
+        let runtime = Handle::current();
+        for follow in [follow::settings::<C>, follow::roster::<C>] {
+            let (shared, runtime, stop) = (Arc::clone(&shared), runtime.clone(), Arc::clone(&stop));
+            std::thread::spawn(move || follow(&shared, &runtime, &stop));
+        }
+        Ok(Self {
+            callers,
+            operators,
+            tasks: vec![tokio::spawn(serve_callers(listener, shared))],
+            stop,
+        })
+    }
+
+    /// Returns the address on which the entry takes callers' connections.
+    #[must_use]
+    pub const fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Returns the address on which the entry takes operators' calls.
+    #[must_use]
+    pub const fn operators(&self) -> SocketAddr {
+        self.operators
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+fn listen(port: &'static str, address: SocketAddr, error: impl std::fmt::Display) -> Error {
+    Error::Listen {
+        port,
+        address,
+        detail: error.to_string(),
+    }
+}
+
+fn serve_operators<C: Clock>(
+    shared: &Arc<Shared<C>>,
+    stop: &Arc<AtomicBool>,
+) -> Result<SocketAddr, Error> {
+    let address = shared.options.operator_listen;
+    let shared = Arc::clone(shared);
+    let stop = Arc::clone(stop);
+    let server = rouille::Server::new(address, move |request| operator::answer(&shared, request))
+        .map_err(|error| listen("operators'", address, error))?
+        .pool_size(OPERATOR_THREADS);
+    let address = server.server_addr();
+    std::thread::spawn(move || {
+        while !stop.load(Ordering::Relaxed) {
+            server.poll_timeout(OPERATOR_POLL);
+        }
+    });
+    Ok(address)
+}
+
+async fn serve_callers<C: Clock>(listener: TcpListener, shared: Arc<Shared<C>>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_caller(stream, Arc::clone(&shared)));
+            }
+            Err(error) => {
+                tracing::warn!(%error, "callers' port: connection not accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_caller<C: Clock>(stream: TcpStream, shared: Arc<Shared<C>>) {
+    let peer = stream.peer_addr().ok();
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let service = service_fn(move |request| caller::answer(Arc::clone(&shared), request));
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(HEAD_LIMIT)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(error) = served {
+        metrics::counter!("cactusnotch_entry_connections_broken_total").increment(1);
+        tracing::debug!(%error, ?peer, "caller's connection broke");
+    }
+}
