feat: add the roster, liveness and the spread of revisions (not exercised yet)

Cause: every process has to hold the newest settings and the roster, and operators have to see where a revision is in force, without a coordination service and within a few KB a second. Chosen: a few watchers a data centre read the platform, a tree by rank carries revisions down and acknowledgements up, exchanges with random peers repair.

--- /dev/null
+++ b/crates/member/src/fingerprint.rs
@@ -0,0 +1,44 @@
+//! A short digest of a set of lives.
+
+use std::ops::AddAssign;
+
+use cactusnotch_base::name::Process;
+use cactusnotch_base::number::Incarnation;
+use cactusnotch_derive::number;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// A digest of a set of processes with their incarnations.
+///
+/// Two sets have the same fingerprint only if they are the same, but for a
+/// chance of 2⁻⁶⁴; a process counted twice or left out shows.
+#[number]
+pub struct Fingerprint {
+    #[serde(rename = "n")]
+    count: u32,
+    #[serde(rename = "s")]
+    sum: u64,
+}
+
+impl Fingerprint {
+    /// Returns the fingerprint of one life.
+    #[must_use]
+    pub fn of(process: &Process, incarnation: Incarnation) -> Self {
+        Self {
+            count: 1,
+            sum: xxh3_64_with_seed(process.as_str().as_bytes(), incarnation.0),
+        }
+    }
+
+    /// Returns the number of lives.
+    #[must_use]
+    pub const fn count(self) -> u32 {
+        self.count
+    }
+}
+
+impl AddAssign for Fingerprint {
+    fn add_assign(&mut self, other: Self) {
+        self.count = self.count.wrapping_add(other.count);
+        self.sum = self.sum.wrapping_add(other.sum);
+    }
+}
--- /dev/null
+++ b/crates/member/src/liveness.rs
@@ -0,0 +1,245 @@
+//! Who can be reached.
+
+use std::time::Instant;
+
+use cactusnotch_base::Table;
+use cactusnotch_base::name::Process;
+use cactusnotch_base::number::Incarnation;
+use cactusnotch_derive::record;
+
+use crate::options::Options;
+use crate::record::Record;
+use crate::roster::{Roster, Row};
+use crate::rumour::{Life, Rumour, Status};
+
+/// How many rumours ride on one message.
+const PER_MESSAGE: usize = 4;
+
+/// How many messages carry a rumour, beyond two for each doubling of members.
+const TELLINGS: u32 = 6;
+
+/// What is known of a process that was ever suspected or restarted.
+#[record]
+#[derive(Copy)]
+pub struct Health {
+    /// The latest life that is known.
+    pub life: Life,
+    /// Whether the process can be reached.
+    pub status: Status,
+    /// Since when the status stands, on this process's clock.
+    pub since: Instant,
+    tellings: u32,
+}
+
+/// Who can be reached, as this process and its peers see it.
+///
+/// It chooses whom to talk to. It never moves a right to act, and it takes
+/// nobody off the roster by itself.
+#[derive(Debug)]
+pub struct Liveness {
+    options: Options,
+    own: Process,
+    life: Life,
+    later: Option<Incarnation>,
+    healths: Table<Process, Health>,
+    generation: u64,
+    tellings: u32,
+}
+
+impl Liveness {
+    /// Creates the view of process `own`, to whom everybody is alive.
+    #[must_use]
+    pub fn new(options: Options, own: Process, incarnation: Incarnation) -> Self {
+        let life = registered(incarnation);
+        Self {
+            options,
+            own,
+            life,
+            later: None,
+            healths: Table::new(),
+            generation: 0,
+            tellings: TELLINGS,
+        }
+    }
+
+    /// Returns the process's own life.
+    #[must_use]
+    pub const fn life(&self) -> Life {
+        self.life
+    }
+
+    /// Takes a larger incarnation, as found when a record was written, and
+    /// lets it be told.
+    pub fn reborn(&mut self, incarnation: Incarnation, now: Instant) {
+        if incarnation > self.life.incarnation {
+            self.life = registered(incarnation);
+        }
+        self.later = self.later.filter(|later| *later > self.life.incarnation);
+        self.announce(now);
+    }
+
+    /// Lets the process's own life be told.
+    pub fn announce(&mut self, now: Instant) {
+        let own = self.own.clone();
+        self.set(own, self.life, Status::Alive, now);
+    }
+
+    /// Returns the incarnation of a later life of the same name, if one is
+    /// known.
+    #[must_use]
+    pub const fn superseded_by(&self) -> Option<Incarnation> {
+        self.later
+    }
+
+    /// Returns a number that grows whenever a process starts or stops to
+    /// count as dead.
+    #[must_use]
+    pub const fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Returns whether `process` can be reached.
+    #[must_use]
+    pub fn status(&self, process: &Process) -> Status {
+        let health = self.healths.get(process);
+        health.map_or(Status::Alive, |health| health.status)
+    }
+
+    /// Returns what is known of `process`, if it was ever suspected.
+    #[must_use]
+    pub fn health(&self, process: &Process) -> Option<&Health> {
+        self.healths.get(process)
+    }
+
+    /// Suspects `process`, which could not be reached; `incarnation` is that
+    /// of its record.
+    pub fn suspect(&mut self, process: &Process, incarnation: Incarnation, now: Instant) {
+        let roster = registered(incarnation);
+        let known = self.healths.get(process);
+        let life = known.map_or(roster, |health| health.life.max(roster));
+        let status = known.filter(|health| health.life == life);
+        if status.is_none_or(|health| health.status == Status::Alive) {
+            self.set(process.clone(), life, Status::Suspect, now);
+        }
+    }
+
+    /// Takes in a rumour about a member of `roster`. A rumour that this
+    /// process cannot be reached is refuted.
+    pub fn hear(&mut self, rumour: &Rumour, roster: &Roster, now: Instant) {
+        if rumour.process == self.own {
+            self.hear_of_self(rumour, now);
+            return;
+        }
+        let Some(record) = roster.get(&rumour.process) else {
+            return;
+        };
+        let known = self.healths.get(&rumour.process);
+        let (life, status) = known.map_or_else(
+            || (registered(record.incarnation), Status::Alive),
+            |health| (health.life, health.status),
+        );
+        if (rumour.life, rumour.status) > (life, status) {
+            self.set(rumour.process.clone(), rumour.life, rumour.status, now);
+        }
+    }
+
+    fn hear_of_self(&mut self, rumour: &Rumour, now: Instant) {
+        if rumour.life.incarnation > self.life.incarnation {
+            self.later = self.later.max(Some(rumour.life.incarnation));
+        } else if rumour.life >= self.life && rumour.status != Status::Alive {
+            self.life.refuted = rumour.life.refuted + 1;
+            self.announce(now);
+        }
+    }
+
+    /// Turns suspicions that were not refuted in time into deaths, and forgets
+    /// processes that left `roster` or are on it in a later life.
+    pub fn tick(&mut self, roster: &Roster, now: Instant) {
+        let refute = self.options.refute;
+        let (mut died, mut revived) = (Vec::new(), 0);
+        self.healths.retain(|process, health| {
+            let late = now.saturating_duration_since(health.since) >= refute;
+            if late && health.status == Status::Suspect {
+                died.push((process.clone(), health.life));
+            }
+            let known = roster.get(process).map(|record| record.incarnation);
+            let keep = match known {
+                Some(incarnation) => incarnation <= health.life.incarnation,
+                None => *process == self.own,
+            };
+            revived += u64::from(!keep && health.status == Status::Dead);
+            keep
+        });
+        self.generation += revived;
+        self.tellings = TELLINGS + 2 * roster.len().max(1).ilog2();
+        for (process, life) in died {
+            if self.healths.contains(&process) {
+                self.set(process, life, Status::Dead, now);
+            }
+        }
+    }
+
+    fn set(&mut self, process: Process, life: Life, status: Status, now: Instant) {
+        let health = Health {
+            life,
+            status,
+            since: now,
+            tellings: self.tellings,
+        };
+        let before = self.healths.insert(process, health);
+        let was_dead = before.is_some_and(|before| before.status == Status::Dead);
+        if was_dead != (status == Status::Dead) {
+            self.generation += 1;
+        }
+    }
+
+    /// Returns the rumours to send with a message to `peer`. What is known
+    /// against `peer` itself always goes along, so that it can refute.
+    pub fn rumours(&mut self, peer: &Process) -> Vec<Rumour> {
+        let mut chosen = Vec::new();
+        for (process, health) in self.healths.iter_mut() {
+            let against = process == peer && health.status != Status::Alive;
+            if !against && (health.tellings == 0 || chosen.len() >= PER_MESSAGE) {
+                continue;
+            }
+            health.tellings = health.tellings.saturating_sub(1);
+            chosen.push(Rumour {
+                process: process.clone(),
+                life: health.life,
+                status: health.status,
+            });
+        }
+        chosen
+    }
+
+    /// Returns the members of `roster` that have counted as dead for the
+    /// expiry and that `ours` holds for; none if they are more than the part
+    /// that may expire.
+    #[must_use]
+    pub fn expired<'a>(
+        &self,
+        roster: &'a Roster,
+        ours: impl Fn(&Record) -> bool,
+        now: Instant,
+    ) -> Vec<&'a Row> {
+        let members = roster.iter().filter(|record| ours(record)).count();
+        let dead = self.healths.iter().filter(|(_, health)| {
+            let long = now.saturating_duration_since(health.since) >= self.options.expiry;
+            health.status == Status::Dead && long
+        });
+        let rows = dead.filter_map(|(process, _)| roster.row(process));
+        let rows: Vec<&Row> = rows.filter(|row| ours(&row.record)).collect();
+        if rows.len() * 100 > members * self.options.expiry_percent {
+            return Vec::new();
+        }
+        rows
+    }
+}
+
+/// Returns the life that a record stands for.
+const fn registered(incarnation: Incarnation) -> Life {
+    Life {
+        incarnation,
+        refuted: 0,
+    }
+}
--- /dev/null
+++ b/crates/member/src/options.rs
@@ -0,0 +1,34 @@
+//! The times of membership.
+
+use std::time::Duration;
+
+use cactusnotch_derive::record;
+
+/// The times of membership.
+#[record]
+pub struct Options {
+    /// How long a suspected process has to refute before it counts as dead.
+    pub refute: Duration,
+    /// How long a process counts as dead before its data centre's watcher
+    /// takes its record off the roster; far beyond any lease.
+    pub expiry: Duration,
+    /// The largest part of a data centre's records that may expire, in
+    /// percent; beyond it an operator decides.
+    pub expiry_percent: usize,
+    /// The pause after a first failed call; it doubles with each failure.
+    pub retry_min: Duration,
+    /// The longest pause after a failed call.
+    pub retry_max: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            refute: Duration::from_secs(4),
+            expiry: Duration::from_mins(1),
+            expiry_percent: 25,
+            retry_min: Duration::from_millis(500),
+            retry_max: Duration::from_secs(20),
+        }
+    }
+}
--- /dev/null
+++ b/crates/member/src/roster.rs
@@ -0,0 +1,170 @@
+//! Who is a member.
+
+use std::sync::Arc;
+
+use cactusnotch_base::Table;
+use cactusnotch_base::name::{DataCentre, Process};
+use cactusnotch_derive::message;
+use cactusnotch_platform::object::Version;
+
+use crate::delta::Delta;
+use crate::fingerprint::Fingerprint;
+use crate::record::Record;
+
+/// A record with the version of its last write.
+#[message]
+#[derive(Eq)]
+pub struct Row {
+    /// The record.
+    #[serde(rename = "r")]
+    pub record: Arc<Record>,
+    /// The version of its last write.
+    #[serde(rename = "v")]
+    pub version: Version,
+}
+
+/// Who is a member, as of a version of the platform's store.
+#[derive(Debug, Clone, Default)]
+pub struct Roster {
+    rows: Table<Process, Row>,
+    through: Version,
+    confirmed: Version,
+    fingerprints: Table<DataCentre, Fingerprint>,
+}
+
+impl Roster {
+    /// Returns the version of the last change that is known.
+    #[must_use]
+    pub const fn through(&self) -> Version {
+        self.through
+    }
+
+    /// Returns the version up to which the roster is known to be complete:
+    /// nothing changed between [`Roster::through`] and it.
+    #[must_use]
+    pub fn confirmed(&self) -> Version {
+        self.confirmed.max(self.through)
+    }
+
+    /// Notes that nothing changed up to `version`, as the platform said.
+    pub fn confirm(&mut self, version: Version) {
+        self.confirmed = self.confirmed.max(version);
+    }
+
+    /// Takes in a delta and tells whether the roster moved on. An older delta
+    /// changes nothing; one that starts after the roster's version is not
+    /// applied, since changes in between would be missed.
+    pub fn apply(&mut self, delta: &Delta) -> bool {
+        if delta.through <= self.through || delta.after > self.confirmed() {
+            return false;
+        }
+        if delta.after == Version(0) {
+            self.replace(delta);
+        } else {
+            self.upsert(delta);
+        }
+        self.through = delta.through;
+        self.fingerprints = fingerprints(&self.rows);
+        true
+    }
+
+    fn replace(&mut self, delta: &Delta) {
+        let rows = delta.rows.iter().cloned();
+        self.rows = rows.map(|row| (row.record.process.clone(), row)).collect();
+    }
+
+    fn upsert(&mut self, delta: &Delta) {
+        for process in &delta.removed {
+            self.rows.remove(process);
+        }
+        for row in &delta.rows {
+            self.rows.insert(row.record.process.clone(), row.clone());
+        }
+    }
+
+    /// Returns how `whole`, which starts after zero, differs from the roster;
+    /// what is older than the roster is left out.
+    #[must_use]
+    pub fn difference(&self, whole: &Delta) -> Delta {
+        let newer = |row: &&Row| {
+            let known = self.row(&row.record.process);
+            known.is_none_or(|known| known.version < row.version)
+        };
+        let named: Table<&Process, ()> = whole
+            .rows
+            .iter()
+            .map(|row| (&row.record.process, ()))
+            .collect();
+        let gone = self
+            .rows
+            .iter()
+            .filter(|(process, row)| row.version <= whole.through && !named.contains(process));
+        Delta {
+            after: self.through,
+            through: whole.through,
+            rows: whole.rows.iter().filter(newer).cloned().collect(),
+            removed: gone.map(|(process, _)| process.clone()).collect(),
+        }
+    }
+
+    /// Returns the whole roster as a delta.
+    #[must_use]
+    pub fn snapshot(&self) -> Delta {
+        Delta {
+            after: Version(0),
+            through: self.through,
+            rows: self.rows.values().cloned().collect(),
+            removed: Vec::new(),
+        }
+    }
+
+    /// Returns the record of `process`.
+    #[must_use]
+    pub fn get(&self, process: &Process) -> Option<&Record> {
+        self.row(process).map(|row| &*row.record)
+    }
+
+    /// Returns the record of `process` with its version.
+    #[must_use]
+    pub fn row(&self, process: &Process) -> Option<&Row> {
+        self.rows.get(process)
+    }
+
+    /// Returns the records in the order of their names.
+    #[must_use]
+    pub fn iter(&self) -> impl ExactSizeIterator<Item = &Record> {
+        self.rows.values().map(|row| &*row.record)
+    }
+
+    /// Returns the number of members.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Tells whether there are no members.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Returns each data centre with the fingerprint of its members.
+    #[must_use]
+    pub fn data_centres(&self) -> impl ExactSizeIterator<Item = (&DataCentre, Fingerprint)> {
+        self.fingerprints.iter().map(|(name, of)| (name, *of))
+    }
+}
+
+fn fingerprints(rows: &Table<Process, Row>) -> Table<DataCentre, Fingerprint> {
+    let mut table: Table<DataCentre, Fingerprint> = Table::new();
+    for Row { record, .. } in rows.values() {
+        let life = Fingerprint::of(&record.process, record.incarnation);
+        match table.get_mut(&record.data_centre) {
+            Some(sum) => *sum += life,
+            None => {
+                table.insert(record.data_centre.clone(), life);
+            }
+        }
+    }
+    table
+}
--- /dev/null
+++ b/crates/spread/src/bucket.rs
@@ -0,0 +1,37 @@
+//! A bound on bytes a second.
+
+use std::time::Instant;
+
+/// A token bucket that may be overdrawn once by a large item and then waits
+/// until the debt is paid.
+#[derive(Debug)]
+pub(crate) struct Bucket {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    at: Instant,
+}
+
+impl Bucket {
+    pub(crate) fn new(rate: u32, burst: u32, now: Instant) -> Self {
+        let burst = f64::from(burst);
+        Self {
+            rate: f64::from(rate),
+            burst,
+            level: burst,
+            at: now,
+        }
+    }
+
+    /// Takes `bytes` and tells whether they may be sent at `now`.
+    pub(crate) fn take(&mut self, bytes: usize, now: Instant) -> bool {
+        let elapsed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        self.level = (self.level + elapsed * self.rate).min(self.burst);
+        if self.level <= 0.0 {
+            return false;
+        }
+        self.level -= f64::from(u32::try_from(bytes).unwrap_or(u32::MAX));
+        true
+    }
+}
--- /dev/null
+++ b/crates/spread/src/log.rs
@@ -0,0 +1,89 @@
+//! The revisions that a process holds.
+
+use cactusnotch_base::number::Sequence;
+use cactusnotch_platform::object::Version;
+
+use crate::span::Span;
+use crate::tail::Tail;
+
+/// What became of a span.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Taken {
+    /// It took the process to a later revision.
+    Applied,
+    /// The process holds it already.
+    Known,
+    /// Revisions before it are missing.
+    Gap,
+}
+
+/// The revisions that a process holds: a number that never goes back, and
+/// the latest spans.
+#[derive(Debug)]
+pub(crate) struct Log {
+    held: Sequence,
+    version: Version,
+    tail: Tail<Span>,
+    snapshot: Option<Span>,
+}
+
+impl Log {
+    pub(crate) const fn new(kept: usize) -> Self {
+        Self {
+            held: Sequence(0),
+            version: Version(0),
+            tail: Tail::new(kept),
+            snapshot: None,
+        }
+    }
+
+    /// Returns the newest revision held.
+    pub(crate) const fn held(&self) -> Sequence {
+        self.held
+    }
+
+    /// Returns the version at which the newest revision held was written.
+    pub(crate) const fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Takes in a span if it leads on from what is held.
+    pub(crate) fn take(&mut self, span: &Span) -> Taken {
+        if span.through <= self.held {
+            return Taken::Known;
+        }
+        if span.after > self.held {
+            return Taken::Gap;
+        }
+        self.held = span.through;
+        self.version = self.version.max(span.version);
+        if span.after == Sequence(0) {
+            self.snapshot = Some(span.clone());
+        }
+        self.tail.push(span.clone());
+        Taken::Applied
+    }
+
+    /// Keeps `snapshot` for processes that lack more than the latest spans.
+    pub(crate) fn keep(&mut self, snapshot: Span) {
+        let known = self.snapshot.as_ref().map(|span| span.through);
+        if snapshot.after == Sequence(0) && known < Some(snapshot.through) {
+            self.snapshot = Some(snapshot);
+        }
+    }
+
+    /// Returns the spans that take a holder of `held` on, as far as they are
+    /// kept.
+    pub(crate) fn since(&self, held: Sequence) -> Vec<Span> {
+        if let Some(spans) = self.tail.since(held.0) {
+            return spans.to_vec();
+        }
+        let Some(snapshot) = &self.snapshot else {
+            return Vec::new();
+        };
+        let later = self.tail.since(snapshot.through.0).unwrap_or_default();
+        let mut spans = vec![snapshot.clone()];
+        spans.extend_from_slice(later);
+        spans
+    }
+}
--- /dev/null
+++ b/crates/spread/src/node.rs
@@ -0,0 +1,269 @@
+//! The part of one process in membership and spread.
+
+mod enter;
+mod platform;
+mod receive;
+mod send;
+mod tick;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use cactusnotch_base::Table;
+use cactusnotch_base::name::Process;
+use cactusnotch_base::number::Sequence;
+use cactusnotch_member::{Backoff, Liveness, Record, Registration, Roster, State};
+use cactusnotch_platform::object::Version;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::bucket::Bucket;
+use crate::census::Census;
+use crate::command::Command;
+use crate::journal::Journal;
+use crate::log::Log;
+use crate::options::Options;
+use crate::peer::Peer;
+use crate::relay::Relays;
+use crate::report::{Evidence, Laggard};
+use crate::span::Span;
+use crate::stamp::Stamps;
+use crate::standing::{Entrance, Standing};
+use crate::status::Status;
+use crate::structure::Structure;
+use crate::watch::Calls;
+
+/// Over how long the first calls of processes that start together are spread.
+const START_SPREAD: Duration = Duration::from_secs(2);
+
+/// The part of one process in membership and spread.
+///
+/// The driver calls [`Node::on_tick`] about ten times a second,
+/// [`Node::on_message`] for each message of a peer and [`Node::on_answer`] for
+/// each call to the platform that ended, and carries out the commands.
+#[derive(Debug)]
+pub struct Node {
+    options: Options,
+    rng: StdRng,
+    stamps: Stamps,
+    registration: Registration,
+    journal: Journal,
+    liveness: Liveness,
+    log: Log,
+    newest: Sequence,
+    in_force: Sequence,
+    told_in_force: Sequence,
+    told_report: Option<Evidence>,
+    lacking: Option<(u32, Vec<Laggard>, Instant)>,
+    structure: Structure,
+    computed: Option<(Version, u64, Instant)>,
+    seeds: Table<Process, SocketAddr>,
+    peers: Table<Process, Peer>,
+    relays: Relays,
+    calls: Calls,
+    entrance: Entrance,
+    leaving: bool,
+    superseded: bool,
+    pushes: Bucket,
+    bulk: Bucket,
+    turn: usize,
+    exchanged: Option<Instant>,
+    fetched: Option<Instant>,
+    lagging: Option<Instant>,
+    reread: Option<Instant>,
+    gap: bool,
+    started: Instant,
+}
+
+impl Node {
+    /// Creates the node of a process that starts at `now`.
+    ///
+    /// `record` describes the process; its incarnation is larger than that of
+    /// its earlier lives as far as the process can tell, such as its start in
+    /// wall-clock milliseconds. `seeds` are peers from the process's settings,
+    /// to be asked while the platform is down.
+    #[must_use]
+    pub fn new(
+        options: Options,
+        record: Record,
+        seeds: Table<Process, SocketAddr>,
+        seed: u64,
+        now: Instant,
+    ) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut registration = Registration::new(&options.member, record);
+        registration.backoff().delay(now, START_SPREAD, &mut rng);
+        let record = registration.record();
+        let own = record.process.clone();
+        let liveness = Liveness::new(options.member.clone(), own, record.incarnation);
+        let backoff = Backoff::new(options.member.retry_min, options.member.retry_max);
+        let mut node = Self {
+            stamps: Stamps::new(now, rng.random()),
+            journal: Journal::new(options.kept),
+            log: Log::new(options.kept),
+            newest: Sequence(0),
+            in_force: Sequence(0),
+            told_in_force: Sequence(0),
+            told_report: None,
+            lacking: None,
+            structure: Structure::default(),
+            computed: None,
+            seeds,
+            peers: Table::new(),
+            relays: Relays::default(),
+            calls: Calls::new(backoff),
+            entrance: Entrance::new(now + options.quarantine()),
+            leaving: false,
+            superseded: false,
+            pushes: Bucket::new(options.rate, options.burst, now),
+            bulk: Bucket::new(options.rate, options.burst, now),
+            turn: 0,
+            exchanged: None,
+            fetched: None,
+            lagging: None,
+            reread: Some(now),
+            gap: false,
+            started: now,
+            registration,
+            liveness,
+            options,
+            rng,
+        };
+        node.liveness.announce(now);
+        node
+    }
+
+    /// Returns the process's record as it wants it in the platform.
+    #[must_use]
+    pub const fn record(&self) -> &Record {
+        self.registration.record()
+    }
+
+    /// Returns the roster that the node knows.
+    #[must_use]
+    pub const fn roster(&self) -> &Roster {
+        self.journal.roster()
+    }
+
+    /// Returns who can be reached, as far as the node knows.
+    #[must_use]
+    pub const fn liveness(&self) -> &Liveness {
+        &self.liveness
+    }
+
+    /// Returns the newest revision that the process holds.
+    #[must_use]
+    pub const fn held(&self) -> Sequence {
+        self.log.held()
+    }
+
+    /// Returns the newest revision that is proved to be in force everywhere.
+    #[must_use]
+    pub const fn in_force(&self) -> Sequence {
+        self.in_force
+    }
+
+    /// Returns where `process` is reached, from the roster or the seeds.
+    #[must_use]
+    pub fn address(&self, process: &Process) -> Option<SocketAddr> {
+        let record = self.roster().get(process);
+        record
+            .map(|record| record.peers)
+            .or_else(|| self.seeds.get(process).copied())
+    }
+
+    /// Tells whether the process is among its data centre's watchers of the
+    /// platform. It is no right to act: one watcher too many does no harm.
+    #[must_use]
+    pub fn watches(&self) -> bool {
+        let rank = self.structure.rank;
+        rank.is_some_and(|rank| rank < self.options.watchers)
+    }
+
+    /// Returns whether the process may serve at `now`. It is asked before each
+    /// piece of work, since the process may have been paused.
+    #[must_use]
+    pub fn standing(&self, now: Instant) -> Standing {
+        if self.superseded {
+            Standing::Superseded
+        } else if self.leaving {
+            Standing::Leaving
+        } else if self.entrance.caught_up && self.out_of_touch(now) {
+            Standing::Isolated
+        } else if self.entrance.open {
+            Standing::Serving
+        } else {
+            Standing::Joining
+        }
+    }
+
+    /// Returns what the node can tell operators at `now`.
+    #[must_use]
+    pub fn status(&self, now: Instant) -> Status {
+        let told = self.lacking.as_ref();
+        Status {
+            standing: self.standing(now),
+            held: self.log.held(),
+            newest: self.newest,
+            in_force: self.in_force,
+            lacking: told.map_or(0, |(count, ..)| *count),
+            laggards: told.map_or(Vec::new(), |(_, laggards, _)| laggards.clone()),
+            age: told.map(|(.., at)| now.saturating_duration_since(*at)),
+        }
+    }
+
+    /// Keeps `snapshot`, which starts after zero, for processes that lack more
+    /// than the latest revisions.
+    pub fn keep(&mut self, snapshot: Span) {
+        self.log.keep(snapshot);
+    }
+
+    /// Starts a planned stop: the record says that the process is leaving.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+        self.registration.want(Some(State::Leaving));
+    }
+
+    /// Ends a planned stop: the record is taken off the roster.
+    pub fn depart(&mut self) {
+        self.leaving = true;
+        self.registration.want(None);
+    }
+
+    /// Tells whether the platform holds the record as it is wanted.
+    #[must_use]
+    pub fn registered(&self) -> bool {
+        self.registration.settled()
+    }
+
+    /// Takes in a revision that this process wrote or read itself.
+    pub fn on_accepted(&mut self, span: Span, now: Instant) -> Vec<Command> {
+        let mut out = Vec::new();
+        self.take_spans(vec![span], None, now, &mut out);
+        out
+    }
+
+    /// Tells whether neither a peer nor the platform was heard for long.
+    fn out_of_touch(&self, now: Instant) -> bool {
+        if self.roster().len() <= 1 {
+            return false;
+        }
+        let peers = self.peers.values().filter_map(|peer| peer.heard);
+        let last = peers.chain(self.calls.answered()).max();
+        let last = last.unwrap_or(self.started);
+        now.saturating_duration_since(last) > self.options.isolation
+    }
+
+    fn census(&self, now: Instant) -> Census<'_> {
+        Census {
+            own: self.registration.record(),
+            options: &self.options,
+            log: &self.log,
+            journal: &self.journal,
+            liveness: &self.liveness,
+            structure: &self.structure,
+            peers: &self.peers,
+            now,
+        }
+    }
+}
--- /dev/null
+++ b/crates/spread/src/node/platform.rs
@@ -0,0 +1,181 @@
+//! What a node asks of the platform.
+
+use std::time::{Duration, Instant};
+
+use cactusnotch_member::{Delta, Record, registration};
+use cactusnotch_platform::object::Version;
+
+use crate::command::{Answer, Call, Command, Ticket};
+use crate::node::Node;
+use crate::span::Span;
+use crate::watch::Purpose;
+
+impl Node {
+    /// Takes in how a call to the platform ended. Whatever the driver cannot
+    /// decode, and whatever it waited for in vain, is
+    /// [`Answer::Unanswered`].
+    pub fn on_answer(&mut self, ticket: Ticket, answer: Answer, now: Instant) -> Vec<Command> {
+        let mut out = Vec::new();
+        self.notice(now);
+        let Some(purpose) = self.calls.close(ticket) else {
+            return out;
+        };
+        if purpose == Purpose::Own {
+            self.own_answered(answer, now);
+            return out;
+        }
+        match answer {
+            Answer::Settings(spans) => {
+                self.calls.succeed(now);
+                self.settings_read(purpose, spans, now, &mut out);
+            }
+            Answer::Members(delta) => {
+                self.calls.succeed(now);
+                self.members_read(delta, now, &mut out);
+            }
+            Answer::Expired => self.calls.succeed(now),
+            Answer::Own(_) | Answer::Unanswered => self.calls.fail(now, &mut self.rng),
+        }
+        self.enter(now);
+        out
+    }
+
+    fn own_answered(&mut self, answer: Answer, now: Instant) {
+        let answer = match answer {
+            Answer::Own(answer) => answer,
+            _ => registration::Answer::Unanswered,
+        };
+        if answer != registration::Answer::Unanswered {
+            self.calls.succeed(now);
+        }
+        self.registration.answer(answer, now, &mut self.rng);
+        self.superseded |= self.registration.superseded();
+        self.follow_incarnation(now);
+    }
+
+    fn settings_read(
+        &mut self,
+        purpose: Purpose,
+        spans: Vec<Span>,
+        now: Instant,
+        out: &mut Vec<Command>,
+    ) {
+        let gap = self.take_spans(spans, None, now, out);
+        let read = purpose == Purpose::ReadSettings;
+        // A watch may have skipped a revision; a plain read has not, and a gap
+        // after one means that only a snapshot leads on.
+        self.gap = if read { gap } else { gap || self.gap };
+        if read && !gap {
+            self.entrance.read = self.entrance.asked_after;
+        }
+    }
+
+    fn members_read(&mut self, delta: Delta, now: Instant, out: &mut Vec<Command>) {
+        let roster = self.journal.roster();
+        let (complete, known) = (delta.through, roster.through());
+        if delta.after > roster.confirmed() {
+            return;
+        }
+        let delta = if known > Version(0) && delta.after == Version(0) {
+            roster.difference(&delta)
+        } else {
+            // Nothing changed between the roster's last change and the read.
+            let after = delta.after.min(known);
+            Delta { after, ..delta }
+        };
+        if !delta.is_empty() && complete > known {
+            self.take_delta(delta.trimmed(), None, now, out);
+        }
+        self.journal.confirm(complete);
+    }
+
+    /// Makes the calls that are due.
+    pub(super) fn call(&mut self, now: Instant, out: &mut Vec<Command>) {
+        self.call_for_own(now, out);
+        if self.watches() {
+            self.watch(now, out);
+        }
+        self.read(now, out);
+        if self.structure.is_head() {
+            self.expire(now, out);
+        }
+    }
+
+    fn call_for_own(&mut self, now: Instant, out: &mut Vec<Command>) {
+        if self.superseded || !self.calls.free(Purpose::Own, now) {
+            return;
+        }
+        if let Some(call) = self.registration.poll(now) {
+            out.push(self.calls.make(Purpose::Own, Call::Own(call), now));
+        }
+    }
+
+    fn watch(&mut self, now: Instant, out: &mut Vec<Command>) {
+        let wait = self.options.watch;
+        if self.calls.free(Purpose::WatchSettings, now) {
+            let after = self.log.version();
+            let call = Call::Settings { after, wait };
+            out.push(self.calls.make(Purpose::WatchSettings, call, now));
+        }
+        if self.calls.free(Purpose::WatchMembers, now) {
+            let after = self.roster().confirmed();
+            let call = Call::Members { after, wait };
+            out.push(self.calls.make(Purpose::WatchMembers, call, now));
+        }
+        let due = self
+            .reread
+            .is_none_or(|at| now.saturating_duration_since(at) >= self.options.reread);
+        if due && self.calls.free(Purpose::Reread, now) {
+            self.reread = Some(now);
+            let call = Call::Members {
+                after: Version(0),
+                wait: Duration::ZERO,
+            };
+            out.push(self.calls.make(Purpose::Reread, call, now));
+        }
+    }
+
+    fn read(&mut self, now: Instant, out: &mut Vec<Command>) {
+        let registered = self.registration.version();
+        let entering = !self.entrance.open && registered.is_some();
+        let unread = entering && self.entrance.read != registered;
+        if (unread || self.gap) && self.calls.free(Purpose::ReadSettings, now) {
+            self.entrance.asked_after = registered;
+            let after = if self.gap {
+                Version(0)
+            } else {
+                self.log.version()
+            };
+            let wait = Duration::ZERO;
+            let call = Call::Settings { after, wait };
+            out.push(self.calls.make(Purpose::ReadSettings, call, now));
+        }
+        let confirmed = self.roster().confirmed();
+        let unknown = entering && registered > Some(confirmed);
+        let unproved = self.structure.is_head() && self.log.version() > confirmed;
+        if (unknown || unproved) && self.calls.free(Purpose::ReadMembers, now) {
+            let call = Call::Members {
+                after: confirmed,
+                wait: Duration::ZERO,
+            };
+            out.push(self.calls.make(Purpose::ReadMembers, call, now));
+        }
+    }
+
+    /// Takes a process that has been dead for long off the roster. A right to
+    /// act that it holds is not touched by that.
+    fn expire(&mut self, now: Instant, out: &mut Vec<Command>) {
+        if !self.calls.free(Purpose::Expire, now) {
+            return;
+        }
+        let data_centre = &self.registration.record().data_centre;
+        let ours = |record: &Record| record.data_centre == *data_centre;
+        let expired = self.liveness.expired(self.journal.roster(), ours, now);
+        let Some(row) = expired.first() else { return };
+        let call = Call::Expire {
+            process: row.record.process.clone(),
+            version: row.version,
+        };
+        out.push(self.calls.make(Purpose::Expire, call, now));
+    }
+}
--- /dev/null
+++ b/crates/spread/src/node/send.rs
@@ -0,0 +1,149 @@
+//! What a node tells its peers.
+
+use std::time::Instant;
+
+use cactusnotch_base::name::Process;
+
+use crate::command::Command;
+use crate::message::{Fetch, Message, Ping, Pong, Summary};
+use crate::node::Node;
+use crate::peer::Peer;
+use crate::tail;
+
+impl Node {
+    pub(super) fn send(to: &Process, message: Message, out: &mut Vec<Command>) {
+        let to = to.clone();
+        out.push(Command::Send { to, message });
+    }
+
+    pub(super) fn peer(&mut self, process: &Process, now: Instant) -> &mut Peer {
+        if !self.peers.contains(process) {
+            self.peers.insert(process.clone(), Peer::new(now));
+        }
+        self.peers
+            .get_mut(process)
+            .expect("the row was inserted above")
+    }
+
+    fn summary(&mut self, to: &Process) -> Summary {
+        Summary {
+            held: self.log.held(),
+            roster: self.roster().through(),
+            in_force: self.in_force,
+            caught_up: self.entrance.caught_up,
+            rumours: self.liveness.rumours(to),
+        }
+    }
+
+    pub(super) fn ping(&mut self, to: &Process, now: Instant, out: &mut Vec<Command>) {
+        self.peer(to, now).pinged = Some(now);
+        let child = self.structure.children.contains(to);
+        let told = self.lacking.as_ref().filter(|_| child);
+        let lacking = told.map(|(count, laggards, _)| (*count, laggards.clone()));
+        let ping = Ping {
+            stamp: self.stamps.make(now),
+            summary: self.summary(to),
+            lacking,
+        };
+        Self::send(to, Message::Ping(ping), out);
+    }
+
+    /// Answers the last ping of `to`; a report goes to the parent and, from
+    /// head to head, to other data centres.
+    pub(super) fn pong(&mut self, to: &Process, stamp: u64, now: Instant, out: &mut Vec<Command>) {
+        let wanted = self.reports_to(to);
+        let report = wanted.then(|| self.census(now).subtree());
+        let pong = Pong {
+            stamp,
+            summary: self.summary(to),
+            report,
+        };
+        Self::send(to, Message::Pong(pong), out);
+    }
+
+    pub(super) fn reports_to(&self, to: &Process) -> bool {
+        if self.structure.parent.as_ref() == Some(to) {
+            return true;
+        }
+        let elsewhere = self
+            .roster()
+            .get(to)
+            .is_some_and(|record| record.data_centre != self.registration.record().data_centre);
+        elsewhere && self.structure.is_head()
+    }
+
+    pub(super) fn fetch(&mut self, from: &Process, now: Instant, out: &mut Vec<Command>) {
+        self.fetched = Some(now);
+        let fetch = Fetch {
+            held: self.log.held(),
+            roster: self.roster().through(),
+        };
+        Self::send(from, Message::Fetch(fetch), out);
+    }
+
+    /// Sends `to` what it lacks. What is large goes only if it was `asked`
+    /// for.
+    pub(super) fn offer(
+        &mut self,
+        to: &Process,
+        asked: bool,
+        now: Instant,
+        out: &mut Vec<Command>,
+    ) {
+        self.offer_roster(to, asked, now, out);
+        let repeat = self.options.repeat;
+        let Some(peer) = self.peers.get(to) else {
+            return;
+        };
+        let expected = peer.expected(repeat, now);
+        if expected >= self.log.held() {
+            return;
+        }
+        let spans = self.log.since(expected);
+        if spans.is_empty() || !self.afford(tail::cost(&spans), asked, now) {
+            return;
+        }
+        let through = self.log.held();
+        self.peer(to, now).offer(through, now);
+        for span in spans {
+            Self::send(to, Message::Span(span), out);
+        }
+    }
+
+    fn offer_roster(&mut self, to: &Process, asked: bool, now: Instant, out: &mut Vec<Command>) {
+        let repeat = self.options.repeat;
+        let Some(peer) = self.peers.get(to) else {
+            return;
+        };
+        let expected = peer.expected_roster(repeat, now);
+        if expected >= self.roster().through() {
+            return;
+        }
+        let deltas = self.journal.since(expected);
+        if deltas.is_empty() || !self.afford(tail::cost(&deltas), asked, now) {
+            return;
+        }
+        let through = self.roster().through();
+        self.peer(to, now).offer_roster(through, now);
+        for delta in deltas {
+            Self::send(to, Message::Delta(delta), out);
+        }
+    }
+
+    fn afford(&mut self, bytes: usize, asked: bool, now: Instant) -> bool {
+        if bytes <= self.options.unasked {
+            self.pushes.take(bytes, now)
+        } else {
+            asked && self.bulk.take(bytes, now)
+        }
+    }
+
+    /// Sends what is new to the neighbours in the tree.
+    pub(super) fn push(&mut self, now: Instant, out: &mut Vec<Command>) {
+        let neighbours: Vec<Process> = self.structure.tree().cloned().collect();
+        for neighbour in neighbours {
+            self.peer(&neighbour, now);
+            self.offer(&neighbour, false, now, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/spread/src/options.rs
@@ -0,0 +1,93 @@
+//! The times and bounds of a node.
+
+use std::time::Duration;
+
+use cactusnotch_derive::record;
+
+/// The times and bounds of a node.
+#[record]
+pub struct Options {
+    /// The times of membership.
+    pub member: cactusnotch_member::Options,
+    /// How many children a process has in its data centre's tree.
+    pub fan_out: usize,
+    /// How many processes of a data centre watch the platform.
+    pub watchers: usize,
+    /// How many random peers of the own data centre a process keeps in touch
+    /// with, beside one elsewhere.
+    pub contacts: usize,
+    /// How often each child and each other data centre's head is pinged.
+    pub ping: Duration,
+    /// How often one of the random peers is pinged.
+    pub exchange: Duration,
+    /// How often the random peers are drawn anew.
+    pub redraw: Duration,
+    /// After which silence a neighbour is probed through others.
+    pub probe: Duration,
+    /// After which silence a neighbour is suspected.
+    pub suspect: Duration,
+    /// How old an acknowledgement may be when a revision is said to be in
+    /// force. A process restarted during an outage of the platform waits a
+    /// little longer than this before it serves.
+    pub evidence: Duration,
+    /// After which silence of all peers and of the platform a process stops
+    /// taking new work.
+    pub isolation: Duration,
+    /// How many peers that have caught up a process hears before it serves
+    /// while the platform is down, if the roster has that many.
+    pub quorum: usize,
+    /// How long a watch waits at the platform.
+    pub watch: Duration,
+    /// How often a watcher reads the whole roster, against skipped changes.
+    pub reread: Duration,
+    /// After how long without an acknowledgement a push is repeated.
+    pub repeat: Duration,
+    /// The largest push that is sent unasked, in bytes.
+    pub unasked: usize,
+    /// The bytes a second for pushes, and for transfers larger than
+    /// [`Options::unasked`].
+    pub rate: u32,
+    /// The bytes that may be pushed at once after a quiet time.
+    pub burst: u32,
+    /// How many revisions and roster changes are kept for repairs.
+    pub kept: usize,
+    /// How many processes that lack the newest revision are named.
+    pub named: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            member: cactusnotch_member::Options::default(),
+            fan_out: 4,
+            watchers: 2,
+            contacts: 3,
+            ping: Duration::from_secs(1),
+            exchange: Duration::from_secs(2),
+            redraw: Duration::from_mins(10),
+            probe: Duration::from_millis(2_500),
+            suspect: Duration::from_secs(5),
+            evidence: Duration::from_secs(15),
+            isolation: Duration::from_secs(15),
+            quorum: 2,
+            watch: Duration::from_secs(30),
+            reread: Duration::from_mins(10),
+            repeat: Duration::from_secs(1),
+            unasked: 16 << 10,
+            rate: 4 << 10,
+            burst: 32 << 10,
+            kept: 128,
+            named: 8,
+        }
+    }
+}
+
+impl Options {
+    /// Returns how long a process that was restarted while the platform is
+    /// down waits, so that acknowledgements of its earlier life have expired
+    /// on every clock (that may run fast or slow by a fiftieth).
+    #[must_use]
+    pub fn quarantine(&self) -> Duration {
+        self.evidence + self.evidence / 25
+    }
+}
--- /dev/null
+++ b/crates/spread/src/peer.rs
@@ -0,0 +1,127 @@
+//! What a node knows of a peer.
+
+use std::time::{Duration, Instant};
+
+use cactusnotch_base::number::Sequence;
+use cactusnotch_platform::object::Version;
+
+use crate::message::Summary;
+use crate::report::Report;
+
+/// What was sent to a peer unasked, and when.
+#[derive(Debug, Clone, Copy)]
+struct Offer<N> {
+    through: N,
+    at: Instant,
+}
+
+/// What a node knows of a peer.
+#[derive(Debug)]
+pub(crate) struct Peer {
+    /// Since when the peer is listened for.
+    pub(crate) since: Instant,
+    /// When the peer was last heard.
+    pub(crate) heard: Option<Instant>,
+    /// When the peer was last pinged.
+    pub(crate) pinged: Option<Instant>,
+    /// When others were last asked to ping the peer.
+    pub(crate) relayed: Option<Instant>,
+    /// The stamp of the peer's last ping, if the peer wants reports.
+    pub(crate) asked: Option<u64>,
+    /// Whether the peer has caught up in its life.
+    pub(crate) caught_up: bool,
+    /// The send time of the last ping that the peer answered.
+    pub(crate) answered: Option<Instant>,
+    /// The newest revision that the peer was heard to hold.
+    pub(crate) held: Sequence,
+    /// The version of the peer's roster.
+    pub(crate) roster: Version,
+    /// The peer's last report, dated from when it was asked.
+    pub(crate) report: Option<(Report, Instant)>,
+    /// Since when the peer has lacked what this node knows of.
+    pub(crate) behind: Option<Instant>,
+    spans: Option<Offer<Sequence>>,
+    deltas: Option<Offer<Version>>,
+}
+
+impl Peer {
+    pub(crate) const fn new(now: Instant) -> Self {
+        Self {
+            since: now,
+            heard: None,
+            pinged: None,
+            relayed: None,
+            asked: None,
+            caught_up: false,
+            answered: None,
+            held: Sequence(0),
+            roster: Version(0),
+            report: None,
+            behind: None,
+            spans: None,
+            deltas: None,
+        }
+    }
+
+    /// Takes in what the peer tells of itself. A peer that was restarted
+    /// holds less than before.
+    pub(crate) const fn hear(&mut self, summary: &Summary) {
+        self.held = summary.held;
+        self.roster = summary.roster;
+        self.caught_up = summary.caught_up;
+    }
+
+    /// Returns for how long the peer has been silent.
+    pub(crate) fn silence(&self, now: Instant) -> Duration {
+        let last = self.heard.unwrap_or(self.since).max(self.since);
+        now.saturating_duration_since(last)
+    }
+
+    /// Tells whether the peer was pinged less than `every` ago.
+    pub(crate) fn pinged_within(&self, every: Duration, now: Instant) -> bool {
+        within(self.pinged, every, now)
+    }
+
+    /// Tells whether others were asked to ping the peer less than `every` ago.
+    pub(crate) fn relayed_within(&self, every: Duration, now: Instant) -> bool {
+        within(self.relayed, every, now)
+    }
+
+    /// Returns the revision that the peer holds once what was sent less than
+    /// `repeat` ago has arrived.
+    pub(crate) fn expected(&self, repeat: Duration, now: Instant) -> Sequence {
+        let offered = self
+            .spans
+            .filter(|offer| within(Some(offer.at), repeat, now));
+        offered.map_or(self.held, |offer| offer.through.max(self.held))
+    }
+
+    /// Returns the roster that the peer holds once what was sent less than
+    /// `repeat` ago has arrived.
+    pub(crate) fn expected_roster(&self, repeat: Duration, now: Instant) -> Version {
+        let offered = self
+            .deltas
+            .filter(|offer| within(Some(offer.at), repeat, now));
+        offered.map_or(self.roster, |offer| offer.through.max(self.roster))
+    }
+
+    /// Notes that revisions up to `through` were sent.
+    pub(crate) const fn offer(&mut self, through: Sequence, at: Instant) {
+        self.spans = Some(Offer { through, at });
+    }
+
+    /// Notes that the roster up to `through` was sent.
+    pub(crate) const fn offer_roster(&mut self, through: Version, at: Instant) {
+        self.deltas = Some(Offer { through, at });
+    }
+
+    /// Forgets what was sent, since the peer asks for it.
+    pub(crate) const fn retract(&mut self) {
+        self.spans = None;
+        self.deltas = None;
+    }
+}
+
+fn within(at: Option<Instant>, every: Duration, now: Instant) -> bool {
+    at.is_some_and(|at| now.saturating_duration_since(at) < every)
+}
--- /dev/null
+++ b/crates/spread/src/standing.rs
@@ -0,0 +1,66 @@
+//! Whether a process may serve.
+
+use std::time::Instant;
+
+use cactusnotch_derive::{number, record};
+use cactusnotch_platform::object::Version;
+
+/// Whether a process may serve.
+#[number]
+pub enum Standing {
+    /// It has not learnt the newest revision that it can prove yet, or was
+    /// out of touch and is learning it again. It takes no new work.
+    #[default]
+    Joining,
+    /// It serves.
+    Serving,
+    /// It finishes what runs and takes no new work.
+    Leaving,
+    /// Neither a peer nor the platform was heard for long. It takes no new
+    /// work.
+    Isolated,
+    /// A later life of the same name is registered. It stops.
+    Superseded,
+}
+
+/// How far a process has come in learning the newest revision.
+#[record]
+#[derive(Copy)]
+pub(crate) struct Entrance {
+    /// Only answers to questions asked from then on count.
+    pub(crate) from: Instant,
+    /// The version of the own record after whose writing the settings were
+    /// read, if they were.
+    pub(crate) read: Option<Version>,
+    /// The own record's version when the settings were last asked for.
+    pub(crate) asked_after: Option<Version>,
+    /// Whether the process has caught up since it last entered.
+    pub(crate) open: bool,
+    /// Whether the process has caught up at least once in this life.
+    pub(crate) caught_up: bool,
+}
+
+impl Entrance {
+    pub(crate) const fn new(from: Instant) -> Self {
+        Self {
+            from,
+            read: None,
+            asked_after: None,
+            open: false,
+            caught_up: false,
+        }
+    }
+
+    /// Enters anew; only answers to questions asked from `from` on count.
+    pub(crate) const fn reset(&mut self, from: Instant) {
+        self.from = from;
+        self.read = None;
+        self.asked_after = None;
+        self.open = false;
+    }
+
+    pub(crate) const fn pass(&mut self) {
+        self.open = true;
+        self.caught_up = true;
+    }
+}
--- /dev/null
+++ b/crates/spread/src/tail.rs
@@ -0,0 +1,53 @@
+//! The latest pieces of a stream, kept for repairs.
+
+/// A piece that takes a holder from one number to another.
+pub(crate) trait Piece {
+    /// Returns the number from which on the piece is complete.
+    fn after(&self) -> u64;
+
+    /// Returns the number up to which the piece is complete.
+    fn through(&self) -> u64;
+
+    /// Returns the size on the wire, in bytes, roughly.
+    fn cost(&self) -> usize;
+}
+
+/// The latest pieces of a stream, in order.
+#[derive(Debug)]
+pub(crate) struct Tail<P> {
+    pieces: Vec<P>,
+    kept: usize,
+}
+
+impl<P: Piece> Tail<P> {
+    pub(crate) const fn new(kept: usize) -> Self {
+        Self {
+            pieces: Vec::new(),
+            kept,
+        }
+    }
+
+    /// Adds a piece that ends after all others.
+    pub(crate) fn push(&mut self, piece: P) {
+        if self.pieces.len() >= self.kept.max(1) {
+            self.pieces.remove(0);
+        }
+        self.pieces.push(piece);
+    }
+
+    /// Returns the pieces that take a holder of `held` to the newest, or
+    /// `None` if they are no longer all kept.
+    pub(crate) fn since(&self, held: u64) -> Option<&[P]> {
+        let from = self.pieces.partition_point(|piece| piece.through() <= held);
+        let missing = &self.pieces[from..];
+        match missing.first() {
+            Some(first) if first.after() > held => None,
+            _ => Some(missing),
+        }
+    }
+}
+
+/// Returns the size of `pieces` on the wire, in bytes, roughly.
+pub(crate) fn cost<P: Piece>(pieces: &[P]) -> usize {
+    pieces.iter().map(Piece::cost).sum()
+}
