--- a/crates/entry/src/addresses.rs
+++ b/crates/entry/src/addresses.rs
@@ -31,7 +31,7 @@
         .entries()
         .into_iter()
         .map(|(address, data_centre)| Address {
-            address,
+            address: address.to_string(),
             data_centre,
         })
         .collect();
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -32,10 +32,13 @@
         (&Method::POST, path) if COMPLETIONS.contains(&path) => {
             completion::answer(&shared, request).await
         }
-        (_, path) => match shared.router().service_of(path).cloned() {
-            Some(service) => completion::forward(&shared, service, request).await,
-            None => Err(Problem::absent(format!("no service under {path}"))),
-        },
+        (_, path) => {
+            let service = shared.router().service_of(path).cloned();
+            match service {
+                Some(service) => completion::forward(&shared, service, request).await,
+                None => Err(Problem::absent(format!("no service under {path}"))),
+            }
+        }
     };
     Ok(answered.unwrap_or_else(|problem| {
         let outcome = problem.outcome.to_string();
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -7,8 +7,7 @@
 use cactusnotch_base::name::{DataCentre, Endpoint, Model, Process};
 use cactusnotch_base::number::Revision;
 use cactusnotch_history::Replica;
-use cactusnotch_member::Record;
-use cactusnotch_member::record::{Role, State};
+use cactusnotch_member::{Record, Role, State};
 use cactusnotch_route::{Member, Service};
 use cactusnotch_settings::Resolved;
 
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -41,10 +41,10 @@
 
 /// Answers one call of an operator.
 pub(crate) fn answer<C: Clock>(shared: &Arc<Shared<C>>, request: &Request) -> Response {
-    rouille::router!(request,
-        (GET) (/status) => { Response::json(&status(shared)) },
-        _ => { Response::empty_404() }
-    )
+    match (request.method(), request.url().as_str()) {
+        ("GET", "/status") => Response::json(&status(shared)),
+        _ => Response::empty_404(),
+    }
 }
 
 fn status<C: Clock>(shared: &Shared<C>) -> Status {
