feat: serve a request end to end through entry, agent and engine

Cause: the decisions had no processes around them. The entry takes callers over HTTP (hyper, token by token), the agent runs its ledger before the engine, and both follow settings and roster through the node.

Shown by crates/lab/tests/path.rs: addresses asked for, eight streamed chat completions over two entries and two engines, each answer equal to what the engine makes for its prompt, eight runs in the engines' logs.

--- a/crates/agent/src/options.rs
+++ b/crates/agent/src/options.rs
@@ -3,17 +3,20 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cactusnotch_base::name::Endpoint;
+use cactusnotch_base::name::{Endpoint, Region};
 use cactusnotch_ledger as ledger;
-use cactusnotch_link as link;
+use cactusnotch_node as node;
 
 /// How an agent runs.
 #[derive(Debug, Clone)]
 pub struct Options {
     /// The address to take links on; port 0 takes any free one.
     pub listen: SocketAddr,
-    /// Who the agent is and how its links are made.
-    pub link: link::Options,
+    /// The region of the agent's data centre.
+    pub region: Region,
+    /// How the agent follows settings and roster, and reaches its peers and
+    /// the platform.
+    pub node: node::Options,
     /// The endpoint that the agent stands beside.
     pub endpoint: Endpoint,
     /// The base address of the endpoint, such as `http://127.0.0.1:8000`.
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -5,7 +5,9 @@
 
 use cactusnotch_base::Clock;
 use cactusnotch_ledger::{Attempt, Event, Ledger, Link, Request};
-use cactusnotch_link::{self as link, Listener, Receiver};
+use cactusnotch_link::{self as link, Identity, Listener, Receiver};
+use cactusnotch_member::{self as member, Record, Role};
+use cactusnotch_node::Node;
 use cactusnotch_wire::{Body, Call, Dispatch};
 use tokio::task::JoinHandle;
 use tokio::time::{MissedTickBehavior, interval};
@@ -24,9 +26,10 @@
 }
 
 #[derive(Debug)]
-struct Shared<C> {
+struct Shared<C: Clock> {
     state: State<C>,
     engine: Engine,
+    node: Node<C>,
 }
 
 impl<C: Clock> Server<C> {
@@ -36,15 +39,21 @@
     ///
     /// Fails if the address cannot be taken.
     pub async fn start(options: Options, clock: C) -> Result<Self, link::Error> {
-        let listener = Listener::bind(options.listen, options.link.clone()).await?;
+        let listener = Listener::bind(options.listen, options.node.link.clone()).await?;
         let address = listener.address();
         let ledger = Ledger::new(
             options.ledger.clone(),
             options.endpoint.clone(),
-            options.link.identity.incarnation,
+            options.node.link.identity.incarnation,
             clock.now(),
         );
+        let node = Node::start(
+            options.node.clone(),
+            record(&options, address),
+            clock.clone(),
+        );
         let shared = Arc::new(Shared {
+            node,
             state: State::new(ledger, options.slots, clock),
             engine: Engine::new(&options.engine),
         });
@@ -80,6 +89,22 @@
     }
 }
 
+fn record(options: &Options, peers: SocketAddr) -> Record {
+    let identity = &options.node.link.identity;
+    Record {
+        process: identity.process.clone(),
+        role: Role::Agent,
+        host: identity.host.clone(),
+        data_centre: identity.data_centre.clone(),
+        region: options.region.clone(),
+        peers,
+        callers: None,
+        endpoint: Some(options.endpoint.clone()),
+        incarnation: identity.incarnation,
+        state: member::State::Joining,
+    }
+}
+
 async fn accept<C: Clock>(mut listener: Listener<Body>, shared: Arc<Shared<C>>) {
     while let Some(accepted) = listener.accept().await {
         match accepted {
@@ -88,7 +113,7 @@
                 let (sender, receiver) = link.split();
                 let number = shared.state.open(sender);
                 tracing::debug!(%peer, link = %number, "link opened");
-                tokio::spawn(serve(number, receiver, Arc::clone(&shared)));
+                tokio::spawn(serve(number, peer, receiver, Arc::clone(&shared)));
             }
             Err(error) => tracing::warn!(%error, "link refused"),
         }
@@ -106,10 +131,16 @@
 }
 
 /// Takes what an entry asks until its link ends.
-async fn serve<C: Clock>(link: Link, mut receiver: Receiver<Body>, shared: Arc<Shared<C>>) {
+async fn serve<C: Clock>(
+    link: Link,
+    peer: Identity,
+    mut receiver: Receiver<Body>,
+    shared: Arc<Shared<C>>,
+) {
     while let Some(received) = receiver.recv().await {
         match received {
             Ok(Body::Dispatch(dispatch)) => take(link, *dispatch, &shared),
+            Ok(Body::Spread(message)) => shared.node.receive(&peer.process, message),
             Ok(_) => {
                 tracing::warn!(%link, "link closed: the peer sent what only agents send");
                 break;
--- a/crates/entry/src/addresses.rs
+++ b/crates/entry/src/addresses.rs
@@ -8,6 +8,7 @@
 use crate::body::Body;
 use crate::models::json;
 use crate::problem::Problem;
+use crate::roster;
 use crate::shared::Shared;
 
 #[derive(Serialize)]
@@ -25,10 +26,9 @@
 /// Lists the entries that take callers' connections, the nearest first, and
 /// says for how long the list may be kept.
 pub(crate) fn answer<C: Clock>(shared: &Shared<C>) -> Result<Response<Body>, Problem> {
-    let own = &shared.options.link.identity.data_centre;
-    let mut addresses: Vec<Address> = shared
-        .control
-        .entries()
+    let own = &shared.options.node.link.identity.data_centre;
+    let view = shared.node.view();
+    let mut addresses: Vec<Address> = roster::entries(&view)
         .into_iter()
         .map(|(address, data_centre)| Address {
             address: address.to_string(),
@@ -38,7 +38,7 @@
     // Each caller gets its own order within a data centre, which spreads them.
     rand::seq::SliceRandom::shuffle(addresses.as_mut_slice(), &mut rand::rng());
     addresses.sort_by_key(|address| address.data_centre != *own);
-    let lifetime = shared.settings().system.address_lifetime;
+    let lifetime = view.settings.system.address_lifetime;
     Ok(json(&Addresses {
         addresses,
         lifetime_seconds: lifetime.as_secs(),
--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -1,5 +1,6 @@
 //! The links to the agents that an entry knows.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -22,7 +23,7 @@
 /// What an entry knows of one agent.
 #[derive(Debug)]
 struct Agent {
-    address: String,
+    address: SocketAddr,
     task: JoinHandle<()>,
     link: Option<Open>,
 }
@@ -44,7 +45,11 @@
 impl Agents {
     /// Dials the agents that are new in `wanted` and drops those that are not
     /// in it any more.
-    pub(crate) fn set<C: Clock>(&self, wanted: &Table<Endpoint, String>, shared: &Arc<Shared<C>>) {
+    pub(crate) fn set<C: Clock>(
+        &self,
+        wanted: &Table<Endpoint, SocketAddr>,
+        shared: &Arc<Shared<C>>,
+    ) {
         let mut rows = self.lock();
         rows.retain(|endpoint, agent| {
             let stays = wanted.get(endpoint) == Some(&agent.address);
@@ -55,9 +60,9 @@
         });
         for (endpoint, address) in wanted.iter() {
             if !rows.contains(endpoint) {
-                let keep = keep_link(endpoint.clone(), address.clone(), Arc::clone(shared));
+                let keep = keep_link(endpoint.clone(), *address, Arc::clone(shared));
                 let agent = Agent {
-                    address: address.clone(),
+                    address: *address,
                     task: tokio::spawn(keep),
                     link: None,
                 };
@@ -131,10 +136,10 @@
 }
 
 /// Dials an agent again and again, and serves the link while it lasts.
-async fn keep_link<C: Clock>(endpoint: Endpoint, address: String, shared: Arc<Shared<C>>) {
+async fn keep_link<C: Clock>(endpoint: Endpoint, address: SocketAddr, shared: Arc<Shared<C>>) {
     let mut wait = REDIAL_MIN;
     loop {
-        match dial::<Body>(address.as_str(), &shared.options.link).await {
+        match dial::<Body>(address, &shared.options.node.link).await {
             Ok(link) => {
                 wait = REDIAL_MIN;
                 let (sender, receiver) = link.split();
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -19,7 +19,7 @@
 impl Claims {
     pub(crate) fn new(options: &Options) -> Self {
         Self {
-            platform: Client::new(&options.platform),
+            platform: Client::new(&options.node.platform),
         }
     }
 
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use cactusnotch_attempt::{Answer, Command, Event, Exchange, Order};
-use cactusnotch_base::{Clock, Outcome};
 use cactusnotch_base::name::Endpoint;
 use cactusnotch_base::number::Sequence;
+use cactusnotch_base::{Clock, Outcome};
 use cactusnotch_ledger::{Attempt, Reply, Request, Terms, message};
 use cactusnotch_route::attempt::End;
 use cactusnotch_route::{self as route, Service};
@@ -32,7 +32,7 @@
 
 /// The request with its decision and its place in the entry's tables.
 #[derive(Debug)]
-struct Drive<C> {
+struct Drive<C: Clock> {
     shared: Arc<Shared<C>>,
     job: Job,
     exchange: Exchange,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,15 +12,15 @@
 mod caller;
 mod claims;
 mod completion;
-mod control;
 mod drive;
-mod follow;
 mod mailbox;
 mod models;
 mod operator;
 mod options;
 mod output;
+mod peers;
 mod problem;
+mod roster;
 mod server;
 mod shared;
 
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -48,7 +48,7 @@
 }
 
 fn status<C: Clock>(shared: &Shared<C>) -> Status {
-    let identity = &shared.options.link.identity;
+    let identity = &shared.options.node.link.identity;
     let heard = shared.agents.heard(shared.clock.now());
     let router = shared.router();
     let endpoints = heard
@@ -64,7 +64,7 @@
         process: identity.process.clone(),
         data_centre: identity.data_centre.clone(),
         incarnation: identity.incarnation,
-        revision: shared.control.revision(),
+        revision: shared.node.view().revision,
         endpoints,
     }
 }
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use cactusnotch_attempt as attempt;
-use cactusnotch_link as link;
-use cactusnotch_platform::http;
+use cactusnotch_base::name::Region;
+use cactusnotch_node as node;
 use cactusnotch_route as route;
 
 /// How an entry runs.
@@ -17,10 +17,11 @@
     pub operator_listen: SocketAddr,
     /// The address to take links of peers on.
     pub peer_listen: SocketAddr,
-    /// Who the entry is and how its links are made.
-    pub link: link::Options,
-    /// How the platform is reached.
-    pub platform: http::Options,
+    /// The region of the entry's data centre.
+    pub region: Region,
+    /// How the entry follows settings and roster, and reaches its peers and
+    /// the platform.
+    pub node: node::Options,
     /// The routing decision.
     pub route: route::Options,
     /// The times that bound a request.
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -6,16 +6,18 @@
 use std::time::Duration;
 
 use cactusnotch_base::Clock;
+use cactusnotch_link::Listener;
+use cactusnotch_member::{Record, Role, State};
+use cactusnotch_node::Node;
 use derive_more::{Display, Error};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::runtime::Handle;
 use tokio::task::JoinHandle;
 
 use crate::shared::Shared;
-use crate::{Options, caller, follow, operator};
+use crate::{Options, caller, operator, peers, roster};
 
 /// How long a caller may take to send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -70,18 +72,23 @@
         let callers = listener
             .local_addr()
             .map_err(|error| listen("callers'", options.listen, error))?;
-        let shared = Arc::new(Shared::new(options, clock));
+        let peers = Listener::bind(options.peer_listen, options.node.link.clone())
+            .await
+            .map_err(|error| listen("peers'", options.peer_listen, error))?;
+        let record = record(&options, peers.address(), callers);
+        let node = Node::start(options.node.clone(), record, clock.clone());
+        let shared = Arc::new(Shared::new(options, node, clock));
         let stop = Arc::new(AtomicBool::new(false));
         let operators = serve_operators(&shared, &stop)?;
-        let runtime = Handle::current();
-        for follow in [follow::settings::<C>, follow::roster::<C>] {
-            let (shared, runtime, stop) = (Arc::clone(&shared), runtime.clone(), Arc::clone(&stop));
-            std::thread::spawn(move || follow(&shared, &runtime, &stop));
-        }
+        let tasks = vec![
+            tokio::spawn(serve_callers(listener, Arc::clone(&shared))),
+            tokio::spawn(peers::accept(peers, Arc::clone(&shared))),
+            tokio::spawn(roster::follow(shared)),
+        ];
         Ok(Self {
             callers,
             operators,
-            tasks: vec![tokio::spawn(serve_callers(listener, shared))],
+            tasks,
             stop,
         })
     }
@@ -108,6 +115,22 @@
     }
 }
 
+fn record(options: &Options, peers: SocketAddr, callers: SocketAddr) -> Record {
+    let identity = &options.node.link.identity;
+    Record {
+        process: identity.process.clone(),
+        role: Role::Entry,
+        host: identity.host.clone(),
+        data_centre: identity.data_centre.clone(),
+        region: options.region.clone(),
+        peers,
+        callers: Some(callers),
+        endpoint: None,
+        incarnation: identity.incarnation,
+        state: State::Joining,
+    }
+}
+
 fn listen(port: &'static str, address: SocketAddr, error: impl std::fmt::Display) -> Error {
     Error::Listen {
         port,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -3,37 +3,38 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use cactusnotch_attempt::Budget;
+use cactusnotch_base::Clock;
+use cactusnotch_node::Node;
 use cactusnotch_route::Router;
 use cactusnotch_settings::Resolved;
 
 use crate::Options;
 use crate::agents::Agents;
 use crate::claims::Claims;
-use crate::control::Control;
 use crate::mailbox::Mailboxes;
 
 /// What the tasks of an entry share. Locks are held for one decision and
 /// never across a wait.
 #[derive(Debug)]
-pub(crate) struct Shared<C> {
+pub(crate) struct Shared<C: Clock> {
     pub(crate) options: Options,
     pub(crate) clock: C,
     pub(crate) agents: Agents,
     pub(crate) mailboxes: Mailboxes,
     pub(crate) claims: Claims,
-    pub(crate) control: Control,
+    pub(crate) node: Node<C>,
     router: Mutex<Router>,
     budget: Mutex<Budget>,
 }
 
-impl<C> Shared<C> {
-    pub(crate) fn new(options: Options, clock: C) -> Self {
+impl<C: Clock> Shared<C> {
+    pub(crate) fn new(options: Options, node: Node<C>, clock: C) -> Self {
         Self {
             clock,
             agents: Agents::default(),
             mailboxes: Mailboxes::default(),
             claims: Claims::new(&options),
-            control: Control::default(),
+            node,
             router: Mutex::new(Router::new(options.route.clone())),
             budget: Mutex::new(Budget::new(options.retry_fraction, options.retry_store)),
             options,
@@ -50,6 +51,6 @@
 
     /// Returns the settings in force at this entry.
     pub(crate) fn settings(&self) -> Arc<Resolved> {
-        self.control.settings()
+        Arc::clone(&self.node.view().settings)
     }
 }
--- /dev/null
+++ b/crates/lab/src/caller.rs
@@ -0,0 +1,196 @@
+//! A caller over HTTP, which checks what it is told.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use serde::Deserialize;
+use serde_json::{Value, json};
+use ureq::Agent;
+
+use crate::Failure;
+
+/// A chat completion to ask for.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// The organisation of the caller.
+    pub organisation: String,
+    /// The model.
+    pub model: String,
+    /// What the user says.
+    pub prompt: String,
+    /// The tokens to make.
+    pub max_tokens: usize,
+    /// The key of the request, if it has one.
+    pub key: Option<String>,
+    /// Whether the request may be repeated, if it says so.
+    pub idempotent: Option<bool>,
+    /// The last event that the caller has, if it resumes.
+    pub after: Option<u64>,
+}
+
+/// What a caller got.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Outcome {
+    /// A whole answer.
+    Whole(Answer),
+    /// A refusal before any piece, with the status and the outcome header.
+    Refused {
+        /// The HTTP status.
+        status: u16,
+        /// The outcome header, empty without one.
+        outcome: String,
+        /// The problem's kind and detail.
+        detail: String,
+        /// The seconds after which to come back.
+        retry_after: Option<u64>,
+    },
+    /// An answer that broke before its end mark, with what came of it.
+    Broken(Answer),
+}
+
+/// A streamed answer.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Answer {
+    /// The text.
+    pub text: String,
+    /// The number of the last event.
+    pub last_event: u64,
+    /// When the first token came, after the request was sent.
+    pub first_token: Option<Duration>,
+    /// The times between tokens.
+    pub gaps: Vec<Duration>,
+    /// The outcome that a final error event stated, if there was one.
+    pub stated: Option<String>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Addresses {
+    addresses: Vec<Address>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Address {
+    address: SocketAddr,
+}
+
+/// A caller over HTTP.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    agent: Agent,
+}
+
+impl Default for Caller {
+    fn default() -> Self {
+        Self::new(Duration::from_secs(30))
+    }
+}
+
+impl Caller {
+    /// Creates a caller that gives up after `patience`.
+    #[must_use]
+    pub fn new(patience: Duration) -> Self {
+        let agent = Agent::config_builder()
+            .http_status_as_error(false)
+            .proxy(None)
+            .timeout_global(Some(patience))
+            .build()
+            .new_agent();
+        Self { agent }
+    }
+
+    /// Asks an entry for the addresses to use.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no list comes.
+    pub fn addresses(&self, entry: SocketAddr) -> Result<Vec<SocketAddr>, Failure> {
+        let url = format!("http://{entry}/v1/addresses");
+        let fail = |error: ureq::Error| Failure::new("request for addresses", error);
+        let mut response = self.agent.get(url).call().map_err(fail)?;
+        let list: Addresses = response.body_mut().read_json().map_err(fail)?;
+        Ok(list.addresses.into_iter().map(|row| row.address).collect())
+    }
+
+    /// Asks `address` for a streamed chat completion.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the request brought no response at all; what became of it is
+    /// unknown then.
+    pub fn ask(&self, address: SocketAddr, ask: &Ask) -> Result<Outcome, Failure> {
+        let mut request = self
+            .agent
+            .post(format!("http://{address}/v1/chat/completions"))
+            .header("OpenAI-Organization", &ask.organisation);
+        if let Some(key) = &ask.key {
+            request = request.header("Idempotency-Key", key);
+        }
+        if let Some(idempotent) = ask.idempotent {
+            request = request.header("Cactusnotch-Idempotent", idempotent.to_string());
+        }
+        if let Some(after) = ask.after {
+            request = request.header("Last-Event-ID", after.to_string());
+        }
+        let body = json!({
+            "model": ask.model,
+            "messages": [{"role": "user", "content": ask.prompt}],
+            "max_tokens": ask.max_tokens,
+            "stream": true,
+        });
+        let start = Instant::now();
+        let mut response = request
+            .send_json(body)
+            .map_err(|error| Failure::new("request for a completion", error))?;
+        if response.status() != 200 {
+            return Ok(refused(&mut response));
+        }
+        Ok(read(response.into_body().into_reader(), start))
+    }
+}
+
+fn refused(response: &mut ureq::http::Response<ureq::Body>) -> Outcome {
+    let header = |name: &str| {
+        let value = response.headers().get(name)?;
+        value.to_str().ok().map(str::to_owned)
+    };
+    let outcome = header("cactusnotch-outcome").unwrap_or_default();
+    let retry_after = header("retry-after").and_then(|text| text.parse().ok());
+    Outcome::Refused {
+        status: response.status().as_u16(),
+        outcome,
+        retry_after,
+        detail: response.body_mut().read_to_string().unwrap_or_default(),
+    }
+}
+
+fn read(body: impl std::io::Read, start: Instant) -> Outcome {
+    let mut answer = Answer::default();
+    let mut last = None;
+    let mut is_error = false;
+    for line in BufReader::new(body).lines() {
+        let Ok(line) = line else {
+            return Outcome::Broken(answer);
+        };
+        if let Some(id) = line.strip_prefix("id: ") {
+            answer.last_event = id.parse().unwrap_or(answer.last_event);
+        } else if line == "event: error" {
+            is_error = true;
+        } else if line == "data: [DONE]" {
+            return Outcome::Whole(answer);
+        } else if let Some(data) = line.strip_prefix("data: ") {
+            let value: Value = serde_json::from_str(data).unwrap_or(Value::Null);
+            if is_error {
+                answer.stated = value["outcome"].as_str().map(str::to_owned);
+            } else if let Some(text) = value["choices"][0]["delta"]["content"].as_str() {
+                let now = Instant::now();
+                match last.replace(now) {
+                    None => answer.first_token = Some(now - start),
+                    Some(before) => answer.gaps.push(now - before),
+                }
+                answer.text.push_str(text);
+            }
+        }
+    }
+    Outcome::Broken(answer)
+}
--- /dev/null
+++ b/crates/lab/src/cluster.rs
@@ -0,0 +1,184 @@
+//! A whole system on loopback: stand-ins, agents and entries.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use cactusnotch_agent as agent;
+use cactusnotch_base::Table;
+use cactusnotch_base::clock::System;
+use cactusnotch_base::name::{DataCentre, Endpoint, Host, Process, Region};
+use cactusnotch_base::number::Incarnation;
+use cactusnotch_entry as entry;
+use cactusnotch_link::{self as link, Identity, Role, Secret};
+use cactusnotch_node as node;
+use cactusnotch_platform::http;
+use cactusnotch_standins::{engine, objects};
+
+use crate::Failure;
+
+/// The secret that the processes of a cluster share.
+const SECRET: &str = "a secret for trials on loopback, at least 32 bytes";
+
+/// A free port on loopback.
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// How often a node is asked what is due.
+const TICK: Duration = Duration::from_millis(50);
+
+/// How a cluster is built.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The entries, each in a data centre by its turn.
+    pub entries: usize,
+    /// The engines with an agent each, each in a data centre by its turn.
+    pub engines: usize,
+    /// The data centres.
+    pub data_centres: usize,
+    /// How an engine behaves.
+    pub engine: engine::Options,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            entries: 2,
+            engines: 2,
+            data_centres: 1,
+            engine: engine::Options::default(),
+        }
+    }
+}
+
+/// A whole system on loopback. Everything stops when it is dropped.
+#[derive(Debug)]
+pub struct Cluster {
+    /// The platform's object API.
+    pub platform: objects::Platform,
+    /// The engines.
+    pub engines: Vec<engine::Engine>,
+    /// The agents, one beside each engine.
+    pub agents: Vec<agent::Server<System>>,
+    /// The entries.
+    pub entries: Vec<entry::Server>,
+    data_centres: usize,
+}
+
+impl Cluster {
+    /// Starts a cluster on the current tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process or stand-in cannot be started.
+    pub async fn start(options: &Options) -> Result<Self, Failure> {
+        let mut cluster = Self {
+            platform: objects::Platform::start(&objects::Options::default())
+                .map_err(|error| Failure::new("start of the platform", error))?,
+            engines: Vec::new(),
+            agents: Vec::new(),
+            entries: Vec::new(),
+            data_centres: options.data_centres,
+        };
+        for _ in 0..options.engines {
+            cluster.add_engine(&options.engine).await?;
+        }
+        for _ in 0..options.entries {
+            cluster.add_entry().await?;
+        }
+        Ok(cluster)
+    }
+
+    /// Starts an engine with an agent beside it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if either cannot be started.
+    pub async fn add_engine(&mut self, options: &engine::Options) -> Result<(), Failure> {
+        let number = self.engines.len();
+        let engine = engine::Engine::start(options)
+            .map_err(|error| Failure::new("start of an engine", error))?;
+        let options = agent::Options {
+            listen: ANY,
+            region: Region::new("region-0"),
+            node: self.node(&format!("agent-{number}"), Role::Agent, number),
+            endpoint: endpoint(number),
+            engine: format!("http://{}", engine.address()),
+            slots: u32::try_from(options.slots).unwrap_or(u32::MAX),
+            ledger: cactusnotch_ledger::Options::default(),
+            announce_interval: Duration::from_millis(250),
+        };
+        let agent = agent::Server::start(options, System)
+            .await
+            .map_err(|error| Failure::new("start of an agent", error))?;
+        self.engines.push(engine);
+        self.agents.push(agent);
+        Ok(())
+    }
+
+    /// Starts an entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it cannot be started.
+    pub async fn add_entry(&mut self) -> Result<(), Failure> {
+        let number = self.entries.len();
+        let options = entry::Options {
+            listen: ANY,
+            operator_listen: ANY,
+            peer_listen: ANY,
+            region: Region::new("region-0"),
+            node: self.node(&format!("entry-{number}"), Role::Entry, number),
+            route: cactusnotch_route::Options {
+                nearest: vec![self.data_centre(number)],
+                ..cactusnotch_route::Options::default()
+            },
+            attempt: cactusnotch_attempt::Options::default(),
+            retry_fraction: 100,
+            retry_store: 10,
+            body_limit: 1 << 20,
+            receive_timeout: Duration::from_secs(10),
+            linger: Duration::from_secs(10),
+        };
+        let entry = entry::Server::start(options, System)
+            .await
+            .map_err(|error| Failure::new("start of an entry", error))?;
+        self.entries.push(entry);
+        Ok(())
+    }
+
+    /// Returns how the platform is reached.
+    #[must_use]
+    pub fn platform_options(&self) -> http::Options {
+        http::Options {
+            base: self.platform.base(),
+            timeout: Duration::from_secs(2),
+        }
+    }
+
+    fn data_centre(&self, number: usize) -> DataCentre {
+        DataCentre::new(format!("dc-{}", number % self.data_centres))
+    }
+
+    fn node(&self, process: &str, role: Role, number: usize) -> node::Options {
+        let identity = Identity {
+            process: Process::new(process),
+            role,
+            host: Host::new(format!("host-of-{process}")),
+            data_centre: self.data_centre(number),
+            incarnation: Incarnation(rand::random::<u64>() >> 1),
+        };
+        let secret = Secret::new(SECRET).expect("the constant secret is long enough");
+        node::Options {
+            link: link::Options::new(identity, vec![secret]),
+            platform: self.platform_options(),
+            spread: cactusnotch_spread::Options::default(),
+            seeds: Table::new(),
+            tick: TICK,
+        }
+    }
+}
+
+/// Returns the name of the endpoint with the given number.
+#[must_use]
+pub fn endpoint(number: usize) -> Endpoint {
+    Endpoint::new(format!("engine-{number}"))
+}
--- /dev/null
+++ b/crates/lab/src/failure.rs
@@ -0,0 +1,21 @@
+//! What went wrong in a trial.
+
+use derive_more::{Display, Error};
+
+/// What went wrong in a trial, and at which step.
+#[derive(Debug, Display, Error)]
+#[display("{step}: {detail}")]
+pub struct Failure {
+    step: String,
+    detail: String,
+}
+
+impl Failure {
+    /// Creates the failure of `step`.
+    pub fn new(step: impl Into<String>, detail: impl std::fmt::Display) -> Self {
+        Self {
+            step: step.into(),
+            detail: detail.to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,13 @@
+//! The load tool, the quick start and the tests over whole systems.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod caller;
+pub mod cluster;
+mod failure;
+pub mod operator;
+
+pub use caller::Caller;
+pub use cluster::Cluster;
+pub use failure::Failure;
+pub use operator::Operator;
--- /dev/null
+++ b/crates/lab/tests/path.rs
@@ -0,0 +1,68 @@
+//! A request's whole path through a system of real sockets.
+
+use std::time::Duration;
+
+use cactusnotch_lab::caller::{Ask, Outcome};
+use cactusnotch_lab::cluster::{Cluster, Options};
+use cactusnotch_lab::{Caller, Operator};
+use cactusnotch_standins::engine::{Message, answer, prompt};
+
+const MODEL: &str = "moe";
+const ORGANISATION: &str = "arrieta";
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn ask(prompt: &str) -> Ask {
+    Ask {
+        organisation: ORGANISATION.to_owned(),
+        model: MODEL.to_owned(),
+        prompt: prompt.to_owned(),
+        max_tokens: 12,
+        key: None,
+        idempotent: None,
+        after: None,
+    }
+}
+
+fn expected(ask: &Ask) -> String {
+    let message = Message {
+        role: "user".to_owned(),
+        content: ask.prompt.clone(),
+    };
+    answer(MODEL, &prompt(&[message]), ask.max_tokens)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_gets_its_own_whole_answer() {
+    let cluster = Cluster::start(&Options::default()).await.unwrap();
+    let platform = cluster.platform_options();
+    let operators: Vec<_> = cluster.entries.iter().map(|e| e.operators()).collect();
+    let callers: Vec<_> = cluster.entries.iter().map(|e| e.callers()).collect();
+    let done = tokio::task::spawn_blocking(move || {
+        let mut operator = Operator::new(&platform);
+        let revision = operator.declare(ORGANISATION, MODEL, 2).unwrap();
+        for address in operators {
+            operator
+                .wait(address, PATIENCE, |status| {
+                    status.revision == revision
+                        && status.endpoints.len() == 2
+                        && status.endpoints.iter().all(|seen| seen.state == "serving")
+                })
+                .unwrap();
+        }
+        let caller = Caller::default();
+        let addresses = caller.addresses(callers[0]).unwrap();
+        assert!(addresses.iter().all(|address| callers.contains(address)));
+        for number in 0..8 {
+            let mut ask = ask(&format!("pattern note {number}"));
+            ask.key = (number % 2 == 0).then(|| format!("key-{number}"));
+            let address = addresses[number % addresses.len()];
+            let Outcome::Whole(got) = caller.ask(address, &ask).unwrap() else {
+                panic!("request {number} got no whole answer");
+            };
+            assert_eq!(got.text, expected(&ask));
+        }
+    });
+    done.await.unwrap();
+    let runs: usize = cluster.engines.iter().map(|e| e.runs().len()).sum();
+    assert_eq!(runs, 8);
+}
--- /dev/null
+++ b/crates/node/src/courier.rs
@@ -0,0 +1,94 @@
+//! Links to peers, made when there is something to send.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use cactusnotch_base::Table;
+use cactusnotch_base::name::Process;
+use cactusnotch_link::{self as link, dial};
+use cactusnotch_spread::Message;
+use cactusnotch_wire::Body;
+use tokio::sync::mpsc;
+
+/// The messages that wait for one peer; more are dropped, since every message
+/// is made good by a later one.
+const WAITING: usize = 64;
+
+/// How long a link stays without anything to send.
+const IDLE: Duration = Duration::from_mins(1);
+
+/// Sends messages to peers over links that it makes when needed.
+#[derive(Debug)]
+pub(crate) struct Courier {
+    link: link::Options,
+    routes: Arc<Mutex<Table<Process, mpsc::Sender<Message>>>>,
+}
+
+impl Courier {
+    pub(crate) fn new(link: link::Options) -> Self {
+        Self {
+            link,
+            routes: Arc::default(),
+        }
+    }
+
+    /// Sends a message to `peer` at `address`, or drops it.
+    pub(crate) fn send(&self, peer: &Process, address: SocketAddr, message: Message) {
+        let mut routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(route) = routes.get(peer) {
+            match route.try_send(message) {
+                Ok(()) | Err(mpsc::error::TrySendError::Full(_)) => return,
+                Err(mpsc::error::TrySendError::Closed(message)) => {
+                    routes.insert(peer.clone(), self.open(peer, address, message));
+                }
+            }
+        } else {
+            routes.insert(peer.clone(), self.open(peer, address, message));
+        }
+    }
+
+    fn open(&self, peer: &Process, address: SocketAddr, first: Message) -> mpsc::Sender<Message> {
+        let (sender, receiver) = mpsc::channel(WAITING);
+        // The queue is new and has room.
+        let _ = sender.try_send(first);
+        tokio::spawn(carry(self.link.clone(), peer.clone(), address, receiver));
+        sender
+    }
+}
+
+/// Carries messages to one peer until its link fails or stays idle.
+async fn carry(
+    options: link::Options,
+    peer: Process,
+    address: SocketAddr,
+    mut messages: mpsc::Receiver<Message>,
+) {
+    let link = match dial::<Body>(address, &options).await {
+        Ok(link) if link.peer().process == peer => link,
+        Ok(link) => {
+            tracing::debug!(%peer, found = %link.peer(), "another process answers there");
+            return;
+        }
+        Err(error) => {
+            tracing::debug!(%error, %peer, "link to the peer not made");
+            return;
+        }
+    };
+    let (sender, mut receiver) = link.split();
+    loop {
+        tokio::select! {
+            message = messages.recv() => {
+                let Some(message) = message else { return };
+                if sender.send(&Body::Spread(message)).await.is_err() {
+                    return;
+                }
+            }
+            received = receiver.recv() => match received {
+                Some(Ok(_)) => {}
+                Some(Err(_)) | None => return,
+            },
+            () = tokio::time::sleep(IDLE) => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/driver.rs
@@ -0,0 +1,214 @@
+//! The driver of the spread decision.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use cactusnotch_base::Clock;
+use cactusnotch_base::name::Process;
+use cactusnotch_history::{Answer as Taken, Replica};
+use cactusnotch_member::{Record, Roster};
+use cactusnotch_platform::http::Client;
+use cactusnotch_settings::Resolved;
+use cactusnotch_spread::{self as spread, Call, Command, Message, Span, Standing, Status, Ticket};
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::courier::Courier;
+use crate::{Options, View, calls, payload};
+
+/// The node of a process, which follows settings and roster while it lives.
+#[derive(Debug)]
+pub struct Node<C: Clock> {
+    shared: Arc<Shared<C>>,
+    ticks: JoinHandle<()>,
+}
+
+#[derive(Debug)]
+struct Shared<C> {
+    clock: C,
+    store: Client,
+    courier: Courier,
+    runtime: Handle,
+    inner: Mutex<Inner>,
+    views: watch::Sender<Arc<View>>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    spread: spread::Node,
+    replica: Replica,
+}
+
+impl<C: Clock> Node<C> {
+    /// Starts the node of the process that `record` describes, on the current
+    /// tokio runtime.
+    #[must_use]
+    pub fn start(options: Options, record: Record, clock: C) -> Self {
+        let seed = rand::random();
+        let now = clock.now();
+        let replica = Replica::new();
+        let view = view(&replica, &Roster::default());
+        let spread = spread::Node::new(options.spread, record, options.seeds, seed, now);
+        let shared = Arc::new(Shared {
+            clock,
+            store: Client::new(&options.platform),
+            courier: Courier::new(options.link),
+            runtime: Handle::current(),
+            inner: Mutex::new(Inner { spread, replica }),
+            views: watch::Sender::new(Arc::new(view)),
+        });
+        let ticking = Arc::clone(&shared);
+        let ticks = tokio::spawn(async move {
+            let mut ticks = interval(options.tick);
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            loop {
+                ticks.tick().await;
+                let now = ticking.clock.now();
+                ticking.step(|spread| spread.on_tick(now));
+            }
+        });
+        Self { shared, ticks }
+    }
+
+    /// Takes in a message that came from a peer by a link.
+    pub fn receive(&self, from: &Process, message: Message) {
+        let now = self.shared.clock.now();
+        self.shared
+            .step(|spread| spread.on_message(from, message, now));
+    }
+
+    /// Returns what the process knows now.
+    #[must_use]
+    pub fn view(&self) -> Arc<View> {
+        Arc::clone(&self.shared.views.borrow())
+    }
+
+    /// Returns a receiver that is told of every new view.
+    #[must_use]
+    pub fn views(&self) -> watch::Receiver<Arc<View>> {
+        self.shared.views.subscribe()
+    }
+
+    /// Returns whether the process may serve.
+    #[must_use]
+    pub fn standing(&self) -> Standing {
+        let now = self.shared.clock.now();
+        self.shared.lock().spread.standing(now)
+    }
+
+    /// Returns what the node can tell operators.
+    #[must_use]
+    pub fn status(&self) -> Status {
+        let now = self.shared.clock.now();
+        self.shared.lock().spread.status(now)
+    }
+
+    /// Says in the process's record that it is leaving.
+    pub fn leave(&self) {
+        self.shared.lock().spread.leave();
+    }
+
+    /// Takes the process's record off the roster.
+    pub fn depart(&self) {
+        self.shared.lock().spread.depart();
+    }
+
+    /// Tells whether the platform holds the process's record as it is wanted.
+    #[must_use]
+    pub fn registered(&self) -> bool {
+        self.shared.lock().spread.registered()
+    }
+}
+
+impl<C: Clock> Drop for Node<C> {
+    fn drop(&mut self) {
+        self.ticks.abort();
+    }
+}
+
+impl<C: Clock> Shared<C> {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Lets the decision take one step and carries its commands out.
+    fn step(self: &Arc<Self>, step: impl FnOnce(&mut spread::Node) -> Vec<Command>) {
+        let mut inner = self.lock();
+        let commands = step(&mut inner.spread);
+        let before = inner.replica.revision();
+        let mut is_roster_new = false;
+        for command in commands {
+            match command {
+                Command::Send { to, message } => {
+                    if let Some(address) = inner.spread.address(&to) {
+                        let _runtime = self.runtime.enter();
+                        self.courier.send(&to, address, message);
+                    }
+                }
+                Command::Call { ticket, call } => self.call(&inner, ticket, call),
+                Command::Apply(span) => apply(&mut inner.replica, &span),
+                Command::Roster => is_roster_new = true,
+            }
+        }
+        if inner.replica.revision() > before {
+            let view = view(&inner.replica, inner.spread.roster());
+            self.views.send_replace(Arc::new(view));
+        } else if is_roster_new {
+            let roster = Arc::new(inner.spread.roster().clone());
+            self.views.send_modify(|view| {
+                *view = Arc::new(View {
+                    roster,
+                    ..View::clone(view)
+                });
+            });
+        }
+    }
+
+    /// Makes a call on a thread of its own and takes its answer in.
+    fn call(self: &Arc<Self>, inner: &Inner, ticket: Ticket, call: Call) {
+        let own = inner.spread.record().clone();
+        let shared = Arc::clone(self);
+        self.runtime.spawn_blocking(move || {
+            let answer = calls::perform(&shared.store, &own, call);
+            let now = shared.clock.now();
+            shared.step(|spread| spread.on_answer(ticket, answer, now));
+        });
+    }
+}
+
+/// Puts a span in force.
+fn apply(replica: &mut Replica, span: &Span) {
+    let offer = match payload::read(span) {
+        Ok(offer) => offer,
+        Err(error) => {
+            tracing::error!(%error, "a revision is not understood");
+            return;
+        }
+    };
+    match replica.offer(&offer) {
+        Taken::Applied { to } => {
+            metrics::gauge!("cactusnotch_node_revision").set(precise(to.0));
+            tracing::info!(revision = %to, "settings in force in this process");
+        }
+        Taken::Stale => {}
+        refused => {
+            tracing::error!(%refused, through = %span.through, "a revision was not applied");
+        }
+    }
+}
+
+fn view(replica: &Replica, roster: &Roster) -> View {
+    View {
+        revision: replica.revision(),
+        tree: Arc::new(replica.tree().clone()),
+        settings: Arc::new(Resolved::new(replica.tree())),
+        roster: Arc::new(roster.clone()),
+    }
+}
+
+/// Returns a count as a gauge's value; counts stay far below the precision.
+#[allow(clippy::cast_precision_loss)]
+const fn precise(count: u64) -> f64 {
+    count as f64
+}
--- /dev/null
+++ b/crates/node/src/payload.rs
@@ -0,0 +1,52 @@
+//! Parts of the order as the payload of spans.
+
+use bytes::Bytes;
+use cactusnotch_base::number::{Revision, Sequence};
+use cactusnotch_history::{Entry, Offer, Snapshot};
+use cactusnotch_platform::object::Version;
+use cactusnotch_spread::Span;
+use derive_more::{Display, Error};
+
+/// A payload that is no part of the order.
+#[derive(Debug, Display, Error)]
+#[display("payload of revision {through}: {detail}")]
+pub(crate) struct Error {
+    through: Sequence,
+    detail: String,
+}
+
+/// Returns the span that carries one entry.
+pub(crate) fn entry(entry: Entry, version: Version) -> Span {
+    let through = entry.revision;
+    Span {
+        after: Sequence(through.0.saturating_sub(1)),
+        through: Sequence(through.0),
+        version,
+        payload: encode(&Offer::Entries(vec![entry])),
+    }
+}
+
+/// Returns the span that carries the state after a revision.
+pub(crate) fn snapshot(snapshot: Snapshot, version: Version) -> Span {
+    let Revision(through) = snapshot.revision;
+    Span {
+        after: Sequence(0),
+        through: Sequence(through),
+        version,
+        payload: encode(&Offer::Snapshot(Box::new(snapshot))),
+    }
+}
+
+/// Reads what a span carries.
+pub(crate) fn read(span: &Span) -> Result<Offer, Error> {
+    ciborium::from_reader(span.payload.as_ref()).map_err(|error| Error {
+        through: span.through,
+        detail: error.to_string(),
+    })
+}
+
+fn encode(offer: &Offer) -> Bytes {
+    let mut payload = Vec::new();
+    ciborium::into_writer(offer, &mut payload).expect("parts of the order are encodable");
+    Bytes::from(payload)
+}
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -2,6 +2,7 @@
 
 use cactusnotch_derive::message;
 use cactusnotch_ledger::Reply;
+use cactusnotch_spread::Message;
 
 use crate::{Announcement, Dispatch};
 
@@ -15,4 +16,6 @@
     Reply(Reply),
     /// An agent states its endpoint's condition.
     Announce(Announcement),
+    /// A process tells a peer of the settings and the roster.
+    Spread(Message),
 }
