fix: serve the object API's stand-in by hyper

Cause: under rouille 3.6 with 60 watches waiting, one request never reached the handler until another connection ended: the call counter stood at 59 of 60 for 30 s while calls on other connections were answered. Conclusion: all stand-ins take hyper, on one thread each.

--- a/crates/standins/src/engine/body.rs
+++ b/crates/standins/src/engine/body.rs
@@ -29,6 +29,12 @@
     Stream(Stream),
 }
 
+impl From<Bytes> for Answer {
+    fn from(bytes: Bytes) -> Self {
+        Self::Whole(Some(bytes))
+    }
+}
+
 impl Stream {
     fn event(&mut self, token: Option<&str>) -> Bytes {
         let mut event = format!("data: {}\n\n", self.head.chunk(token));
--- a/crates/standins/src/engine/call.rs
+++ b/crates/standins/src/engine/call.rs
@@ -1,15 +1,13 @@
 //! The engine's calls over HTTP.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Instant;
 
 use cactusnotch_base::number::Sequence;
 use cactusnotch_base::outcome::Key;
-use http_body_util::{BodyExt, Limited};
-use hyper::body::{Bytes, Incoming};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, header};
-use serde::Serialize;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use serde::de::DeserializeOwned;
 use tokio::sync::mpsc::unbounded_channel;
 
@@ -20,6 +18,7 @@
 use super::core::Core;
 use super::order::Command;
 use crate::sync::lock;
+use crate::web::{self, Lost, json, refusal};
 
 /// The largest request body, in bytes.
 const BODY_LIMIT: usize = 16 << 20;
@@ -27,10 +26,7 @@
 type Reply = Response<Answer>;
 
 /// Answers one call.
-pub(crate) async fn answer(
-    core: Arc<Core>,
-    request: Request<Incoming>,
-) -> Result<Reply, Infallible> {
+pub(crate) async fn answer(core: Arc<Core>, request: Request<Incoming>) -> Result<Reply, Lost> {
     core.thawed().await;
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
@@ -53,7 +49,7 @@
     let headers = request.headers().clone();
     let body: Body = match read(request).await {
         Ok(body) => body,
-        Err(reply) => return reply,
+        Err(reply) => return *reply,
     };
     if !serves(&core, &body.model) {
         return refusal(StatusCode::NOT_FOUND, "the model is not loaded");
@@ -88,7 +84,7 @@
         ended: false,
     };
     if body.stream {
-        return reply(StatusCode::OK, "text/event-stream", Answer::Stream(stream));
+        return streamed(stream);
     }
     whole(stream, prompt_tokens).await
 }
@@ -111,10 +107,7 @@
 }
 
 fn events(core: &Core, request: &Request<Incoming>) -> Reply {
-    let query = request.uri().query().unwrap_or_default();
-    let after = query
-        .split('&')
-        .find_map(|pair| pair.strip_prefix("after="))
+    let after = web::query(request.uri(), "after")
         .and_then(|after| after.parse().ok())
         .unwrap_or(0);
     let lag = core.options.event_lag;
@@ -127,7 +120,7 @@
 async fn order(core: &Core, request: Request<Incoming>) -> Reply {
     let command: Command = match read(request).await {
         Ok(command) => command,
-        Err(reply) => return reply,
+        Err(reply) => return *reply,
     };
     let mut served = lock(&core.served);
     let status = if served.apply(command, core.options.fencing) {
@@ -138,37 +131,18 @@
     json(status, &*served)
 }
 
-async fn read<T: DeserializeOwned>(request: Request<Incoming>) -> Result<T, Reply> {
-    let bytes = match Limited::new(request.into_body(), BODY_LIMIT)
-        .collect()
-        .await
-    {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return Err(refusal(StatusCode::BAD_REQUEST, &error.to_string())),
-    };
-    serde_json::from_slice(&bytes)
-        .map_err(|error| refusal(StatusCode::BAD_REQUEST, &error.to_string()))
+async fn read<T: DeserializeOwned>(request: Request<Incoming>) -> Result<T, Box<Reply>> {
+    let bytes = web::bytes(request.into_body(), BODY_LIMIT).await?;
+    web::parse(&bytes)
 }
 
 fn text(headers: &HeaderMap, name: &str) -> Option<String> {
-    Some(headers.get(name)?.to_str().ok()?.to_owned())
-}
-
-fn refusal(status: StatusCode, detail: &str) -> Reply {
-    json(status, &serde_json::json!({"error": {"message": detail}}))
+    web::header(headers, name).map(str::to_owned)
 }
 
-fn json<T: Serialize>(status: StatusCode, value: &T) -> Reply {
-    let bytes = serde_json::to_vec(value).map_or_else(|_| Bytes::new(), Bytes::from);
-    reply(status, "application/json", Answer::Whole(Some(bytes)))
-}
-
-fn reply(status: StatusCode, content_type: &'static str, answer: Answer) -> Reply {
-    let mut reply = Response::new(answer);
-    *reply.status_mut() = status;
-    let content_type = header::HeaderValue::from_static(content_type);
-    reply
-        .headers_mut()
-        .insert(header::CONTENT_TYPE, content_type);
+fn streamed(stream: Stream) -> Reply {
+    let mut reply = Response::new(Answer::Stream(stream));
+    let content_type = HeaderValue::from_static("text/event-stream");
+    reply.headers_mut().insert(CONTENT_TYPE, content_type);
     reply
 }
--- a/crates/standins/src/engine/chat.rs
+++ b/crates/standins/src/engine/chat.rs
@@ -49,10 +49,9 @@
 /// `role: content` for each message.
 #[must_use]
 pub fn prompt(messages: &[Message]) -> String {
-    messages
-        .iter()
-        .map(|message| format!("{}: {}\n", message.role, message.content))
-        .collect()
+    messages.iter().fold(String::new(), |text, message| {
+        text + &message.role + ": " + &message.content + "\n"
+    })
 }
 
 /// What all pieces of one answer have in common.
--- a/crates/standins/src/engine/core.rs
+++ b/crates/standins/src/engine/core.rs
@@ -11,7 +11,7 @@
 use crate::sync::lock;
 
 /// The largest time that a step is stretched to.
-const LONGEST_STEP: Duration = Duration::from_secs(3600);
+const LONGEST_STEP: Duration = Duration::from_hours(1);
 
 /// How the engine is to behave, changeable while it runs.
 #[derive(Debug, Clone, Copy)]
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,6 +9,5 @@
 pub mod engine;
 pub mod objects;
 
-mod http;
 mod sync;
 mod web;
--- a/crates/standins/src/objects.rs
+++ b/crates/standins/src/objects.rs
@@ -12,8 +12,8 @@
 use call::Shared;
 pub use fault::{Anomaly, Calls, Loss, Outage};
 
-use crate::http::Server;
 use crate::sync::lock;
+use crate::web::Server;
 
 /// Where a platform listens and what it limits.
 #[derive(Debug, Clone)]
@@ -49,7 +49,9 @@
     pub fn start(options: &Options) -> io::Result<Self> {
         let shared = Arc::new(Shared::default());
         let handler = Arc::clone(&shared);
-        let server = Server::start(options.address, move |request| handler.answer(request))?;
+        let server = Server::start(options.address, move |request| {
+            call::answer(Arc::clone(&handler), request)
+        })?;
         let platform = Self { shared, server };
         platform.set_rate(options.rate);
         Ok(platform)
@@ -70,7 +72,8 @@
     /// Begins or ends an outage.
     pub fn set_outage(&self, outage: Outage) {
         lock(&self.shared.state).faults.outage = outage;
-        self.shared.changed.notify_all();
+        self.server.refuse(outage == Outage::Refuse);
+        self.shared.changed.send_replace(());
     }
 
     /// Delays each call by `delay` before it is carried out.
@@ -80,8 +83,8 @@
 
     /// Loses the replies of the next `count` writes, after their effect.
     pub fn lose_replies(&self, count: usize, loss: Loss) {
-        let lost = &mut lock(&self.shared.state).faults.lost;
-        lost.extend(std::iter::repeat_n(loss, count));
+        let replies = &mut lock(&self.shared.state).faults.lost;
+        replies.extend(std::iter::repeat_n(loss, count));
     }
 
     /// Makes the next `count` watches with a version show `anomaly`.
@@ -109,10 +112,3 @@
         lock(&self.shared.state).faults.limited
     }
 }
-
-impl Drop for Platform {
-    fn drop(&mut self) {
-        lock(&self.shared.state).stopped = true;
-        self.shared.changed.notify_all();
-    }
-}
--- a/crates/standins/src/objects/call.rs
+++ b/crates/standins/src/objects/call.rs
@@ -1,198 +1,268 @@
 //! Calls of the object API and how they are answered.
 
-use std::sync::{Condvar, Mutex, PoisonError};
-use std::thread;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use cactusnotch_platform::object::{Changes, Condition, Path, Version};
-use rouille::{Request, Response};
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::{Method, Request, Response, StatusCode, Uri, http};
 use serde_json::{Value, json};
+use tokio::sync::watch;
 
 use super::fault::{Anomaly, Faults, Loss, Outage};
 use super::store::{Refusal, Store};
-use crate::http::{self, Unusable, refusal};
 use crate::sync::lock;
+use crate::web::{self, Lost, refusal};
 
 /// The largest value, in bytes of JSON.
-pub(crate) const VALUE_LIMIT: u64 = 1 << 20;
+const VALUE_LIMIT: usize = 1 << 20;
+
+type Reply = Response<Full<Bytes>>;
 
 /// What the handlers of all calls share.
 #[derive(Debug, Default)]
 pub(crate) struct Shared {
     pub(crate) state: Mutex<State>,
-    pub(crate) changed: Condvar,
+    /// Wakes those that wait for a write or for the end of an outage.
+    pub(crate) changed: watch::Sender<()>,
 }
 
-/// The objects, the faults and whether the platform is stopping.
+/// The objects and the faults.
 #[derive(Debug, Default)]
 pub(crate) struct State {
     pub(crate) store: Store,
     pub(crate) faults: Faults,
-    pub(crate) stopped: bool,
+}
+
+/// The object or the kind that a call is about.
+enum Target {
+    Kind(String),
+    Object(Path),
+}
+
+/// Answers one call.
+pub(crate) async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Result<Reply, Lost> {
+    let Some(target) = target(request.uri()) else {
+        return Ok(refusal(StatusCode::NOT_FOUND, "no such path"));
+    };
+    let (head, body) = request.into_parts();
+    let body = match web::bytes(body, VALUE_LIMIT).await {
+        Ok(body) => body,
+        Err(reply) => return Ok(*reply),
+    };
+    if head.method == Method::GET {
+        return shared.call(&target, &head, &body).await;
+    }
+    // A write is carried out even if its caller goes away meanwhile.
+    tokio::spawn(async move { shared.call(&target, &head, &body).await })
+        .await
+        .unwrap_or(Err(Lost))
+}
+
+fn target(uri: &Uri) -> Option<Target> {
+    let mut parts = uri.path().strip_prefix("/objects/")?.splitn(2, '/');
+    let kind = parts.next().filter(|kind| !kind.is_empty())?.to_owned();
+    Some(match parts.next() {
+        None => Target::Kind(kind),
+        Some(name) => Target::Object(Path::new(kind, name)),
+    })
 }
 
 impl Shared {
-    /// Answers one call.
-    pub(crate) fn answer(&self, request: &Request) -> Response {
-        let url = request.url();
-        let mut parts = url.trim_start_matches('/').split('/');
-        if parts.next() != Some("objects") {
-            return refusal(404, "no such path");
-        }
-        let Some(kind) = parts.next().filter(|kind| !kind.is_empty()) else {
-            return refusal(404, "the path names no kind");
+    async fn call(
+        &self,
+        target: &Target,
+        head: &http::request::Parts,
+        body: &Bytes,
+    ) -> Result<Reply, Lost> {
+        let kind = match target {
+            Target::Kind(kind) => kind,
+            Target::Object(path) => &path.kind,
         };
-        if let Err(response) = self.admit(request.method(), kind) {
-            return response;
+        if let Err(reply) = self.admit(head.method.as_str(), kind).await {
+            return Ok(*reply);
         }
-        match parts.next() {
-            None => self.changes(request, kind),
-            Some(name) => self.object(request, &Path::new(kind, name)),
+        match (target, &head.method) {
+            (Target::Kind(kind), &Method::GET) => Ok(self.changes(kind, &head.uri).await),
+            (Target::Object(path), &Method::GET) => Ok(self.get(path)),
+            (Target::Object(path), &Method::PUT) => self.put(path, head, body),
+            (Target::Object(path), &Method::DELETE) => self.delete(path, head),
+            _ => Ok(refusal(StatusCode::METHOD_NOT_ALLOWED, "no such method")),
         }
     }
 
-    fn admit(&self, method: &str, kind: &str) -> Result<(), Response> {
-        let mut state = lock(&self.state);
-        if !state.faults.admit(method, kind, Instant::now()) {
-            return Err(refusal(429, "too many calls"));
-        }
-        let delay = state.faults.delay;
+    async fn admit(&self, method: &str, kind: &str) -> Result<(), Box<Reply>> {
+        let delay = {
+            let faults = &mut lock(&self.state).faults;
+            if !faults.admit(method, kind, Instant::now()) {
+                let detail = "too many calls";
+                return Err(Box::new(refusal(StatusCode::TOO_MANY_REQUESTS, detail)));
+            }
+            faults.delay
+        };
         if !delay.is_zero() {
-            drop(state);
-            thread::sleep(delay);
-            state = lock(&self.state);
+            tokio::time::sleep(delay).await;
         }
-        while state.faults.outage == Outage::Hang && !state.stopped {
-            state = self
-                .changed
-                .wait(state)
-                .unwrap_or_else(PoisonError::into_inner);
+        self.up().await
+    }
+
+    /// Waits while calls hang, and refuses while the platform is down.
+    async fn up(&self) -> Result<(), Box<Reply>> {
+        let mut changed = self.changed.subscribe();
+        loop {
+            let outage = lock(&self.state).faults.outage;
+            match outage {
+                Outage::None => return Ok(()),
+                Outage::Unavailable | Outage::Refuse => return Err(Box::new(unavailable())),
+                Outage::Hang => drop(changed.changed().await),
+            }
         }
-        if state.stopped || state.faults.outage == Outage::Unavailable {
-            return Err(refusal(503, "out of service"));
+    }
+
+    fn get(&self, path: &Path) -> Reply {
+        match lock(&self.state).store.get(path) {
+            Some(object) => web::json(StatusCode::OK, &object),
+            None => refusal(StatusCode::NOT_FOUND, "no such object"),
         }
-        Ok(())
     }
 
-    fn object(&self, request: &Request, path: &Path) -> Response {
-        match request.method() {
-            "GET" => match lock(&self.state).store.get(path) {
-                Some(object) => Response::json(&object),
-                None => refusal(404, "no such object"),
-            },
-            "PUT" => self.put(request, path),
-            "DELETE" => match condition(request) {
-                Ok(condition) => self.write(|store| store.delete(path, condition)),
-                Err(response) => response,
-            },
-            _ => refusal(405, "no such method"),
+    fn put(&self, path: &Path, head: &http::request::Parts, body: &[u8]) -> Result<Reply, Lost> {
+        let parsed = web::parse::<Value, _>(body).and_then(|value| Ok((value, condition(head)?)));
+        match parsed {
+            Ok((value, condition)) => self.write(|store| store.put(path, value, condition)),
+            Err(reply) => Ok(*reply),
         }
     }
 
-    fn put(&self, request: &Request, path: &Path) -> Response {
-        let value: Value = match http::body(request, VALUE_LIMIT) {
-            Ok(value) => value,
-            Err(Unusable(response)) => return response,
-        };
-        match condition(request) {
-            Ok(condition) => self.write(|store| store.put(path, value, condition)),
-            Err(response) => response,
+    fn delete(&self, path: &Path, head: &http::request::Parts) -> Result<Reply, Lost> {
+        match condition(head) {
+            Ok(condition) => self.write(|store| store.delete(path, condition)),
+            Err(reply) => Ok(*reply),
         }
     }
 
-    fn write(&self, write: impl FnOnce(&mut Store) -> Result<Version, Refusal>) -> Response {
+    fn write(
+        &self,
+        write: impl FnOnce(&mut Store) -> Result<Version, Refusal>,
+    ) -> Result<Reply, Lost> {
         let mut state = lock(&self.state);
         let result = write(&mut state.store);
-        self.changed.notify_all();
-        if !state.faults.lost.is_empty() {
-            match state.faults.lost.remove(0) {
-                Loss::Error => return refusal(500, "the reply was lost"),
+        let loss = state.faults.next_loss();
+        drop(state);
+        self.changed.send_replace(());
+        match loss {
+            Some(Loss::Error) => {
+                return Ok(refusal(
+                    StatusCode::INTERNAL_SERVER_ERROR,
+                    "the reply was lost",
+                ));
             }
+            Some(Loss::Drop) => return Err(Lost),
+            None => {}
         }
-        match result {
-            Ok(version) => Response::json(&json!({ "version": version })),
-            Err(Refusal::Condition(standing)) => Response::json(&standing).with_status_code(412),
-            Err(Refusal::Missing) => refusal(404, "no such object"),
+        Ok(match result {
+            Ok(version) => web::json(StatusCode::OK, &json!({ "version": version })),
+            Err(Refusal::Condition(standing)) => {
+                web::json(StatusCode::PRECONDITION_FAILED, &standing)
+            }
+            Err(Refusal::Missing) => refusal(StatusCode::NOT_FOUND, "no such object"),
+        })
+    }
+
+    async fn changes(&self, kind: &str, uri: &Uri) -> Reply {
+        let after = Version(number(uri, "after"));
+        let wait = Duration::from_millis(number(uri, "wait_ms"));
+        let anomaly = match after {
+            Version(0) => None,
+            _ => lock(&self.state).faults.next_anomaly(),
+        };
+        if anomaly == Some(Anomaly::Repeat) {
+            let former = lock(&self.state).store.former(kind);
+            if let Some(changes) = former {
+                return web::json(StatusCode::OK, &changes);
+            }
+        }
+        let needed = if anomaly == Some(Anomaly::Skip) { 2 } else { 1 };
+        let mut watch = Watch::new(kind, after, needed);
+        let mut changed = self.changed.subscribe();
+        let waited = tokio::time::timeout(wait, async {
+            while !watch.is_due(&lock(&self.state)) {
+                drop(changed.changed().await);
+            }
+        });
+        let due = waited.await.is_ok();
+        if let Err(reply) = self.up().await {
+            return *reply;
         }
+        web::json(StatusCode::OK, &watch.changes(due, &lock(&self.state)))
     }
+}
+
+/// A watch and the number of changes that it has seen.
+struct Watch<'a> {
+    kind: &'a str,
+    after: Version,
+    needed: usize,
+    seen: usize,
+    last: Version,
+}
 
-    fn changes(&self, request: &Request, kind: &str) -> Response {
-        if request.method() != "GET" {
-            return refusal(405, "no such method");
+impl<'a> Watch<'a> {
+    const fn new(kind: &'a str, after: Version, needed: usize) -> Self {
+        Self {
+            kind,
+            after,
+            needed,
+            seen: 0,
+            last: after,
         }
-        let after = Version(number(request, "after").unwrap_or(0));
-        let wait = Duration::from_millis(number(request, "wait_ms").unwrap_or(0));
-        match self.wait(kind, after, wait) {
-            Some(changes) => Response::json(&changes),
-            None => refusal(503, "out of service"),
+    }
+
+    /// Takes note of a change and tells whether the watch is to be answered.
+    fn is_due(&mut self, state: &State) -> bool {
+        if state.store.has_changed(self.kind, self.last) {
+            self.seen += 1;
+            self.last = state.store.version();
         }
+        let down = state.faults.outage == Outage::Unavailable;
+        down || self.after == Version(0) || self.seen >= self.needed
     }
 
-    fn wait(&self, kind: &str, after: Version, wait: Duration) -> Option<Changes> {
-        let deadline = Instant::now() + wait;
-        let mut state = lock(&self.state);
-        let mut needed = 1;
-        if after > Version(0) && !state.faults.anomalies.is_empty() {
-            match state.faults.anomalies.remove(0) {
-                Anomaly::Skip => needed = 2,
-                Anomaly::Repeat => {
-                    if let Some(changes) = state.store.former(kind) {
-                        return Some(changes);
-                    }
-                }
-            }
+    fn changes(&self, due: bool, state: &State) -> Changes {
+        if due || self.seen == 0 {
+            return state.store.changes(self.kind, self.after);
         }
-        let (mut seen, mut last) = (0, after);
-        loop {
-            if state.stopped || state.faults.outage == Outage::Unavailable {
-                return None;
-            }
-            if state.store.changed_count(kind, last) > 0 {
-                seen += 1;
-                last = state.store.version();
-            }
-            let left = deadline.saturating_duration_since(Instant::now());
-            if after == Version(0) || seen >= needed {
-                return Some(state.store.changes(kind, after));
-            }
-            if left.is_zero() {
-                return Some(unchanged(after, needed, &state));
-            }
-            state = self
-                .changed
-                .wait_timeout(state, left)
-                .unwrap_or_else(PoisonError::into_inner)
-                .0;
+        Changes {
+            version: self.after,
+            objects: Vec::new(),
+            removed: Vec::new(),
         }
     }
 }
 
-fn unchanged(after: Version, needed: usize, state: &State) -> Changes {
-    let version = if needed > 1 {
-        after
-    } else {
-        state.store.version()
-    };
-    Changes {
-        version,
-        objects: Vec::new(),
-        removed: Vec::new(),
-    }
+fn unavailable() -> Reply {
+    refusal(StatusCode::SERVICE_UNAVAILABLE, "out of service")
 }
 
-fn number(request: &Request, name: &str) -> Option<u64> {
-    request.get_param(name)?.parse().ok()
+fn number(uri: &Uri, name: &str) -> u64 {
+    web::query(uri, name)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0)
 }
 
-fn condition(request: &Request) -> Result<Condition, Response> {
-    if request.header("If-None-Match") == Some("*") {
+fn condition(head: &http::request::Parts) -> Result<Condition, Box<Reply>> {
+    if web::header(&head.headers, "if-none-match") == Some("*") {
         return Ok(Condition::Absent);
     }
-    match request.header("If-Match") {
-        None => Ok(Condition::Always),
-        Some(text) => match text.trim_matches('"').parse() {
-            Ok(version) => Ok(Condition::Version(Version(version))),
-            Err(_) => Err(refusal(400, "If-Match is not a version")),
-        },
-    }
+    let Some(text) = web::header(&head.headers, "if-match") else {
+        return Ok(Condition::Always);
+    };
+    text.trim_matches('"')
+        .parse()
+        .map(|version| Condition::Version(Version(version)))
+        .map_err(|_| {
+            let detail = "If-Match is not a version";
+            Box::new(refusal(StatusCode::BAD_REQUEST, detail))
+        })
 }
--- a/crates/standins/src/objects/fault.rs
+++ b/crates/standins/src/objects/fault.rs
@@ -14,6 +14,8 @@
     None,
     /// It answers each call with `503`, without effect.
     Unavailable,
+    /// It breaks off each connection as soon as it is made.
+    Refuse,
     /// It takes calls and leaves them unanswered. They are carried out when
     /// the outage ends, whether or not a caller still waits.
     Hang,
@@ -25,6 +27,8 @@
 pub enum Loss {
     /// The answer is `500`.
     Error,
+    /// The connection is broken off.
+    Drop,
 }
 
 /// A fault in what a watch is told.
@@ -84,6 +88,16 @@
 }
 
 impl Faults {
+    /// Takes the loss that the next write is to suffer.
+    pub(crate) fn next_loss(&mut self) -> Option<Loss> {
+        (!self.lost.is_empty()).then(|| self.lost.remove(0))
+    }
+
+    /// Takes the anomaly that the next watch is to show.
+    pub(crate) fn next_anomaly(&mut self) -> Option<Anomaly> {
+        (!self.anomalies.is_empty()).then(|| self.anomalies.remove(0))
+    }
+
     /// Counts a call and tells whether the rate limit lets it pass.
     pub(crate) fn admit(&mut self, method: &str, kind: &str, now: Instant) -> bool {
         let key = (method.to_owned(), kind.to_owned());
--- a/crates/standins/src/objects/store.rs
+++ b/crates/standins/src/objects/store.rs
@@ -92,9 +92,9 @@
         changes
     }
 
-    /// Counts the objects of `kind` that changed after version `after`.
-    pub(crate) fn changed_count(&self, kind: &str, after: Version) -> usize {
-        self.changed(kind, after).count()
+    /// Tells whether an object of `kind` changed after version `after`.
+    pub(crate) fn has_changed(&self, kind: &str, after: Version) -> bool {
+        self.changed(kind, after).next().is_some()
     }
 
     /// Returns a former state of the object of `kind` that was written last,
--- a/crates/standins/src/web.rs
+++ b/crates/standins/src/web.rs
@@ -1,4 +1,6 @@
-//! An HTTP server whose answers are streamed, on a runtime of its own.
+//! An HTTP server whose answers are streamed, on a thread of its own.
+
+mod reply;
 
 use std::convert::Infallible;
 use std::future::Future;
@@ -7,6 +9,7 @@
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 
+use derive_more::{Display, Error};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -14,7 +17,14 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::{Builder, Handle};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
+
+pub(crate) use reply::{bytes, header, json, parse, query, refusal};
+
+/// Tells the server to break off the connection in place of an answer.
+#[derive(Debug, Display, Error)]
+#[display("the answer is lost on purpose")]
+pub(crate) struct Lost;
 
 /// A server that stops and breaks off its connections when it is dropped.
 #[derive(Debug)]
@@ -22,6 +32,7 @@
     address: SocketAddr,
     handle: Handle,
     stop: Option<oneshot::Sender<()>>,
+    refusing: watch::Sender<bool>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -30,7 +41,7 @@
     pub(crate) fn start<F, R, B>(address: SocketAddr, handler: F) -> io::Result<Self>
     where
         F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
-        R: Future<Output = Result<Response<B>, Infallible>> + Send + 'static,
+        R: Future<Output = Result<Response<B>, Lost>> + Send + 'static,
         B: Body<Data = Bytes, Error = Infallible> + Send + 'static,
     {
         let listener = std::net::TcpListener::bind(address)?;
@@ -43,11 +54,12 @@
             TcpListener::from_std(listener)?
         };
         let (stop, stopped) = oneshot::channel();
+        let (refusing, refused) = watch::channel(false);
         let thread = thread::spawn(move || {
             runtime.block_on(async {
                 tokio::select! {
                     _ = stopped => {}
-                    () = accept(listener, Arc::new(handler)) => {}
+                    () = accept(listener, refused, Arc::new(handler)) => {}
                 }
             });
         });
@@ -55,6 +67,7 @@
             address,
             handle,
             stop: Some(stop),
+            refusing,
             thread: Some(thread),
         })
     }
@@ -64,6 +77,12 @@
         self.address
     }
 
+    /// Breaks off all connections, and each new one as soon as it is made,
+    /// until told otherwise.
+    pub(crate) fn refuse(&self, refuse: bool) {
+        self.refusing.send_replace(refuse);
+    }
+
     /// Runs `task` on the server's thread.
     pub(crate) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         self.handle.spawn(task);
@@ -79,28 +98,31 @@
     }
 }
 
-async fn accept<F, R, B>(listener: TcpListener, handler: Arc<F>)
+async fn accept<F, R, B>(listener: TcpListener, refused: watch::Receiver<bool>, handler: Arc<F>)
 where
     F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
-    R: Future<Output = Result<Response<B>, Infallible>> + Send + 'static,
+    R: Future<Output = Result<Response<B>, Lost>> + Send + 'static,
     B: Body<Data = Bytes, Error = Infallible> + Send + 'static,
 {
     loop {
         if let Ok((stream, _)) = listener.accept().await {
-            let handler = Arc::clone(&handler);
-            tokio::spawn(serve(stream, handler));
+            tokio::spawn(serve(stream, refused.clone(), Arc::clone(&handler)));
         }
     }
 }
 
-async fn serve<F, R, B>(stream: TcpStream, handler: Arc<F>)
+async fn serve<F, R, B>(stream: TcpStream, mut refused: watch::Receiver<bool>, handler: Arc<F>)
 where
     F: Fn(Request<Incoming>) -> R + Send + Sync + 'static,
-    R: Future<Output = Result<Response<B>, Infallible>> + Send + 'static,
+    R: Future<Output = Result<Response<B>, Lost>> + Send + 'static,
     B: Body<Data = Bytes, Error = Infallible> + Send + 'static,
 {
     drop(stream.set_nodelay(true));
     let service = service_fn(|request| handler(request));
     let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-    drop(connection.await);
+    tokio::select! {
+        biased;
+        _ = refused.wait_for(|refused| *refused) => {}
+        _ = connection => {}
+    }
 }
--- a/crates/standins/tests/objects.rs
+++ b/crates/standins/tests/objects.rs
@@ -80,12 +80,15 @@
 fn a_lost_reply_took_effect() {
     let (platform, client) = platform();
     let path = Path::new("claim", "lost");
-    platform.lose_replies(1, Loss::Error);
-    let lost = client.put(&path, &json!("mine"), Condition::Absent);
-    assert!(matches!(lost, Err(Error::Unanswered { .. })));
-    assert_eq!(client.get(&path).unwrap().unwrap().value, json!("mine"));
-    let again = client.put(&path, &json!("mine"), Condition::Absent);
-    assert!(matches!(again, Err(Error::Conflict { .. })));
+    for loss in [Loss::Error, Loss::Drop] {
+        platform.lose_replies(1, loss);
+        let lost = client.put(&path, &json!("mine"), Condition::Absent);
+        assert!(matches!(lost, Err(Error::Unanswered { .. })));
+        assert_eq!(client.get(&path).unwrap().unwrap().value, json!("mine"));
+        let again = client.put(&path, &json!("mine"), Condition::Absent);
+        assert!(matches!(again, Err(Error::Conflict { .. })));
+        client.delete(&path, Condition::Always).unwrap();
+    }
 }
 
 #[test]
@@ -137,9 +140,11 @@
 fn outages_and_limits_refuse_without_effect() {
     let (platform, client) = platform();
     let path = Path::new("status", "s");
-    platform.set_outage(Outage::Unavailable);
-    let down = client.put(&path, &json!(1), Condition::Always);
-    assert!(matches!(down, Err(Error::Unanswered { .. })));
+    for outage in [Outage::Unavailable, Outage::Refuse] {
+        platform.set_outage(outage);
+        let down = client.put(&path, &json!(1), Condition::Always);
+        assert!(matches!(down, Err(Error::Unanswered { .. })));
+    }
     platform.set_outage(Outage::None);
     assert_eq!(client.get(&path).unwrap(), None);
     let large = json!("x".repeat(1 << 20));
@@ -161,15 +166,29 @@
 fn a_call_that_hung_takes_effect_when_the_outage_ends() {
     let (platform, client) = platform();
     let path = Path::new("status", "late");
+    let other = Path::new("other", "o");
+    let before = client.put(&other, &json!(0), Condition::Always).unwrap();
     platform.set_outage(Outage::Hang);
     let impatient = self::client(&platform, Duration::from_millis(50));
     let unanswered = impatient.put(&path, &json!(1), Condition::Always);
     assert!(matches!(unanswered, Err(Error::Unanswered { .. })));
     platform.set_outage(Outage::None);
-    let changes = client.changes("status", Version(0), LONG).unwrap();
-    let seen = match changes.objects.len() {
-        0 => client.changes("status", Version(0).max(Version(1)), LONG),
-        _ => Ok(changes),
+    let changes = client.changes("status", before, LONG).unwrap();
+    assert_eq!(changes.objects[0].value, json!(1));
+}
+
+#[test]
+fn a_restart_takes_the_same_address_and_is_empty() {
+    let (platform, client) = platform();
+    let path = Path::new("status", "s");
+    client.put(&path, &json!(1), Condition::Always).unwrap();
+    let options = objects::Options {
+        address: platform.address(),
+        ..objects::Options::default()
     };
-    assert!(seen.is_ok());
+    drop(platform);
+    let stopped = client.get(&path);
+    assert!(matches!(stopped, Err(Error::Unanswered { .. })));
+    let _again = Platform::start(&options).unwrap();
+    assert_eq!(client.get(&path).unwrap(), None);
 }
