feat: add stand-ins of a group of ranks and of the weight store

Cause: expert maps have to be switched on something that shows a mixed step. A rank takes the orders of cactusnotch-switch as they are and answers in the form of cactusnotch-order, so that a driver has nothing to translate; a use leaves holds alone unless the order names a step to release. Ruled out: a barrier that refuses a mixed step, which would hide the fault that the agreement has to prevent; the group goes on and lists it.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,8 @@
 
 pub mod engine;
 pub mod objects;
+pub mod ranks;
+pub mod weights;
 
 mod sync;
 mod web;
