--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,7 +8,8 @@
 
 pub mod engine;
 pub mod objects;
+pub mod ranks;
+pub mod weights;
 
-mod http;
 mod sync;
 mod web;
