test: explore the courses of one key over ledger, claim and attempt

The promises depend on three crates together, so a model of two entries, two agents, the platform and one key runs their very code. Breadth-first search finds the shortest broken course, and random long ones reach deeper.

--- /dev/null
+++ b/crates/attempt/tests/explore/main.rs
@@ -0,0 +1,163 @@
+//! All courses of a small model, over the decision code of the three crates.
+//!
+//! Frames are taken in any order. The number of faults of each kind and of
+//! visited states is bounded, and each test prints what it saw.
+
+mod actions;
+mod drive;
+mod promises;
+mod search;
+mod setup;
+mod world;
+
+use cactusnotch_ledger::message::Repeat;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use search::{Report, explore};
+use setup::{Faults, Setup};
+use world::World;
+
+/// How many states a search visits in a debug build.
+const STATES: usize = 60_000;
+
+pub(crate) fn run(name: &str, ticket: bool, pieces: u64, faults: Faults) -> Report {
+    let setup = Setup {
+        ticket,
+        repeat: Repeat::Once,
+        pieces,
+        faults,
+        conditional: true,
+    };
+    let report = explore(World::new(setup), STATES);
+    println!("{name}: {report:?}");
+    report
+}
+
+#[test]
+pub(crate) fn claims_hold_when_the_platform_fails() {
+    let faults = Faults {
+        platform: 2,
+        advances: 2,
+        ..Faults::default()
+    };
+    let report = run("platform", false, 0, faults);
+    assert!(report.whole > 0 && report.not_run > 0 && report.held > 0);
+}
+
+#[test]
+pub(crate) fn claims_hold_when_an_entry_is_killed() {
+    let faults = Faults {
+        killed_entries: 1,
+        platform: 1,
+        advances: 2,
+        ..Faults::default()
+    };
+    let report = run("killed entry", false, 0, faults);
+    assert!(report.whole > 0 && report.moved > 0);
+}
+
+#[test]
+pub(crate) fn claims_hold_when_an_agent_is_replaced_empty() {
+    let faults = Faults {
+        killed_agents: 1,
+        doubled_frames: 1,
+        advances: 2,
+        ..Faults::default()
+    };
+    let report = run("replaced agent", false, 0, faults);
+    assert!(report.whole > 0 && report.unknown > 0);
+}
+
+#[test]
+pub(crate) fn claims_hold_when_frames_are_lost_and_doubled() {
+    let faults = Faults {
+        lost_frames: 1,
+        doubled_frames: 1,
+        lost_links: 1,
+        advances: 2,
+        ..Faults::default()
+    };
+    let report = run("frames", false, 1, faults);
+    assert!(report.whole > 0 && report.moved > 0);
+}
+
+#[test]
+pub(crate) fn tickets_hold_when_agents_and_frames_fail() {
+    let faults = Faults {
+        killed_agents: 1,
+        doubled_frames: 1,
+        lost_links: 1,
+        drains: 1,
+        advances: 2,
+        ..Faults::default()
+    };
+    let report = run("tickets", true, 1, faults);
+    assert!(report.whole > 0 && report.not_run > 0 && report.unknown > 0);
+}
+
+#[test]
+pub(crate) fn answers_are_whole_whatever_the_order_of_pieces() {
+    let faults = Faults {
+        lost_links: 1,
+        lost_frames: 1,
+        advances: 1,
+        ..Faults::default()
+    };
+    let report = run("pieces", true, 2, faults);
+    assert!(report.whole > 0);
+}
+
+/// Takes one course through the model, as `choices` say, with faults of all
+/// kinds, and checks every state on it.
+pub(crate) fn walk(ticket: bool, repeat: Repeat, choices: &[u16]) -> Result<(), TestCaseError> {
+    let faults = Faults {
+        lost_frames: 2,
+        doubled_frames: 2,
+        lost_links: 2,
+        killed_entries: 1,
+        killed_agents: 2,
+        platform: 3,
+        advances: 12,
+        drains: 1,
+    };
+    let mut world = World::new(Setup {
+        ticket,
+        repeat,
+        pieces: 2,
+        faults,
+        conditional: true,
+    });
+    let mut course = Vec::new();
+    for choice in choices {
+        let mut actions = world.actions();
+        if actions.is_empty() {
+            break;
+        }
+        let action = actions.swap_remove(usize::from(*choice) % actions.len());
+        world.act(&action);
+        course.push(action);
+        world
+            .check()
+            .map_err(|broken| TestCaseError::fail(format!("{broken}\n{course:#?}")))?;
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 4000,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn long_courses_with_all_faults_keep_the_promises(
+        ticket: bool,
+        idempotent: bool,
+        choices in prop::collection::vec(any::<u16>(), 20..120),
+    ) {
+        let repeat = if idempotent { Repeat::Idempotent } else { Repeat::Once };
+        walk(ticket, repeat, &choices)?;
+    }
+}
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod calls;
 mod claim;
 mod command;
-mod event;
+pub mod event;
 pub mod kind;
 mod log;
 mod options;
