--- a/crates/attempt/tests/explore/main.rs
+++ b/crates/attempt/tests/explore/main.rs
@@ -107,6 +107,19 @@
     assert!(report.whole > 0);
 }
 
+#[test]
+#[should_panic(expected = "the key started more than once")]
+fn a_platform_that_ignores_conditions_is_found_out() {
+    let setup = Setup {
+        ticket: false,
+        repeat: Repeat::Once,
+        pieces: 0,
+        faults: Faults::default(),
+        conditional: false,
+    };
+    explore(World::new(setup), STATES);
+}
+
 /// Takes one course through the model, as `choices` say, with faults of all
 /// kinds, and checks every state on it.
 pub(crate) fn walk(ticket: bool, repeat: Repeat, choices: &[u16]) -> Result<(), TestCaseError> {
