--- a/crates/route/src/average.rs
+++ b/crates/route/src/average.rs
@@ -36,7 +36,7 @@
 }
 
 /// Returns the weight, from one to zero, of what was learnt at `at`.
-pub(crate) fn freshness(at: Instant, half_life: Duration, now: Instant) -> f64 {
+fn freshness(at: Instant, half_life: Duration, now: Instant) -> f64 {
     let age = now.saturating_duration_since(at);
     (-age.as_secs_f64() / half_life.as_secs_f64()).exp2()
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod request;
 pub mod service;
 pub mod state;
+pub mod subset;
 
 mod average;
 mod health;
--- a/crates/route/src/options.rs
+++ b/crates/route/src/options.rs
@@ -14,7 +14,8 @@
     pub choices: usize,
     /// The fraction of its slots from which an endpoint counts as full.
     pub full: f64,
-    /// The time after which half of a load report's weight is gone.
+    /// The longest time after which half of a load report's weight is gone;
+    /// measured turnover shortens it.
     pub report_half_life: Duration,
     /// The time after which half of a measured slowness is forgotten.
     pub slowness_half_life: Duration,
@@ -52,7 +53,7 @@
     fn default() -> Self {
         Self {
             nearest: Vec::new(),
-            choices: 3,
+            choices: 4,
             full: 1.0,
             report_half_life: Duration::from_secs(2),
             slowness_half_life: Duration::from_secs(10),
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -1,6 +1,6 @@
 //! What one entry knows of its endpoints.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use cactusnotch_base::Table;
 use cactusnotch_base::name::Endpoint;
@@ -148,9 +148,10 @@
         rng: &mut impl Rng,
     ) -> Result<Choice, Error> {
         let pool = self.pools.get_mut(request.service).ok_or(Error::Unknown)?;
+        let residence = pool.residence(&self.options);
         let selection = Selection {
             reference: pool.reference(),
-            residence: pool.residence(&self.options),
+            residence,
             seen: &mut pool.others,
             options: &self.options,
             rows: &self.rows,
@@ -163,6 +164,7 @@
             reason: pick.reason,
             predicted: pick.predicted,
             wait: pick.wait,
+            residence: Duration::from_secs_f64(residence),
             usual: pick.usual,
         })
     }
--- a/crates/route/src/row.rs
+++ b/crates/route/src/row.rs
@@ -1,16 +1,22 @@
 //! What an entry knows of one endpoint.
 
+use std::f64::consts::LN_2;
 use std::time::Instant;
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::average::{Average, freshness};
+use crate::average::Average;
 use crate::health::Health;
 use crate::{Load, Member, Options, Report, State};
 
 /// Bounds of a measured slowness, so that one sample cannot exile an endpoint.
 const SLOWNESS: std::ops::RangeInclusive<f64> = 0.1..=10.0;
 
+/// How much faster than by turnover alone a reported difference of load
+/// vanishes, for each standard deviation of the load. Chosen by measurement,
+/// see `docs/design/routing.md`.
+const REFILL: f64 = 3.0;
+
 /// What an entry knows of one endpoint.
 #[derive(Debug, Clone)]
 pub(crate) struct Row {
@@ -33,7 +39,7 @@
     pub(crate) step: Average,
 }
 
-/// A load as the mean of what is known, for each slot.
+/// An estimated load, of an endpoint or for each slot.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub(crate) struct Density {
     pub(crate) requests: f64,
@@ -92,12 +98,37 @@
         }
     }
 
-    /// Returns the weight of the last report and the load it names.
-    pub(crate) fn reported(&self, options: &Options, now: Instant) -> (f64, Load) {
-        let weight = self
-            .reported
-            .map_or(0.0, |at| freshness(at, options.report_half_life, now));
-        (weight, self.others)
+    /// Returns the weight of the last report and what is left of the load it
+    /// named.
+    ///
+    /// Requests turn over within the time that they hold a slot, and faster
+    /// still since all entries fill up what was reported as free; prompts are
+    /// processed at a known rate, by which the backlog has shrunk since.
+    pub(crate) fn reported(
+        &self,
+        options: &Options,
+        residence: f64,
+        mean: f64,
+        now: Instant,
+    ) -> (f64, Density) {
+        let Some(at) = self.reported else {
+            return (0.0, Density::default());
+        };
+        let age = now.saturating_duration_since(at);
+        let half_life = options
+            .report_half_life
+            .as_secs_f64()
+            .min(LN_2 * residence / (1.0 + REFILL * (mean * self.slots).sqrt()));
+        let weight = (-age.as_secs_f64() / half_life).exp2();
+        let drained = age.div_duration_f64(options.token_time) * self.member.speed;
+        let backlog = (f64::from(self.others.backlog) - drained).max(0.0);
+        (
+            weight,
+            Density {
+                requests: f64::from(self.others.requests),
+                backlog,
+            },
+        )
     }
 
     /// Returns how slow the endpoint is against the others of its service.
--- a/crates/route/src/selection.rs
+++ b/crates/route/src/selection.rs
@@ -9,7 +9,7 @@
 use crate::choice::{Error, Reason};
 use crate::health::Fitness;
 use crate::row::{Density, Reference, Row};
-use crate::{Load, Options, Request, State, prefix};
+use crate::{Options, Request, State, prefix};
 
 /// How much slower than the others a preferred endpoint may be.
 const AFFINITY_SLOWNESS: f64 = 1.5;
@@ -91,7 +91,12 @@
                 State::Unreachable => unreachable += 1,
                 State::Serving => {
                     serving += 1;
-                    let (fresh, others) = row.reported(self.options, self.now);
+                    let (fresh, others) = row.reported(
+                        self.options,
+                        self.residence,
+                        self.reference.others.requests,
+                        self.now,
+                    );
                     mean.add(fresh, row.slots, others);
                     if !request.tried.contains(&row.member.name) {
                         let candidate = self.candidate(at, row, fresh, others);
@@ -113,7 +118,7 @@
 
     /// Estimates an endpoint's load: its own requests are known, those of
     /// others fade from the last report to the service's mean.
-    fn candidate(&self, at: usize, row: &Row, fresh: f64, others: Load) -> Candidate {
+    fn candidate(&self, at: usize, row: &Row, fresh: f64, others: Density) -> Candidate {
         let stale = (1.0 - fresh) * row.slots;
         let Density { requests, backlog } = self.reference.others;
         Candidate {
@@ -122,12 +127,8 @@
             distance: row.distance,
             slots: row.slots,
             slowness: row.slowness(&self.reference, self.options, self.now),
-            requests: f64::from(row.own.requests)
-                + fresh * f64::from(others.requests)
-                + stale * requests,
-            backlog: f64::from(row.own.backlog)
-                + fresh * f64::from(others.backlog)
-                + stale * backlog,
+            requests: f64::from(row.own.requests) + fresh * others.requests + stale * requests,
+            backlog: f64::from(row.own.backlog) + fresh * others.backlog + stale * backlog,
             weight: 0,
         }
     }
@@ -233,10 +234,10 @@
 }
 
 impl Mean {
-    fn add(&mut self, fresh: f64, slots: f64, others: Load) {
+    fn add(&mut self, fresh: f64, slots: f64, others: Density) {
         self.slots += fresh * slots;
-        self.sum.requests += fresh * f64::from(others.requests);
-        self.sum.backlog += fresh * f64::from(others.backlog);
+        self.sum.requests += fresh * others.requests;
+        self.sum.backlog += fresh * others.backlog;
     }
 
     /// Replaces `mean` unless there is too little to compute one from.
