feat: add the two binaries, planned stops, spans and the operators' status

Cause: the path ran only inside a test. Both processes now have checked flags, logs, metrics, spans under one trace id (entry, agent, call to the endpoint), and a stop that withdraws the address first and cuts nothing off. Builds; the stops are not tested yet.

--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -70,7 +70,7 @@
         attempt: Attempt,
         key: &str,
         call: &Call,
-        trace: Option<&str>,
+        trace: &str,
     ) -> Result<Answer, Error> {
         let request = self.request(attempt, key, call, trace)?;
         match self.client.request(request).await {
@@ -85,20 +85,18 @@
         attempt: Attempt,
         key: &str,
         call: &Call,
-        trace: Option<&str>,
+        trace: &str,
     ) -> Result<Request<Full<Bytes>>, Error> {
         let mut request = Request::builder()
             .method(call.method.as_str())
             .uri(format!("{}{}", self.base, call.path))
             .header("request-id", attempt.to_string())
             .header("idempotency-key", key)
-            .header("priority", call.priority.to_string());
+            .header("priority", call.priority.to_string())
+            .header("traceparent", trace);
         if let Some(content_type) = &call.content_type {
             request = request.header(CONTENT_TYPE, content_type);
         }
-        if let Some(trace) = trace {
-            request = request.header("traceparent", trace);
-        }
         request
             .body(Full::new(call.payload.clone()))
             .map_err(|error| unstarted(&error))
--- /dev/null
+++ b/crates/agent/src/main.rs
@@ -0,0 +1,151 @@
+//! The agent of cactusnotch: the process in an endpoint host's slot.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use cactusnotch_agent::{Options, Server};
+use cactusnotch_base::clock::System;
+use cactusnotch_base::name::{Endpoint, Process};
+use cactusnotch_base::{Clock, Table};
+use cactusnotch_link::Role;
+use cactusnotch_options::{Common, Url, checked, common};
+use cactusnotch_platform::http;
+use cactusnotch_telemetry::service;
+use derive_more::{Display as DeriveDisplay, Error as DeriveError};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// How often the node is asked what is due.
+const TICK: Duration = Duration::from_millis(100);
+
+/// How long a call to the platform may take.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// How often entries are told the endpoint's condition.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Agent of cactusnotch: stands beside one endpoint and decides what runs there
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+struct Settings {
+    #[bpaf(external)]
+    common: Common,
+    /// Name of the process, unique and the same after a restart; made from
+    /// the endpoint's name if not given
+    #[bpaf(long, env("CACTUSNOTCH_PROCESS"), argument("NAME"), optional)]
+    process: Option<String>,
+    /// Address on which the system's other processes connect
+    #[bpaf(
+        long("peer-listen"),
+        env("CACTUSNOTCH_PEER_LISTEN"),
+        argument::<String>("IP:PORT"),
+        parse(checked("peer-listen"))
+    )]
+    peer_listen: SocketAddr,
+    /// Name of the endpoint, as the settings tree has it
+    #[bpaf(long, env("CACTUSNOTCH_ENDPOINT"), argument("NAME"))]
+    endpoint: String,
+    /// Base address of the endpoint
+    #[bpaf(
+        long("engine-url"),
+        env("CACTUSNOTCH_ENGINE_URL"),
+        argument::<String>("URL"),
+        parse(checked("engine-url"))
+    )]
+    engine: Url,
+    /// Requests that the endpoint runs at once
+    #[bpaf(
+        long,
+        env("CACTUSNOTCH_SLOTS"),
+        argument("COUNT"),
+        guard(is_positive, "--slots (CACTUSNOTCH_SLOTS): allowed: at least 1"),
+        fallback(8),
+        display_fallback
+    )]
+    slots: u32,
+}
+
+fn is_positive(value: &u32) -> bool {
+    *value > 0
+}
+
+/// What the process failed at, and at which step.
+#[derive(Debug, DeriveDisplay, DeriveError)]
+#[display("{step}: {detail}")]
+struct Failure {
+    step: &'static str,
+    detail: String,
+}
+
+impl Failure {
+    fn at<D: Display>(step: &'static str) -> impl Fn(D) -> Self {
+        move |detail| Self {
+            step,
+            detail: detail.to_string(),
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run(settings().run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("cactusnotch-agent: {failure}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(settings: Settings) -> Result<(), Failure> {
+    service::start(&settings.common.logs.service()).map_err(Failure::at("start of the process"))?;
+    let runtime = tokio::runtime::Runtime::new().map_err(Failure::at("start of the runtime"))?;
+    runtime.block_on(serve(options(settings)))
+}
+
+async fn serve(options: Options) -> Result<(), Failure> {
+    let server = Server::start(options, System)
+        .await
+        .map_err(Failure::at("start of the agent"))?;
+    tracing::info!(peers = %server.address(), "agent started");
+    let mut terminate =
+        signal(SignalKind::terminate()).map_err(Failure::at("start of the signals"))?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    tracing::info!("agent told to stop");
+    server.stop().await;
+    tracing::info!("agent stopped");
+    Ok(())
+}
+
+fn options(settings: Settings) -> Options {
+    let common = &settings.common;
+    let process = settings
+        .process
+        .unwrap_or_else(|| format!("agent-{}", settings.endpoint));
+    let identity = common.identity(Process::new(process), Role::Agent, System.wall());
+    Options {
+        listen: settings.peer_listen,
+        region: common.region.clone(),
+        node: cactusnotch_node::Options {
+            link: common.link(identity),
+            platform: http::Options {
+                base: common.platform.as_str().to_owned(),
+                timeout: PLATFORM_TIMEOUT,
+            },
+            spread: cactusnotch_spread::Options::default(),
+            seeds: Table::new(),
+            tick: TICK,
+        },
+        endpoint: Endpoint::new(settings.endpoint),
+        engine: settings.engine.as_str().to_owned(),
+        slots: settings.slots,
+        ledger: cactusnotch_ledger::Options::default(),
+        announce_interval: ANNOUNCE_INTERVAL,
+    }
+}
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -2,21 +2,34 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cactusnotch_base::Clock;
 use cactusnotch_ledger::{Attempt, Event, Ledger, Link, Request};
 use cactusnotch_link::{self as link, Identity, Listener, Receiver};
 use cactusnotch_member::{self as member, Record, Role};
 use cactusnotch_node::Node;
+use cactusnotch_telemetry::trace::{Context, Span};
 use cactusnotch_wire::{Body, Call, Dispatch};
 use tokio::task::JoinHandle;
 use tokio::time::{MissedTickBehavior, interval};
-use tracing::Instrument;
 
 use crate::Options;
 use crate::engine::{Engine, Error};
 use crate::state::State;
 
+/// The name of the agent's span of a request.
+const SPAN: &str = "agent";
+
+/// The name of the span of the call to the endpoint.
+const CALL_SPAN: &str = "engine";
+
+/// How often a planned stop looks whether the platform has the record.
+const GLANCE: Duration = Duration::from_millis(50);
+
+/// How long a planned stop waits for the platform to take the record away.
+const PATIENCE: Duration = Duration::from_secs(5);
+
 /// An agent that runs.
 #[derive(Debug)]
 pub struct Server<C: Clock> {
@@ -76,9 +89,25 @@
 
     /// Refuses new work from now on and waits until all runs have ended.
     pub async fn drain(&self) {
+        self.shared.node.leave();
         self.shared.state.step(Event::Drain);
         self.shared.state.drained().await;
     }
+
+    /// Stops the agent without cutting a request off, and takes it off the
+    /// roster if the platform answers in time.
+    pub async fn stop(&self) {
+        self.drain().await;
+        self.shared.node.depart();
+        let settled = async {
+            while !self.shared.node.registered() {
+                tokio::time::sleep(GLANCE).await;
+            }
+        };
+        if tokio::time::timeout(PATIENCE, settled).await.is_err() {
+            tracing::warn!("the platform has not taken the process's record away");
+        }
+    }
 }
 
 impl<C: Clock> Drop for Server<C> {
@@ -172,9 +201,7 @@
         shared.state.step(Event::Unstarted(attempt));
         return;
     };
-    let span = tracing::info_span!("run", %attempt);
-    let run = run(attempt, key, call, trace, Arc::clone(shared)).instrument(span);
-    let task = tokio::spawn(run);
+    let task = tokio::spawn(run(attempt, key, call, trace, Arc::clone(shared)));
     shared.state.running(attempt, task.abort_handle());
 }
 
@@ -186,30 +213,49 @@
     trace: Option<String>,
     shared: Arc<Shared<C>>,
 ) {
-    let event = match relay(attempt, &key, &call, trace.as_deref(), &shared).await {
-        Ok(()) => Event::Done(attempt),
+    let span = shared.span(trace.as_deref());
+    let (event, outcome) = match relay(attempt, &key, &call, span.context(), &shared).await {
+        Ok(()) => (Event::Done(attempt), "ok"),
         Err(error @ Error::Unstarted { .. }) => {
             tracing::debug!(%error, %attempt, "run refused by the endpoint");
-            Event::Unstarted(attempt)
+            (Event::Unstarted(attempt), "not-run")
         }
         Err(error @ Error::Failed { .. }) => {
             tracing::info!(%error, %attempt, "run failed");
-            Event::Failed(attempt)
+            (Event::Failed(attempt), "unknown")
         }
     };
     shared.state.step(event);
+    span.finish(outcome);
 }
 
 async fn relay<C: Clock>(
     attempt: Attempt,
     key: &str,
     call: &Call,
-    trace: Option<&str>,
+    parent: Context,
     shared: &Shared<C>,
 ) -> Result<(), Error> {
-    let mut answer = shared.engine.call(attempt, key, call, trace).await?;
+    let span = Span::child(
+        CALL_SPAN,
+        &parent,
+        &mut rand::rng(),
+        shared.state.clock().clone(),
+    );
+    let trace = span.context().to_string();
+    let mut answer = shared.engine.call(attempt, key, call, &trace).await?;
     while let Some(data) = answer.next().await? {
         shared.state.step(Event::Piece { attempt, data });
     }
+    span.finish("ok");
     Ok(())
 }
+
+impl<C: Clock> Shared<C> {
+    /// Starts the agent's span of a request, as a child of the entry's.
+    fn span(&self, header: Option<&str>) -> Span<C> {
+        let mut random = rand::rng();
+        let parent = Context::from_header(header, &mut random, false);
+        Span::child(SPAN, &parent, &mut random, self.state.clock().clone())
+    }
+}
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Returns the clock.
+    pub(crate) const fn clock(&self) -> &C {
+        &self.clock
+    }
+
     /// Takes a link from an entry on and returns its number.
     pub(crate) fn open(&self, sender: Sender<Body>) -> Link {
         let mut inner = self.lock();
--- /dev/null
+++ b/crates/cactusnotch/src/command.rs
@@ -0,0 +1,34 @@
+//! The commands.
+
+pub(crate) mod addresses;
+pub(crate) mod entry;
+pub(crate) mod settings;
+pub(crate) mod status;
+
+use std::time::Duration;
+
+use serde::de::DeserializeOwned;
+
+use crate::error::Error;
+
+/// How long an entry may take to answer an operator.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Reads JSON from an entry.
+pub(crate) fn fetch<T: DeserializeOwned>(url: &str) -> Result<T, Error> {
+    let agent = ureq::Agent::config_builder()
+        .timeout_global(Some(ANSWER_TIMEOUT))
+        .proxy(None)
+        .build()
+        .new_agent();
+    let fail = |error: ureq::Error| Error::new(format!("request to {url}"), error);
+    let mut response = agent.get(url).call().map_err(fail)?;
+    response.body_mut().read_json().map_err(fail)
+}
+
+/// Prints a value as indented JSON.
+pub(crate) fn print_json(value: &impl serde::Serialize) -> Result<(), Error> {
+    let text = serde_json::to_string_pretty(value).map_err(Error::at("rendering as JSON"))?;
+    println!("{text}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/cactusnotch/src/command/entry.rs
@@ -0,0 +1,182 @@
+//! `cactusnotch entry`: the process that callers connect to.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use cactusnotch_base::clock::System;
+use cactusnotch_base::name::{DataCentre, Process};
+use cactusnotch_base::{Clock, Table};
+use cactusnotch_entry::{self as server, Server};
+use cactusnotch_link::Role;
+use cactusnotch_node as node;
+use cactusnotch_options::{Common, checked, common};
+use cactusnotch_platform::http;
+use cactusnotch_telemetry::service;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::error::Error;
+
+/// How often the node is asked what is due.
+const TICK: Duration = Duration::from_millis(100);
+
+/// How long a call to the platform may take.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// What a first attempt earns, in thousandths of a retry.
+const RETRY_FRACTION: u32 = 100;
+
+/// The most retries that are stored.
+const RETRY_STORE: u32 = 20;
+
+/// How long a run goes on after its caller went away, if the caller can come
+/// back for the answer.
+const LINGER: Duration = Duration::from_secs(30);
+
+/// Settings of an entry.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(generate(entry_options))]
+pub(crate) struct Options {
+    #[bpaf(external)]
+    common: Common,
+    /// Name of the process, unique and the same after a restart; made from
+    /// the host's name if not given
+    #[bpaf(long, env("CACTUSNOTCH_PROCESS"), argument("NAME"), optional)]
+    process: Option<String>,
+    /// Address on which callers connect
+    #[bpaf(long, env("CACTUSNOTCH_LISTEN"), argument::<String>("IP:PORT"), parse(checked("listen")))]
+    listen: SocketAddr,
+    /// Address on which operators connect
+    #[bpaf(
+        long("operator-listen"),
+        env("CACTUSNOTCH_OPERATOR_LISTEN"),
+        argument::<String>("IP:PORT"),
+        parse(checked("operator-listen"))
+    )]
+    operator_listen: SocketAddr,
+    /// Address on which the system's other processes connect
+    #[bpaf(
+        long("peer-listen"),
+        env("CACTUSNOTCH_PEER_LISTEN"),
+        argument::<String>("IP:PORT"),
+        parse(checked("peer-listen"))
+    )]
+    peer_listen: SocketAddr,
+    /// Other data centres, the nearest first, separated by commas
+    #[bpaf(
+        long("data-centres-nearest"),
+        env("CACTUSNOTCH_DATA_CENTRES_NEAREST"),
+        argument::<String>("NAMES"),
+        optional
+    )]
+    nearest: Option<String>,
+    /// Largest body of a caller's request, in bytes
+    #[bpaf(
+        long("body-limit"),
+        env("CACTUSNOTCH_BODY_LIMIT"),
+        argument("BYTES"),
+        fallback(1 << 20),
+        display_fallback
+    )]
+    body_limit: usize,
+    /// How long a caller may take to send its request
+    #[bpaf(
+        long("receive-timeout"),
+        env("CACTUSNOTCH_RECEIVE_TIMEOUT"),
+        argument::<String>("TIME"),
+        parse(checked("receive-timeout")),
+        fallback(Duration::from_secs(10)),
+        debug_fallback
+    )]
+    receive_timeout: Duration,
+    /// Fraction of requests without a trace of their own whose spans are logged
+    #[bpaf(
+        long("trace-fraction"),
+        env("CACTUSNOTCH_TRACE_FRACTION"),
+        argument("0..1"),
+        guard(
+            is_fraction,
+            "--trace-fraction (CACTUSNOTCH_TRACE_FRACTION): allowed: 0 to 1"
+        ),
+        fallback(0.01),
+        display_fallback
+    )]
+    trace_fraction: f64,
+}
+
+fn is_fraction(value: &f64) -> bool {
+    (0.0..=1.0).contains(value)
+}
+
+/// Runs an entry until it is told to stop.
+pub(crate) fn run(options: Options) -> Result<(), Error> {
+    service::start(&options.common.logs.service()).map_err(Error::at("start of the process"))?;
+    let runtime = tokio::runtime::Runtime::new().map_err(Error::at("start of the runtime"))?;
+    runtime.block_on(serve(options))
+}
+
+async fn serve(options: Options) -> Result<(), Error> {
+    let server = Server::start(server_options(options), System)
+        .await
+        .map_err(Error::at("start of the entry"))?;
+    tracing::info!(
+        callers = %server.callers(),
+        operators = %server.operators(),
+        peers = %server.peers(),
+        "entry started"
+    );
+    let mut terminate =
+        signal(SignalKind::terminate()).map_err(Error::at("start of the signals"))?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    tracing::info!("entry told to stop");
+    server.stop().await;
+    tracing::info!("entry stopped");
+    Ok(())
+}
+
+fn server_options(options: Options) -> server::Options {
+    let common = &options.common;
+    let process = options
+        .process
+        .unwrap_or_else(|| format!("entry-{}", common.host));
+    let identity = common.identity(Process::new(process), Role::Entry, System.wall());
+    let others = options.nearest.unwrap_or_default();
+    let nearest = std::iter::once(common.data_centre.clone())
+        .chain(
+            others
+                .split(',')
+                .filter(|name| !name.is_empty())
+                .map(DataCentre::new),
+        )
+        .collect();
+    server::Options {
+        listen: options.listen,
+        operator_listen: options.operator_listen,
+        peer_listen: options.peer_listen,
+        region: common.region.clone(),
+        node: node::Options {
+            link: common.link(identity),
+            platform: http::Options {
+                base: common.platform.as_str().to_owned(),
+                timeout: PLATFORM_TIMEOUT,
+            },
+            spread: cactusnotch_spread::Options::default(),
+            seeds: Table::new(),
+            tick: TICK,
+        },
+        route: cactusnotch_route::Options {
+            nearest,
+            ..cactusnotch_route::Options::default()
+        },
+        attempt: cactusnotch_attempt::Options::default(),
+        retry_fraction: RETRY_FRACTION,
+        retry_store: RETRY_STORE,
+        body_limit: options.body_limit,
+        receive_timeout: options.receive_timeout,
+        trace_fraction: options.trace_fraction,
+        linger: LINGER,
+    }
+}
--- /dev/null
+++ b/crates/cactusnotch/src/command/status.rs
@@ -0,0 +1,17 @@
+//! `cactusnotch status`: what any entry sees of the system.
+
+use cactusnotch_entry::Status;
+
+use crate::command::{fetch, print_json};
+use crate::error::Error;
+use crate::options::Query;
+
+/// Prints the status as the entry sees it.
+pub(crate) fn run(query: &Query) -> Result<(), Error> {
+    let status: Status = fetch(&format!("http://{}/status", query.entry))?;
+    if query.json {
+        return print_json(&status);
+    }
+    print!("{status}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/cactusnotch/src/options.rs
@@ -0,0 +1,44 @@
+//! The command line.
+
+use std::net::SocketAddr;
+
+use bpaf::Bpaf;
+use cactusnotch_options::checked;
+
+use crate::command::entry::{self, entry_options};
+use crate::command::settings::{self, settings_options};
+
+/// Load balancer for expert-parallel model groups: the entry, and the
+/// operators' commands
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+pub(crate) enum Command {
+    /// Run an entry, to which callers connect
+    #[bpaf(command)]
+    Entry(#[bpaf(external(entry_options))] entry::Options),
+    /// Show the settings in force, endpoints, groups and drains
+    #[bpaf(command)]
+    Status(#[bpaf(external(query))] Query),
+    /// Show the addresses that callers may use
+    #[bpaf(command)]
+    Addresses(#[bpaf(external(query))] Query),
+    /// Read and edit the tree of settings
+    #[bpaf(command)]
+    Settings(#[bpaf(external(settings_options))] settings::Options),
+}
+
+/// A question to an entry.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct Query {
+    /// Operators' address of any entry; for `addresses` its callers' address
+    #[bpaf(
+        long,
+        env("CACTUSNOTCH_ENTRY"),
+        argument::<String>("IP:PORT"),
+        parse(checked("entry"))
+    )]
+    pub(crate) entry: SocketAddr,
+    /// Print JSON instead of a table
+    #[bpaf(long)]
+    pub(crate) json: bool,
+}
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -1,6 +1,7 @@
 //! Requests for completions, and calls to plain services.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use cactusnotch_attempt::{Order, Way};
@@ -12,11 +13,14 @@
 use cactusnotch_ledger::{Attempt, Identity};
 use cactusnotch_route::{Service, prefix};
 use cactusnotch_settings::resolved;
+use cactusnotch_spread::Standing;
+use cactusnotch_telemetry::trace::{Context, HEADER as TRACEPARENT, Span};
 use cactusnotch_wire::Call;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderMap};
 use hyper::{Request, Response, StatusCode};
+use rand::Rng;
 use serde::Deserialize;
 use uuid::Uuid;
 use xxhash_rust::xxh3::Xxh3;
@@ -39,8 +43,11 @@
 /// The header that names the last event that a caller has.
 const LAST_EVENT_ID: &str = "last-event-id";
 
-/// The header of the W3C trace context.
-const TRACEPARENT: &str = "traceparent";
+/// The name of the entry's span of a request.
+const SPAN: &str = "entry";
+
+/// When to come back to an entry that takes no work.
+const NOT_READY_RETRY: Duration = Duration::from_secs(1);
 
 /// The bytes of a prompt that make about one token.
 const BYTES_PER_TOKEN: usize = 4;
@@ -96,6 +103,7 @@
     path: String,
     payload: Bytes,
 ) -> Result<Response<Body>, Problem> {
+    admit(shared)?;
     let settings = shared.settings();
     let organisation = settings
         .organisation(manner.organisation.as_str())
@@ -115,13 +123,28 @@
         tokens: u32::try_from(call.payload.len() / BYTES_PER_TOKEN).unwrap_or(u32::MAX),
         prefix: prefix::blocks(seed, &call.payload),
         call,
-        trace: manner.trace,
+        span: span(shared, manner.trace.as_deref()),
     };
     let (output, response) = Output::new();
     tokio::spawn(drive::run(Arc::clone(shared), job, output));
     response.await.map_err(|_| lost())
 }
 
+/// Refuses work while the settings that the entry holds may be old ones.
+fn admit<C: Clock>(shared: &Shared<C>) -> Result<(), Problem> {
+    match shared.node.standing() {
+        Standing::Serving | Standing::Leaving => Ok(()),
+        Standing::Joining | Standing::Isolated | Standing::Superseded => Err(Problem::new(
+            "not-ready",
+            "The entry takes no work now",
+            StatusCode::SERVICE_UNAVAILABLE,
+            Outcome::NotRun,
+            "the entry cannot prove that it holds the newest settings",
+        )
+        .after(NOT_READY_RETRY)),
+    }
+}
+
 fn order<C: Clock>(
     shared: &Shared<C>,
     organisation: &resolved::Organisation,
@@ -138,7 +161,7 @@
         None => (Key::new(Uuid::new_v4().to_string()), Way::Private),
     };
     let linger = match way {
-        Way::Private => std::time::Duration::ZERO,
+        Way::Private => Duration::ZERO,
         Way::Claim | Way::Ticket(_) | Way::Resume(_) => shared.options.linger,
     };
     Order {
@@ -242,6 +265,19 @@
     hasher.digest()
 }
 
+/// Starts the entry's span, in the caller's trace if it named one.
+fn span<C: Clock>(shared: &Shared<C>, header: Option<&str>) -> Span<C> {
+    let mut random = rand::rng();
+    let clock = shared.clock.clone();
+    match header.and_then(|text| text.parse::<Context>().ok()) {
+        Some(parent) => Span::child(SPAN, &parent, &mut random, clock),
+        None => {
+            let is_sampled = random.random_bool(shared.options.trace_fraction);
+            Span::root(SPAN, Context::root(&mut random, is_sampled), clock)
+        }
+    }
+}
+
 fn unknown_organisation(name: &Organisation) -> Problem {
     Problem::new(
         "unknown-organisation",
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -11,6 +11,7 @@
 use cactusnotch_ledger::{Attempt, Reply, Request, Terms, message};
 use cactusnotch_route::attempt::End;
 use cactusnotch_route::{self as route, Service};
+use cactusnotch_telemetry::trace::Span;
 use cactusnotch_wire::{Body, Call, Dispatch};
 use tokio::sync::mpsc;
 use uuid::Uuid;
@@ -19,32 +20,37 @@
 use crate::output::Output;
 use crate::shared::Shared;
 
+/// What the span says of a request whose caller went away.
+const GONE: &str = "caller-gone";
+
 /// A request that is ready to be driven.
 #[derive(Debug)]
-pub(crate) struct Job {
+pub(crate) struct Job<C: Clock> {
     pub(crate) order: Order,
     pub(crate) service: Service,
     pub(crate) tokens: u32,
     pub(crate) prefix: Vec<u64>,
     pub(crate) call: Call,
-    pub(crate) trace: Option<String>,
+    pub(crate) span: Span<C>,
 }
 
 /// The request with its decision and its place in the entry's tables.
 #[derive(Debug)]
 struct Drive<C: Clock> {
     shared: Arc<Shared<C>>,
-    job: Job,
+    job: Job<C>,
     exchange: Exchange,
     sender: mpsc::Sender<Event>,
     conversation: Option<Attempt>,
     routed: Option<route::Attempt>,
     pieces: u32,
     output: Output,
+    /// How the request ended, for its span.
+    ended: &'static str,
 }
 
 /// Drives a request from its arrival to its end.
-pub(crate) async fn run<C: Clock>(shared: Arc<Shared<C>>, job: Job, output: Output) {
+pub(crate) async fn run<C: Clock>(shared: Arc<Shared<C>>, job: Job<C>, output: Output) {
     let now = shared.clock.now();
     let (exchange, commands) = Exchange::new(
         job.order.clone(),
@@ -62,6 +68,7 @@
         routed: None,
         pieces: 0,
         output,
+        ended: GONE,
     };
     drive.carry_out(commands).await;
     while let Some(wake) = drive.exchange.wake() {
@@ -75,6 +82,7 @@
     }
     drive.finish_route(End::Withdrawn);
     drive.hang_up();
+    drive.job.span.finish(drive.ended);
 }
 
 impl<C: Clock> Drive<C> {
@@ -160,7 +168,7 @@
         let body = Body::Dispatch(Box::new(Dispatch {
             request,
             call,
-            trace: self.job.trace.clone(),
+            trace: Some(self.job.span.context().to_string()),
         }));
         if self.shared.agents.send(endpoint, &body) {
             return None;
@@ -201,6 +209,10 @@
     }
 
     async fn finish(&mut self, answer: Answer) {
+        self.ended = match &answer {
+            Answer::Whole { .. } => "ok",
+            Answer::Refused { outcome, .. } => label(*outcome),
+        };
         let end = match &answer {
             Answer::Whole { .. } => End::Answered {
                 pieces: self.pieces,
@@ -227,3 +239,10 @@
         reason: message::Reason::Unstarted,
     }
 }
+
+fn label(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::NotRun => "not-run",
+        Outcome::Unknown => "unknown",
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,7 +23,9 @@
 mod roster;
 mod server;
 mod shared;
+mod status;
+mod stopping;
 
-pub use operator::{Seen, Status};
 pub use options::Options;
 pub use server::{Error, Server};
+pub use status::{Lagging, Seen, Status};
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -4,40 +4,10 @@
 use std::time::Duration;
 
 use cactusnotch_base::Clock;
-use cactusnotch_base::name::{DataCentre, Endpoint, Process};
-use cactusnotch_base::number::{Incarnation, Revision};
 use rouille::{Request, Response};
-use serde::{Deserialize, Serialize};
 
 use crate::shared::Shared;
-
-/// What an entry tells operators of itself and of what it sees.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Status {
-    /// The entry.
-    pub process: Process,
-    /// Its data centre.
-    pub data_centre: DataCentre,
-    /// Its incarnation.
-    pub incarnation: Incarnation,
-    /// The revision in force at this entry.
-    pub revision: Revision,
-    /// The endpoints that it knows.
-    pub endpoints: Vec<Seen>,
-}
-
-/// What an entry sees of an endpoint.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Seen {
-    /// The endpoint.
-    pub endpoint: Endpoint,
-    /// Whether it takes new work: `serving`, `leaving` or `unreachable`.
-    pub state: String,
-    /// The entry's own requests at the endpoint.
-    pub requests: u32,
-    /// How long ago its agent was heard of, in milliseconds.
-    pub heard_ms: Option<u64>,
-}
+use crate::status::{Lagging, Seen, Status};
 
 /// Answers one call of an operator.
 pub(crate) fn answer<C: Clock>(shared: &Arc<Shared<C>>, request: &Request) -> Response {
@@ -49,9 +19,26 @@
 
 fn status<C: Clock>(shared: &Shared<C>) -> Status {
     let identity = &shared.options.node.link.identity;
+    let spread = shared.node.status();
+    Status {
+        process: identity.process.clone(),
+        data_centre: identity.data_centre.clone(),
+        incarnation: identity.incarnation,
+        standing: format!("{:?}", spread.standing).to_lowercase(),
+        revision: shared.node.view().revision,
+        newest: spread.newest.0.into(),
+        in_force: spread.in_force.0.into(),
+        lacking: spread.lacking,
+        lagging: spread.laggards.iter().map(Lagging::from).collect(),
+        connections: shared.stopping.connections(),
+        endpoints: endpoints(shared),
+    }
+}
+
+fn endpoints<C: Clock>(shared: &Shared<C>) -> Vec<Seen> {
     let heard = shared.agents.heard(shared.clock.now());
     let router = shared.router();
-    let endpoints = heard
+    heard
         .into_iter()
         .map(|(endpoint, ago)| Seen {
             state: router.state(&endpoint).unwrap_or_default().to_string(),
@@ -59,14 +46,7 @@
             heard_ms: ago.map(milliseconds),
             endpoint,
         })
-        .collect();
-    Status {
-        process: identity.process.clone(),
-        data_centre: identity.data_centre.clone(),
-        incarnation: identity.incarnation,
-        revision: shared.node.view().revision,
-        endpoints,
-    }
+        .collect()
 }
 
 fn milliseconds(time: Duration) -> u64 {
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -34,6 +34,9 @@
     pub body_limit: usize,
     /// How long a caller may take to send its request.
     pub receive_timeout: Duration,
+    /// The fraction of requests without a trace of their own whose spans are
+    /// written.
+    pub trace_fraction: f64,
     /// How long a run goes on after its caller went away, if the caller can
     /// come back for the answer.
     pub linger: Duration,
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -17,7 +17,7 @@
 use tokio::task::JoinHandle;
 
 use crate::shared::Shared;
-use crate::{Options, caller, operator, peers, roster};
+use crate::{Options, caller, operator, peers, roster, stopping};
 
 /// How long a caller may take to send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -52,20 +52,22 @@
 
 /// An entry that runs.
 #[derive(Debug)]
-pub struct Server {
+pub struct Server<C: Clock> {
+    shared: Arc<Shared<C>>,
     callers: SocketAddr,
     operators: SocketAddr,
+    peers: SocketAddr,
     tasks: Vec<JoinHandle<()>>,
     stop: Arc<AtomicBool>,
 }
 
-impl Server {
+impl<C: Clock> Server<C> {
     /// Starts an entry on the current tokio runtime.
     ///
     /// # Errors
     ///
     /// Fails if one of the ports cannot be opened.
-    pub async fn start<C: Clock>(options: Options, clock: C) -> Result<Self, Error> {
+    pub async fn start(options: Options, clock: C) -> Result<Self, Error> {
         let listener = TcpListener::bind(options.listen)
             .await
             .map_err(|error| listen("callers'", options.listen, error))?;
@@ -75,7 +77,8 @@
         let peers = Listener::bind(options.peer_listen, options.node.link.clone())
             .await
             .map_err(|error| listen("peers'", options.peer_listen, error))?;
-        let record = record(&options, peers.address(), callers);
+        let peer_address = peers.address();
+        let record = record(&options, peer_address, callers);
         let node = Node::start(options.node.clone(), record, clock.clone());
         let shared = Arc::new(Shared::new(options, node, clock));
         let stop = Arc::new(AtomicBool::new(false));
@@ -83,11 +86,13 @@
         let tasks = vec![
             tokio::spawn(serve_callers(listener, Arc::clone(&shared))),
             tokio::spawn(peers::accept(peers, Arc::clone(&shared))),
-            tokio::spawn(roster::follow(shared)),
+            tokio::spawn(roster::follow(Arc::clone(&shared))),
         ];
         Ok(Self {
+            shared,
             callers,
             operators,
+            peers: peer_address,
             tasks,
             stop,
         })
@@ -104,9 +109,21 @@
     pub const fn operators(&self) -> SocketAddr {
         self.operators
     }
+
+    /// Returns the address on which the entry takes links of peers.
+    #[must_use]
+    pub const fn peers(&self) -> SocketAddr {
+        self.peers
+    }
+
+    /// Stops the entry without cutting a request off. It takes at least the
+    /// lifetime of callers' addresses.
+    pub async fn stop(&self) {
+        stopping::stop(Arc::clone(&self.shared)).await;
+    }
 }
 
-impl Drop for Server {
+impl<C: Clock> Drop for Server<C> {
     fn drop(&mut self) {
         self.stop.store(true, Ordering::Relaxed);
         for task in &self.tasks {
@@ -177,13 +194,22 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    let held = Arc::clone(&shared);
     let service = service_fn(move |request| caller::answer(Arc::clone(&shared), request));
-    let served = http1::Builder::new()
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .max_buf_size(HEAD_LIMIT)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+        .serve_connection(TokioIo::new(stream), service);
+    let _counted = held.stopping.enter();
+    let mut connection = std::pin::pin!(connection);
+    let served = tokio::select! {
+        served = connection.as_mut() => served,
+        () = held.stopping.closing() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
     if let Err(error) = served {
         metrics::counter!("cactusnotch_entry_connections_broken_total").increment(1);
         tracing::debug!(%error, ?peer, "caller's connection broke");
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -12,6 +12,7 @@
 use crate::agents::Agents;
 use crate::claims::Claims;
 use crate::mailbox::Mailboxes;
+use crate::stopping::Stopping;
 
 /// What the tasks of an entry share. Locks are held for one decision and
 /// never across a wait.
@@ -23,6 +24,7 @@
     pub(crate) mailboxes: Mailboxes,
     pub(crate) claims: Claims,
     pub(crate) node: Node<C>,
+    pub(crate) stopping: Stopping,
     router: Mutex<Router>,
     budget: Mutex<Budget>,
 }
@@ -35,6 +37,7 @@
             mailboxes: Mailboxes::default(),
             claims: Claims::new(&options),
             node,
+            stopping: Stopping::default(),
             router: Mutex::new(Router::new(options.route.clone())),
             budget: Mutex::new(Budget::new(options.retry_fraction, options.retry_store)),
             options,
--- /dev/null
+++ b/crates/entry/src/status.rs
@@ -0,0 +1,116 @@
+//! What an entry tells operators.
+
+use std::fmt;
+
+use cactusnotch_base::name::{DataCentre, Endpoint, Process};
+use cactusnotch_base::number::{Incarnation, Revision};
+use cactusnotch_derive::message;
+use cactusnotch_spread::{Laggard, Place};
+
+/// What an entry tells operators of itself and of what it sees. It shows as
+/// tables of text and serializes for machines.
+#[message]
+#[derive(Eq)]
+pub struct Status {
+    /// The entry.
+    pub process: Process,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Whether it takes new work: `serving`, or why not.
+    pub standing: String,
+    /// The revision in force at this entry.
+    pub revision: Revision,
+    /// The newest accepted revision that it has heard of.
+    pub newest: Revision,
+    /// The newest revision that is in force in every process on the roster.
+    pub in_force: Revision,
+    /// How many processes and data centres lack the newest revision.
+    pub lacking: u32,
+    /// The first of them.
+    pub lagging: Vec<Lagging>,
+    /// The callers' connections to this entry.
+    pub connections: usize,
+    /// The endpoints that it knows.
+    pub endpoints: Vec<Seen>,
+}
+
+/// A process or data centre that lacks the newest revision.
+#[message]
+#[derive(Eq)]
+pub struct Lagging {
+    /// The process or the data centre.
+    pub name: String,
+    /// The newest revision that it was heard to hold.
+    pub revision: Revision,
+    /// For how long it has lacked the newest one, in milliseconds.
+    pub for_ms: u64,
+}
+
+/// What an entry sees of an endpoint.
+#[message]
+#[derive(Eq)]
+pub struct Seen {
+    /// The endpoint.
+    pub endpoint: Endpoint,
+    /// Whether it takes new work: `serving`, `leaving` or `unreachable`.
+    pub state: String,
+    /// The entry's own requests at the endpoint.
+    pub requests: u32,
+    /// How long ago its agent was heard of, in milliseconds.
+    pub heard_ms: Option<u64>,
+}
+
+impl From<&Laggard> for Lagging {
+    fn from(laggard: &Laggard) -> Self {
+        Self {
+            name: match &laggard.place {
+                Place::Process(process) => process.to_string(),
+                Place::DataCentre(data_centre) => format!("data centre {data_centre}"),
+            },
+            revision: laggard.held.0.into(),
+            for_ms: laggard.for_ms,
+        }
+    }
+}
+
+impl fmt::Display for Status {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{} in {}, incarnation {}: {}, {} connections",
+            self.process, self.data_centre, self.incarnation, self.standing, self.connections
+        )?;
+        writeln!(
+            f,
+            "settings: revision {} here, {} accepted, {} in force everywhere",
+            self.revision, self.newest, self.in_force
+        )?;
+        if self.lacking > 0 {
+            writeln!(f, "lacking the newest revision: {}", self.lacking)?;
+        }
+        for row in &self.lagging {
+            let seconds = row.for_ms / 1000;
+            writeln!(f, "  {} holds {} (for {seconds} s)", row.name, row.revision)?;
+        }
+        writeln!(
+            f,
+            "{:<24} {:<12} {:>8} HEARD",
+            "ENDPOINT", "STATE", "REQUESTS"
+        )?;
+        for row in &self.endpoints {
+            let heard = row
+                .heard_ms
+                .map_or_else(|| "never".to_owned(), |ms| format!("{ms} ms ago"));
+            writeln!(
+                f,
+                "{:<24} {:<12} {:>8} {heard}",
+                row.endpoint.as_str(),
+                row.state,
+                row.requests
+            )?;
+        }
+        Ok(())
+    }
+}
--- a/crates/lab/src/cluster.rs
+++ b/crates/lab/src/cluster.rs
@@ -59,7 +59,7 @@
     /// The agents, one beside each engine.
     pub agents: Vec<agent::Server<System>>,
     /// The entries.
-    pub entries: Vec<entry::Server>,
+    pub entries: Vec<entry::Server<System>>,
     data_centres: usize,
 }
 
@@ -136,6 +136,7 @@
             retry_store: 10,
             body_limit: 1 << 20,
             receive_timeout: Duration::from_secs(10),
+            trace_fraction: 0.0,
             linger: Duration::from_secs(10),
         };
         let entry = entry::Server::start(options, System)
--- a/crates/options/src/logs.rs
+++ b/crates/options/src/logs.rs
@@ -5,6 +5,7 @@
 
 use bpaf::Bpaf;
 use cactusnotch_telemetry::log::{self, Format};
+use cactusnotch_telemetry::service;
 use tracing::level_filters::LevelFilter;
 
 use crate::checked;
@@ -57,12 +58,16 @@
 const COUNTERS_INTERVAL: Duration = Duration::from_secs(10);
 
 impl Logs {
-    /// Returns the options of the log.
+    /// Returns the options of the log and of the metrics.
     #[must_use]
-    pub const fn log(&self) -> log::Options {
-        log::Options {
-            format: self.format,
-            level: self.level,
+    pub const fn service(&self) -> service::Options {
+        service::Options {
+            log: log::Options {
+                format: self.format,
+                level: self.level,
+            },
+            metrics_listen: self.metrics_listen,
+            counters_interval: self.counters_interval,
         }
     }
 }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod log;
 pub mod metric;
 mod process;
+pub mod service;
 pub mod trace;
 
 pub use exporter::Exporter;
