feat: give the engine's orders the form of cactusnotch-order

Cause: the sender of orders settles by the state it reads back, with work underway and failed, which the first form of the state could not tell. Loads now take a time, and versions can be named that never load. Ruled out: a form of its own, which each driver would have to translate. Conclusion: POST and GET /orders answer as cactusnotch_order::Answer.

--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -14,13 +14,17 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use cactusnotch_base::name::Model;
+use cactusnotch_order::Answer;
+use cactusnotch_order::model::State;
 
 pub use answer::answer;
 pub use cache::{BLOCK, Change, Event, blocks};
 pub use chat::{DEFAULT_MAX_TOKENS, Message, prompt};
 pub use load::Load;
-pub use order::{Command, Fencing, Order, Served};
+pub use order::{Command, Fencing};
 pub use run::{End, Run};
 
 use self::core::Core;
@@ -52,10 +56,15 @@
     pub event_lag: Duration,
     /// The probability that a cache event is lost.
     pub event_loss: f64,
+    /// The time to load a version or an adapter.
+    pub load_time: Duration,
+    /// The versions and adapters that cannot be loaded.
+    pub broken: Vec<String>,
     /// Whether orders with an old fencing number are refused.
     pub fencing: Fencing,
-    /// The models that are loaded at the start, sorted.
-    pub models: Vec<String>,
+    /// The models that are loaded at the start, with the version of each,
+    /// sorted.
+    pub models: Vec<(Model, String)>,
     /// Whether a request for a model that is not loaded is refused.
     pub strict_models: bool,
     /// The seed of what is random: which cache events are lost.
@@ -76,6 +85,8 @@
             load_lag: Duration::from_millis(100),
             event_lag: Duration::from_millis(100),
             event_loss: 0.02,
+            load_time: Duration::from_millis(20),
+            broken: Vec::new(),
             fencing: Fencing::Checked,
             models: Vec::new(),
             strict_models: false,
@@ -137,8 +148,8 @@
 
     /// Returns what the orders have left.
     #[must_use]
-    pub fn served(&self) -> Served {
-        lock(&self.core.served).clone()
+    pub fn served(&self) -> Answer<State> {
+        lock(&self.core.served).read(Instant::now())
     }
 
     /// Returns all runs, in the order in which they entered the queue.
--- a/crates/standins/src/engine/call.rs
+++ b/crates/standins/src/engine/call.rs
@@ -38,7 +38,7 @@
             &lock(&core.batch).reports.read(Instant::now()),
         ),
         (&Method::GET, "/events") => events(&core, &request),
-        (&Method::GET, "/orders") => json(StatusCode::OK, &*lock(&core.served)),
+        (&Method::GET, "/orders") => json(StatusCode::OK, &lock(&core.served).read(Instant::now())),
         (&Method::POST, "/orders") => order(&core, request).await,
         _ => refusal(StatusCode::NOT_FOUND, "no such path"),
     };
@@ -102,8 +102,7 @@
 }
 
 fn serves(core: &Core, model: &str) -> bool {
-    let served = lock(&core.served);
-    !core.options.strict_models || served.models.iter().any(|other| other == model)
+    !core.options.strict_models || lock(&core.served).serves(model, Instant::now())
 }
 
 fn events(core: &Core, request: &Request<Incoming>) -> Reply {
@@ -122,13 +121,8 @@
         Ok(command) => command,
         Err(reply) => return *reply,
     };
-    let mut served = lock(&core.served);
-    let status = if served.apply(command, core.options.fencing) {
-        StatusCode::OK
-    } else {
-        StatusCode::CONFLICT
-    };
-    json(status, &*served)
+    let answer = lock(&core.served).apply(command, Instant::now());
+    json(web::status(answer.reply), &answer)
 }
 
 async fn read<T: DeserializeOwned>(request: Request<Incoming>) -> Result<T, Box<Reply>> {
--- a/crates/standins/src/engine/core.rs
+++ b/crates/standins/src/engine/core.rs
@@ -36,14 +36,10 @@
             slowness: 1.0,
             frozen: false,
         };
-        let served = Served {
-            models: options.models.clone(),
-            ..Served::default()
-        };
         Self {
             options: options.clone(),
             batch: Mutex::new(Batch::new(options, Instant::now())),
-            served: Mutex::new(served),
+            served: Mutex::new(Served::new(options)),
             pace: watch::channel(pace).0,
             arrived: Notify::new(),
         }
--- a/crates/standins/src/engine/order.rs
+++ b/crates/standins/src/engine/order.rs
@@ -1,7 +1,14 @@
 //! Orders to an engine, and whether it checks who gives them.
 
+use std::time::{Duration, Instant};
+
+use cactusnotch_base::name::Model;
 use cactusnotch_base::number::Fence;
 use cactusnotch_derive::message;
+use cactusnotch_order::model::{Role, State, Wish};
+use cactusnotch_order::{Answer, Reply};
+
+use super::Options;
 
 /// What an engine does about fencing numbers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -13,72 +20,137 @@
     Ignored,
 }
 
-/// An order to change what an engine serves. Repeating one changes nothing.
-#[message]
-#[derive(Eq)]
-#[serde(rename_all = "snake_case")]
-pub enum Order {
-    /// Load a model.
-    LoadModel(String),
-    /// Unload a model.
-    UnloadModel(String),
-    /// Load an adapter.
-    LoadAdapter(String),
-    /// Unload an adapter.
-    UnloadAdapter(String),
-    /// Serve this version of the weights.
-    Version(String),
-    /// Take this role, such as `prefill` or `decode`.
-    Role(String),
-}
-
 /// An order as it is sent.
 #[message]
 #[derive(Eq)]
 pub struct Command {
     /// The fencing number of the sender.
     pub fence: Fence,
-    /// The order.
-    pub order: Order,
+    /// What the engine shall hold or be. Repeating an order changes nothing.
+    #[serde(alias = "wanted")]
+    pub order: Wish,
 }
 
 /// What an engine serves, as the orders have left it.
-#[message]
-#[derive(Default, Eq)]
-pub struct Served {
-    /// The fencing number of the last order carried out.
-    pub fence: Fence,
-    /// The models, sorted.
-    pub models: Vec<String>,
-    /// The adapters, sorted.
-    pub adapters: Vec<String>,
-    /// The version of the weights.
-    pub version: String,
-    /// The role.
-    pub role: String,
+#[derive(Debug)]
+pub(crate) struct Served {
+    fence: Fence,
+    state: State,
+    /// When the work underway is done, in the order of [`State::underway`].
+    due: Vec<Instant>,
+    fencing: Fencing,
+    load_time: Duration,
+    broken: Vec<String>,
 }
 
 impl Served {
-    /// Carries out `command`, and tells whether it was accepted.
-    pub(crate) fn apply(&mut self, command: Command, fencing: Fencing) -> bool {
-        if fencing == Fencing::Checked && command.fence < self.fence {
-            return false;
+    pub(crate) fn new(options: &Options) -> Self {
+        Self {
+            fence: Fence(0),
+            state: State {
+                versions: options.models.clone(),
+                adapters: Vec::new(),
+                role: Role::Mixed,
+                underway: Vec::new(),
+                failed: Vec::new(),
+            },
+            due: Vec::new(),
+            fencing: options.fencing,
+            load_time: options.load_time,
+            broken: options.broken.clone(),
+        }
+    }
+
+    /// Returns the answer to a read.
+    pub(crate) fn read(&mut self, now: Instant) -> Answer<State> {
+        self.settle(now);
+        self.answer(self.fence, Reply::Taken)
+    }
+
+    /// Tells whether a version of `model` is loaded.
+    pub(crate) fn serves(&mut self, model: &str, now: Instant) -> bool {
+        self.settle(now);
+        let mut models = self.state.versions.iter();
+        models.any(|(loaded, _)| loaded.as_str() == model)
+    }
+
+    /// Takes an order, which changes nothing if it is repeated.
+    pub(crate) fn apply(&mut self, command: Command, now: Instant) -> Answer<State> {
+        self.settle(now);
+        if self.fencing == Fencing::Checked && command.fence < self.fence {
+            return self.answer(command.fence, Reply::Fenced);
         }
         self.fence = command.fence;
-        match command.order {
-            Order::LoadModel(name) => insert(&mut self.models, name),
-            Order::UnloadModel(name) => self.models.retain(|other| *other != name),
-            Order::LoadAdapter(name) => insert(&mut self.adapters, name),
-            Order::UnloadAdapter(name) => self.adapters.retain(|other| *other != name),
-            Order::Version(version) => self.version = version,
-            Order::Role(role) => self.role = role,
+        self.begin(command.order, now);
+        self.settle(now);
+        self.answer(command.fence, Reply::Taken)
+    }
+
+    fn answer(&self, fence: Fence, reply: Reply) -> Answer<State> {
+        Answer {
+            fence,
+            reply,
+            state: self.state.clone(),
+        }
+    }
+
+    fn begin(&mut self, wish: Wish, now: Instant) {
+        if self.state.underway.contains(&wish) || self.has(&wish) {
+            return;
+        }
+        self.state.failed.retain(|failed| *failed != wish);
+        let time = match wish {
+            Wish::Version { .. } | Wish::Adapter { .. } => self.load_time,
+            Wish::NoAdapter { .. } | Wish::Role(_) => Duration::ZERO,
+        };
+        self.state.underway.push(wish);
+        self.due.push(now + time);
+    }
+
+    fn has(&self, wish: &Wish) -> bool {
+        let has = |list: &[(Model, String)], model: &Model, name: &String| {
+            list.iter().any(|(own, text)| own == model && text == name)
+        };
+        match wish {
+            Wish::Version { model, version } => has(&self.state.versions, model, version),
+            Wish::Adapter { model, adapter } => has(&self.state.adapters, model, adapter),
+            Wish::NoAdapter { .. } | Wish::Role(_) => false,
+        }
+    }
+
+    /// Ends the work whose time has come.
+    fn settle(&mut self, now: Instant) {
+        while let Some(at) = self.due.iter().position(|due| *due <= now) {
+            self.due.remove(at);
+            let wish = self.state.underway.remove(at);
+            self.end(wish);
+        }
+    }
+
+    fn end(&mut self, wish: Wish) {
+        let state = &mut self.state;
+        match &wish {
+            Wish::Version { version: name, .. } | Wish::Adapter { adapter: name, .. }
+                if self.broken.contains(name) =>
+            {
+                state.failed.push(wish);
+            }
+            Wish::Version { model, version } => {
+                state.versions.retain(|(loaded, _)| loaded != model);
+                insert(&mut state.versions, model, version);
+            }
+            Wish::Adapter { model, adapter } => insert(&mut state.adapters, model, adapter),
+            Wish::NoAdapter { model, adapter } => state
+                .adapters
+                .retain(|(own, name)| own != model || name != adapter),
+            Wish::Role(role) => state.role = *role,
         }
-        true
     }
 }
 
-fn insert(names: &mut Vec<String>, name: String) {
-    if let Err(at) = names.binary_search(&name) {
-        names.insert(at, name);
+fn insert(list: &mut Vec<(Model, String)>, model: &Model, name: &str) {
+    let row = (model.clone(), name.to_owned());
+    if let Err(at) = list.binary_search(&row) {
+        list.insert(at, row);
     }
 }
--- a/crates/standins/src/ranks/call.rs
+++ b/crates/standins/src/ranks/call.rs
@@ -4,7 +4,6 @@
 use std::time::Instant;
 
 use cactusnotch_base::number::Sequence;
-use cactusnotch_order::Reply;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::{Method, Request, Response, StatusCode};
@@ -60,14 +59,5 @@
     };
     let answer = lock(&core.state).members[rank].memory.apply(command);
     core.changed.notify_all();
-    json(status(answer.reply), &answer)
-}
-
-/// Returns the status of an answer to an order.
-pub(crate) const fn status(reply: Reply) -> StatusCode {
-    match reply {
-        Reply::Taken => StatusCode::OK,
-        Reply::Refused => StatusCode::UNPROCESSABLE_ENTITY,
-        Reply::Fenced => StatusCode::CONFLICT,
-    }
+    json(web::status(answer.reply), &answer)
 }
--- a/crates/standins/src/web.rs
+++ b/crates/standins/src/web.rs
@@ -19,7 +19,7 @@
 use tokio::runtime::{Builder, Handle};
 use tokio::sync::{oneshot, watch};
 
-pub(crate) use reply::{bytes, header, json, parse, query, refusal};
+pub(crate) use reply::{bytes, header, json, parse, query, refusal, status};
 
 /// Tells the server to break off the connection in place of an answer.
 #[derive(Debug, Display, Error)]
--- a/crates/standins/src/web/reply.rs
+++ b/crates/standins/src/web/reply.rs
@@ -1,5 +1,6 @@
 //! Reading requests and making answers.
 
+use cactusnotch_order::Reply;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -66,3 +67,12 @@
 pub(crate) fn refusal<B: From<Bytes>>(status: StatusCode, detail: &str) -> Response<B> {
     json(status, &json!({ "detail": detail }))
 }
+
+/// Returns the status of an answer to an order.
+pub(crate) const fn status(reply: Reply) -> StatusCode {
+    match reply {
+        Reply::Taken => StatusCode::OK,
+        Reply::Refused => StatusCode::UNPROCESSABLE_ENTITY,
+        Reply::Fenced => StatusCode::CONFLICT,
+    }
+}
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -3,6 +3,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
 use std::thread;
+use std::time::Duration;
 
 use cactusnotch_standins::engine::{self, End, Engine, Fencing, Load, Options};
 use serde_json::{Value, json};
@@ -152,8 +153,8 @@
 fn the_cache_is_bounded_and_tells_events_with_gaps() {
     let options = Options {
         cache_tokens: 4 * engine::BLOCK,
-        event_lag: std::time::Duration::ZERO,
-        load_lag: std::time::Duration::ZERO,
+        event_lag: Duration::ZERO,
+        load_lag: Duration::ZERO,
         event_loss: 0.3,
         seed: 7,
         ..Options::default()
@@ -179,10 +180,11 @@
 
 #[test]
 fn fencing_is_checked_or_ignored() {
-    for (fencing, status, role) in [
+    let cases = [
         (Fencing::Checked, 409, "prefill"),
         (Fencing::Ignored, 200, "decode"),
-    ] {
+    ];
+    for (fencing, status, role) in cases {
         let options = Options {
             fencing,
             ..Options::default()
@@ -192,10 +194,31 @@
         assert_eq!(post(&engine, "/orders", &new).status(), 200);
         let old = json!({"fence": 3, "order": {"role": "decode"}});
         assert_eq!(post(&engine, "/orders", &old).status(), status);
-        assert_eq!(get(&engine, "/orders")["role"], role);
+        assert_eq!(get(&engine, "/orders")["state"]["role"], role);
     }
 }
 
+#[test]
+fn a_model_serves_once_its_version_is_loaded() {
+    let options = Options {
+        strict_models: true,
+        load_time: Duration::ZERO,
+        broken: vec!["v2".to_owned()],
+        ..Options::default()
+    };
+    let engine = Engine::start(&options).unwrap();
+    let body = completion("x", 1);
+    assert_eq!(post(&engine, "/v1/completions", &body).status(), 404);
+    let order = |version: &str| json!({"fence": 1, "order": {"version": {"model": "m", "version": version}}});
+    for version in ["v1", "v1", "v2"] {
+        assert_eq!(post(&engine, "/orders", &order(version)).status(), 200);
+    }
+    let state = engine.served().state;
+    assert_eq!(state.versions, [("m".into(), "v1".to_owned())]);
+    assert_eq!((state.failed.len(), state.underway.len()), (1, 0));
+    assert_eq!(post(&engine, "/v1/completions", &body).status(), 200);
+}
+
 #[test]
 fn a_frozen_engine_keeps_connections_and_goes_on() {
     let engine = Engine::start(&Options::default()).unwrap();
