feat: add stand-ins of a plain service and of the list of hosts

Cause: calls that must not be repeated, and host lists that lag, have to be met by tests. Conclusion: runs and orders are counted by key; the list tells the state of a lag ago, by the same code as the engine's load report.

--- a/crates/standins/src/engine/batch.rs
+++ b/crates/standins/src/engine/batch.rs
@@ -8,8 +8,9 @@
 use super::Options;
 use super::answer;
 use super::cache::{self, Cache};
-use super::load::{Load, Reports};
+use super::load::Load;
 use super::run::{End, Log};
+use crate::past::Past;
 
 /// One request as it enters the queue.
 #[derive(Debug)]
@@ -46,7 +47,7 @@
     waiting: Vec<Waiting>,
     running: Vec<Running>,
     pub(crate) cache: Cache,
-    pub(crate) reports: Reports,
+    pub(crate) reports: Past<Load>,
     pub(crate) log: Log,
 }
 
@@ -61,7 +62,7 @@
             waiting: Vec::new(),
             running: Vec::new(),
             cache: Cache::new(options.cache_tokens, options.event_loss, options.seed),
-            reports: Reports::new(options.load_lag, load, now),
+            reports: Past::new(options.load_lag, load, now),
             log: Log::default(),
         }
     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,9 +7,12 @@
 #![forbid(unsafe_code)]
 
 pub mod engine;
+pub mod hosts;
 pub mod objects;
 pub mod ranks;
+pub mod service;
 pub mod weights;
 
+mod past;
 mod sync;
 mod web;
