feat: add the fault-injecting proxy

Cause: promises have to be tried with late, lost, cut and half-open connections between real processes. Conclusion: the thread of a listener is shared with the HTTP server.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,10 +9,12 @@
 pub mod engine;
 pub mod hosts;
 pub mod objects;
+pub mod proxy;
 pub mod ranks;
 pub mod service;
 pub mod weights;
 
 mod past;
+mod runner;
 mod sync;
 mod web;
--- a/crates/standins/src/web.rs
+++ b/crates/standins/src/web.rs
@@ -7,7 +7,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread::{self, JoinHandle};
 
 use derive_more::{Display, Error};
 use hyper::body::{Body, Bytes, Incoming};
@@ -16,8 +15,9 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::runtime::{Builder, Handle};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::watch;
+
+use crate::runner::Runner;
 
 pub(crate) use reply::{bytes, header, json, parse, query, refusal, status};
 
@@ -29,11 +29,8 @@
 /// A server that stops and breaks off its connections when it is dropped.
 #[derive(Debug)]
 pub(crate) struct Server {
-    address: SocketAddr,
-    handle: Handle,
-    stop: Option<oneshot::Sender<()>>,
+    runner: Runner,
     refusing: watch::Sender<bool>,
-    thread: Option<JoinHandle<()>>,
 }
 
 impl Server {
@@ -44,37 +41,16 @@
         R: Future<Output = Result<Response<B>, Lost>> + Send + 'static,
         B: Body<Data = Bytes, Error = Infallible> + Send + 'static,
     {
-        let listener = std::net::TcpListener::bind(address)?;
-        listener.set_nonblocking(true)?;
-        let address = listener.local_addr()?;
-        let runtime = Builder::new_current_thread().enable_all().build()?;
-        let handle = runtime.handle().clone();
-        let listener = {
-            let _entered = handle.enter();
-            TcpListener::from_std(listener)?
-        };
-        let (stop, stopped) = oneshot::channel();
         let (refusing, refused) = watch::channel(false);
-        let thread = thread::spawn(move || {
-            runtime.block_on(async {
-                tokio::select! {
-                    _ = stopped => {}
-                    () = accept(listener, refused, Arc::new(handler)) => {}
-                }
-            });
-        });
-        Ok(Self {
-            address,
-            handle,
-            stop: Some(stop),
-            refusing,
-            thread: Some(thread),
-        })
+        let runner = Runner::start(address, |listener| {
+            accept(listener, refused, Arc::new(handler))
+        })?;
+        Ok(Self { runner, refusing })
     }
 
     /// Returns the address that the server listens on.
     pub(crate) const fn address(&self) -> SocketAddr {
-        self.address
+        self.runner.address()
     }
 
     /// Breaks off all connections, and each new one as soon as it is made,
@@ -85,16 +61,7 @@
 
     /// Runs `task` on the server's thread.
     pub(crate) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
-        self.handle.spawn(task);
-    }
-}
-
-impl Drop for Server {
-    fn drop(&mut self) {
-        drop(self.stop.take());
-        if let Some(thread) = self.thread.take() {
-            drop(thread.join());
-        }
+        self.runner.spawn(task);
     }
 }
 
