test: bound the waits of the stand-ins' tests

Cause: a test whose mechanism is broken could wait for ever, and a watch that was never woken still told its change when its time ran out, so that the test of waking passed late. A watch that runs out now tells only what it was woken for. Ruled out: asserting on elapsed time. Conclusion: a wait fails after 30 s.

--- a/crates/standins/src/objects/call.rs
+++ b/crates/standins/src/objects/call.rs
@@ -230,7 +230,7 @@
     }
 
     fn changes(&self, due: bool, state: &State) -> Changes {
-        if due || self.seen == 0 {
+        if due || !state.store.has_changed(self.kind, self.after) {
             return state.store.changes(self.kind, self.after);
         }
         Changes {
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -1,17 +1,20 @@
 //! The engine through HTTP, as an agent meets it.
 
+mod wait;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
-use std::thread;
 use std::time::Duration;
 
 use cactusnotch_standins::engine::{self, End, Engine, Fencing, Load, Options};
 use serde_json::{Value, json};
+use wait::{LONG, until};
 
 /// A request that is sent by hand, so that it can be broken off anywhere.
 fn send(engine: &Engine, headers: &str, body: &Value) -> BufReader<TcpStream> {
     let body = body.to_string();
     let mut stream = TcpStream::connect(engine.address()).unwrap();
+    stream.set_read_timeout(Some(LONG)).unwrap();
     write!(
         stream,
         "POST /v1/completions HTTP/1.1\r\nhost: e\r\n{headers}content-length: {}\r\n\r\n{body}",
@@ -26,9 +29,7 @@
 }
 
 fn wait_for(engine: &Engine, reached: impl Fn(Load) -> bool) {
-    while !reached(engine.load()) {
-        thread::yield_now();
-    }
+    until(|| reached(engine.load()));
 }
 
 fn url(engine: &Engine, path: &str) -> String {
--- a/crates/standins/tests/objects.rs
+++ b/crates/standins/tests/objects.rs
@@ -1,5 +1,7 @@
 //! The object API through the client that the workspace uses.
 
+mod wait;
+
 use std::thread;
 use std::time::Duration;
 
@@ -9,8 +11,7 @@
 use cactusnotch_platform::store::Error;
 use cactusnotch_standins::objects::{self, Anomaly, Loss, Outage, Platform};
 use serde_json::json;
-
-const LONG: Duration = Duration::from_secs(30);
+use wait::{LONG, until};
 
 fn platform() -> (Platform, Client) {
     let platform = Platform::start(&objects::Options::default()).unwrap();
@@ -104,9 +105,10 @@
         })
         .collect();
     let waiting = ("GET".to_owned(), "revision".to_owned());
-    while platform.calls().get(&waiting) != Some(&60) {
+    until(|| {
         client.put(&other, &json!(1), Condition::Always).unwrap();
-    }
+        platform.calls().get(&waiting) == Some(&60)
+    });
     let version = client.put(&path, &json!("r"), Condition::Absent).unwrap();
     for watch in watches {
         let changes = watch.join().unwrap().unwrap();
--- a/crates/standins/tests/proxy.rs
+++ b/crates/standins/tests/proxy.rs
@@ -1,5 +1,7 @@
 //! The fault-injecting proxy before an echo server.
 
+mod wait;
+
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -7,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use cactusnotch_standins::proxy::{Accept, Counts, Direction, Line, Options, Proxy};
+use wait::{LONG, until};
 
 /// An echo server that keeps what it got, in the order of arrival.
 struct Echo {
@@ -51,7 +54,9 @@
 }
 
 fn connect(proxy: &Proxy) -> TcpStream {
-    TcpStream::connect(proxy.address()).unwrap()
+    let stream = TcpStream::connect(proxy.address()).unwrap();
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    stream
 }
 
 /// Sends bytes and returns all that comes back until the connection ends.
@@ -65,9 +70,7 @@
 }
 
 fn wait_for(proxy: &Proxy, reached: impl Fn(Counts) -> bool) {
-    while !reached(proxy.counts()) {
-        thread::yield_now();
-    }
+    until(|| reached(proxy.counts()));
 }
 
 #[test]
@@ -87,9 +90,7 @@
     let other = Echo::start();
     proxy.set_target(other.address);
     assert!(talk(&proxy, &bytes).len() <= 37);
-    while other.got().len() < 37 {
-        thread::yield_now();
-    }
+    until(|| other.got().len() >= 37);
     proxy.set_line(Direction::Up, Line::default());
     assert!(talk(&proxy, b"next") == b"next");
     assert!(other.got() == [&bytes[..37], b"next"].concat());
--- a/crates/standins/tests/ranks.rs
+++ b/crates/standins/tests/ranks.rs
@@ -1,5 +1,7 @@
 //! Ranks in lock-step, and the weight store they load from.
 
+mod wait;
+
 use std::io::Write;
 use std::net::TcpStream;
 use std::thread;
@@ -13,8 +15,8 @@
 use cactusnotch_standins::weights::{self, Weights};
 use cactusnotch_switch::engine::{Expert, State, Wish};
 use cactusnotch_switch::map::{Map as Name, Switch};
+use wait::{LONG, until};
 
-const LONG: Duration = Duration::from_secs(30);
 const SHAPE: Shape = Shape {
     layers: 2,
     experts: 6,
@@ -92,12 +94,10 @@
             Reply::Taken
         );
     }
-    while !experts
-        .iter()
-        .all(|expert| group.state(rank).experts.contains(expert))
-    {
-        thread::yield_now();
-    }
+    until(|| {
+        let loaded = group.state(rank).experts;
+        experts.iter().all(|expert| loaded.contains(expert))
+    });
 }
 
 /// Holds `rank` at the first step that it has not started.
@@ -113,9 +113,7 @@
 fn no_rank_steps_past_a_hold() {
     let group = Group::start(&options()).unwrap();
     let held = hold(&group, Rank(1));
-    while !(group.state(Rank(0)).next > held && group.state(Rank(2)).next > held) {
-        thread::yield_now();
-    }
+    until(|| group.state(Rank(0)).next > held && group.state(Rank(2)).next > held);
     assert_eq!((group.step(), group.state(Rank(1)).next), (held, held));
     let late = order(&group, Rank(0), &command(Wish::Hold(held)));
     assert_eq!((late.reply, late.state.next), (Reply::Refused, held.next()));
@@ -314,14 +312,10 @@
     let store = Weights::start(&options).unwrap();
     let mut slow = TcpStream::connect(store.address()).unwrap();
     write!(slow, "GET /weights/0/0 HTTP/1.1\r\nhost: w\r\n\r\n").unwrap();
-    while store.waiting() == 0 {
-        thread::yield_now();
-    }
+    until(|| store.waiting() > 0);
     let refused = ureq::get(format!("http://{}/weights/0/1", store.address())).call();
     assert!(matches!(refused, Err(ureq::Error::StatusCode(429))));
     drop(slow);
-    while store.waiting() == 1 {
-        thread::yield_now();
-    }
+    until(|| store.waiting() == 0);
     assert_eq!((store.counts().served, store.counts().refused), (0, 1));
 }
--- a/crates/standins/tests/service.rs
+++ b/crates/standins/tests/service.rs
@@ -1,12 +1,14 @@
 //! The plain service and the list of hosts.
 
+mod wait;
+
 use std::io::Write;
 use std::net::TcpStream;
-use std::thread;
 use std::time::Duration;
 
 use cactusnotch_standins::hosts::{self, Host, Hosts, State};
 use cactusnotch_standins::service::{self, Service};
+use wait::until;
 
 fn post(service: &Service, path: &str, key: &str) -> Result<String, ureq::Error> {
     ureq::post(format!("http://{}{path}", service.address()))
@@ -40,13 +42,9 @@
         "POST /orders HTTP/1.1\r\nhost: s\r\ncontent-length: 0\r\n\r\n"
     )
     .unwrap();
-    while service.runs().is_empty() {
-        thread::yield_now();
-    }
+    until(|| !service.runs().is_empty());
     drop(caller);
-    while service.orders() == 0 {
-        thread::yield_now();
-    }
+    until(|| service.orders() > 0);
     assert!(service.runs()[0].completed);
 }
 
