feat: keep a group of ranks on one expert map from the agents beside them

Cause: agreement and planner had no driver. Each agent beside a rank now takes its seat, votes, orders its engine and passes its reports on; ranks 0 and 1 may coordinate, by a lease.

Two faults found while it did not switch: a driver that looked seats up in the view it had read itself, older than the member's, left a Join unsent (ranks 2 and 3 never stood); and reports went only to coordinators already heard of, of which there are none before the first proposal.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -9,8 +9,10 @@
 mod engine;
 mod events;
 mod options;
+mod rank;
 mod server;
 mod state;
 
 pub use options::Options;
+pub use rank::Care;
 pub use server::Server;
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
-use cactusnotch_agent::{Options, Server};
+use cactusnotch_agent::{Care, Options, Server};
 use cactusnotch_base::clock::System;
 use cactusnotch_base::name::{Endpoint, Process};
 use cactusnotch_base::{Clock, Table};
@@ -28,6 +28,12 @@
 /// How often entries are told the endpoint's condition.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between plans of a group's expert map.
+const PLAN_INTERVAL: Duration = Duration::from_secs(10);
+
+/// How often a rank's reports are read and passed on.
+const REPORT_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Agent of cactusnotch: stands beside one endpoint and decides what runs there
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
@@ -67,6 +73,43 @@
         display_fallback
     )]
     slots: u32,
+    /// Base address of the rank's engine, if the endpoint is a rank of a group
+    #[bpaf(
+        long("rank-url"),
+        env("CACTUSNOTCH_RANK_URL"),
+        argument::<String>("URL"),
+        parse(checked("rank-url")),
+        optional
+    )]
+    rank: Option<Url>,
+    /// Rate of the weight store that all groups share, in bytes a second
+    #[bpaf(
+        long("weight-store-rate"),
+        env("CACTUSNOTCH_WEIGHT_STORE_RATE"),
+        argument("BYTES"),
+        fallback(1_000_000_000),
+        display_fallback
+    )]
+    store_rate: u64,
+    /// Size of one expert's weights, in bytes
+    #[bpaf(
+        long("expert-bytes"),
+        env("CACTUSNOTCH_EXPERT_BYTES"),
+        argument("BYTES"),
+        fallback(44_000_000),
+        display_fallback
+    )]
+    expert_bytes: u64,
+    /// Time between plans of a group's expert map
+    #[bpaf(
+        long("plan-interval"),
+        env("CACTUSNOTCH_PLAN_INTERVAL"),
+        argument::<String>("TIME"),
+        parse(checked("plan-interval")),
+        fallback(PLAN_INTERVAL),
+        debug_fallback
+    )]
+    plan_interval: Duration,
 }
 
 fn is_positive(value: &u32) -> bool {
@@ -146,6 +189,13 @@
         engine: settings.engine.as_str().to_owned(),
         slots: settings.slots,
         ledger: cactusnotch_ledger::Options::default(),
+        rank: settings.rank.map(|engine| Care {
+            engine: engine.as_str().to_owned(),
+            store_rate: settings.store_rate,
+            expert_bytes: settings.expert_bytes,
+            plan_interval: settings.plan_interval,
+            report_interval: REPORT_INTERVAL,
+        }),
         announce_interval: ANNOUNCE_INTERVAL,
     }
 }
--- a/crates/agent/src/options.rs
+++ b/crates/agent/src/options.rs
@@ -7,6 +7,8 @@
 use cactusnotch_ledger as ledger;
 use cactusnotch_node as node;
 
+use crate::Care;
+
 /// How an agent runs.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -25,6 +27,8 @@
     pub slots: u32,
     /// The bounds of the ledger.
     pub ledger: ledger::Options,
+    /// How the rank is looked after, if the endpoint is one of a group.
+    pub rank: Option<Care>,
     /// How often the agent tells entries its endpoint's condition.
     pub announce_interval: Duration,
 }
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cactusnotch_base::Clock;
+use cactusnotch_group::Status;
 use cactusnotch_ledger::{Attempt, Event, Ledger, Link, Request};
 use cactusnotch_link::{self as link, Identity, Listener, Receiver};
 use cactusnotch_member::{self as member, Record, Role};
@@ -16,6 +17,7 @@
 
 use crate::Options;
 use crate::engine::{Engine, Error};
+use crate::rank::{self, Part};
 use crate::state::State;
 
 /// The name of the agent's span of a request.
@@ -42,7 +44,8 @@
 struct Shared<C: Clock> {
     state: State<C>,
     engine: Engine,
-    node: Node<C>,
+    node: Arc<Node<C>>,
+    part: Arc<Part>,
 }
 
 impl<C: Clock> Server<C> {
@@ -60,20 +63,22 @@
             options.node.link.identity.incarnation,
             clock.now(),
         );
-        let node = Node::start(
-            options.node.clone(),
-            record(&options, address),
-            clock.clone(),
-        );
+        let record = record(&options, address);
+        let node = Arc::new(Node::start(options.node.clone(), record, clock.clone()));
+        let part = Arc::new(Part::default());
         let shared = Arc::new(Shared {
-            node,
-            state: State::new(ledger, options.slots, clock),
+            node: Arc::clone(&node),
+            part: Arc::clone(&part),
+            state: State::new(ledger, options.slots, clock.clone()),
             engine: Engine::new(&options.engine),
         });
-        let tasks = vec![
+        let mut tasks = vec![
             tokio::spawn(accept(listener, Arc::clone(&shared))),
-            tokio::spawn(tick(options, Arc::clone(&shared))),
+            tokio::spawn(tick(options.announce_interval, Arc::clone(&shared))),
         ];
+        if let Some(care) = options.rank.clone() {
+            tasks.push(tokio::spawn(rank::follow(options, care, node, part, clock)));
+        }
         Ok(Self {
             address,
             shared,
@@ -87,6 +92,12 @@
         self.address
     }
 
+    /// Returns what the part beside a rank can tell, if there is one.
+    #[must_use]
+    pub fn rank(&self) -> Option<Status> {
+        self.shared.part.status()
+    }
+
     /// Refuses new work from now on and waits until all runs have ended.
     pub async fn drain(&self) {
         self.shared.node.leave();
@@ -149,8 +160,8 @@
     }
 }
 
-async fn tick<C: Clock>(options: Options, shared: Arc<Shared<C>>) {
-    let mut ticks = interval(options.announce_interval);
+async fn tick<C: Clock>(period: Duration, shared: Arc<Shared<C>>) {
+    let mut ticks = interval(period);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
@@ -170,6 +181,7 @@
         match received {
             Ok(Body::Dispatch(dispatch)) => take(link, *dispatch, &shared),
             Ok(Body::Spread(message)) => shared.node.receive(&peer.process, message),
+            Ok(Body::Group(message)) => shared.part.receive(&peer.process, message),
             Ok(_) => {
                 tracing::warn!(%link, "link closed: the peer sent what only agents send");
                 break;
--- /dev/null
+++ b/crates/group/src/driver.rs
@@ -0,0 +1,241 @@
+//! The driver of the decisions beside a rank.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+
+use cactusnotch_base::Clock;
+use cactusnotch_base::name::{Group, Process};
+use cactusnotch_placement::{Map as Content, Rank as Place, Replica, Share};
+use cactusnotch_platform::http::Client;
+use cactusnotch_popularity::Shape;
+use cactusnotch_wire::group::{Body, Message};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use crate::coordination::Coordination;
+use crate::engine::Engine;
+use crate::input::{Asker, Input};
+use crate::membership::Membership;
+use crate::objects::Objects;
+use crate::{Options, Post, Status};
+
+/// The inputs that may wait.
+const WAITING: usize = 1024;
+
+/// The ranks whose agents may coordinate the group.
+pub(crate) const CANDIDATES: u16 = 2;
+
+/// The part beside a rank, which runs until it is dropped.
+#[derive(Debug)]
+pub struct Driver {
+    group: Group,
+    inputs: mpsc::Sender<Input>,
+    status: Arc<Mutex<Status>>,
+    task: JoinHandle<()>,
+}
+
+/// What the decisions beside a rank share.
+#[derive(Debug, Clone)]
+pub(crate) struct Context<P, C> {
+    pub(crate) options: Options,
+    pub(crate) post: P,
+    pub(crate) clock: C,
+    pub(crate) objects: Objects,
+    pub(crate) engine: Engine,
+    pub(crate) inputs: mpsc::Sender<Input>,
+}
+
+impl Driver {
+    /// Starts the part beside a rank on the current tokio runtime.
+    #[must_use]
+    pub fn start<P: Post, C: Clock>(options: Options, post: P, clock: C) -> Self {
+        let (inputs, receiver) = mpsc::channel(WAITING);
+        let store = Client::new(&options.platform);
+        let first = spread(options.size, options.shape);
+        let context = Context {
+            objects: Objects::new(store, options.group.clone(), options.size, first),
+            engine: Engine::new(&options.engine),
+            inputs: inputs.clone(),
+            post,
+            clock,
+            options,
+        };
+        let group = context.options.group.clone();
+        let status = Arc::new(Mutex::new(Status {
+            group: group.clone(),
+            rank: context.options.rank,
+            current: None,
+            fence: None,
+            applied: 0,
+            given_up: 0,
+        }));
+        let task = tokio::spawn(run(context, receiver, Arc::clone(&status)));
+        Self {
+            group,
+            inputs,
+            status,
+            task,
+        }
+    }
+
+    /// Returns the group.
+    #[must_use]
+    pub const fn group(&self) -> &Group {
+        &self.group
+    }
+
+    /// Takes in what the agent `from` said; it is dropped if too much waits.
+    pub fn receive(&self, from: &Process, body: Body) {
+        let from = from.clone();
+        // The protocol repeats what matters.
+        let _ = self.inputs.try_send(Input::Said { from, body });
+    }
+
+    /// Returns what the part beside a rank can tell.
+    #[must_use]
+    pub fn status(&self) -> Status {
+        let status = self.status.lock().unwrap_or_else(PoisonError::into_inner);
+        status.clone()
+    }
+}
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl<P: Post, C: Clock> Context<P, C> {
+    /// Makes a blocking call on a thread of its own, and takes its result in
+    /// if there is one.
+    pub(crate) fn call(
+        &self,
+        call: impl FnOnce(&Objects, &Engine) -> Option<Input> + Send + 'static,
+    ) {
+        let (objects, engine) = (self.objects.clone(), self.engine.clone());
+        let inputs = self.inputs.clone();
+        tokio::task::spawn_blocking(move || {
+            if let Some(input) = call(&objects, &engine) {
+                // The driver may have ended.
+                let _ = inputs.blocking_send(input);
+            }
+        });
+    }
+
+    pub(crate) fn send(&self, to: &Process, body: Body) {
+        let group = self.options.group.clone();
+        self.post.post(to, Message { group, body });
+    }
+}
+
+async fn run<P: Post, C: Clock>(
+    context: Context<P, C>,
+    mut receiver: mpsc::Receiver<Input>,
+    status: Arc<Mutex<Status>>,
+) {
+    let may_coordinate = context.options.rank.0 < CANDIDATES;
+    let mut membership = Membership::new(&context);
+    let mut coordination = may_coordinate.then(|| Coordination::new(&context));
+    membership.start(&context);
+    if let Some(coordination) = &mut coordination {
+        coordination.start(&context);
+    }
+    loop {
+        let wake = earliest(
+            membership.wake(),
+            coordination.as_ref().and_then(Coordination::wake),
+        );
+        tokio::select! {
+            input = receiver.recv() => {
+                let Some(input) = input else { return };
+                dispatch(&context, input, &mut membership, coordination.as_mut());
+            }
+            () = tokio::time::sleep_until(wake.into()) => {}
+        }
+        membership.tick(&context);
+        if let Some(coordination) = &mut coordination {
+            coordination.tick(&context, &membership);
+        }
+        let mut status = status.lock().unwrap_or_else(PoisonError::into_inner);
+        status.current = membership.current();
+        if let Some(coordination) = &coordination {
+            coordination.tell(&mut status);
+        }
+    }
+}
+
+fn dispatch<P: Post, C: Clock>(
+    context: &Context<P, C>,
+    input: Input,
+    membership: &mut Membership,
+    coordination: Option<&mut Coordination>,
+) {
+    match (input, coordination) {
+        (Input::Said { from, body }, coordination) => match body {
+            Body::Switch(message) => {
+                use cactusnotch_switch::message::Body as Said;
+                let is_for_coordinator = matches!(
+                    message.body,
+                    Said::Ready { .. } | Said::Vote { .. } | Said::Applied { .. }
+                );
+                membership.heard(&from, &message);
+                let asks = matches!(message.body, Said::Query { .. } | Said::Outcome { .. });
+                if let Some(coordination) = coordination
+                    && (is_for_coordinator || asks)
+                {
+                    coordination.received(context, message.clone());
+                }
+                if !is_for_coordinator {
+                    membership.received(context, message);
+                }
+            }
+            Body::Reports(reports) => {
+                if let Some(coordination) = coordination {
+                    coordination.observe(context, &reports);
+                }
+            }
+        },
+        (
+            Input::Group {
+                asker: Asker::Member,
+                version,
+                view,
+            },
+            _,
+        ) => membership.group_read(context, version, view),
+        (Input::Group { version, view, .. }, Some(coordination)) => {
+            coordination.group_read(context, version, view);
+        }
+        (Input::Lease(lease), Some(coordination)) => coordination.lease_read(context, lease),
+        (Input::Recorded { map, content }, Some(coordination)) => {
+            membership.keep(map, content);
+            coordination.recorded(context, map);
+        }
+        (Input::Content { map, content }, _) => membership.content_read(context, map, content),
+        (Input::InForce { map, content }, _) => membership.keep(map, content),
+        (Input::Engine(answer), _) => membership.engine_answered(context, answer),
+        (Input::Reports(reports), coordination) => {
+            membership.reported(context, &reports);
+            if let Some(coordination) = coordination {
+                coordination.observe(context, &reports);
+            }
+        }
+        (Input::Group { .. } | Input::Lease(_) | Input::Recorded { .. }, None) => {}
+    }
+}
+
+fn earliest(first: Instant, second: Option<Instant>) -> Instant {
+    second.map_or(first, |second| first.min(second))
+}
+
+/// Returns the map that gives each expert one replica, in turn over the ranks.
+fn spread(ranks: u16, shape: Shape) -> Content {
+    let row = |expert: u16| {
+        vec![Replica {
+            rank: Place(expert % ranks.max(1)),
+            share: Share::WHOLE,
+        }]
+    };
+    let rows = (0..shape.layers).flat_map(|_| (0..shape.experts).map(row));
+    Content::new(shape, rows.collect()).expect("each expert has one whole replica")
+}
--- /dev/null
+++ b/crates/group/src/engine.rs
@@ -0,0 +1,75 @@
+//! The rank's engine, as `docs/ENGINE.md` has it.
+
+use std::time::Duration;
+
+use cactusnotch_base::number::{Fence, Sequence};
+use cactusnotch_order::{Answer, Order};
+use cactusnotch_placement::Map as Content;
+use cactusnotch_popularity::Report;
+use cactusnotch_switch::engine::{State, Wish};
+use serde::Serialize;
+use ureq::Agent;
+
+/// How long the engine may take to answer.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The rank's engine. Its calls block, and are `None` without an answer.
+#[derive(Debug, Clone)]
+pub(crate) struct Engine {
+    base: String,
+    agent: Agent,
+}
+
+#[derive(Serialize)]
+struct Command<'a> {
+    fence: Fence,
+    order: Wish,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    content: Option<&'a Content>,
+}
+
+impl Engine {
+    pub(crate) fn new(base: &str) -> Self {
+        let agent = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(TIMEOUT))
+            .proxy(None)
+            .build()
+            .new_agent();
+        Self {
+            base: base.trim_end_matches('/').to_owned(),
+            agent,
+        }
+    }
+
+    /// Sends an order, with the content of the map that it names.
+    pub(crate) fn order(
+        &self,
+        order: &Order<Wish>,
+        content: Option<&Content>,
+    ) -> Option<Answer<State>> {
+        let command = Command {
+            fence: order.fence,
+            order: order.wanted,
+            content,
+        };
+        let url = format!("{}/orders", self.base);
+        let mut response = self.agent.post(url).send_json(command).ok()?;
+        response.body_mut().read_json().ok()
+    }
+
+    /// Reads the engine's state as the answer to `fence`.
+    pub(crate) fn state(&self, fence: Fence) -> Option<Answer<State>> {
+        let url = format!("{}/state", self.base);
+        let mut response = self.agent.get(url).call().ok()?;
+        let answer: Answer<State> = response.body_mut().read_json().ok()?;
+        Some(Answer { fence, ..answer })
+    }
+
+    /// Reads the reports that follow `after`.
+    pub(crate) fn reports(&self, after: Sequence) -> Option<Vec<Report>> {
+        let url = format!("{}/popularity?after={after}", self.base);
+        let mut response = self.agent.get(url).call().ok()?;
+        response.body_mut().read_json().ok()
+    }
+}
--- /dev/null
+++ b/crates/group/src/objects.rs
@@ -0,0 +1,146 @@
+//! The group's objects in the platform.
+
+use cactusnotch_base::name::Group;
+use cactusnotch_base::number::{Epoch, Step};
+use cactusnotch_placement::Map as Content;
+use cactusnotch_platform::http::Client;
+use cactusnotch_platform::object::{Condition, Path, Version};
+use cactusnotch_platform::store::{Error, Store};
+use cactusnotch_switch::{Lease, Map, Switch, View};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// The kind of the objects that hold groups.
+const GROUP: &str = "group";
+
+/// The kind of the objects that hold the contents of maps.
+const MAP: &str = "expert-map";
+
+/// The kind of the objects that hold leases.
+const LEASE: &str = "lease";
+
+/// The group's objects in the platform. Its calls block.
+#[derive(Debug, Clone)]
+pub(crate) struct Objects {
+    store: Client,
+    group: Group,
+    size: u16,
+    /// The map with which a new group starts.
+    first: Content,
+}
+
+impl Objects {
+    pub(crate) const fn new(store: Client, group: Group, size: u16, first: Content) -> Self {
+        Self {
+            store,
+            group,
+            size,
+            first,
+        }
+    }
+
+    /// Reads the group's object, and creates it if there is none.
+    pub(crate) fn read_group(&self) -> Option<(Version, View)> {
+        let path = self.group_path();
+        if let Some(found) = self.read(&path)? {
+            return Some(found);
+        }
+        let base = Switch {
+            map: Map {
+                epoch: Epoch(1),
+                digest: self.first.digest(),
+            },
+            from: Step(0),
+        };
+        if !self.record(base.map, &self.first) {
+            return None;
+        }
+        let view = View::new(self.size, base);
+        self.write(&path, &view, Condition::Absent);
+        self.read(&path)?
+    }
+
+    /// Writes the group's object if it is at `version`, and reads it back.
+    pub(crate) fn write_group(&self, version: Version, view: &View) -> Option<(Version, View)> {
+        let path = self.group_path();
+        self.write(&path, view, Condition::Version(version));
+        self.read(&path)?
+    }
+
+    /// Reads the coordinator's lease.
+    pub(crate) fn read_lease(&self) -> Option<Option<(Version, Lease)>> {
+        self.read(&self.lease_path())
+    }
+
+    /// Writes the lease if it is at `version`, and reads it back.
+    pub(crate) fn write_lease(
+        &self,
+        version: Option<Version>,
+        lease: &Lease,
+    ) -> Option<Option<(Version, Lease)>> {
+        let condition = version.map_or(Condition::Absent, Condition::Version);
+        let path = self.lease_path();
+        self.write(&path, lease, condition);
+        self.read(&path)
+    }
+
+    /// Reads the content of a map.
+    pub(crate) fn read_map(&self, map: Map) -> Option<Content> {
+        let (_, content): (Version, Content) = self.read(&self.map_path(map))??;
+        (content.digest() == map.digest).then_some(content)
+    }
+
+    /// Writes the content of a map; its name has the content's digest, so a
+    /// map that is there already is the same.
+    pub(crate) fn record(&self, map: Map, content: &Content) -> bool {
+        self.write(&self.map_path(map), content, Condition::Absent) || self.read_map(map).is_some()
+    }
+
+    fn group_path(&self) -> Path {
+        Path::new(GROUP, self.group.as_str())
+    }
+
+    fn lease_path(&self) -> Path {
+        Path::new(LEASE, format!("group-{}", self.group))
+    }
+
+    fn map_path(&self, map: Map) -> Path {
+        let name = format!("{}-{}-{:016x}", self.group, map.epoch, map.digest);
+        Path::new(MAP, name)
+    }
+
+    /// Reads an object; `None` if the platform does not answer, and inside
+    /// it `None` if there is no such object.
+    fn read<T: DeserializeOwned>(&self, path: &Path) -> Option<Option<(Version, T)>> {
+        let object = match self.store.get(path) {
+            Ok(Some(object)) => object,
+            Ok(None) => return Some(None),
+            Err(error) => {
+                tracing::debug!(%error, "group's object not read");
+                return None;
+            }
+        };
+        match serde_json::from_value(object.value) {
+            Ok(value) => Some(Some((object.version, value))),
+            Err(error) => {
+                tracing::error!(%error, %path, "group's object not understood");
+                None
+            }
+        }
+    }
+
+    /// Tries to write an object. What became of it is learnt by reading.
+    fn write<T: Serialize>(&self, path: &Path, value: &T, condition: Condition) -> bool {
+        let Ok(value) = serde_json::to_value(value) else {
+            return false;
+        };
+        match self.store.put(path, &value, condition) {
+            Ok(_) => true,
+            Err(Error::Conflict { .. }) => false,
+            Err(error) => {
+                tracing::debug!(%error, "group's object not written for certain");
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/group/src/planning.rs
@@ -0,0 +1,80 @@
+//! When the planner is asked, and what becomes of its plans.
+
+use std::time::Instant;
+
+use cactusnotch_base::name::Process;
+use cactusnotch_placement::{Map as Content, Planner, State};
+use cactusnotch_popularity::Report;
+
+use crate::Planning;
+
+/// When the planner is asked, and what becomes of its plans.
+#[derive(Debug)]
+pub(crate) struct Plans {
+    planner: Planner,
+    options: Planning,
+    due: Instant,
+}
+
+impl Plans {
+    pub(crate) fn new(options: &Planning, now: Instant) -> Self {
+        Self {
+            planner: Planner::new(options.planner),
+            options: options.clone(),
+            due: now + options.budget.interval,
+        }
+    }
+
+    /// Returns when the planner is asked next.
+    pub(crate) const fn due(&self) -> Instant {
+        self.due
+    }
+
+    /// Takes in what a rank reports of its steps.
+    pub(crate) fn observe(&mut self, reports: &[Report], now: Instant) {
+        for report in reports {
+            if let Err(error) = self.planner.observe(report, now) {
+                metrics::counter!("cactusnotch_group_reports_uncounted_total").increment(1);
+                tracing::debug!(%error, "report not counted");
+            }
+        }
+    }
+
+    /// Asks the planner for the map that should follow `current`, if one
+    /// should. The time until the next plan begins anew.
+    pub(crate) fn next(
+        &mut self,
+        current: Option<&Content>,
+        seats: &[Option<Process>],
+        now: Instant,
+    ) -> Option<Content> {
+        self.due = now + self.options.budget.interval;
+        let current = current?;
+        let states: Vec<State> = seats
+            .iter()
+            .map(|seat| match seat {
+                Some(_) => State::Loaded,
+                None => State::Gone,
+            })
+            .collect();
+        let Planning {
+            weights, budget, ..
+        } = &self.options;
+        let plan = match self.planner.plan(current, &states, weights, budget, now) {
+            Ok(plan) => plan?,
+            Err(error) => {
+                tracing::warn!(%error, "no plan made");
+                return None;
+            }
+        };
+        let loads = budget.loads(self.options.planner.bytes);
+        let count = plan.moves.len().min(loads.max(plan.required));
+        tracing::info!(
+            moves = count,
+            before = plan.predicted.before,
+            after = plan.predicted.after,
+            "switch to another map planned"
+        );
+        plan.after(count).ok()
+    }
+}
--- /dev/null
+++ b/crates/group/src/post.rs
@@ -0,0 +1,10 @@
+//! The way to the agents of other ranks.
+
+use cactusnotch_base::name::Process;
+use cactusnotch_wire::group::Message;
+
+/// The way to the agents of other ranks. Messages may be lost.
+pub trait Post: Clone + Send + Sync + 'static {
+    /// Sends a message to a process, or drops it.
+    fn post(&self, to: &Process, message: Message);
+}
--- a/crates/lab/src/cluster.rs
+++ b/crates/lab/src/cluster.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use cactusnotch_agent as agent;
+use cactusnotch_agent::{self as agent, Care};
 use cactusnotch_base::Table;
 use cactusnotch_base::clock::System;
 use cactusnotch_base::name::{DataCentre, Endpoint, Host, Process, Region};
@@ -12,7 +12,7 @@
 use cactusnotch_link::{self as link, Identity, Role, Secret};
 use cactusnotch_node as node;
 use cactusnotch_platform::http;
-use cactusnotch_standins::{engine, objects};
+use cactusnotch_standins::{engine, objects, ranks};
 
 use crate::Failure;
 
@@ -60,6 +60,10 @@
     pub agents: Vec<agent::Server<System>>,
     /// The entries.
     pub entries: Vec<entry::Server<System>>,
+    /// The group of ranks, if there is one.
+    pub group: Option<ranks::Group>,
+    /// The agents beside the ranks.
+    pub rank_agents: Vec<agent::Server<System>>,
     data_centres: usize,
 }
 
@@ -76,6 +80,8 @@
             engines: Vec::new(),
             agents: Vec::new(),
             entries: Vec::new(),
+            group: None,
+            rank_agents: Vec::new(),
             data_centres: options.data_centres,
         };
         for _ in 0..options.engines {
@@ -96,15 +102,11 @@
         let number = self.engines.len();
         let engine = engine::Engine::start(options)
             .map_err(|error| Failure::new("start of an engine", error))?;
+        let address = format!("http://{}", engine.address());
         let options = agent::Options {
-            listen: ANY,
-            region: Region::new("region-0"),
-            node: self.node(&format!("agent-{number}"), Role::Agent, number),
             endpoint: endpoint(number),
-            engine: format!("http://{}", engine.address()),
             slots: u32::try_from(options.slots).unwrap_or(u32::MAX),
-            ledger: cactusnotch_ledger::Options::default(),
-            announce_interval: Duration::from_millis(250),
+            ..self.agent(&format!("agent-{number}"), number, address)
         };
         let agent = agent::Server::start(options, System)
             .await
@@ -114,6 +116,37 @@
         Ok(())
     }
 
+    /// Starts a group of ranks with an agent beside each.
+    ///
+    /// # Errors
+    ///
+    /// Fails if any of them cannot be started.
+    pub async fn add_group(
+        &mut self,
+        options: &ranks::Options,
+        care: &Care,
+    ) -> Result<(), Failure> {
+        let group = ranks::Group::start(options)
+            .map_err(|error| Failure::new("start of a group of ranks", error))?;
+        for (rank, address) in group.addresses().into_iter().enumerate() {
+            let engine = format!("http://{address}");
+            let options = agent::Options {
+                endpoint: rank_endpoint(rank),
+                rank: Some(Care {
+                    engine: engine.clone(),
+                    ..care.clone()
+                }),
+                ..self.agent(&format!("agent-rank-{rank}"), rank, engine)
+            };
+            let agent = agent::Server::start(options, System)
+                .await
+                .map_err(|error| Failure::new("start of a rank's agent", error))?;
+            self.rank_agents.push(agent);
+        }
+        self.group = Some(group);
+        Ok(())
+    }
+
     /// Starts an entry.
     ///
     /// # Errors
@@ -155,6 +188,20 @@
         }
     }
 
+    fn agent(&self, process: &str, number: usize, engine: String) -> agent::Options {
+        agent::Options {
+            listen: ANY,
+            region: Region::new("region-0"),
+            node: self.node(process, Role::Agent, number),
+            endpoint: endpoint(number),
+            engine,
+            slots: 1,
+            ledger: cactusnotch_ledger::Options::default(),
+            rank: None,
+            announce_interval: Duration::from_millis(250),
+        }
+    }
+
     fn data_centre(&self, number: usize) -> DataCentre {
         DataCentre::new(format!("dc-{}", number % self.data_centres))
     }
@@ -183,3 +230,9 @@
 pub fn endpoint(number: usize) -> Endpoint {
     Endpoint::new(format!("engine-{number}"))
 }
+
+/// Returns the name of the endpoint that is the rank with the given number.
+#[must_use]
+pub fn rank_endpoint(rank: usize) -> Endpoint {
+    Endpoint::new(format!("rank-{rank}"))
+}
--- a/crates/lab/src/operator.rs
+++ b/crates/lab/src/operator.rs
@@ -7,6 +7,7 @@
 use cactusnotch_entry::Status;
 use cactusnotch_history::{self as history, Replica, Verdict, Writer};
 use cactusnotch_platform::http::{Client, Options};
+use cactusnotch_popularity::Shape;
 use cactusnotch_settings::{Edit, Id, Key, Kind, Operation, Value};
 use ureq::Agent;
 
@@ -73,6 +74,33 @@
         self.edit("declare the system", operations)
     }
 
+    /// Declares a group of ranks.
+    ///
+    /// # Errors
+    ///
+    /// Fails unless the edit is accepted.
+    pub fn declare_ranks(
+        &mut self,
+        name: &str,
+        ranks: u16,
+        shape: Shape,
+        weights: (u32, u32),
+    ) -> Result<Revision, Failure> {
+        let endpoints =
+            (0..usize::from(ranks)).map(|rank| cluster::rank_endpoint(rank).to_string());
+        let group = Id::new(format!("group-{name}"));
+        let operations = vec![
+            create(group.clone(), Kind::ModelGroup, name),
+            set(&group, Key::Endpoints, Value::Names(endpoints.collect())),
+            set(&group, Key::Ranks, Value::Integer(ranks.into())),
+            set(&group, Key::Layers, Value::Integer(shape.layers.into())),
+            set(&group, Key::Experts, Value::Integer(shape.experts.into())),
+            set(&group, Key::SkewWeight, Value::Fraction(weights.0)),
+            set(&group, Key::RebalancingWeight, Value::Fraction(weights.1)),
+        ];
+        self.edit("declare the ranks", operations)
+    }
+
     /// Reads the status at an entry's operators' port.
     ///
     /// # Errors
--- a/crates/node/src/courier.rs
+++ b/crates/node/src/courier.rs
@@ -7,7 +7,6 @@
 use cactusnotch_base::Table;
 use cactusnotch_base::name::Process;
 use cactusnotch_link::{self as link, dial};
-use cactusnotch_spread::Message;
 use cactusnotch_wire::Body;
 use tokio::sync::mpsc;
 
@@ -22,7 +21,7 @@
 #[derive(Debug)]
 pub(crate) struct Courier {
     link: link::Options,
-    routes: Arc<Mutex<Table<Process, mpsc::Sender<Message>>>>,
+    routes: Arc<Mutex<Table<Process, mpsc::Sender<Body>>>>,
 }
 
 impl Courier {
@@ -34,7 +33,7 @@
     }
 
     /// Sends a message to `peer` at `address`, or drops it.
-    pub(crate) fn send(&self, peer: &Process, address: SocketAddr, message: Message) {
+    pub(crate) fn send(&self, peer: &Process, address: SocketAddr, message: Body) {
         let mut routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(route) = routes.get(peer) {
             match route.try_send(message) {
@@ -48,7 +47,7 @@
         }
     }
 
-    fn open(&self, peer: &Process, address: SocketAddr, first: Message) -> mpsc::Sender<Message> {
+    fn open(&self, peer: &Process, address: SocketAddr, first: Body) -> mpsc::Sender<Body> {
         let (sender, receiver) = mpsc::channel(WAITING);
         // The queue is new and has room.
         let _ = sender.try_send(first);
@@ -62,7 +61,7 @@
     options: link::Options,
     peer: Process,
     address: SocketAddr,
-    mut messages: mpsc::Receiver<Message>,
+    mut messages: mpsc::Receiver<Body>,
 ) {
     let link = match dial::<Body>(address, &options).await {
         Ok(link) if link.peer().process == peer => link,
@@ -80,7 +79,7 @@
         tokio::select! {
             message = messages.recv() => {
                 let Some(message) = message else { return };
-                if sender.send(&Body::Spread(message)).await.is_err() {
+                if sender.send(&message).await.is_err() {
                     return;
                 }
             }
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -9,6 +9,7 @@
 use cactusnotch_platform::http::Client;
 use cactusnotch_settings::Resolved;
 use cactusnotch_spread::{self as spread, Call, Command, Message, Span, Standing, Status, Ticket};
+use cactusnotch_wire::Body;
 use tokio::runtime::Handle;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -78,6 +79,15 @@
             .step(|spread| spread.on_message(from, message, now));
     }
 
+    /// Sends a message to a process on the roster, or drops it.
+    pub fn send(&self, to: &Process, message: Body) {
+        let address = self.shared.lock().spread.address(to);
+        if let Some(address) = address {
+            let _runtime = self.shared.runtime.enter();
+            self.shared.courier.send(to, address, message);
+        }
+    }
+
     /// Returns what the process knows now.
     #[must_use]
     pub fn view(&self) -> Arc<View> {
@@ -143,7 +153,7 @@
                 Command::Send { to, message } => {
                     if let Some(address) = inner.spread.address(&to) {
                         let _runtime = self.runtime.enter();
-                        self.courier.send(&to, address, message);
+                        self.courier.send(&to, address, Body::Spread(message));
                     }
                 }
                 Command::Call { ticket, call } => self.call(&inner, ticket, call),
--- a/crates/switch/src/rank.rs
+++ b/crates/switch/src/rank.rs
@@ -146,6 +146,12 @@
         self.rank
     }
 
+    /// Returns the view that the part is in.
+    #[must_use]
+    pub const fn view(&self) -> &View {
+        &self.view
+    }
+
     /// Returns the map in force, once the rank has a part in the group.
     #[must_use]
     pub fn current(&self) -> Option<Switch> {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 mod body;
 mod call;
 mod dispatch;
+pub mod group;
 pub mod head;
 
 pub use announcement::Announcement;
