feat: declare the settings tree in version control

Operators keep the tree as TOML files. The check needs no connection and names file, line and rule of every fault; the difference with a tree is one edit in an order that can be carried out, and goes through the same acceptance as any other, so that a declaration is never half in force.

Ruled out: reading through typed structs with spans (the first fault hides the others), and deleting undeclared nodes by default (an operator's fresh node would vanish with the next run; it is a choice).

--- /dev/null
+++ b/crates/declaration/src/fault.rs
@@ -0,0 +1,54 @@
+//! What is wrong with a declaration, and where.
+
+use std::fmt;
+
+use cactusnotch_derive::record;
+use derive_more::{Display, Error};
+use serde::Serialize;
+
+/// A place in a declaration.
+#[record]
+#[derive(Serialize, Display)]
+#[display("{file}:{line}")]
+pub struct Place {
+    /// The file.
+    pub file: String,
+    /// The line, counted from one.
+    pub line: usize,
+}
+
+/// A rule that a declaration breaks.
+#[record]
+#[derive(Serialize, Display)]
+#[display("{place}: {rule}: {message}")]
+pub struct Fault {
+    /// Where.
+    #[serde(flatten)]
+    pub place: Place,
+    /// The name of the rule.
+    pub rule: &'static str,
+    /// What is wrong.
+    pub message: String,
+}
+
+/// All rules that a declaration breaks, one a line.
+#[record]
+#[derive(Serialize, Error)]
+#[serde(transparent)]
+pub struct Faults {
+    /// The rules, in the order of files and lines.
+    #[error(not(source))]
+    pub faults: Vec<Fault>,
+}
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (at, fault) in self.faults.iter().enumerate() {
+            if at > 0 {
+                writeln!(f)?;
+            }
+            fault.fmt(f)?;
+        }
+        Ok(())
+    }
+}
--- a/crates/history/src/catchup.rs
+++ b/crates/history/src/catchup.rs
@@ -53,6 +53,12 @@
         }
     }
 
+    /// Tells whether only what is newer than a version is listed.
+    #[must_use]
+    pub fn is_watch(&self) -> bool {
+        self.after > Version(0)
+    }
+
     /// Takes in the reply to the last call. A call without an answer is made
     /// again.
     pub fn step(&mut self, replica: &mut Replica, reply: Reply) -> Step<Answer> {
--- a/crates/history/src/writer.rs
+++ b/crates/history/src/writer.rs
@@ -6,7 +6,10 @@
 use cactusnotch_settings::Edit;
 use rand::Rng;
 
-use crate::{Call, Fold, Options, Replica, Reply, Step, Submission, Verdict, perform};
+use crate::reader::{self, follow};
+use crate::{
+    Answer, Call, Catchup, Fold, Options, Replica, Reply, Step, Submission, Verdict, perform,
+};
 
 /// The most doublings of the pause between repetitions.
 const DOUBLINGS: u32 = 6;
@@ -41,6 +44,16 @@
         &mut self.replica
     }
 
+    /// Brings the writer's replica up to date, so that a new edit is based on
+    /// the newest revision.
+    ///
+    /// # Errors
+    ///
+    /// As [`reader::Error`] says.
+    pub fn sync(&mut self) -> Result<Answer, reader::Error> {
+        follow(&self.store, &mut self.replica, Catchup::new()).map(|(answer, _)| answer)
+    }
+
     /// Submits `edit`, blocking until it is known what became of it or the
     /// attempts are used up. Submitting an edit again is harmless.
     pub fn submit(&mut self, edit: &Edit) -> Verdict {
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -12,11 +12,12 @@
     (Key::ConcurrencyFloor, Key::ConcurrencyLimit),
 ];
 
-/// Returns the rules that `nodes` break, in a fixed order.
+/// Returns the rules that `nodes` break, in a fixed order; a tree breaks none.
 ///
 /// The rules on names, endpoints and floors presuppose a sound shape and are
 /// checked only when there is one.
-pub(crate) fn faults(nodes: &Table<Id, Node>) -> Vec<Error> {
+#[must_use]
+pub fn faults(nodes: &Table<Id, Node>) -> Vec<Error> {
     let mut faults = Vec::new();
     if nodes.get(&Id::root()).map(|root| root.kind) != Some(Kind::Root) {
         faults.push(Error::Rootless);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -27,6 +27,7 @@
 mod value;
 
 pub use apply::apply;
+pub use check::faults;
 pub use edit::Edit;
 pub use effective::{Effective, Listing};
 pub use error::Error;
