fix: check a changed tree without copying its nodes again

Applying an edit copied the nodes twice, since the check for decoded trees puts rows in order first. Only decoded trees need that.

--- a/crates/settings/src/apply.rs
+++ b/crates/settings/src/apply.rs
@@ -31,7 +31,7 @@
             source: Box::new(source),
         })?;
     }
-    Tree::try_from(nodes)
+    Tree::checked(nodes)
 }
 
 fn carry_out(nodes: &mut Table<Id, Node>, operation: &Operation) -> Result<(), Error> {
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -105,19 +105,17 @@
 }
 
 fn check_names(nodes: &Table<Id, Node>, faults: &mut Vec<Error>) {
-    let siblings = |node: &Node| (node.parent.clone(), node.name.clone());
-    report_duplicates(nodes, |_| true, siblings, faults);
+    report_duplicates(nodes, |_| true, |node| (&node.parent, &node.name), faults);
     // Requests name an organisation, and operators a group, without its path.
     for kind in [Kind::Organisation, Kind::ModelGroup] {
-        let name = |node: &Node| node.name.clone();
-        report_duplicates(nodes, |node| node.kind == kind, name, faults);
+        report_duplicates(nodes, |node| node.kind == kind, |node| &node.name, faults);
     }
 }
 
-fn report_duplicates<K: Ord>(
-    nodes: &Table<Id, Node>,
+fn report_duplicates<'a, K: Ord>(
+    nodes: &'a Table<Id, Node>,
     concerned: impl Fn(&Node) -> bool,
-    key: impl Fn(&Node) -> K,
+    key: impl Fn(&'a Node) -> K,
     faults: &mut Vec<Error>,
 ) {
     let mut rows: Vec<(K, &Id)> = nodes
--- a/crates/settings/src/tree.rs
+++ b/crates/settings/src/tree.rs
@@ -24,6 +24,14 @@
         }
     }
 
+    /// Checks the nodes, which are in order, and makes a tree of them.
+    pub(crate) fn checked(nodes: Table<Id, Node>) -> Result<Self, Error> {
+        match check::faults(&nodes).into_iter().next() {
+            Some(fault) => Err(fault),
+            None => Ok(Self { nodes }),
+        }
+    }
+
     /// Returns the node `id`.
     #[must_use]
     pub fn node(&self, id: &Id) -> Option<&Node> {
@@ -145,10 +153,7 @@
         if nodes.len() != count {
             return Err(Error::Rootless);
         }
-        match check::faults(&nodes).into_iter().next() {
-            Some(fault) => Err(fault),
-            None => Ok(Self { nodes }),
-        }
+        Self::checked(nodes)
     }
 }
 
