fix: find parents by position when a tree is checked

Cause: each way up the tree took a search by name for each node on it, several times a node. The check now looks each parent up once and walks positions.

--- a/crates/history/src/replica.rs
+++ b/crates/history/src/replica.rs
@@ -1,7 +1,7 @@
 //! The state of the order that every process keeps.
 
 use cactusnotch_base::number::Revision;
-use cactusnotch_settings::{Edit, Tree, apply};
+use cactusnotch_settings::{Edit, Tree, apply, replay};
 
 use crate::{Answer, Digest, Entry, Judgement, Offer, Refusal, Snapshot, Summary};
 
@@ -177,10 +177,10 @@
         if self.tail.len() < 2 * TAIL {
             return;
         }
-        for old in self.tail.drain(..TAIL) {
-            if let Ok(tree) = apply(&self.anchor, &old.edit) {
-                self.anchor = tree;
-            }
+        let old = self.tail[..TAIL].iter().map(|entry| &entry.edit);
+        if let Ok(anchor) = replay(&self.anchor, old) {
+            self.anchor = anchor;
+            self.tail.drain(..TAIL);
         }
     }
 
--- a/crates/settings/src/apply.rs
+++ b/crates/settings/src/apply.rs
@@ -24,14 +24,34 @@
         return Err(Error::Empty);
     }
     let mut nodes = tree.nodes().clone();
+    carry_out_all(&mut nodes, edit)?;
+    Tree::checked(nodes)
+}
+
+/// Returns the tree with several edits carried out that are known to be valid
+/// one after the other. The rules are checked once, after the last one, which
+/// takes about as long as for a single edit.
+///
+/// # Errors
+///
+/// As for [`apply`].
+pub fn replay<'a>(tree: &Tree, edits: impl Iterator<Item = &'a Edit>) -> Result<Tree, Error> {
+    let mut nodes = tree.nodes().clone();
+    for edit in edits {
+        carry_out_all(&mut nodes, edit)?;
+    }
+    Tree::checked(nodes)
+}
+
+fn carry_out_all(nodes: &mut Table<Id, Node>, edit: &Edit) -> Result<(), Error> {
     for (at, operation) in edit.operations.iter().enumerate() {
-        carry_out(&mut nodes, operation).map_err(|source| Error::Step {
+        carry_out(nodes, operation).map_err(|source| Error::Step {
             at,
             operation: Box::new(operation.clone()),
             source: Box::new(source),
         })?;
     }
-    Tree::checked(nodes)
+    Ok(())
 }
 
 fn carry_out(nodes: &mut Table<Id, Node>, operation: &Operation) -> Result<(), Error> {
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -3,6 +3,7 @@
 use cactusnotch_base::Table;
 
 use crate::id::LENGTH_LIMIT;
+use crate::index::Index;
 use crate::shape::is_text;
 use crate::{Error, Id, Key, Kind, Node, Value};
 
@@ -19,18 +20,19 @@
 #[must_use]
 pub fn faults(nodes: &Table<Id, Node>) -> Vec<Error> {
     let mut faults = Vec::new();
+    let index = Index::new(nodes);
     if nodes.get(&Id::root()).map(|root| root.kind) != Some(Kind::Root) {
         faults.push(Error::Rootless);
     }
-    for (id, node) in nodes.iter() {
+    for (at, &(id, node)) in index.rows().iter().enumerate() {
         check_node(id, node, &mut faults);
-        check_place(nodes, id, node, &mut faults);
+        check_place(&index, at, &mut faults);
     }
     if faults.is_empty() {
         check_names(nodes, &mut faults);
         check_endpoints(nodes, &mut faults);
         for (floor, limit) in FLOORS {
-            check_floors(nodes, floor, limit, &mut faults);
+            check_floors(&index, floor, limit, &mut faults);
         }
     }
     faults
@@ -61,20 +63,22 @@
     }
 }
 
-fn check_place(nodes: &Table<Id, Node>, id: &Id, node: &Node, faults: &mut Vec<Error>) {
+fn check_place(index: &Index<'_>, at: usize, faults: &mut Vec<Error>) {
+    let (id, node) = index.rows()[at];
     let Some(parent) = &node.parent else {
         if *id != Id::root() {
             faults.push(Error::Rootless);
         }
         return;
     };
-    let Some(above) = nodes.get(parent) else {
+    let Some(above) = index.parent(at) else {
         faults.push(Error::Orphan {
             node: id.clone(),
             parent: parent.clone(),
         });
         return;
     };
+    let (_, above) = index.rows()[above];
     if !above.kind.holds(node.kind) {
         faults.push(Error::Placement {
             node: id.clone(),
@@ -83,27 +87,11 @@
             parent_kind: above.kind,
         });
     }
-    if is_below_itself(nodes, id) {
+    if index.is_below_itself(at) {
         faults.push(Error::Cycle { node: id.clone() });
     }
 }
 
-fn is_below_itself(nodes: &Table<Id, Node>, id: &Id) -> bool {
-    let mut above = parent_of(nodes, id);
-    for _ in 0..nodes.len() {
-        match above {
-            None => return false,
-            Some(at) if at == id => return true,
-            Some(at) => above = parent_of(nodes, at),
-        }
-    }
-    false
-}
-
-fn parent_of<'a>(nodes: &'a Table<Id, Node>, id: &Id) -> Option<&'a Id> {
-    nodes.get(id)?.parent.as_ref()
-}
-
 fn check_names(nodes: &Table<Id, Node>, faults: &mut Vec<Error>) {
     report_duplicates(nodes, |_| true, |node| (&node.parent, &node.name), faults);
     // Requests name an organisation, and operators a group, without its path.
@@ -172,21 +160,16 @@
 ///
 /// An organisation needs its floor, or the sum of the parts below it if that
 /// is more; a policy and the root need the sum of what is below them.
-fn check_floors(nodes: &Table<Id, Node>, floor: Key, limit: Key, faults: &mut Vec<Error>) {
-    let mut order: Vec<(usize, &Id, &Node)> = nodes
-        .iter()
-        .filter(|(_, node)| node.kind != Kind::ModelGroup)
-        .map(|(id, node)| (depth(nodes, id), id, node))
-        .collect();
-    order.sort_by_key(|(depth, id, _)| (std::cmp::Reverse(*depth), *id));
-    let mut sums: Table<&Id, u64> = Table::new();
-    for (_, id, node) in order {
-        let below = sums.get(id).copied().unwrap_or_default();
+fn check_floors(index: &Index<'_>, floor: Key, limit: Key, faults: &mut Vec<Error>) {
+    let mut below = vec![0; index.rows().len()];
+    for at in index.lowest_first() {
+        let (id, node) = index.rows()[at];
         let needed = match node.kind {
-            Kind::Organisation => below.max(integer(nodes, id, floor)),
-            _ => below,
+            Kind::ModelGroup => continue,
+            Kind::Organisation => below[at].max(index.integer(at, floor)),
+            Kind::Root | Kind::Policy => below[at],
         };
-        let cap = integer(nodes, id, limit);
+        let cap = index.integer(at, limit);
         if needed > cap {
             faults.push(Error::Floors {
                 node: id.clone(),
@@ -196,19 +179,8 @@
                 limit: cap,
             });
         }
-        if let Some(parent) = &node.parent {
-            *sums.get_or_insert_with(parent, || 0) += needed;
+        if let Some(parent) = index.parent(at) {
+            below[parent] += needed;
         }
     }
 }
-
-fn depth(nodes: &Table<Id, Node>, id: &Id) -> usize {
-    std::iter::successors(Some(id), |at| parent_of(nodes, at)).count()
-}
-
-fn integer(nodes: &Table<Id, Node>, id: &Id, key: Key) -> u64 {
-    std::iter::successors(Some(id), |at| parent_of(nodes, at))
-        .find_map(|at| nodes.get(at)?.overrides.get(&key)?.as_integer())
-        .or_else(|| key.default_value().as_integer())
-        .unwrap_or_default()
-}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -13,6 +13,7 @@
 mod effective;
 mod error;
 mod id;
+mod index;
 mod key;
 mod kind;
 mod node;
@@ -26,7 +27,7 @@
 mod tree;
 mod value;
 
-pub use apply::apply;
+pub use apply::{apply, replay};
 pub use check::faults;
 pub use edit::Edit;
 pub use effective::{Effective, Listing};
