feat: say whether not-run covers the key, pack ended answers

not-run told without a look at the key, as in an outage, speaks of one sending only; Reason::covers_key says so, and the explorer holds the stronger reading for the rest. A ticket whose agent cannot be reached is unknown, since an earlier sending may have run there.

--- a/crates/attempt/src/answer.rs
+++ b/crates/attempt/src/answer.rs
@@ -42,6 +42,28 @@
     Garbled,
 }
 
+impl Reason {
+    /// Tells whether `not-run` for this reason also says that the request had
+    /// not run under its key when it was sent here.
+    ///
+    /// Otherwise the key was not looked up, and `not-run` speaks of this
+    /// sending only: what became of an earlier one is to be learned by sending
+    /// the request again under the same key.
+    #[must_use]
+    pub const fn covers_key(&self) -> bool {
+        match self {
+            Self::Refused(_) | Self::GivenUp | Self::Mismatch => true,
+            Self::Unavailable
+            | Self::Unroutable
+            | Self::Deadline
+            | Self::Broken(_)
+            | Self::Replaced
+            | Self::Silent
+            | Self::Garbled => false,
+        }
+    }
+}
+
 /// What the caller is told in the end.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Answer {
--- a/crates/attempt/src/exchange.rs
+++ b/crates/attempt/src/exchange.rs
@@ -148,7 +148,7 @@
         match event {
             Event::Routed { terms, attempt } => self.routed(terms, attempt, now, &mut commands),
             Event::Unroutable if self.state == State::Routing => {
-                self.refuse(Outcome::NotRun, Reason::Unroutable, &mut commands);
+                self.unroutable(&mut commands);
             }
             Event::Claimed { attempt, answer } => {
                 self.claimed(attempt, answer, now, &mut commands);
@@ -212,6 +212,16 @@
         }));
     }
 
+    /// The agent of a ticket that cannot be reached may have run the request
+    /// when it was sent before.
+    fn unroutable(&mut self, commands: &mut Vec<Command>) {
+        let outcome = match self.order.way {
+            Way::Ticket(_) => Outcome::Unknown,
+            Way::Private | Way::Claim | Way::Resume(_) => Outcome::NotRun,
+        };
+        self.refuse(outcome, Reason::Unroutable, commands);
+    }
+
     fn claimed(
         &mut self,
         attempt: Attempt,
--- a/crates/attempt/src/replies.rs
+++ b/crates/attempt/src/replies.rs
@@ -73,7 +73,12 @@
         commands: &mut Vec<Command>,
     ) {
         match self.intake.take(sequence) {
-            Fit::Next => commands.push(Command::Piece { sequence, data }),
+            Fit::Next => {
+                if matches!(self.state, State::Dispatched { .. }) {
+                    self.state = State::Streaming;
+                }
+                commands.push(Command::Piece { sequence, data });
+            }
             Fit::Seen => {}
             Fit::Gap => self.fetch(now, commands),
         }
--- a/crates/attempt/tests/explore/drive.rs
+++ b/crates/attempt/tests/explore/drive.rs
@@ -1,6 +1,6 @@
 //! The drivers of the decision code, and the platform and engines they meet.
 
-use cactusnotch_attempt::{Answer, Command, Event, Reason};
+use cactusnotch_attempt::{Answer, Command, Event};
 use cactusnotch_base::Outcome;
 use cactusnotch_claim as claim;
 use cactusnotch_claim::batch::{Batch, Entry as Row};
@@ -55,7 +55,7 @@
                 reason,
                 ..
             } => {
-                let looked_up = !matches!(reason, Reason::Unavailable | Reason::Deadline);
+                let looked_up = reason.covers_key();
                 looked_up && entry.late
             }
             _ => false,
--- a/crates/claim/src/log.rs
+++ b/crates/claim/src/log.rs
@@ -111,12 +111,14 @@
         while self.held.expire(now, options.retention()).is_some() {}
     }
 
-    /// Returns the number of the oldest batch if it need not be kept. The
-    /// latest one is kept always, so that numbers never start again.
+    /// Returns the number of the oldest batch if it need not be kept.
+    ///
+    /// It is called only after an append, so that the latest batch is always
+    /// kept and numbers never start again.
     pub(crate) fn trim(&mut self, wall_ms: u64, options: &Options) -> Option<u64> {
         let (number, made_ms) = *self.batches.front()?;
         let old = Age(wall_ms).since(Age(made_ms)) > options.kept();
-        if !old || self.batches.len() < 2 {
+        if !old {
             return None;
         }
         self.batches.pop_front();
--- a/crates/ledger/src/answer.rs
+++ b/crates/ledger/src/answer.rs
@@ -2,11 +2,14 @@
 
 use std::collections::VecDeque;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use cactusnotch_base::number::Sequence;
 
-/// What a kept piece takes beside its bytes.
-const OVERHEAD: usize = 64;
+/// What a kept piece takes beside its bytes, as the endpoint made it.
+const OVERHEAD: usize = 80;
+
+/// What a kept piece takes beside its bytes, as a part of the whole answer.
+const PACKED_OVERHEAD: usize = 32;
 
 /// The latest pieces of an answer.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
@@ -15,6 +18,7 @@
     made: Sequence,
     pieces: VecDeque<Bytes>,
     bytes: usize,
+    packed: bool,
 }
 
 impl Answer {
@@ -54,9 +58,14 @@
     /// returns how many bytes were dropped.
     pub(crate) fn shrink(&mut self, limit: usize) -> usize {
         let before = self.bytes;
+        let overhead = if self.packed {
+            PACKED_OVERHEAD
+        } else {
+            OVERHEAD
+        };
         while self.bytes > limit {
             match self.pieces.pop_front() {
-                Some(piece) => self.bytes -= piece.len() + OVERHEAD,
+                Some(piece) => self.bytes -= piece.len() + overhead,
                 None => break,
             }
         }
@@ -65,4 +74,25 @@
         }
         before - self.bytes
     }
+
+    /// Puts the pieces of an answer that has ended into one allocation, and
+    /// returns how many bytes that saved.
+    pub(crate) fn pack(&mut self) -> usize {
+        if self.packed || self.pieces.len() < 2 {
+            return 0;
+        }
+        let mut whole = BytesMut::with_capacity(self.pieces.iter().map(Bytes::len).sum());
+        for piece in &self.pieces {
+            whole.extend_from_slice(piece);
+        }
+        let mut whole = whole.freeze();
+        for piece in &mut self.pieces {
+            *piece = whole.split_to(piece.len());
+        }
+        self.pieces.shrink_to_fit();
+        self.packed = true;
+        let saved = self.pieces.len() * (OVERHEAD - PACKED_OVERHEAD);
+        self.bytes -= saved;
+        saved
+    }
 }
--- a/crates/ledger/src/delivery.rs
+++ b/crates/ledger/src/delivery.rs
@@ -95,6 +95,7 @@
                 commands.push(Command::Send { link, reply });
             }
         }
+        self.bytes -= row.answer.pack();
         match row.repeat {
             Repeat::Once => {
                 let print = row.identity.print();
@@ -114,6 +115,7 @@
         };
         self.bytes -= row.answer.bytes() + row.identity.bytes();
         self.running_keys.remove(&row.identity.print());
+        self.stones.add(runner, row.start_by, age);
         for listener in row.end(State::Finished) {
             let refusal = match listener.start_by {
                 Some(start_by) => {
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -119,7 +119,12 @@
     #[must_use]
     pub fn step(&mut self, event: Event, now: Instant) -> Vec<Command> {
         let age = self.age(now);
-        let mut commands = self.sweep(age);
+        // Pieces are most of the events, and they change nothing that is due.
+        let looks_around = !matches!(event, Event::Piece { .. });
+        let mut commands = Vec::new();
+        if looks_around {
+            commands = self.sweep(age);
+        }
         match event {
             Event::Request { link, request } => self.request(link, request, age, &mut commands),
             Event::LinkLost(link) => self.unlisten(age, |_, listener| listener == link),
@@ -132,6 +137,9 @@
             Event::Drain => self.draining = true,
             Event::Tick => {}
         }
+        if looks_around {
+            commands.append(&mut self.stop_overdue(age));
+        }
         if self.draining && self.running.is_empty() {
             commands.push(Command::Drained);
         }
@@ -148,7 +156,6 @@
             Request::Attach { query, after } => self.attach(link, &query, after, age, commands),
             Request::Cancel { attempt } => self.unlisten(age, |named, _| named == attempt),
         }
-        commands.append(&mut self.stop_overdue(age));
     }
 
     fn unlisten(&mut self, age: Age, leaves: impl Fn(Attempt, Link) -> bool) {
--- a/crates/ledger/src/row.rs
+++ b/crates/ledger/src/row.rs
@@ -34,6 +34,8 @@
     pub(crate) identity: Identity,
     pub(crate) digest: u64,
     pub(crate) repeat: Repeat,
+    /// The latest start of the attempt.
+    pub(crate) start_by: Age,
     pub(crate) linger_ms: u64,
     pub(crate) state: State,
     pub(crate) answer: Answer,
@@ -45,6 +47,7 @@
             identity: run.identity.clone(),
             digest: run.digest,
             repeat: run.repeat,
+            start_by: run.window.start_by,
             linger_ms: run.linger_ms,
             state: State::Running {
                 listeners: Vec::new(),
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -81,17 +81,17 @@
         let commands = self.ask(Request::Run(self.run(number, key)));
         assert_eq!(commands.first(), Some(&Command::Start(attempt(number))));
     }
+}
 
-    fn query(&self, number: u128, target: &Run) -> Query {
-        Query {
-            attempt: attempt(number),
-            target: Holder {
-                attempt: target.attempt,
-                window: target.window.clone(),
-            },
-            identity: target.identity.clone(),
-            digest: target.digest,
-        }
+fn query(number: u128, target: &Run) -> Query {
+    Query {
+        attempt: attempt(number),
+        target: Holder {
+            attempt: target.attempt,
+            window: target.window.clone(),
+        },
+        identity: target.identity.clone(),
+        digest: target.digest,
     }
 }
 
@@ -130,7 +130,7 @@
     });
     let runs: Vec<_> = (0..4).map(|n| agent.run(n, &format!("key {n}"))).collect();
     for run in &runs {
-        let query = agent.query(100 + run.attempt.0.as_u128(), run);
+        let query = query(100 + run.attempt.0.as_u128(), run);
         let commands = agent.ask(Request::Tombstone(query));
         assert!(matches!(
             commands[..],
@@ -153,12 +153,17 @@
         rows: 1,
         ..Options::default()
     });
+    let first = agent.run(1, "first");
     agent.start(1, "first");
+    let attached = agent.run(4, "first");
+    assert_eq!(refusal(&agent.ask(Request::Run(attached.clone()))), None);
     let run = agent.run(2, "second");
     let refused = refusal(&agent.ask(Request::Run(run.clone())));
     assert_eq!(refused, Some((Outcome::NotRun, Reason::Full)));
     let _ = agent.step(Event::Unstarted(attempt(1)));
-    assert!(!starts(&agent.ask(Request::Run(run))));
+    for run in [run, first, attached] {
+        assert!(!starts(&agent.ask(Request::Run(run))));
+    }
     agent.start(3, "second");
 }
 
@@ -166,10 +171,10 @@
 fn keys_are_forgotten_after_their_lifetime_and_then_refused() {
     let mut agent = Agent::new(Options::default());
     let run = agent.run(1, "key");
-    let query = agent.query(2, &run);
+    let query = query(2, &run);
     agent.start(1, "key");
     let _ = agent.step(Event::Done(attempt(1)));
-    let _ = agent.pass(Options::default().lifetime - Duration::from_secs(1));
+    let _ = agent.pass(Duration::from_secs(14 * 60 + 59));
     let attach = |query: &Query| Request::Attach {
         query: query.clone(),
         after: Sequence(0),
@@ -223,7 +228,7 @@
     let refused = refusal(&agent.ask(Request::Run(other)));
     assert_eq!(refused, Some((Outcome::NotRun, Reason::Mismatch)));
     let _ = agent.step(Event::Done(attempt(1)));
-    let query = agent.query(4, &run);
+    let query = query(4, &run);
     let after = Sequence(2);
     let resumed = agent.ask(Request::Attach { query, after });
     assert_eq!(pieces(&resumed), [3]);
