--- /dev/null
+++ b/crates/attempt/examples/explore.rs
@@ -0,0 +1,87 @@
+//! Searches the model of the tests under each pair of faults, and further
+//! than the tests do.
+//!
+//! `cargo run --release -p cactusnotch-attempt --example explore -- 200000`
+//!
+//! The number bounds the visited states of one search.
+
+#[path = "../tests/explore/actions.rs"]
+mod actions;
+#[path = "../tests/explore/drive.rs"]
+mod drive;
+#[path = "../tests/explore/promises.rs"]
+mod promises;
+#[path = "../tests/explore/search.rs"]
+mod search;
+#[path = "../tests/explore/setup.rs"]
+mod setup;
+#[path = "../tests/explore/world.rs"]
+mod world;
+
+use cactusnotch_ledger::message::Repeat;
+use search::explore;
+use setup::{Faults, Setup};
+use world::World;
+
+/// How many states a search visits, if the caller names no number.
+const STATES: usize = 200_000;
+
+/// A kind of faults, and a step that allows one more of it.
+type Kind = (&'static str, fn(&mut Faults));
+
+const KINDS: [Kind; 7] = [
+    ("lost frame", |faults| faults.lost_frames += 1),
+    ("doubled frame", |faults| faults.doubled_frames += 1),
+    ("lost link", |faults| faults.lost_links += 1),
+    ("killed entry", |faults| faults.killed_entries += 1),
+    ("killed agent", |faults| faults.killed_agents += 1),
+    ("platform", |faults| faults.platform += 1),
+    ("drain", |faults| faults.drains += 1),
+];
+
+fn main() {
+    let argument = std::env::args().nth(1);
+    let limit = argument
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(STATES);
+    let mut total = 0;
+    println!(
+        "way     faults                          states depth complete   whole not-run unknown"
+    );
+    for ticket in [false, true] {
+        for (first, (one, allow_one)) in KINDS.iter().enumerate() {
+            for (two, allow_two) in &KINDS[first..] {
+                let mut faults = Faults {
+                    advances: 2,
+                    ..Faults::default()
+                };
+                allow_one(&mut faults);
+                allow_two(&mut faults);
+                total += search(ticket, &format!("{one}, {two}"), faults, limit);
+            }
+        }
+    }
+    println!("{total} states in all, no promise broken");
+}
+
+fn search(ticket: bool, name: &str, faults: Faults, limit: usize) -> usize {
+    let setup = Setup {
+        ticket,
+        repeat: Repeat::Once,
+        pieces: 0,
+        faults,
+        conditional: true,
+    };
+    let report = explore(World::new(setup), limit);
+    println!(
+        "{:<7} {name:<28} {:>9} {:>5} {:>8} {:>7} {:>7} {:>7}",
+        if ticket { "ticket" } else { "claim" },
+        report.visited,
+        report.depth,
+        report.complete,
+        report.whole,
+        report.not_run,
+        report.unknown,
+    );
+    report.visited
+}
--- a/crates/attempt/tests/exchange.rs
+++ b/crates/attempt/tests/exchange.rs
@@ -153,7 +153,20 @@
 }
 
 #[test]
-fn a_claim_that_came_too_late_is_never_dispatched() {
+fn answers_to_a_claim_count_once_and_in_time() {
+    let mut entry = Entry::new(Repeat::Once, Way::Claim, 0);
+    entry.routed(1, "one");
+    let answers = [
+        (9, claim::Answer::Granted, 0),
+        (1, claim::Answer::Granted, 1),
+        (1, claim::Answer::Granted, 0),
+        (1, claim::Answer::Held(holder(2, "two")), 0),
+    ];
+    for (number, answer, sent) in answers {
+        let attempt = attempt(number);
+        let commands = entry.step(Event::Claimed { attempt, answer });
+        assert_eq!(commands.len(), sent);
+    }
     let mut entry = Entry::new(Repeat::Once, Way::Claim, 0);
     entry.routed(1, "one");
     let granted = Event::Claimed {
