--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -11,7 +11,7 @@
 use crate::choice::{Choice, Error, Reason};
 use crate::row::{Density, Reference, Row};
 use crate::selection::{Candidate, Selection};
-use crate::{Attempt, Load, Member, Options, Report, Request, Service, State};
+use crate::{Attempt, Load, Member, Options, Outlook, Report, Request, Service, State};
 
 /// What one entry knows of its endpoints, and the decision made from it.
 #[derive(Debug)]
@@ -169,6 +169,33 @@
         })
     }
 
+    /// Returns what admission needs to know of a service's endpoints; nothing
+    /// has room if none takes work.
+    pub fn outlook(&mut self, service: &Service, now: Instant) -> Outlook {
+        let Some((selection, members)) = self.select(service, now) else {
+            return Outlook::default();
+        };
+        Outlook {
+            residence: Duration::from_secs_f64(selection.residence),
+            room: selection.room(members),
+        }
+    }
+
+    /// Prepares a decision among the endpoints of a service.
+    fn select(&mut self, service: &Service, now: Instant) -> Option<(Selection<'_>, &[usize])> {
+        let pool = self.pools.get_mut(service)?;
+        let selection = Selection {
+            reference: pool.reference(),
+            residence: pool.residence(&self.options),
+            seen: &mut pool.others,
+            options: &self.options,
+            rows: &self.rows,
+            now,
+            candidates: &mut self.candidates,
+        };
+        Some((selection, &pool.members))
+    }
+
     /// Notes that a request goes to the chosen endpoint.
     pub fn start(&mut self, choice: &Choice, request: &Request<'_>, now: Instant) -> Attempt {
         let probe = choice.reason == Reason::Probe;
