feat: run placement policies on seeded traces

Cause: the planner had no figures. Cause of the first run being slow: each move tried was split to the end; it is now split for three rounds and only the chosen one to the end, and a layer in which no saving could pay for one move is not searched.

--- /dev/null
+++ b/crates/placement/examples/traces/effort.rs
@@ -0,0 +1,162 @@
+//! The planner's CPU and memory by the number of ranks.
+
+use std::time::{Duration, Instant};
+
+use cactusnotch_base::number::{Incarnation, Sequence, Step};
+use cactusnotch_placement::{
+    Budget, Count, Map, Options, Planner, Rank, Report, State, Weights, pack,
+};
+use hdrhistogram::Histogram;
+
+use crate::policy::{INTERVAL, RATE};
+use crate::simulation::STEPS;
+use crate::trace::{Kind, RANKS, SEED, SHAPE, SPEED, Trace};
+
+/// The ranks of each group, and the experts of a layer that each rank holds.
+const GROUPS: [(u16, usize); 3] = [(16, 6), (64, 2), (256, 2)];
+/// The seconds of the trace that are run: those around the dispute wave.
+const SECONDS: std::ops::Range<u64> = 860..1_060;
+
+/// Prints the table.
+pub fn print() {
+    println!("### CPU and memory of the planner\n");
+    println!(
+        "| ranks | slots | map, bytes of CBOR | CPU a report, us | CPU a plan p50, ms | p99 | \
+         max | share of a core | peak memory growth, MB |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|");
+    for (ranks, slots) in GROUPS {
+        let before = peak();
+        let run = Run::new(ranks, slots).go();
+        let grown = (peak() - before) as f64 / 1_024.0;
+        println!("| {ranks} | {slots} | {} | {grown:.1} |", run.row());
+    }
+}
+
+struct Run {
+    options: Options,
+    planner: Planner,
+    map: Map,
+    speeds: Vec<f64>,
+    reports: Histogram<u64>,
+    plans: Histogram<u64>,
+    cpu: u64,
+}
+
+impl Run {
+    fn new(ranks: u16, slots: usize) -> Self {
+        let options = Options::new(SHAPE, ranks, slots);
+        let speeds = vec![SPEED; usize::from(ranks)];
+        let rates = Trace::new(Kind::Dispute, SEED).rates(0);
+        let record = || Histogram::new(3).expect("three digits are allowed");
+        Self {
+            planner: Planner::new(options),
+            map: pack::map(SHAPE, &rates, &speeds, slots).expect("slots suffice"),
+            options,
+            speeds,
+            reports: record(),
+            plans: record(),
+            cpu: 0,
+        }
+    }
+
+    fn go(mut self) -> Self {
+        let trace = Trace::new(Kind::Dispute, SEED);
+        let start = Instant::now();
+        let states = vec![State::Loaded; self.speeds.len()];
+        let budget = Budget {
+            rate: RATE,
+            interval: INTERVAL,
+        };
+        for second in SECONDS {
+            let now = start + Duration::from_secs(second);
+            self.observe(&trace.rates(second), second, now);
+            if second % INTERVAL.as_secs() != 0 {
+                continue;
+            }
+            let before = cpu();
+            let weights = Weights::SKEW_FIRST;
+            let plan = self
+                .planner
+                .plan(&self.map, &states, &weights, &budget, now);
+            let spent = cpu() - before;
+            self.cpu += spent;
+            self.plans
+                .record(spent / 1_000)
+                .expect("the histogram grows");
+            if let Some(plan) = plan.expect("slots suffice") {
+                self.map = plan.map().expect("a whole plan is valid");
+            }
+        }
+        self
+    }
+
+    fn observe(&mut self, rates: &[f64], second: u64, now: Instant) {
+        for rank in 0..self.options.ranks {
+            let report = self.report(Rank(rank), rates, second);
+            let before = cpu();
+            self.planner.observe(&report, now).expect("a new report");
+            let spent = cpu() - before;
+            self.cpu += spent;
+            self.reports.record(spent).expect("the histogram grows");
+        }
+    }
+
+    fn report(&self, rank: Rank, rates: &[f64], second: u64) -> Report {
+        let scale = f64::from(self.options.ranks) / f64::from(RANKS) * f64::from(STEPS);
+        let mut counts = Vec::new();
+        for ((cell, row), rate) in self.map.cells().zip(rates) {
+            if let Some(replica) = row.iter().find(|replica| replica.rank == rank) {
+                let tokens = (rate * scale * replica.share.fraction()).round() as u32;
+                counts.push(Count {
+                    cell,
+                    share: replica.share,
+                    tokens,
+                });
+            }
+        }
+        let sum: u32 = counts.iter().map(|count| count.tokens).sum();
+        Report {
+            rank,
+            incarnation: Incarnation(1),
+            sequence: Sequence(second),
+            first: Step(second * u64::from(STEPS)),
+            steps: STEPS,
+            busy: Duration::from_secs_f64(f64::from(sum) / SPEED),
+            counts,
+        }
+    }
+
+    fn row(&self) -> String {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&self.map, &mut bytes).expect("a map can be written");
+        let milliseconds = |quantile| self.plans.value_at_quantile(quantile) as f64 / 1e3;
+        let seconds = (SECONDS.end - SECONDS.start) as f64;
+        format!(
+            "{} | {:.1} | {:.1} | {:.1} | {:.1} | {:.2}%",
+            bytes.len(),
+            self.reports.value_at_quantile(0.5) as f64 / 1e3,
+            milliseconds(0.5),
+            milliseconds(0.99),
+            milliseconds(1.0),
+            self.cpu as f64 / 1e7 / seconds,
+        )
+    }
+}
+
+/// Returns the nanoseconds that this thread has run on a processor.
+fn cpu() -> u64 {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    text.split_whitespace()
+        .next()
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(0)
+}
+
+/// Returns the peak resident memory of the process in kilobytes.
+fn peak() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let number = line.and_then(|line| line.split_whitespace().next());
+    number.and_then(|n| n.parse().ok()).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/placement/examples/traces/main.rs
@@ -0,0 +1,48 @@
+//! Runs every placement policy on the same seeded traces and prints tables of
+//! skew and cost.
+//!
+//! `cargo run --release -p cactusnotch-placement --example traces` also writes
+//! the chart to `docs/charts/skew-cost.svg`.
+
+mod chart;
+mod effort;
+mod policy;
+mod result;
+mod simulation;
+mod table;
+mod trace;
+
+use policy::Policy;
+use result::Summary;
+use trace::{SEED, Trace};
+
+/// The chart, from the root of the repository.
+const CHART: &str = concat!(
+    env!("CARGO_MANIFEST_DIR"),
+    "/../../docs/charts/skew-cost.svg"
+);
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    let only: Vec<String> = std::env::args().skip(1).collect();
+    if only.is_empty() || only.iter().any(|name| name == "planner") {
+        effort::print();
+    }
+    let mut summaries: Vec<Summary> = Vec::new();
+    for kind in trace::Kind::ALL {
+        if !only.is_empty() && !only.iter().any(|name| name == kind.name()) {
+            continue;
+        }
+        let trace = Trace::new(kind, SEED);
+        let group: Vec<Summary> = Policy::ALL
+            .iter()
+            .map(|&policy| simulation::run(&trace, policy))
+            .collect();
+        table::print(kind, &group);
+        summaries.extend(group);
+    }
+    table::print_totals(&summaries);
+    if only.is_empty() {
+        chart::draw(std::path::Path::new(CHART), &summaries)?;
+    }
+    Ok(())
+}
--- a/crates/placement/src/bundle.rs
+++ b/crates/placement/src/bundle.rs
@@ -50,7 +50,10 @@
         effort: &mut usize,
     ) {
         let near = layer.slowest();
-        let far = layer.under(&forecast.far, ranks.speeds).slowest();
+        let far = self.far(layer, forecast, ranks);
+        if !self.hopeful(near - target, far) {
+            return;
+        }
         let mut current = layer.clone();
         while self.steps.len() < limit && current.slowest() > target {
             let Some((step, after)) = search::next(&current, ranks, effort) else {
@@ -59,12 +62,29 @@
             self.steps.push(step);
             let noise = self.terms.caution * self.noise(&after, forecast, ranks);
             let saved = near - after.slowest() - noise;
-            let eventual = far - after.under(&forecast.far, ranks.speeds).slowest();
+            let eventual = far - self.far(&after, forecast, ranks);
             self.values.push(self.value(saved, eventual));
             current = after;
         }
     }
 
+    /// Returns the slowest rank's time under the far loads, or zero if none are
+    /// expected.
+    fn far(&self, layer: &Layer, forecast: &Forecast, ranks: Ranks) -> f64 {
+        if self.terms.far > 0.0 {
+            layer.under(&forecast.far, ranks.speeds).slowest()
+        } else {
+            0.0
+        }
+    }
+
+    /// Tells whether a single move could pay back if it saved all that can be
+    /// saved.
+    fn hopeful(&self, near: f64, far: f64) -> bool {
+        let terms = &self.terms;
+        terms.saving * (near * terms.near + far * terms.far) > terms.cost
+    }
+
     /// Returns the worth of the moves if they save so much of the layer's step
     /// time now and later. Moves that would slow the layer later can be undone,
     /// which costs as much again.
--- a/crates/placement/src/fill.rs
+++ b/crates/placement/src/fill.rs
@@ -25,6 +25,9 @@
     times: &mut [f64],
     order: &mut Vec<usize>,
 ) -> f64 {
+    if let [only] = parts {
+        return place(only, load, speeds, times);
+    }
     for part in parts.iter() {
         times[part.at()] -= part.tokens / speeds[part.at()];
     }
@@ -40,6 +43,14 @@
     change
 }
 
+/// Gives all of `load` to the only replica.
+fn place(part: &mut Part, load: f64, speeds: &[f64], times: &mut [f64]) -> f64 {
+    let change = (load - part.tokens) / speeds[part.at()];
+    part.tokens = load;
+    times[part.at()] += change;
+    change.abs()
+}
+
 /// Returns the time up to which the ranks of `parts` are filled by `load`.
 fn level(parts: &[Part], load: f64, speeds: &[f64], times: &[f64], order: &mut Vec<usize>) -> f64 {
     order.clear();
--- a/crates/placement/src/layer.rs
+++ b/crates/placement/src/layer.rs
@@ -6,7 +6,9 @@
 use crate::replica::Replica;
 
 /// The most rounds in which traffic is split anew.
-const ROUNDS: usize = 40;
+const ROUNDS: usize = 24;
+/// The most rounds in which the traffic of a move that is only tried is split.
+const TRIAL_ROUNDS: usize = 3;
 /// The change, relative to the slowest rank's time, at which splitting ends.
 const TOLERANCE: f64 = 5e-4;
 
@@ -78,8 +80,18 @@
     /// Splits the traffic of every expert so that the slowest rank is as fast
     /// as the placement allows, up to a small tolerance.
     pub(crate) fn balance(&mut self, speeds: &[f64]) {
+        self.rounds(speeds, ROUNDS);
+    }
+
+    /// Splits the traffic after a small change, about as well as needed to
+    /// compare it with others.
+    pub(crate) fn settle(&mut self, speeds: &[f64]) {
+        self.rounds(speeds, TRIAL_ROUNDS);
+    }
+
+    fn rounds(&mut self, speeds: &[f64], rounds: usize) {
         let mut order = Vec::new();
-        for _ in 0..ROUNDS {
+        for _ in 0..rounds {
             let mut change = 0.0_f64;
             for (row, &load) in self.rows.iter_mut().zip(&self.loads) {
                 if !row.is_empty() {
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -9,9 +9,9 @@
 /// Ranks within this part of the slowest one's time are hot.
 const HOT: f64 = 0.005;
 /// How many experts of the hot ranks are tried.
-const EXPERTS: usize = 4;
+const EXPERTS: usize = 3;
 /// How many places are tried for each of them.
-const PLACES: usize = 6;
+const PLACES: usize = 4;
 
 /// A replica to add, and one to give up in its place.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -24,11 +24,15 @@
 impl Step {
     /// Makes the step in `layer` and splits the traffic anew.
     pub(crate) fn apply(self, layer: &mut Layer, speeds: &[f64]) {
+        self.place(layer, speeds);
+        layer.balance(speeds);
+    }
+
+    fn place(self, layer: &mut Layer, speeds: &[f64]) {
         if let Some(evict) = self.evict {
             layer.remove(evict, self.rank, speeds);
         }
         layer.add(self.expert, self.rank);
-        layer.balance(speeds);
     }
 }
 
@@ -66,14 +70,17 @@
                 evict,
             };
             let mut after = layer.clone();
-            step.apply(&mut after, ranks.speeds);
+            step.place(&mut after, ranks.speeds);
+            after.settle(ranks.speeds);
             let score = score(&after);
             if score < best.0 {
                 best = (score, Some((step, after)));
             }
         }
     }
-    best.1
+    let (step, mut after) = best.1?;
+    after.balance(ranks.speeds);
+    Some((step, after))
 }
 
 fn score(layer: &Layer, speeds: &[f64], scale: f64) -> f64 {
