test: show that a slow receiver's link isn't taken for half-open

Cause: with the reset of the idle clock taken out of the reader no test turned red, because one long pause of the receiver ends with bytes not yet looked at. A receiver that takes one message per two idle timeouts does turn it red.

The reflected proof's test runs under a paused clock now, so that it fails at once instead of after a minute when the sides aren't told apart.

--- a/crates/link/tests/common/mod.rs
+++ b/crates/link/tests/common/mod.rs
@@ -20,7 +20,7 @@
 }
 
 /// Bounds that a busy machine doesn't reach on the wall clock.
-const LONG: Duration = Duration::from_secs(60);
+const LONG: Duration = Duration::from_mins(1);
 
 /// Returns options of the process called `name`.
 pub fn options(name: &str) -> Options {
--- a/crates/link/tests/handshake.rs
+++ b/crates/link/tests/handshake.rs
@@ -108,7 +108,7 @@
 }
 
 /// A stranger answers with the dialer's own hello and its own proof.
-#[tokio::test]
+#[tokio::test(start_paused = true)]
 async fn reflected_proof_is_refused() {
     let (near, mut stranger) = duplex(PIPE);
     let options = options("entry");
--- a/crates/link/tests/limits.rs
+++ b/crates/link/tests/limits.rs
@@ -64,7 +64,7 @@
         "{error}"
     );
     assert!(start.elapsed() <= options.idle_timeout * 5 / 4);
-    assert!(start.elapsed() >= options.idle_timeout - options.ping_interval);
+    assert!(start.elapsed() + options.ping_interval >= options.idle_timeout);
     assert!(receiver.recv().await.is_none());
     let late = sender.try_send(&"late".to_owned()).unwrap_err();
     assert!(
@@ -76,6 +76,7 @@
 #[tokio::test(start_paused = true)]
 async fn slow_receiver_bounds_the_queue_and_keeps_the_link() {
     const MESSAGE: usize = 10_000;
+    const SLOW: u64 = 20;
     let options = Options {
         queue_bytes: 1 << 20,
         frame_limit: 1 << 16,
@@ -106,10 +107,12 @@
         "{waiting} bytes wait, {bound} are allowed"
     );
 
-    tokio::time::sleep(options.idle_timeout * 10).await;
     for number in 0..sent {
-        let (received, _) = receiver.recv().await.unwrap().unwrap();
-        assert_eq!(received, number);
+        if number < SLOW {
+            tokio::time::sleep(options.idle_timeout * 2).await;
+        }
+        let (found, _) = receiver.recv().await.unwrap().unwrap();
+        assert_eq!(found, number);
     }
     sender.send(&(sent, payload)).await.unwrap();
     assert_eq!(receiver.recv().await.unwrap().unwrap().0, sent);
