--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -62,6 +62,15 @@
     pub heard_ms: Option<u64>,
 }
 
+impl Status {
+    /// Returns the number of endpoints that take new work.
+    #[must_use]
+    pub fn serving(&self) -> usize {
+        let serving = self.endpoints.iter().filter(|seen| seen.state == "serving");
+        serving.count()
+    }
+}
+
 impl From<&Laggard> for Lagging {
     fn from(laggard: &Laggard) -> Self {
         Self {
--- a/crates/lab/src/caller.rs
+++ b/crates/lab/src/caller.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use cactusnotch_standins::engine::{self, Message};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use ureq::Agent;
@@ -29,6 +30,18 @@
     pub after: Option<u64>,
 }
 
+impl Ask {
+    /// Returns the text that the stand-in engines answer with.
+    #[must_use]
+    pub fn expected(&self) -> String {
+        let message = Message {
+            role: "user".to_owned(),
+            content: self.prompt.clone(),
+        };
+        engine::answer(&self.model, &engine::prompt(&[message]), self.max_tokens)
+    }
+}
+
 /// What a caller got.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Outcome {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,11 +3,14 @@
 #![forbid(unsafe_code)]
 
 pub mod caller;
+pub mod check;
 pub mod cluster;
 mod failure;
+mod figures;
 pub mod operator;
 
 pub use caller::Caller;
 pub use cluster::Cluster;
 pub use failure::Failure;
+pub use figures::Figures;
 pub use operator::Operator;
--- a/crates/lab/tests/path.rs
+++ b/crates/lab/tests/path.rs
@@ -5,7 +5,6 @@
 use cactusnotch_lab::caller::{Ask, Outcome};
 use cactusnotch_lab::cluster::{Cluster, Options};
 use cactusnotch_lab::{Caller, Operator};
-use cactusnotch_standins::engine::{Message, answer, prompt};
 
 const MODEL: &str = "moe";
 const ORGANISATION: &str = "arrieta";
@@ -23,14 +22,6 @@
     }
 }
 
-fn expected(ask: &Ask) -> String {
-    let message = Message {
-        role: "user".to_owned(),
-        content: ask.prompt.clone(),
-    };
-    answer(MODEL, &prompt(&[message]), ask.max_tokens)
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_gets_its_own_whole_answer() {
     let cluster = Cluster::start(&Options::default()).await.unwrap();
@@ -59,7 +50,7 @@
             let Outcome::Whole(got) = caller.ask(address, &ask).unwrap() else {
                 panic!("request {number} got no whole answer");
             };
-            assert_eq!(got.text, expected(&ask));
+            assert_eq!(got.text, ask.expected());
         }
     });
     done.await.unwrap();
