feat: send a claim again when its answer does not come

A claim forwarded to an owner that dies on it waited for the deadline. It is now sent again, by the driver to another writer; both may record it, and the log counts it once since it names the same attempt.

--- a/crates/attempt/src/command.rs
+++ b/crates/attempt/src/command.rs
@@ -18,7 +18,8 @@
         /// The endpoints that refused or did not answer.
         avoid: Vec<Endpoint>,
     },
-    /// Claims the key. An answer that comes late or twice does no harm.
+    /// Claims the key, at the shard's owner or, when it comes again, at
+    /// another writer. An answer that comes late or twice does no harm.
     Claim(Claim),
     /// Sends a request to an endpoint's agent, with the payload if it is a
     /// [`Request::Run`]. Without a connection it may be dropped.
--- a/crates/attempt/src/event.rs
+++ b/crates/attempt/src/event.rs
@@ -25,7 +25,8 @@
     },
     /// An agent replied.
     Reply(Reply),
-    /// The connection to an endpoint's agent is gone.
+    /// The connection to an endpoint's agent is gone, which the driver notices
+    /// by pings if it is half open.
     LinkLost(Endpoint),
     /// The time that [`Exchange::wake`](crate::Exchange::wake) told has come.
     Timer,
--- a/crates/attempt/src/exchange.rs
+++ b/crates/attempt/src/exchange.rs
@@ -23,7 +23,9 @@
     /// An endpoint is to be chosen.
     Routing,
     /// The key is being claimed.
-    Claiming,
+    Claiming {
+        resend: Instant,
+    },
     /// The attempt was sent, and the agent has not accepted it yet.
     Dispatched {
         until: Instant,
@@ -100,7 +102,8 @@
     pub fn wake(&self) -> Option<Instant> {
         let next = match self.state {
             State::Ended => return None,
-            State::Routing | State::Claiming | State::Streaming => self.order.deadline,
+            State::Routing | State::Streaming => self.order.deadline,
+            State::Claiming { resend } => resend,
             State::Dispatched { until } => until,
             State::Tombstoning(patience) | State::Attached(patience) => {
                 patience.resend.min(patience.until)
@@ -203,11 +206,18 @@
         if self.order.way != Way::Claim || self.order.repeat == Repeat::Idempotent {
             return self.dispatch(&holder, now, commands);
         }
-        self.state = State::Claiming;
+        self.claim(&holder, now, commands);
+    }
+
+    /// Claims the key; doing it again for the same holder does no harm.
+    pub(crate) fn claim(&mut self, holder: &Holder, now: Instant, commands: &mut Vec<Command>) {
+        self.state = State::Claiming {
+            resend: now + self.options.claim,
+        };
         commands.push(Command::Claim(Claim {
             identity: self.order.identity.clone(),
             digest: self.order.digest,
-            holder,
+            holder: holder.clone(),
             from: self.from,
         }));
     }
@@ -229,7 +239,7 @@
         now: Instant,
         commands: &mut Vec<Command>,
     ) {
-        if self.state != State::Claiming || attempt != self.conversation {
+        if !matches!(self.state, State::Claiming { .. }) || attempt != self.conversation {
             return;
         }
         let Some(own) = self.holder.clone() else {
--- a/crates/attempt/src/options.rs
+++ b/crates/attempt/src/options.rs
@@ -7,6 +7,9 @@
 pub struct Options {
     /// How long after the agent's last reported age an attempt may start.
     pub start: Duration,
+    /// How long to wait before a claim is sent again, perhaps to another
+    /// writer.
+    pub claim: Duration,
     /// How long an agent may take to accept a dispatched attempt.
     pub accept: Duration,
     /// How long an agent may take to say what became of an attempt.
@@ -23,6 +26,7 @@
     fn default() -> Self {
         Self {
             start: Duration::from_secs(5),
+            claim: Duration::from_secs(1),
             accept: Duration::from_secs(2),
             settle: Duration::from_secs(3),
             resend: Duration::from_millis(200),
--- a/crates/attempt/src/recovery.rs
+++ b/crates/attempt/src/recovery.rs
@@ -149,6 +149,11 @@
 
     pub(crate) fn timer(&mut self, now: Instant, budget: &mut Budget, commands: &mut Vec<Command>) {
         match self.state {
+            State::Claiming { resend } if now >= resend => {
+                if let Some(holder) = self.holder.clone() {
+                    self.claim(&holder, now, commands);
+                }
+            }
             State::Dispatched { until } if now >= until => self.lost(now, budget, commands),
             State::Tombstoning(patience) | State::Attached(patience) if now >= patience.until => {
                 self.uncertain(Reason::Silent, budget, commands);
@@ -170,7 +175,7 @@
     /// The deadline has passed.
     pub(crate) fn expire(&mut self, commands: &mut Vec<Command>) {
         let outcome = match self.state {
-            State::Routing | State::Claiming => Outcome::NotRun,
+            State::Routing | State::Claiming { .. } => Outcome::NotRun,
             _ => Outcome::Unknown,
         };
         self.withdraw(commands);
@@ -179,7 +184,10 @@
 
     /// Frees what the exchange may hold at an agent.
     pub(crate) fn withdraw(&self, commands: &mut Vec<Command>) {
-        if matches!(self.state, State::Routing | State::Claiming | State::Ended) {
+        if matches!(
+            self.state,
+            State::Routing | State::Claiming { .. } | State::Ended
+        ) {
             return;
         }
         let Some(query) = self.query() else { return };
--- a/crates/attempt/src/replies.rs
+++ b/crates/attempt/src/replies.rs
@@ -20,7 +20,7 @@
         budget: &mut Budget,
         commands: &mut Vec<Command>,
     ) {
-        let waits = !matches!(self.state, State::Routing | State::Claiming);
+        let waits = !matches!(self.state, State::Routing | State::Claiming { .. });
         if reply.attempt() != self.conversation || !waits {
             return;
         }
--- a/crates/attempt/tests/explore/world.rs
+++ b/crates/attempt/tests/explore/world.rs
@@ -42,6 +42,8 @@
     pub(crate) routes: Vec<(Option<Endpoint>, Vec<Endpoint>)>,
     pub(crate) call: Option<Call>,
     pub(crate) attempts: Vec<Attempt>,
+    /// The attempts for which the key was claimed.
+    pub(crate) claimed: Vec<Attempt>,
     pub(crate) passed: Vec<(u64, Vec<u8>)>,
     pub(crate) answer: Option<Answer>,
     /// Whether the key had started before the request came here.
@@ -111,6 +113,7 @@
             routes: Vec::new(),
             call: None,
             attempts: Vec::new(),
+            claimed: Vec::new(),
             passed: Vec::new(),
             answer: None,
             late: false,
@@ -180,6 +183,7 @@
         };
         let options = Options {
             start: ms(30),
+            claim: ms(20),
             accept: ms(10),
             settle: ms(30),
             resend: ms(15),
