feat: tell not-run when a run had no connection to be sent by

A driver that finds no connection to the agent, or another incarnation at its end, knows that the run was not sent. The driver now says so, and the request goes elsewhere or is not-run; for a ticket it stays unknown. The explorer takes it as one more fate of a run's frame.

--- a/crates/attempt/src/answer.rs
+++ b/crates/attempt/src/answer.rs
@@ -28,6 +28,9 @@
     /// No endpoint takes the request.
     #[display("no endpoint takes the request")]
     Unroutable,
+    /// There was no connection to send the request by.
+    #[display("there was no connection to the agent")]
+    Unsent,
     /// The agent that the key is bound to is gone.
     #[display("the agent that the key is bound to is gone")]
     Replaced,
@@ -55,6 +58,7 @@
             Self::Refused(_) | Self::GivenUp | Self::Mismatch => true,
             Self::Unavailable
             | Self::Unroutable
+            | Self::Unsent
             | Self::Deadline
             | Self::Broken(_)
             | Self::Replaced
--- a/crates/attempt/src/command.rs
+++ b/crates/attempt/src/command.rs
@@ -22,7 +22,9 @@
     /// another writer. An answer that comes late or twice does no harm.
     Claim(Claim),
     /// Sends a request to an endpoint's agent, with the payload if it is a
-    /// [`Request::Run`]. Without a connection it may be dropped.
+    /// [`Request::Run`]. Without a connection it may be dropped; for a run
+    /// [`Event::Unsent`](crate::Event::Unsent) then spares the caller an
+    /// `unknown`.
     Send {
         /// The endpoint.
         endpoint: Endpoint,
--- a/crates/attempt/src/event.rs
+++ b/crates/attempt/src/event.rs
@@ -23,6 +23,9 @@
         /// The answer.
         answer: claim::Answer,
     },
+    /// The run of this attempt was not sent and never will be, since there is
+    /// no connection to the agent or the agent is another incarnation.
+    Unsent(Attempt),
     /// An agent replied.
     Reply(Reply),
     /// The connection to an endpoint's agent is gone, which the driver notices
--- a/crates/attempt/src/exchange.rs
+++ b/crates/attempt/src/exchange.rs
@@ -151,11 +151,12 @@
         match event {
             Event::Routed { terms, attempt } => self.routed(terms, attempt, now, &mut commands),
             Event::Unroutable if self.state == State::Routing => {
-                self.unroutable(&mut commands);
+                self.unreached(Reason::Unroutable, &mut commands);
             }
             Event::Claimed { attempt, answer } => {
                 self.claimed(attempt, answer, now, &mut commands);
             }
+            Event::Unsent(attempt) => self.unsent(attempt, budget, &mut commands),
             Event::Reply(reply) => self.reply(reply, now, budget, &mut commands),
             Event::LinkLost(endpoint) => self.link_lost(&endpoint, now, budget, &mut commands),
             Event::Timer => self.timer(now, budget, &mut commands),
@@ -224,12 +225,25 @@
 
     /// The agent of a ticket that cannot be reached may have run the request
     /// when it was sent before.
-    fn unroutable(&mut self, commands: &mut Vec<Command>) {
+    fn unreached(&mut self, reason: Reason, commands: &mut Vec<Command>) {
         let outcome = match self.order.way {
             Way::Ticket(_) => Outcome::Unknown,
             Way::Private | Way::Claim | Way::Resume(_) => Outcome::NotRun,
         };
-        self.refuse(outcome, Reason::Unroutable, commands);
+        self.refuse(outcome, reason, commands);
+    }
+
+    fn unsent(&mut self, attempt: Attempt, budget: &mut Budget, commands: &mut Vec<Command>) {
+        let dispatched = matches!(self.state, State::Dispatched { .. });
+        if !dispatched || attempt != self.conversation {
+            return;
+        }
+        match self.order.way {
+            Way::Ticket(_) => self.unreached(Reason::Unsent, commands),
+            Way::Private | Way::Claim | Way::Resume(_) => {
+                self.dead(Reason::Unsent, budget, commands);
+            }
+        }
     }
 
     fn claimed(
--- a/crates/attempt/tests/exchange.rs
+++ b/crates/attempt/tests/exchange.rs
@@ -221,3 +221,14 @@
     let answer = told(&gone.step(Event::Unroutable));
     assert_eq!(answer, Some((Outcome::Unknown, Reason::Unroutable)));
 }
+
+#[test]
+fn work_that_was_not_sent_did_not_run() {
+    let mut entry = Entry::new(Repeat::Once, Way::Private, 1);
+    entry.routed(1, "one");
+    assert!(routes(&entry.step(Event::Unsent(attempt(1)))));
+    entry.routed(2, "two");
+    assert_eq!(entry.step(Event::Unsent(attempt(1))), []);
+    let unsent = entry.step(Event::Unsent(attempt(2)));
+    assert_eq!(told(&unsent), Some((Outcome::NotRun, Reason::Unsent)));
+}
--- a/crates/attempt/tests/explore/actions.rs
+++ b/crates/attempt/tests/explore/actions.rs
@@ -15,6 +15,9 @@
             actions.push(Action::Deliver(index));
             if faults.lost_frames > 0 {
                 actions.push(Action::Lose(index));
+                if self.frames[index].is_fresh_run() {
+                    actions.push(Action::Unsend(index));
+                }
             }
             if faults.doubled_frames > 0 {
                 actions.push(Action::Double(index));
--- a/crates/attempt/tests/explore/drive.rs
+++ b/crates/attempt/tests/explore/drive.rs
@@ -39,6 +39,7 @@
                     agent: endpoint_number(&endpoint),
                     link: Link(number as u64),
                     request,
+                    doubled: false,
                 }),
                 Command::Piece { sequence, data } => {
                     self.entries[number]
@@ -156,6 +157,7 @@
                 agent,
                 link,
                 request,
+                ..
             } => {
                 self.tell_agent(agent, ledger::Event::Request { link, request });
             }
--- a/crates/attempt/tests/explore/setup.rs
+++ b/crates/attempt/tests/explore/setup.rs
@@ -45,6 +45,8 @@
     Route(usize, bool),
     Deliver(usize),
     Lose(usize),
+    /// The entry finds that it has no connection for a run.
+    Unsend(usize),
     Double(usize),
     Engine(usize),
     Call(usize, Fate),
--- a/crates/attempt/tests/explore/world.rs
+++ b/crates/attempt/tests/explore/world.rs
@@ -21,6 +21,8 @@
         agent: usize,
         link: Link,
         request: Request,
+        /// Whether a copy of it has come to the agent.
+        doubled: bool,
     },
     Down {
         entry: usize,
@@ -28,6 +30,20 @@
     },
 }
 
+impl Frame {
+    /// Tells whether this is a run of which the agent has seen no copy.
+    pub(crate) fn is_fresh_run(&self) -> bool {
+        matches!(
+            self,
+            Self::Up {
+                request: Request::Run(_),
+                doubled: false,
+                ..
+            }
+        )
+    }
+}
+
 #[derive(Debug, Clone, Hash)]
 pub(crate) enum Call {
     Put(u64, Batch),
@@ -213,8 +229,18 @@
             Action::Double(index) => {
                 self.setup.faults.doubled_frames -= 1;
                 let frame = self.frames[index].clone();
+                if let Frame::Up { doubled, .. } = &mut self.frames[index] {
+                    *doubled = true;
+                }
                 self.deliver(frame);
             }
+            Action::Unsend(index) => {
+                self.setup.faults.lost_frames -= 1;
+                if let Frame::Up { link, request, .. } = self.frames.remove(index) {
+                    let entry = usize::try_from(link.0).expect("two entries");
+                    self.tell_entry(entry, Event::Unsent(request.attempt()));
+                }
+            }
             Action::Engine(agent) => self.engine(agent),
             Action::Call(entry, fate) => self.platform(entry, fate),
             Action::Land(index) => {
