--- a/crates/attempt/src/exchange.rs
+++ b/crates/attempt/src/exchange.rs
@@ -23,7 +23,9 @@
     /// An endpoint is to be chosen.
     Routing,
     /// The key is being claimed.
-    Claiming,
+    Claiming {
+        resend: Instant,
+    },
     /// The attempt was sent, and the agent has not accepted it yet.
     Dispatched {
         until: Instant,
@@ -100,7 +102,8 @@
     pub fn wake(&self) -> Option<Instant> {
         let next = match self.state {
             State::Ended => return None,
-            State::Routing | State::Claiming | State::Streaming => self.order.deadline,
+            State::Routing | State::Streaming => self.order.deadline,
+            State::Claiming { resend } => resend,
             State::Dispatched { until } => until,
             State::Tombstoning(patience) | State::Attached(patience) => {
                 patience.resend.min(patience.until)
@@ -148,11 +151,12 @@
         match event {
             Event::Routed { terms, attempt } => self.routed(terms, attempt, now, &mut commands),
             Event::Unroutable if self.state == State::Routing => {
-                self.unroutable(&mut commands);
+                self.unreached(Reason::Unroutable, &mut commands);
             }
             Event::Claimed { attempt, answer } => {
                 self.claimed(attempt, answer, now, &mut commands);
             }
+            Event::Unsent(attempt) => self.unsent(attempt, budget, &mut commands),
             Event::Reply(reply) => self.reply(reply, now, budget, &mut commands),
             Event::LinkLost(endpoint) => self.link_lost(&endpoint, now, budget, &mut commands),
             Event::Timer => self.timer(now, budget, &mut commands),
@@ -203,23 +207,43 @@
         if self.order.way != Way::Claim || self.order.repeat == Repeat::Idempotent {
             return self.dispatch(&holder, now, commands);
         }
-        self.state = State::Claiming;
+        self.claim(&holder, now, commands);
+    }
+
+    /// Claims the key; doing it again for the same holder does no harm.
+    pub(crate) fn claim(&mut self, holder: &Holder, now: Instant, commands: &mut Vec<Command>) {
+        self.state = State::Claiming {
+            resend: now + self.options.claim,
+        };
         commands.push(Command::Claim(Claim {
             identity: self.order.identity.clone(),
             digest: self.order.digest,
-            holder,
+            holder: holder.clone(),
             from: self.from,
         }));
     }
 
     /// The agent of a ticket that cannot be reached may have run the request
     /// when it was sent before.
-    fn unroutable(&mut self, commands: &mut Vec<Command>) {
+    fn unreached(&mut self, reason: Reason, commands: &mut Vec<Command>) {
         let outcome = match self.order.way {
             Way::Ticket(_) => Outcome::Unknown,
             Way::Private | Way::Claim | Way::Resume(_) => Outcome::NotRun,
         };
-        self.refuse(outcome, Reason::Unroutable, commands);
+        self.refuse(outcome, reason, commands);
+    }
+
+    fn unsent(&mut self, attempt: Attempt, budget: &mut Budget, commands: &mut Vec<Command>) {
+        let dispatched = matches!(self.state, State::Dispatched { .. });
+        if !dispatched || attempt != self.conversation {
+            return;
+        }
+        match self.order.way {
+            Way::Ticket(_) => self.unreached(Reason::Unsent, commands),
+            Way::Private | Way::Claim | Way::Resume(_) => {
+                self.dead(Reason::Unsent, budget, commands);
+            }
+        }
     }
 
     fn claimed(
@@ -229,7 +253,7 @@
         now: Instant,
         commands: &mut Vec<Command>,
     ) {
-        if self.state != State::Claiming || attempt != self.conversation {
+        if !matches!(self.state, State::Claiming { .. }) || attempt != self.conversation {
             return;
         }
         let Some(own) = self.holder.clone() else {
--- a/crates/attempt/tests/exchange.rs
+++ b/crates/attempt/tests/exchange.rs
@@ -173,7 +173,10 @@
         attempt: attempt(1),
         answer: claim::Answer::Granted,
     };
-    let late = entry.timer();
+    let again = entry.timer();
+    assert!(matches!(&again[..], [Command::Claim(_)]), "{again:?}");
+    entry.now += Duration::from_mins(1);
+    let late = entry.step(granted.clone());
     assert_eq!(told(&late), Some((Outcome::NotRun, Reason::Deadline)));
     assert_eq!(entry.step(granted), []);
 }
@@ -218,3 +221,14 @@
     let answer = told(&gone.step(Event::Unroutable));
     assert_eq!(answer, Some((Outcome::Unknown, Reason::Unroutable)));
 }
+
+#[test]
+fn work_that_was_not_sent_did_not_run() {
+    let mut entry = Entry::new(Repeat::Once, Way::Private, 1);
+    entry.routed(1, "one");
+    assert!(routes(&entry.step(Event::Unsent(attempt(1)))));
+    entry.routed(2, "two");
+    assert_eq!(entry.step(Event::Unsent(attempt(1))), []);
+    let unsent = entry.step(Event::Unsent(attempt(2)));
+    assert_eq!(told(&unsent), Some((Outcome::NotRun, Reason::Unsent)));
+}
