fix: let the slow rate count less when it lags behind a drift

Both rates were weighed by their noise alone, so that a slow rate that lagged far behind a drift still counted about half. The search was ruled out, as greedy uses the same.

--- a/crates/popularity/src/estimate.rs
+++ b/crates/popularity/src/estimate.rs
@@ -22,14 +22,16 @@
 
 impl Estimate {
     /// Returns the rate to expect in the next steps: the fast one in a burst,
-    /// otherwise the mean of both weighed by their precision.
+    /// otherwise the mean of both weighed by their precision. The slow rate
+    /// counts less the farther the fast one stands from it beyond its noise,
+    /// since it lags behind a drift.
     #[must_use]
     pub fn rate(&self) -> f64 {
         if self.burst.is_some() {
             return self.fast;
         }
         let fast = self.fast_deviation.powi(-2);
-        let slow = self.slow_deviation.powi(-2);
+        let slow = (self.slow_deviation.powi(2) + self.lag()).recip();
         let sum = fast + slow;
         if sum.is_finite() && sum > 0.0 {
             (self.fast * fast + self.slow * slow) / sum
@@ -38,6 +40,13 @@
         }
     }
 
+    /// Returns the square of the distance of both rates that noise does not
+    /// explain.
+    fn lag(&self) -> f64 {
+        let distance = (self.fast - self.slow).powi(2);
+        (distance - self.fast_deviation.powi(2)).max(0.0)
+    }
+
     /// Returns the standard deviation of [`Estimate::rate`].
     #[must_use]
     pub fn deviation(&self) -> f64 {
