feat: claim callers' keys in batches and issue tickets

Cause: the thin path wrote one object of the platform for each keyed request, which 1,300 requests a second would turn into as many writes. POST /v1/tickets gives keys that need no call to the platform at all. Bare keys are refused unless the settings accept them, so the lab's callers use version 7 UUIDs.

--- a/crates/base/src/table.rs
+++ b/crates/base/src/table.rs
@@ -98,6 +98,7 @@
     }
 
     /// Returns the rows in the order of their keys.
+    #[must_use]
     pub fn iter(&self) -> impl DoubleEndedIterator<Item = (&K, &V)> + ExactSizeIterator {
         self.rows.iter().map(|(key, value)| (key, value))
     }
@@ -108,11 +109,13 @@
     }
 
     /// Returns the keys in order.
+    #[must_use]
     pub fn keys(&self) -> impl DoubleEndedIterator<Item = &K> + ExactSizeIterator {
         self.rows.iter().map(|(key, _)| key)
     }
 
     /// Returns the values in the order of their keys.
+    #[must_use]
     pub fn values(&self) -> impl DoubleEndedIterator<Item = &V> + ExactSizeIterator {
         self.rows.iter().map(|(_, value)| value)
     }
--- a/crates/cactusnotch/src/command/entry.rs
+++ b/crates/cactusnotch/src/command/entry.rs
@@ -171,6 +171,7 @@
             nearest,
             ..cactusnotch_route::Options::default()
         },
+        claim: cactusnotch_claim::Options::default(),
         attempt: cactusnotch_attempt::Options::default(),
         retry_fraction: RETRY_FRACTION,
         retry_store: RETRY_STORE,
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -18,6 +18,9 @@
 /// The path of the models on offer.
 const MODELS: &str = "/v1/models";
 
+/// The path of tickets.
+const TICKETS: &str = "/v1/tickets";
+
 /// The paths that model servers answer.
 const COMPLETIONS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
 
@@ -29,6 +32,7 @@
     let answered = match (request.method(), request.uri().path()) {
         (&Method::GET, ADDRESSES) => addresses::answer(&shared),
         (&Method::GET, MODELS) => models::answer(&shared),
+        (&Method::POST, TICKETS) => completion::ticket(&shared, request).await,
         (&Method::POST, path) if COMPLETIONS.contains(&path) => {
             completion::answer(&shared, request).await
         }
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -9,6 +9,7 @@
 use cactusnotch_base::number::Sequence;
 use cactusnotch_base::outcome::Key;
 use cactusnotch_base::{Clock, Outcome};
+use cactusnotch_claim::kind::{self, Bare};
 use cactusnotch_ledger::message::Repeat;
 use cactusnotch_ledger::{Attempt, Identity};
 use cactusnotch_route::{Service, prefix};
@@ -30,6 +31,7 @@
 use crate::output::Output;
 use crate::problem::Problem;
 use crate::shared::Shared;
+use crate::tickets;
 
 /// The header that names the caller's organisation.
 const ORGANISATION: &str = "openai-organization";
@@ -115,7 +117,7 @@
         priority: u8::try_from(organisation.priority).unwrap_or(u8::MAX),
         payload,
     };
-    let order = order(shared, organisation, &manner, &call);
+    let order = order(shared, organisation, &manner, &call)?;
     let seed = xxhash_rust::xxh3::xxh3_64(manner.organisation.as_str().as_bytes());
     let job = Job {
         order,
@@ -150,21 +152,21 @@
     organisation: &resolved::Organisation,
     manner: &Manner,
     call: &Call,
-) -> Order {
+) -> Result<Order, Problem> {
     let repeat = manner.repeat.unwrap_or(if organisation.is_idempotent {
         Repeat::Idempotent
     } else {
         Repeat::Once
     });
     let (key, way) = match &manner.key {
-        Some(key) => (key.clone(), Way::Claim),
+        Some(key) => (key.clone(), way(shared, organisation, manner, key, repeat)?),
         None => (Key::new(Uuid::new_v4().to_string()), Way::Private),
     };
     let linger = match way {
         Way::Private => Duration::ZERO,
         Way::Claim | Way::Ticket(_) | Way::Resume(_) => shared.options.linger,
     };
-    Order {
+    Ok(Order {
         identity: Identity {
             organisation: manner.organisation.clone(),
             key,
@@ -176,7 +178,62 @@
         after: manner.after,
         deadline: shared.clock.now() + organisation.deadline,
         linger_ms: u64::try_from(linger.as_millis()).unwrap_or(u64::MAX),
+    })
+}
+
+/// Returns how the agent that may run a keyed request is found.
+fn way<C: Clock>(
+    shared: &Shared<C>,
+    organisation: &resolved::Organisation,
+    manner: &Manner,
+    key: &Key,
+    repeat: Repeat,
+) -> Result<Way, Problem> {
+    let bare = if organisation.accepts_bare_keys || repeat == Repeat::Idempotent {
+        Bare::Accept
+    } else {
+        Bare::Refuse
+    };
+    let wall = shared.clock.wall();
+    let options = &shared.options.claim;
+    match kind::way(
+        key,
+        &manner.organisation,
+        &shared.signer,
+        bare,
+        options,
+        wall,
+    ) {
+        Ok(kind::Way::Claim) => Ok(Way::Claim),
+        Ok(kind::Way::Ticket(terms)) => Ok(Way::Ticket(terms)),
+        Err(refusal) => Err(Problem::new(
+            "key-refused",
+            "The key cannot be used",
+            StatusCode::UNPROCESSABLE_ENTITY,
+            refusal.outcome(),
+            refusal.to_string(),
+        )),
+    }
+}
+
+/// Issues a ticket for one request.
+pub(crate) async fn ticket<C: Clock>(
+    shared: &Arc<Shared<C>>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Problem> {
+    admit(shared)?;
+    let manner = Manner::read(request.headers())?;
+    let payload = receive(shared, request).await?;
+    let wish = serde_json::from_slice(&payload)
+        .map_err(|error| Problem::malformed(format!("body: {error}")))?;
+    let settings = shared.settings();
+    if settings
+        .organisation(manner.organisation.as_str())
+        .is_none()
+    {
+        return Err(unknown_organisation(&manner.organisation));
     }
+    tickets::issue(shared, manner.organisation, &wish)
 }
 
 impl Manner {
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -8,7 +8,7 @@
 use cactusnotch_base::name::Endpoint;
 use cactusnotch_base::number::Sequence;
 use cactusnotch_base::{Clock, Outcome};
-use cactusnotch_ledger::{Attempt, Reply, Request, Terms, message};
+use cactusnotch_ledger::{Attempt, Request, Terms};
 use cactusnotch_route::attempt::End;
 use cactusnotch_route::{self as route, Service};
 use cactusnotch_telemetry::trace::Span;
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 use uuid::Uuid;
 
+use crate::claims;
 use crate::mailbox;
 use crate::output::Output;
 use crate::shared::Shared;
@@ -154,7 +155,7 @@
         let sender = self.sender.clone();
         tokio::spawn(async move {
             let attempt = claim.holder.attempt;
-            let answer = shared.claims.claim(claim).await;
+            let answer = claims::claim(&shared, claim).await;
             // The request may have ended in the meantime.
             let _ = sender.send(Event::Claimed { attempt, answer }).await;
         });
@@ -174,7 +175,7 @@
             return None;
         }
         Some(if is_run {
-            Event::Reply(never_left(attempt))
+            Event::Unsent(attempt)
         } else {
             Event::LinkLost(endpoint.clone())
         })
@@ -231,15 +232,6 @@
     }
 }
 
-/// Returns the refusal of an attempt that was not put on any link.
-fn never_left(attempt: Attempt) -> Reply {
-    Reply::Refused {
-        attempt,
-        outcome: Outcome::NotRun,
-        reason: message::Reason::Unstarted,
-    }
-}
-
 fn label(outcome: Outcome) -> &'static str {
     match outcome {
         Outcome::NotRun => "not-run",
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,6 +25,7 @@
 mod shared;
 mod status;
 mod stopping;
+mod tickets;
 
 pub use options::Options;
 pub use server::{Error, Server};
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -5,6 +5,7 @@
 
 use cactusnotch_attempt as attempt;
 use cactusnotch_base::name::Region;
+use cactusnotch_claim as claim;
 use cactusnotch_node as node;
 use cactusnotch_route as route;
 
@@ -24,6 +25,8 @@
     pub node: node::Options,
     /// The routing decision.
     pub route: route::Options,
+    /// The times and counts of claims of keys.
+    pub claim: claim::Options,
     /// The times that bound a request.
     pub attempt: attempt::Options,
     /// What a first attempt earns, in thousandths of a retry.
--- a/crates/entry/src/output.rs
+++ b/crates/entry/src/output.rs
@@ -168,7 +168,11 @@
             "The answer broke before its end",
             StatusCode::BAD_GATEWAY,
         ),
-        Reason::Refused(_) | Reason::Unavailable | Reason::GivenUp | Reason::Unroutable => (
+        Reason::Refused(_)
+        | Reason::Unsent
+        | Reason::Unavailable
+        | Reason::GivenUp
+        | Reason::Unroutable => (
             "unavailable",
             "The request cannot be taken now",
             StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -6,6 +6,7 @@
 use cactusnotch_link::{Link, Listener};
 use cactusnotch_wire::Body;
 
+use crate::claims;
 use crate::shared::Shared;
 
 /// Takes links from peers for as long as the entry runs.
@@ -26,6 +27,7 @@
     while let Some(received) = receiver.recv().await {
         match received {
             Ok(Body::Spread(message)) => shared.node.receive(&peer, message),
+            Ok(Body::Claim(message)) => claims::receive(&shared, &peer, message),
             Ok(_) => {
                 tracing::warn!(%peer, "link closed: not what a peer may send to an entry");
                 return;
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -84,6 +84,18 @@
         )
     }
 
+    /// Creates the problem of a request that cannot be taken for now.
+    pub fn unavailable(detail: impl Into<String>, retry: Duration) -> Self {
+        Self::new(
+            "unavailable",
+            "The request cannot be taken now",
+            StatusCode::SERVICE_UNAVAILABLE,
+            Outcome::NotRun,
+            detail,
+        )
+        .after(retry)
+    }
+
     /// Renders the problem as the response to its request.
     pub fn response(&self) -> Response<Body> {
         let mut response = Response::new(Body::from(Bytes::from(self.json())));
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -4,6 +4,7 @@
 
 use cactusnotch_attempt::Budget;
 use cactusnotch_base::Clock;
+use cactusnotch_claim::Signer;
 use cactusnotch_node::Node;
 use cactusnotch_route::Router;
 use cactusnotch_settings::Resolved;
@@ -23,6 +24,7 @@
     pub(crate) agents: Agents,
     pub(crate) mailboxes: Mailboxes,
     pub(crate) claims: Claims,
+    pub(crate) signer: Signer,
     pub(crate) node: Node<C>,
     pub(crate) stopping: Stopping,
     router: Mutex<Router>,
@@ -36,6 +38,7 @@
             agents: Agents::default(),
             mailboxes: Mailboxes::default(),
             claims: Claims::new(&options),
+            signer: signer(&options),
             node,
             stopping: Stopping::default(),
             router: Mutex::new(Router::new(options.route.clone())),
@@ -57,3 +60,9 @@
         Arc::clone(&self.node.view().settings)
     }
 }
+
+/// Returns the signer of tickets, from the secret that all entries share.
+fn signer(options: &Options) -> Signer {
+    let secret = options.node.link.secrets.first();
+    Signer::new(secret.map_or(&[], |secret| secret.as_bytes()))
+}
--- a/crates/lab/examples/quickstart.rs
+++ b/crates/lab/examples/quickstart.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use cactusnotch_agent::Care;
-use cactusnotch_lab::caller::{Ask, Outcome};
+use cactusnotch_lab::caller::{Ask, Outcome, key};
 use cactusnotch_lab::cluster::{Cluster, Options};
 use cactusnotch_lab::{Caller, Failure, Figures, Operator, check};
 use cactusnotch_popularity::{Cell, Shape};
@@ -200,7 +200,7 @@
         model: MODEL.to_owned(),
         prompt: format!("pattern note {request} for weaver {caller}"),
         max_tokens: TOKENS,
-        key: Some(format!("note-{caller}-{request}")),
+        key: Some(key()),
         idempotent: Some(request % 2 == 0),
         after: None,
     }
--- a/crates/lab/src/caller.rs
+++ b/crates/lab/src/caller.rs
@@ -8,9 +8,17 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 use ureq::Agent;
+use uuid::Uuid;
 
 use crate::Failure;
 
+/// Returns a new key that says when it was made, as non-idempotent requests
+/// need.
+#[must_use]
+pub fn key() -> String {
+    Uuid::now_v7().to_string()
+}
+
 /// A chat completion to ask for.
 #[derive(Debug, Clone)]
 pub struct Ask {
--- a/crates/lab/src/cluster.rs
+++ b/crates/lab/src/cluster.rs
@@ -164,6 +164,7 @@
                 nearest: vec![self.data_centre(number)],
                 ..cactusnotch_route::Options::default()
             },
+            claim: cactusnotch_claim::Options::default(),
             attempt: cactusnotch_attempt::Options::default(),
             retry_fraction: 100,
             retry_store: 10,
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -4,7 +4,7 @@
 use cactusnotch_ledger::Reply;
 use cactusnotch_spread::Message;
 
-use crate::{Announcement, Dispatch, group};
+use crate::{Announcement, Dispatch, claim, group};
 
 /// What a link carries.
 #[message]
@@ -18,6 +18,8 @@
     Announce(Announcement),
     /// A process tells a peer of the settings and the roster.
     Spread(Message),
+    /// An entry tells another one about claims of keys.
+    Claim(claim::Message),
     /// An agent tells another one of its group of ranks.
     Group(group::Message),
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 mod announcement;
 mod body;
 mod call;
+pub mod claim;
 mod dispatch;
 pub mod group;
 pub mod head;
