test: run the spread under loss, cuts, pauses, restarts and outages

Cause: the promises (no revert, nothing unproved said to be in force, all agree once mended) have to hold under every mix of faults. Found by it: a process that missed a refutation kept counting another as dead for ever, since rumours are told a bounded number of times. Stale rumours are now answered, and what is known against others is repeated in turn.

--- a/crates/member/src/liveness.rs
+++ b/crates/member/src/liveness.rs
@@ -44,6 +44,7 @@
     healths: Table<Process, Health>,
     generation: u64,
     tellings: u32,
+    turn: usize,
 }
 
 impl Liveness {
@@ -59,6 +60,7 @@
             healths: Table::new(),
             generation: 0,
             tellings: TELLINGS,
+            turn: 0,
         }
     }
 
@@ -138,16 +140,29 @@
             || (registered(record.incarnation), Status::Alive),
             |health| (health.life, health.status),
         );
-        if (rumour.life, rumour.status) > (life, status) {
+        let (told, known) = ((rumour.life, rumour.status), (life, status));
+        if told > known {
             self.set(rumour.process.clone(), rumour.life, rumour.status, now);
+        } else if told < known {
+            self.repeat(&rumour.process);
+        }
+    }
+
+    /// Tells again what a peer turned out to have missed.
+    fn repeat(&mut self, process: &Process) {
+        let tellings = self.tellings;
+        if let Some(health) = self.healths.get_mut(process) {
+            health.tellings = tellings;
         }
     }
 
     fn hear_of_self(&mut self, rumour: &Rumour, now: Instant) {
         if rumour.life.incarnation > self.life.incarnation {
             self.later = self.later.max(Some(rumour.life.incarnation));
-        } else if rumour.life >= self.life && rumour.status != Status::Alive {
-            self.life.refuted = rumour.life.refuted + 1;
+        } else if rumour.status != Status::Alive {
+            if rumour.life >= self.life {
+                self.life.refuted = rumour.life.refuted + 1;
+            }
             self.announce(now);
         }
     }
@@ -164,7 +179,11 @@
             }
             let known = roster.get(process).map(|record| record.incarnation);
             let keep = match known {
-                Some(incarnation) => incarnation <= health.life.incarnation,
+                Some(incarnation) => {
+                    let told = health.tellings == 0 && health.status == Status::Alive;
+                    let plain = told && health.life == registered(incarnation);
+                    incarnation <= health.life.incarnation && !plain
+                }
                 None => *process == self.own,
             };
             revived += u64::from(!keep && health.status == Status::Dead);
@@ -194,24 +213,33 @@
     }
 
     /// Returns the rumours to send with a message to `peer`. What is known
-    /// against `peer` itself always goes along, so that it can refute.
+    /// against `peer` itself always goes along, so that it can refute; what is
+    /// known against others is repeated in turn, so that whoever knows better
+    /// can tell.
     pub fn rumours(&mut self, peer: &Process) -> Vec<Rumour> {
         let mut chosen = Vec::new();
         for (process, health) in self.healths.iter_mut() {
             let against = process == peer && health.status != Status::Alive;
-            if !against && (health.tellings == 0 || chosen.len() >= PER_MESSAGE) {
-                continue;
+            if against || (health.tellings > 0 && chosen.len() < PER_MESSAGE) {
+                health.tellings = health.tellings.saturating_sub(1);
+                chosen.push(rumour(process, health));
             }
-            health.tellings = health.tellings.saturating_sub(1);
-            chosen.push(Rumour {
-                process: process.clone(),
-                life: health.life,
-                status: health.status,
-            });
+        }
+        if chosen.is_empty() {
+            chosen.extend(self.next_against());
         }
         chosen
     }
 
+    fn next_against(&mut self) -> Option<Rumour> {
+        self.turn = self.turn.wrapping_add(1);
+        let rows = || self.healths.iter();
+        let against = || rows().filter(|(_, health)| health.status != Status::Alive);
+        let at = self.turn.checked_rem(against().count())?;
+        let (process, health) = against().nth(at)?;
+        Some(rumour(process, health))
+    }
+
     /// Returns the members of `roster` that have counted as dead for the
     /// expiry and that `ours` holds for; none if they are more than the part
     /// that may expire.
@@ -236,6 +264,14 @@
     }
 }
 
+fn rumour(process: &Process, health: &Health) -> Rumour {
+    Rumour {
+        process: process.clone(),
+        life: health.life,
+        status: health.status,
+    }
+}
+
 /// Returns the life that a record stands for.
 const fn registered(incarnation: Incarnation) -> Life {
     Life {
--- /dev/null
+++ b/crates/spread/tests/common/mod.rs
@@ -0,0 +1,419 @@
+//! Many nodes in one process and in virtual time: a network that delays,
+//! loses, repeats and cuts, and a platform that can be down or forget to
+//! answer.
+#![allow(dead_code, reason = "each test and example uses a part")]
+
+pub mod platform;
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::{Duration, Instant};
+
+use cactusnotch_base::Table;
+use cactusnotch_base::name::Process;
+use cactusnotch_base::number::Incarnation;
+use cactusnotch_member::{Record, Role, State};
+use cactusnotch_spread::{Answer, Command, Message, Node, Options, Span, Ticket};
+use platform::Platform;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Microseconds of virtual time.
+pub type Micros = u64;
+
+pub const SECOND: Micros = 1_000_000;
+const TICK: Micros = 100_000;
+const TIMEOUT: Micros = 2 * SECOND;
+
+/// Where the processes are.
+#[derive(Debug, Clone)]
+pub struct Shape {
+    pub regions: usize,
+    pub data_centres: usize,
+    pub entries: usize,
+    pub agents: usize,
+}
+
+/// How the network behaves.
+#[derive(Debug, Clone, Default)]
+pub struct Network {
+    pub loss: f64,
+    pub repeat: f64,
+    pub late: f64,
+    /// Processes of different sides do not reach one another.
+    pub side: Vec<u8>,
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Tick,
+    Message(usize, Message),
+    Answer(Ticket, Answer),
+    Call(Ticket, cactusnotch_spread::Call),
+}
+
+#[derive(Debug)]
+struct Due {
+    at: Micros,
+    order: u64,
+    to: usize,
+    life: u64,
+    event: Event,
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+impl Eq for Due {}
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+/// What one process cost.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Cost {
+    pub sent: u64,
+    pub received: u64,
+    pub messages: u64,
+    pub decisions: Duration,
+    pub codec: Duration,
+}
+
+/// A process, up or down.
+pub struct Slot {
+    pub record: Record,
+    pub node: Option<Node>,
+    pub life: u64,
+    pub paused_until: Micros,
+    pub applied: Vec<Span>,
+    pub cost: Cost,
+}
+
+/// Many nodes in virtual time.
+pub struct World {
+    pub base: Instant,
+    pub now: Micros,
+    pub rng: StdRng,
+    pub options: Options,
+    pub slots: Vec<Slot>,
+    pub network: Network,
+    pub platform: Platform,
+    pub round_trip: bool,
+    pub kinds: Table<&'static str, (u64, u64)>,
+    names: Table<Process, usize>,
+    queue: BinaryHeap<Reverse<Due>>,
+    order: u64,
+}
+
+fn record(shape: &Shape, at: usize) -> Record {
+    let entry = at < shape.entries;
+    let number = if entry { at } else { at - shape.entries };
+    let data_centre = number % shape.data_centres;
+    let region = data_centre % shape.regions;
+    let role = if entry { Role::Entry } else { Role::Agent };
+    let name = if entry { "entry" } else { "agent" };
+    let port = u16::try_from(at % 60_000).unwrap_or_default();
+    let address = ([10, 0, 0, 1], port).into();
+    Record {
+        process: Process::new(format!("{name}-{number:04}")),
+        role,
+        host: format!("host-{number:04}").as_str().into(),
+        data_centre: format!("dc-{data_centre}").as_str().into(),
+        region: format!("region-{region}").as_str().into(),
+        peers: address,
+        callers: entry.then_some(address),
+        endpoint: (!entry).then(|| format!("endpoint-{number:04}").as_str().into()),
+        incarnation: Incarnation(0),
+        state: State::Joining,
+    }
+}
+
+impl World {
+    /// Creates the processes, all of them down.
+    pub fn new(shape: &Shape, options: Options, seed: u64) -> Self {
+        let count = shape.entries + shape.agents;
+        let slots = (0..count).map(|at| Slot {
+            record: record(shape, at),
+            node: None,
+            life: 0,
+            paused_until: 0,
+            applied: Vec::new(),
+            cost: Cost::default(),
+        });
+        let slots: Vec<Slot> = slots.collect();
+        let names = slots.iter().enumerate();
+        Self {
+            base: Instant::now(),
+            now: 0,
+            rng: StdRng::seed_from_u64(seed),
+            options,
+            names: names
+                .map(|(at, slot)| (slot.record.process.clone(), at))
+                .collect(),
+            network: Network {
+                side: vec![0; count],
+                ..Network::default()
+            },
+            slots,
+            platform: Platform::default(),
+            round_trip: false,
+            kinds: Table::new(),
+            queue: BinaryHeap::new(),
+            order: 0,
+        }
+    }
+
+    pub fn instant(&self) -> Instant {
+        self.base + Duration::from_micros(self.now)
+    }
+
+    pub fn index(&self, process: &Process) -> usize {
+        *self.names.get(process).expect("a known process")
+    }
+
+    /// Starts a fresh life of a process; its wall clock may be wrong.
+    pub fn start(&mut self, at: usize) {
+        let (now, seed) = (self.instant(), self.rng.random());
+        let wall = self.now / 1000 + self.rng.random_range(0..5);
+        let seeds = (0..3).map(|_| self.rng.random_range(0..self.slots.len()));
+        let seeds: Vec<usize> = seeds.collect();
+        let address = |at: usize| {
+            (
+                self.slots[at].record.process.clone(),
+                self.slots[at].record.peers,
+            )
+        };
+        let seeds = seeds
+            .into_iter()
+            .filter(|seed| *seed != at)
+            .map(address)
+            .collect();
+        let slot = &mut self.slots[at];
+        let mut record = slot.record.clone();
+        record.incarnation = Incarnation(wall);
+        slot.life += 1;
+        slot.paused_until = 0;
+        slot.applied.clear();
+        slot.node = Some(Node::new(self.options.clone(), record, seeds, seed, now));
+        let first = self.now + self.rng.random_range(0..TICK);
+        self.schedule(first, at, Event::Tick);
+    }
+
+    pub fn stop(&mut self, at: usize) {
+        self.slots[at].node = None;
+        self.slots[at].life += 1;
+    }
+
+    fn schedule(&mut self, at: Micros, to: usize, event: Event) {
+        self.order += 1;
+        let (order, life) = (self.order, self.slots[to].life);
+        self.queue.push(Reverse(Due {
+            at,
+            order,
+            to,
+            life,
+            event,
+        }));
+    }
+
+    /// Writes a revision at the platform; entry `by` may learn of it at once.
+    pub fn edit(&mut self, payload: usize, by: Option<usize>) -> Option<Span> {
+        let span = self.platform.edit(payload)?;
+        self.wake();
+        if let Some(at) = by {
+            let accepted = span.clone();
+            self.step(at, |node, now| node.on_accepted(accepted, now));
+        }
+        Some(span)
+    }
+
+    /// Runs until `until`, and calls `check` about every tick.
+    pub fn run<E>(
+        &mut self,
+        until: Micros,
+        mut check: impl FnMut(&Self) -> Result<(), E>,
+    ) -> Result<(), E> {
+        let mut checked = self.now;
+        while let Some(Reverse(due)) = self.queue.pop() {
+            if due.at > until {
+                self.queue.push(Reverse(due));
+                break;
+            }
+            self.now = self.now.max(due.at);
+            self.handle(due);
+            if self.now >= checked + TICK {
+                checked = self.now;
+                check(self)?;
+            }
+        }
+        self.now = until;
+        check(self)
+    }
+
+    fn handle(&mut self, due: Due) {
+        let to = due.to;
+        if let Event::Call(ticket, call) = due.event {
+            self.arrive(to, due.life, ticket, &call);
+            return;
+        }
+        let slot = &self.slots[to];
+        let fresh = !matches!(due.event, Event::Message(..));
+        if slot.node.is_none() || (fresh && due.life != slot.life) {
+            return;
+        }
+        if slot.paused_until > self.now {
+            // A paused process finds what came in between when it resumes.
+            let resumed = slot.paused_until;
+            self.order += 1;
+            let order = self.order;
+            self.queue.push(Reverse(Due {
+                at: resumed,
+                order,
+                ..due
+            }));
+            return;
+        }
+        match due.event {
+            Event::Tick => {
+                self.step(to, |node, now| node.on_tick(now));
+                let next = self.now + TICK;
+                self.schedule(next, to, Event::Tick);
+            }
+            Event::Message(from, message) => {
+                let from = self.slots[from].record.process.clone();
+                self.step(to, |node, now| node.on_message(&from, message, now));
+            }
+            Event::Answer(ticket, answer) => {
+                self.step(to, |node, now| node.on_answer(ticket, answer, now));
+            }
+            Event::Call(..) => {}
+        }
+    }
+
+    fn step(&mut self, at: usize, event: impl FnOnce(&mut Node, Instant) -> Vec<Command>) {
+        let now = self.instant();
+        let slot = &mut self.slots[at];
+        let Some(node) = &mut slot.node else { return };
+        let started = Instant::now();
+        let commands = event(node, now);
+        slot.cost.decisions += started.elapsed();
+        for command in commands {
+            match command {
+                Command::Send { to, message } => self.send(at, &to, message),
+                Command::Call { ticket, call } => {
+                    self.platform.counted(self.now, &call);
+                    let arrival = self.now + self.rng.random_range(500..2_000);
+                    self.schedule(arrival, at, Event::Call(ticket, call));
+                }
+                Command::Apply(span) => self.slots[at].applied.push(span),
+                Command::Roster => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &Process, message: Message) {
+        let to = self.index(to);
+        let message = self.count(from, to, message);
+        let reached = self.network.side[from] == self.network.side[to];
+        if !reached || self.rng.random_bool(self.network.loss) {
+            return;
+        }
+        let copies = 1 + usize::from(self.rng.random_bool(self.network.repeat));
+        for _ in 0..copies {
+            let delay = self.delay(from, to);
+            let event = Event::Message(from, message.clone());
+            self.schedule(self.now + delay, to, event);
+        }
+    }
+
+    fn count(&mut self, from: usize, to: usize, message: Message) -> Message {
+        let started = Instant::now();
+        let mut bytes = Vec::with_capacity(256);
+        ciborium::into_writer(&message, &mut bytes).expect("a message is encoded");
+        let written = started.elapsed();
+        let length = bytes.len() as u64;
+        let cost = &mut self.slots[from].cost;
+        cost.sent += length;
+        cost.messages += 1;
+        cost.codec += written;
+        let kind = match &message {
+            Message::Ping(_) => "ping",
+            Message::Pong(_) => "pong",
+            Message::Span(_) => "span",
+            Message::Delta(_) => "delta",
+            Message::Fetch(_) => "fetch",
+            Message::Relay(_) | Message::Heard(_) => "relay",
+        };
+        let (count, total) = *self.kinds.get_or_insert_with(kind, || (0, 0));
+        self.kinds.insert(kind, (count + 1, total + length));
+        let started = Instant::now();
+        let message = if self.round_trip {
+            ciborium::from_reader(&bytes[..]).expect("a message is decoded")
+        } else {
+            message
+        };
+        let cost = &mut self.slots[to].cost;
+        cost.received += length;
+        cost.codec += started.elapsed();
+        message
+    }
+
+    fn delay(&mut self, from: usize, to: usize) -> Micros {
+        let (a, b) = (&self.slots[from].record, &self.slots[to].record);
+        let base = if a.data_centre == b.data_centre {
+            100..400
+        } else if a.region == b.region {
+            500..1_500
+        } else {
+            20_000..40_000
+        };
+        let late = self.rng.random_bool(self.network.late);
+        let extra = if late {
+            self.rng.random_range(0..3 * SECOND)
+        } else {
+            0
+        };
+        self.rng.random_range(base) + extra
+    }
+
+    fn arrive(&mut self, at: usize, life: u64, ticket: Ticket, call: &cactusnotch_spread::Call) {
+        let answered = self.platform.call(self.now, at, life, ticket, call);
+        self.wake();
+        if let Some(answer) = answered {
+            self.reply(at, life, ticket, answer);
+        }
+    }
+
+    /// Answers the watches that have something to tell or have waited enough.
+    fn wake(&mut self) {
+        for (at, life, ticket, answer) in self.platform.woken(self.now) {
+            self.reply(at, life, ticket, answer);
+        }
+    }
+
+    fn reply(&mut self, at: usize, life: u64, ticket: Ticket, answer: Answer) {
+        let lost = answer == Answer::Unanswered || self.rng.random_bool(self.platform.forgets);
+        let (delay, answer) = if lost {
+            (TIMEOUT, Answer::Unanswered)
+        } else {
+            (self.rng.random_range(500..2_000), answer)
+        };
+        if self.slots[at].life == life {
+            self.schedule(self.now + delay, at, Event::Answer(ticket, answer));
+        }
+    }
+
+    /// Lets waiting watches end; called now and then.
+    pub fn expire_watches(&mut self) {
+        self.wake();
+    }
+}
