--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -82,31 +82,6 @@
         }
     }
 
-    /// Returns how `whole`, which starts after zero, differs from the roster;
-    /// what is older than the roster is left out.
-    #[must_use]
-    pub fn difference(&self, whole: &Delta) -> Delta {
-        let newer = |row: &&Row| {
-            let known = self.row(&row.record.process);
-            known.is_none_or(|known| known.version < row.version)
-        };
-        let named: Table<&Process, ()> = whole
-            .rows
-            .iter()
-            .map(|row| (&row.record.process, ()))
-            .collect();
-        let gone = self
-            .rows
-            .iter()
-            .filter(|(process, row)| row.version <= whole.through && !named.contains(process));
-        Delta {
-            after: self.through,
-            through: whole.through,
-            rows: whole.rows.iter().filter(newer).cloned().collect(),
-            removed: gone.map(|(process, _)| process.clone()).collect(),
-        }
-    }
-
     /// Returns the whole roster as a delta.
     #[must_use]
     pub fn snapshot(&self) -> Delta {
--- a/crates/spread/src/node.rs
+++ b/crates/spread/src/node.rs
@@ -31,7 +31,7 @@
 use crate::standing::{Entrance, Standing};
 use crate::status::Status;
 use crate::structure::Structure;
-use crate::watch::Calls;
+use crate::watch::{Calls, Doubts};
 
 /// Over how long the first calls of processes that start together are spread.
 const START_SPREAD: Duration = Duration::from_secs(2);
@@ -70,8 +70,7 @@
     exchanged: Option<Instant>,
     fetched: Option<Instant>,
     lagging: Option<Instant>,
-    reread: Option<Instant>,
-    gap: bool,
+    doubts: Doubts,
     started: Instant,
 }
 
@@ -121,8 +120,7 @@
             exchanged: None,
             fetched: None,
             lagging: None,
-            reread: Some(now),
-            gap: false,
+            doubts: Doubts::default(),
             started: now,
             registration,
             liveness,
--- a/crates/spread/src/node/platform.rs
+++ b/crates/spread/src/node/platform.rs
@@ -31,11 +31,12 @@
             }
             Answer::Members(delta) => {
                 self.calls.succeed(now);
-                self.members_read(delta, now, &mut out);
+                self.members_read(purpose, delta, now, &mut out);
             }
             Answer::Expired => self.calls.succeed(now),
             Answer::Own(_) | Answer::Unanswered => self.calls.fail(now, &mut self.rng),
         }
+        self.call(now, &mut out);
         self.enter(now);
         out
     }
@@ -64,26 +65,38 @@
         let read = purpose == Purpose::ReadSettings;
         // A watch may have skipped a revision; a plain read has not, and a gap
         // after one means that only a snapshot leads on.
-        self.gap = if read { gap } else { gap || self.gap };
+        self.doubts.settings = if read {
+            gap
+        } else {
+            gap || self.doubts.settings
+        };
         if read && !gap {
             self.entrance.read = self.entrance.asked_after;
         }
     }
 
-    fn members_read(&mut self, delta: Delta, now: Instant, out: &mut Vec<Command>) {
+    fn members_read(
+        &mut self,
+        purpose: Purpose,
+        delta: Delta,
+        now: Instant,
+        out: &mut Vec<Command>,
+    ) {
+        if purpose == Purpose::WatchMembers {
+            // A watch may skip changes, so that it only tells when to read.
+            self.doubts.members |= !delta.is_empty();
+            return;
+        }
+        self.doubts.members = false;
         let roster = self.journal.roster();
         let (complete, known) = (delta.through, roster.through());
         if delta.after > roster.confirmed() {
             return;
         }
-        let delta = if known > Version(0) && delta.after == Version(0) {
-            roster.difference(&delta)
-        } else {
+        if !delta.is_empty() && complete > known {
             // Nothing changed between the roster's last change and the read.
             let after = delta.after.min(known);
-            Delta { after, ..delta }
-        };
-        if !delta.is_empty() && complete > known {
+            let delta = Delta { after, ..delta };
             self.take_delta(delta.trimmed(), None, now, out);
         }
         self.journal.confirm(complete);
@@ -122,26 +135,15 @@
             let call = Call::Members { after, wait };
             out.push(self.calls.make(Purpose::WatchMembers, call, now));
         }
-        let due = self
-            .reread
-            .is_none_or(|at| now.saturating_duration_since(at) >= self.options.reread);
-        if due && self.calls.free(Purpose::Reread, now) {
-            self.reread = Some(now);
-            let call = Call::Members {
-                after: Version(0),
-                wait: Duration::ZERO,
-            };
-            out.push(self.calls.make(Purpose::Reread, call, now));
-        }
     }
 
     fn read(&mut self, now: Instant, out: &mut Vec<Command>) {
         let registered = self.registration.version();
         let entering = !self.entrance.open && registered.is_some();
         let unread = entering && self.entrance.read != registered;
-        if (unread || self.gap) && self.calls.free(Purpose::ReadSettings, now) {
+        if (unread || self.doubts.settings) && self.calls.free(Purpose::ReadSettings, now) {
             self.entrance.asked_after = registered;
-            let after = if self.gap {
+            let after = if self.doubts.settings {
                 Version(0)
             } else {
                 self.log.version()
@@ -153,7 +155,9 @@
         let confirmed = self.roster().confirmed();
         let unknown = entering && registered > Some(confirmed);
         let unproved = self.structure.is_head() && self.log.version() > confirmed;
-        if (unknown || unproved) && self.calls.free(Purpose::ReadMembers, now) {
+        if (unknown || unproved || self.doubts.members)
+            && self.calls.free(Purpose::ReadMembers, now)
+        {
             let call = Call::Members {
                 after: confirmed,
                 wait: Duration::ZERO,
--- a/crates/spread/src/options.rs
+++ b/crates/spread/src/options.rs
@@ -38,8 +38,6 @@
     pub quorum: usize,
     /// How long a watch waits at the platform.
     pub watch: Duration,
-    /// How often a watcher reads the whole roster, against skipped changes.
-    pub reread: Duration,
     /// After how long without an acknowledgement a push is repeated.
     pub repeat: Duration,
     /// The largest push that is sent unasked, in bytes.
@@ -71,7 +69,6 @@
             isolation: Duration::from_secs(15),
             quorum: 2,
             watch: Duration::from_secs(30),
-            reread: Duration::from_mins(10),
             repeat: Duration::from_secs(1),
             unasked: 16 << 10,
             rate: 4 << 10,
--- a/crates/spread/src/watch.rs
+++ b/crates/spread/src/watch.rs
@@ -22,14 +22,21 @@
     ReadSettings,
     /// To read changes of the roster at once.
     ReadMembers,
-    /// To read the whole roster, against skipped changes.
-    Reread,
     /// To read or write the own record.
     Own,
     /// To delete an expired record.
     Expire,
 }
 
+/// What has to be read at once, since a watch or a peer told of it.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Doubts {
+    /// Revisions in between are missing, so that only a snapshot leads on.
+    pub(crate) settings: bool,
+    /// The roster has changed.
+    pub(crate) members: bool,
+}
+
 /// The calls to the platform that a node has open, with their pauses.
 #[derive(Debug)]
 pub(crate) struct Calls {
--- a/crates/spread/tests/common/mod.rs
+++ b/crates/spread/tests/common/mod.rs
@@ -208,6 +208,11 @@
         self.schedule(first, at, Event::Tick);
     }
 
+    /// Lets a process that was put into a slot go on.
+    pub fn resume(&mut self, at: usize) {
+        self.schedule(self.now, at, Event::Tick);
+    }
+
     pub fn stop(&mut self, at: usize) {
         self.slots[at].node = None;
         self.slots[at].life += 1;
@@ -284,7 +289,7 @@
         }
         match due.event {
             Event::Tick => {
-                self.step(to, |node, now| node.on_tick(now));
+                self.step(to, Node::on_tick);
                 let next = self.now + TICK;
                 self.schedule(next, to, Event::Tick);
             }
@@ -395,7 +400,7 @@
 
     /// Answers the watches that have something to tell or have waited enough.
     fn wake(&mut self) {
-        for (at, life, ticket, answer) in self.platform.woken(self.now) {
+        for (at, life, ticket, answer) in self.platform.woken(self.now, &mut self.rng) {
             self.reply(at, life, ticket, answer);
         }
     }
@@ -411,9 +416,4 @@
             self.schedule(self.now + delay, at, Event::Answer(ticket, answer));
         }
     }
-
-    /// Lets waiting watches end; called now and then.
-    pub fn expire_watches(&mut self) {
-        self.wake();
-    }
 }
--- a/crates/spread/tests/common/platform.rs
+++ b/crates/spread/tests/common/platform.rs
@@ -10,6 +10,8 @@
 use cactusnotch_platform::object::{Condition, Version};
 use cactusnotch_spread::{Answer, Call, Span, Ticket};
 
+use rand::Rng;
+
 use super::{Micros, SECOND};
 
 #[derive(Debug)]
@@ -25,7 +27,11 @@
 #[derive(Debug, Default)]
 pub struct Platform {
     pub down: bool,
+    /// The processes that do not reach it are those of side one, if not empty.
+    pub cut: Vec<u8>,
     pub forgets: f64,
+    /// How often a watch leaves out a change, or brings old ones again.
+    pub skips: f64,
     pub version: u64,
     pub members: Table<Process, Row>,
     pub revisions: Vec<Span>,
@@ -90,7 +96,7 @@
         ticket: Ticket,
         call: &Call,
     ) -> Option<Answer> {
-        if self.down {
+        if self.down || self.cut.get(at) == Some(&1) {
             return Some(Answer::Unanswered);
         }
         match call {
@@ -136,10 +142,8 @@
 
     fn find(&self, at: usize) -> Option<Row> {
         let port = u16::try_from(at % 60_000).unwrap_or_default();
-        let rows = self.members.values();
-        rows.filter(|row| row.record.peers.port() == port)
-            .next()
-            .cloned()
+        let mut rows = self.members.values();
+        rows.find(|row| row.record.peers.port() == port).cloned()
     }
 
     fn put(&mut self, at: usize, record: &Record, condition: Condition) -> registration::Answer {
@@ -185,18 +189,24 @@
     }
 
     /// Returns the answers to the watches that are over.
-    pub fn woken(&mut self, now: Micros) -> Vec<(usize, u64, Ticket, Answer)> {
+    pub fn woken<R: Rng>(&mut self, now: Micros, rng: &mut R) -> Vec<(usize, u64, Ticket, Answer)> {
         let mut woken = Vec::new();
         for waiting in std::mem::take(&mut self.waiting) {
             let (Call::Settings { after, .. } | Call::Members { after, .. }) = &waiting.call else {
                 continue;
             };
-            let answer = if self.down {
+            let lost = self.down || self.cut.get(waiting.at) == Some(&1);
+            let answer = if lost {
                 Answer::Unanswered
             } else {
                 self.read(&waiting.call, *after)
             };
-            if self.down || has_news(&answer) || now >= waiting.until {
+            if lost || has_news(&answer) || now >= waiting.until {
+                let answer = if rng.random_bool(self.skips) {
+                    self.garbled(&waiting.call, answer, rng)
+                } else {
+                    answer
+                };
                 woken.push((waiting.at, waiting.life, waiting.ticket, answer));
             } else {
                 self.waiting.push(waiting);
@@ -206,6 +216,25 @@
     }
 }
 
+impl Platform {
+    /// Leaves one change out of `answer`, or brings all changes again.
+    fn garbled<R: Rng>(&self, call: &Call, mut answer: Answer, rng: &mut R) -> Answer {
+        if rng.random_bool(0.5) {
+            return self.read(call, Version(0));
+        }
+        match &mut answer {
+            Answer::Settings(spans) if !spans.is_empty() => {
+                spans.remove(rng.random_range(0..spans.len()));
+            }
+            Answer::Members(delta) if !delta.rows.is_empty() => {
+                delta.rows.remove(rng.random_range(0..delta.rows.len()));
+            }
+            _ => {}
+        }
+        answer
+    }
+}
+
 fn has_news(answer: &Answer) -> bool {
     match answer {
         Answer::Settings(spans) => !spans.is_empty(),
--- a/crates/spread/tests/convergence.rs
+++ b/crates/spread/tests/convergence.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use cactusnotch_base::number::Sequence;
-use cactusnotch_spread::{Options, Standing};
+use cactusnotch_spread::{Node, Options, Standing};
 use common::{Network, SECOND, Shape, World};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -35,7 +35,7 @@
     /// and no process goes back.
     fn check(&mut self, world: &World) -> Result<(), TestCaseError> {
         for slot in &world.slots {
-            let proved = slot.node.as_ref().map(|node| node.in_force());
+            let proved = slot.node.as_ref().map(Node::in_force);
             self.proved = self.proved.max(proved.unwrap_or_default());
         }
         for (at, slot) in world.slots.iter().enumerate() {
@@ -78,7 +78,7 @@
 fn disturb(world: &mut World) {
     let count = world.slots.len();
     let at = world.rng.random_range(0..count);
-    match world.rng.random_range(0..24) {
+    match world.rng.random_range(0..25) {
         0 => world.platform.down = true,
         1..3 => world.platform.down = false,
         3 => world.network.loss = [0.0, 0.05, 0.3][world.rng.random_range(0..3)],
@@ -102,6 +102,7 @@
             }
         }
         17 => world.platform.forgets = [0.0, 0.1][world.rng.random_range(0..2)],
+        18 => world.platform.skips = [0.0, 0.3][world.rng.random_range(0..2)],
         _ => {
             let by = world.rng.random_bool(0.5).then_some(at);
             let by = by.filter(|at| world.slots[*at].paused_until <= world.now);
@@ -131,6 +132,7 @@
     };
     world.platform.down = false;
     world.platform.forgets = 0.0;
+    world.platform.skips = 0.0;
     for at in 0..world.slots.len() {
         world.slots[at].paused_until = 0;
         if world.slots[at].node.is_none() {
