--- a/crates/telemetry/src/counters.rs
+++ b/crates/telemetry/src/counters.rs
@@ -1,15 +1,8 @@
 //! The counters' line in the log.
 
 use std::fmt::Write as _;
-use std::time::Duration;
 
 use cactusnotch_base::Table;
-use tokio::time::{MissedTickBehavior, interval};
-
-use crate::Exporter;
-
-/// The target under which counters are logged.
-pub const TARGET: &str = "cactusnotch::counters";
 
 /// The values of the last line, to show only what has changed since.
 #[derive(Debug, Default)]
@@ -34,19 +27,6 @@
     }
 }
 
-/// Logs the changed counters once per `period`, without end.
-pub async fn run(exporter: Exporter, period: Duration) {
-    let mut summary = Summary::default();
-    let mut ticks = interval(period);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        ticks.tick().await;
-        if let Some(changed) = summary.next(&exporter.render()) {
-            tracing::info!(target: TARGET, changed);
-        }
-    }
-}
-
 /// Splits a sample of the scrape; comments and buckets aren't samples.
 fn sample(line: &str) -> Option<(&str, &str)> {
     if line.starts_with('#') || line.contains("_bucket{") {
