--- a/crates/settings/tests/tree.rs
+++ b/crates/settings/tests/tree.rs
@@ -47,6 +47,8 @@
         create("buyers", "wholesale", Kind::Organisation),
         create("counter", "root", Kind::Organisation),
         create("loom", "root", Kind::ModelGroup),
+        set("root", Key::Priority, &json!(3)),
+        set("wholesale", Key::Priority, &json!(6)),
         set("wholesale", Key::Deadline, &json!("90s")),
         set("wholesale", Key::ConcurrencyLimit, &json!(10)),
         set("buyers", Key::ConcurrencyFloor, &json!(4)),
@@ -67,6 +69,8 @@
     assert_eq!(deadline.value, Value::Duration(90_000));
     assert_eq!(deadline.from, Some(Id::from("wholesale")));
     assert_eq!(effective("counter", Key::Deadline).from, None);
+    assert_eq!(effective("buyers", Key::Priority).value, Value::Integer(6));
+    assert_eq!(effective("counter", Key::Priority).value, Value::Integer(3));
     assert_eq!(
         effective("buyers", Key::ConcurrencyFloor).from,
         Some(Id::from("buyers"))
