feat: try non-idempotent requests through real processes under faults

Cause: at most once and honest refusals were shown only on the decision code. The lab now runs both binaries as processes behind fault-injecting proxies, kills, pauses and replaces them, takes the platform down, and compares what callers were told with the engines' logs.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -52,6 +52,16 @@
         parse(checked("peer-listen"))
     )]
     peer_listen: SocketAddr,
+    /// Address that the system's other processes are told, if they reach this
+    /// one by another than it listens on
+    #[bpaf(
+        long("peer-advertise"),
+        env("CACTUSNOTCH_PEER_ADVERTISE"),
+        argument::<String>("IP:PORT"),
+        parse(checked("peer-advertise")),
+        optional
+    )]
+    peer_advertise: Option<SocketAddr>,
     /// Name of the endpoint, as the settings tree has it
     #[bpaf(long, env("CACTUSNOTCH_ENDPOINT"), argument("NAME"))]
     endpoint: String,
@@ -174,6 +184,7 @@
     let identity = common.identity(Process::new(process), Role::Agent, System.wall());
     Options {
         listen: settings.peer_listen,
+        advertise: settings.peer_advertise,
         region: common.region.clone(),
         node: cactusnotch_node::Options {
             link: common.link(identity),
--- a/crates/agent/src/options.rs
+++ b/crates/agent/src/options.rs
@@ -14,6 +14,8 @@
 pub struct Options {
     /// The address to take links on; port 0 takes any free one.
     pub listen: SocketAddr,
+    /// The address that peers are told, if not the one listened on.
+    pub advertise: Option<SocketAddr>,
     /// The region of the agent's data centre.
     pub region: Region,
     /// How the agent follows settings and roster, and reaches its peers and
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -137,7 +137,7 @@
         host: identity.host.clone(),
         data_centre: identity.data_centre.clone(),
         region: options.region.clone(),
-        peers,
+        peers: options.advertise.unwrap_or(peers),
         callers: None,
         endpoint: Some(options.endpoint.clone()),
         incarnation: identity.incarnation,
--- a/crates/cactusnotch/src/command/entry.rs
+++ b/crates/cactusnotch/src/command/entry.rs
@@ -62,6 +62,26 @@
         parse(checked("peer-listen"))
     )]
     peer_listen: SocketAddr,
+    /// Address that the system's other processes are told, if they reach this
+    /// one by another than it listens on
+    #[bpaf(
+        long("peer-advertise"),
+        env("CACTUSNOTCH_PEER_ADVERTISE"),
+        argument::<String>("IP:PORT"),
+        parse(checked("peer-advertise")),
+        optional
+    )]
+    peer_advertise: Option<SocketAddr>,
+    /// Address that callers are told, if they reach the entry by another than
+    /// it listens on
+    #[bpaf(
+        long,
+        env("CACTUSNOTCH_ADVERTISE"),
+        argument::<String>("IP:PORT"),
+        parse(checked("advertise")),
+        optional
+    )]
+    advertise: Option<SocketAddr>,
     /// Other data centres, the nearest first, separated by commas
     #[bpaf(
         long("data-centres-nearest"),
@@ -156,6 +176,8 @@
         listen: options.listen,
         operator_listen: options.operator_listen,
         peer_listen: options.peer_listen,
+        advertise: options.advertise,
+        peer_advertise: options.peer_advertise,
         region: common.region.clone(),
         node: node::Options {
             link: common.link(identity),
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -18,6 +18,10 @@
     pub operator_listen: SocketAddr,
     /// The address to take links of peers on.
     pub peer_listen: SocketAddr,
+    /// The address that callers are told, if not the one listened on.
+    pub advertise: Option<SocketAddr>,
+    /// The address that peers are told, if not the one listened on.
+    pub peer_advertise: Option<SocketAddr>,
     /// The region of the entry's data centre.
     pub region: Region,
     /// How the entry follows settings and roster, and reaches its peers and
--- a/crates/lab/src/caller.rs
+++ b/crates/lab/src/caller.rs
@@ -133,6 +133,24 @@
         Ok(list.addresses.into_iter().map(|row| row.address).collect())
     }
 
+    /// Asks `address` for a ticket for `ask` and returns it as a key.
+    ///
+    /// # Errors
+    ///
+    /// Fails if none is issued.
+    pub fn ticket(&self, address: SocketAddr, ask: &Ask) -> Result<String, Failure> {
+        let fail = Failure::at("request for a ticket");
+        let mut response = self
+            .agent
+            .post(format!("http://{address}/v1/tickets"))
+            .header("OpenAI-Organization", &ask.organisation)
+            .send_json(json!({"model": ask.model}))
+            .map_err(&fail)?;
+        let issued: Value = response.body_mut().read_json().map_err(&fail)?;
+        let key = issued["key"].as_str().map(str::to_owned);
+        key.ok_or_else(|| Failure::new("request for a ticket", issued))
+    }
+
     /// Asks `address` for a streamed chat completion.
     ///
     /// # Errors
--- a/crates/lab/src/cluster.rs
+++ b/crates/lab/src/cluster.rs
@@ -17,7 +17,7 @@
 use crate::Failure;
 
 /// The secret that the processes of a cluster share.
-const SECRET: &str = "a secret for trials on loopback, at least 32 bytes";
+pub(crate) const SECRET: &str = "a secret for trials on loopback, at least 32 bytes";
 
 /// A free port on loopback.
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
@@ -158,6 +158,8 @@
             listen: ANY,
             operator_listen: ANY,
             peer_listen: ANY,
+            advertise: None,
+            peer_advertise: None,
             region: Region::new("region-0"),
             node: self.node(&format!("entry-{number}"), Role::Entry, number),
             route: cactusnotch_route::Options {
@@ -192,6 +194,7 @@
     fn agent(&self, process: &str, number: usize, engine: String) -> agent::Options {
         agent::Options {
             listen: ANY,
+            advertise: None,
             region: Region::new("region-0"),
             node: self.node(process, Role::Agent, number),
             endpoint: endpoint(number),
--- a/crates/lab/src/failure.rs
+++ b/crates/lab/src/failure.rs
@@ -18,4 +18,9 @@
             detail: detail.to_string(),
         }
     }
+
+    /// Returns a function that makes the failures of `step`.
+    pub fn at<D: std::fmt::Display>(step: &str) -> impl Fn(D) -> Self + '_ {
+        move |detail| Self::new(step, detail)
+    }
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,10 +7,17 @@
 pub mod cluster;
 mod failure;
 mod figures;
+pub mod injector;
 pub mod operator;
+pub mod process;
+pub mod site;
+pub mod trial;
 
 pub use caller::Caller;
 pub use cluster::Cluster;
 pub use failure::Failure;
 pub use figures::Figures;
+pub use injector::Injector;
 pub use operator::Operator;
+pub use process::Process;
+pub use site::Site;
