feat: lend caps from homes in proportion to their size

Trials found why: every short purse asked all homes in a row, small caps were split over 8 homes, and idle loans stayed out for a lease. Conclusion: homes in proportion to the cap, three asks a period, idle loans returned after half a second, and messages without repeated names.

--- a/crates/admit/src/quota/account.rs
+++ b/crates/admit/src/quota/account.rs
@@ -52,13 +52,12 @@
     /// lost; if the part has shrunk below the loans they are not renewed.
     pub(crate) fn ask(
         &mut self,
-        from: &Process,
+        borrower: &(Process, Incarnation),
         ask: &Ask,
         part: u32,
         until: Instant,
     ) -> Option<Grant> {
-        let borrower = (from.clone(), ask.incarnation);
-        let known = self.loans.get(&borrower);
+        let known = self.loans.get(borrower);
         if known.is_some_and(|loan| loan.number >= ask.number) {
             return None;
         }
@@ -72,20 +71,18 @@
             until: known.filter(|_| over).map_or(until, |loan| loan.until),
         };
         self.loans.insert(borrower.clone(), loan);
-        if over {
+        if ask.wants == 0 {
+            self.loans.remove(borrower);
+        }
+        if over || ask.wants == 0 {
             return None;
         }
         let free = part.saturating_sub(others + holds);
-        let target = self.fair_part(&borrower, part).min(ask.wants);
+        let target = self.fair_part(borrower, part).min(ask.wants);
         let amount = target.min(holds + free).max(holds);
-        let loan = self.loans.get_mut(&borrower)?;
+        let loan = self.loans.get_mut(borrower)?;
         loan.amount = amount;
-        if amount == 0 && ask.wants == 0 {
-            self.loans.remove(&borrower);
-        }
         Some(Grant {
-            key: ask.key.clone(),
-            incarnation: ask.incarnation,
             number: ask.number,
             amount,
             target,
--- a/crates/admit/src/quota/borrower.rs
+++ b/crates/admit/src/quota/borrower.rs
@@ -5,6 +5,7 @@
 use cactusnotch_base::Table;
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::{Incarnation, Sequence};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::quota::plan::Plan;
 use crate::quota::purse::Purse;
@@ -13,7 +14,7 @@
 /// The borrower's side of the exchange: what it holds of the caps.
 #[derive(Debug)]
 pub(crate) struct Borrower {
-    incarnation: Incarnation,
+    pub(crate) incarnation: Incarnation,
     last: Sequence,
     purses: Table<Key, Purse>,
     /// The cap after which the next tick starts, so that all get a turn.
@@ -84,15 +85,13 @@
         now: Instant,
     ) -> Option<(Process, Ask)> {
         let purse = self.purses.get_mut(key)?;
-        purse.expire(now, options.lease);
-        let mut homes = plan.homes(key, options.homes);
-        homes.sort_by_key(|home| *home != me);
-        let due = purse.next_ask(&homes, options, now)?;
+        purse.expire(now, options.keep);
+        purse.set_homes(plan.newest(), || order(me, plan.homes(key, options)));
+        let due = purse.next_ask(options, now)?;
         self.last = self.last.next();
         let home = due.home.clone();
         let ask = Ask {
             key: key.clone(),
-            incarnation: self.incarnation,
             number: self.last,
             holds: due.holds,
             wants: due.wants,
@@ -101,13 +100,31 @@
         Some((home, ask))
     }
 
-    /// Takes a grant unless it was made to a former life of this entry.
-    pub(crate) fn grant(&mut self, home: &Process, grant: &Grant, options: &Options, now: Instant) {
-        if grant.incarnation != self.incarnation {
-            return;
-        }
-        if let Some(purse) = self.purses.get_mut(&grant.key) {
-            purse.grant(home, grant, options, now);
-        }
+    /// Takes a grant if it answers the last ask for a cap at that home, and
+    /// returns the cap.
+    pub(crate) fn grant(
+        &mut self,
+        home: &Process,
+        grant: &Grant,
+        options: &Options,
+        now: Instant,
+    ) -> Option<Key> {
+        let mut purses = self.purses.iter_mut();
+        let (key, purse) = purses.find(|(_, purse)| purse.awaits(home, grant.number))?;
+        purse.grant(home, grant, options, now);
+        Some(key.clone())
+    }
+}
+
+/// Puts homes into the order in which `me` tries them: itself first, then the
+/// others from a place that differs between entries.
+fn order(me: &Process, mut homes: Vec<&Process>) -> Vec<Process> {
+    if let Some(at) = homes.iter().position(|home| *home == me) {
+        homes.rotate_left(at);
+    } else if let Ok(count) = u64::try_from(homes.len())
+        && let Some(at) = xxh3_64(me.as_str().as_bytes()).checked_rem(count)
+    {
+        homes.rotate_left(usize::try_from(at).unwrap_or(0));
     }
+    homes.into_iter().cloned().collect()
 }
--- a/crates/admit/src/quota/exchange.rs
+++ b/crates/admit/src/quota/exchange.rs
@@ -10,7 +10,7 @@
 use crate::quota::borrower::Borrower;
 use crate::quota::lender::Lender;
 use crate::quota::plan::{Cap, Plan};
-use crate::quota::{Ask, Key, Message, Options, Unit};
+use crate::quota::{Ask, Grant, Key, Message, Options, Unit};
 
 /// An entry's part in the exchange of caps.
 #[derive(Debug)]
@@ -39,7 +39,8 @@
 
     /// Takes the caps and the roster of entries of a newer revision.
     pub fn set_caps(&mut self, revision: Revision, entries: &[Process], caps: Table<Key, Cap>) {
-        self.plan.set(revision, entries, caps);
+        self.plan
+            .set(&self.me, revision, entries, caps, &self.options);
     }
 
     /// Notes that all entries on the roster have taken `revision`, and that
@@ -71,6 +72,13 @@
         }
     }
 
+    /// Returns the entries that lend a cap. Callers of its organisation that
+    /// are sent to them cause the fewest messages.
+    #[must_use]
+    pub fn homes(&self, key: &Key) -> Vec<&Process> {
+        self.plan.homes(key, &self.options)
+    }
+
     /// Returns what this entry holds of a cap at `now`.
     #[must_use]
     pub fn held(&self, key: &Key, now: Instant) -> u32 {
@@ -104,21 +112,48 @@
     ) -> Vec<(Process, Message)> {
         self.wake(now);
         match message {
-            Message::Ask(asks) => {
-                let (plan, options) = (&self.plan, &self.options);
-                let grants = self.lender.ask(&self.me, from, asks, plan, options, now);
-                vec![(from.clone(), Message::Grant(grants))]
+            Message::Ask { incarnation, asks } => {
+                let borrower = (from.clone(), *incarnation);
+                self.lend(&borrower, asks, now)
             }
-            Message::Grant(grants) => {
-                let mut asks = Vec::new();
-                for grant in grants {
-                    self.borrower.grant(from, grant, &self.options, now);
-                    let (plan, options) = (&self.plan, &self.options);
-                    asks.extend(self.borrower.ask(&self.me, &grant.key, plan, options, now));
-                }
-                self.send(asks, now)
+            Message::Grant {
+                incarnation,
+                grants,
+            } if *incarnation == self.borrower.incarnation => self.take(from, grants, now),
+            Message::Grant { .. } => Vec::new(),
+        }
+    }
+
+    /// Answers a borrower's asks.
+    fn lend(
+        &mut self,
+        borrower: &(Process, Incarnation),
+        asks: &[Ask],
+        now: Instant,
+    ) -> Vec<(Process, Message)> {
+        let (plan, options) = (&self.plan, &self.options);
+        let grants = self.lender.ask(borrower, asks, plan, options, now);
+        if grants.is_empty() {
+            return Vec::new();
+        }
+        let (home, incarnation) = borrower.clone();
+        let answer = Message::Grant {
+            incarnation,
+            grants,
+        };
+        vec![(home, answer)]
+    }
+
+    /// Takes a home's grants and asks another home for what they lack.
+    fn take(&mut self, home: &Process, grants: &[Grant], now: Instant) -> Vec<(Process, Message)> {
+        let mut asks = Vec::new();
+        for grant in grants {
+            let (plan, options) = (&self.plan, &self.options);
+            if let Some(key) = self.borrower.grant(home, grant, options, now) {
+                asks.extend(self.borrower.ask(&self.me, &key, plan, options, now));
             }
         }
+        self.send(asks, now)
     }
 
     /// Gathers asks into one message for each home; those at this entry
@@ -128,15 +163,17 @@
         for (home, ask) in asks {
             batches.get_or_insert_with(home, Vec::new).push(ask);
         }
+        let incarnation = self.borrower.incarnation;
+        let ask = |asks| Message::Ask { incarnation, asks };
         let mut messages = Vec::new();
         if let Some(asks) = batches.remove(&self.me) {
             let me = self.me.clone();
-            for (_, answer) in self.receive(&me, &Message::Ask(asks), now) {
+            for (_, answer) in self.receive(&me, &ask(asks), now) {
                 messages.extend(self.receive(&me, &answer, now));
             }
         }
         let batches = batches.iter();
-        messages.extend(batches.map(|(home, asks)| (home.clone(), Message::Ask(asks.clone()))));
+        messages.extend(batches.map(|(home, asks)| (home.clone(), ask(asks.clone()))));
         messages
     }
 
--- a/crates/admit/src/quota/lender.rs
+++ b/crates/admit/src/quota/lender.rs
@@ -4,6 +4,7 @@
 
 use cactusnotch_base::Table;
 use cactusnotch_base::name::Process;
+use cactusnotch_base::number::Incarnation;
 
 use crate::quota::account::Account;
 use crate::quota::plan::Plan;
@@ -19,8 +20,7 @@
     /// Answers the asks of a borrower.
     pub(crate) fn ask(
         &mut self,
-        me: &Process,
-        from: &Process,
+        borrower: &(Process, Incarnation),
         asks: &[Ask],
         plan: &Plan,
         options: &Options,
@@ -28,12 +28,12 @@
     ) -> Vec<Grant> {
         let mut grants = Vec::new();
         for ask in asks.iter().filter(|ask| plan.cap(&ask.key).is_some()) {
-            let part = plan.part(me, &ask.key, options.homes, now);
+            let part = plan.part(&ask.key, now);
             let account = self
                 .accounts
                 .get_or_insert_with(ask.key.clone(), Account::default);
             account.expire(options.hold, now);
-            grants.extend(account.ask(from, ask, part, now + options.hold));
+            grants.extend(account.ask(borrower, ask, part, now + options.hold));
         }
         grants
     }
--- a/crates/admit/src/quota/options.rs
+++ b/crates/admit/src/quota/options.rs
@@ -5,13 +5,19 @@
 /// Configuration of an [`crate::quota::Exchange`].
 #[derive(Debug, Clone, PartialEq)]
 pub struct Options {
-    /// Among how many entries a cap is divided.
-    pub homes: usize,
+    /// How much of a cap one home lends, about; a larger cap has more homes.
+    pub home_size: u32,
+    /// The fewest homes of a cap, so that one of them can fail.
+    pub homes_min: u32,
     /// How long a borrower may use a loan, from when it asked.
     pub lease: Duration,
     /// How long a home counts a loan, from when it granted it. It has to
     /// exceed `lease` by more than clocks drift in that time.
     pub hold: Duration,
+    /// How long a borrower keeps what it has no use for.
+    pub keep: Duration,
+    /// How many homes are asked for more of a cap within `keep`.
+    pub tries: u32,
     /// The most asks that an entry sends in one tick.
     pub asks: usize,
     /// How long an unanswered ask waits before another home is asked.
@@ -21,9 +27,12 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            homes: 8,
+            home_size: 16,
+            homes_min: 2,
             lease: Duration::from_secs(3),
             hold: Duration::from_millis(3_300),
+            keep: Duration::from_millis(500),
+            tries: 3,
             asks: 16,
             patience: Duration::from_millis(200),
         }
--- a/crates/admit/src/quota/plan.rs
+++ b/crates/admit/src/quota/plan.rs
@@ -6,8 +6,8 @@
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::Revision;
 
-use crate::quota::Key;
 use crate::quota::homes::{homes, part};
+use crate::quota::{Key, Options};
 
 /// A cap over all entries.
 pub type Cap = u32;
@@ -28,19 +28,29 @@
     revision: Revision,
     entries: Vec<Process>,
     caps: Table<Key, Cap>,
+    /// The parts that this entry lends.
+    parts: Table<Key, u32>,
     /// From when the parts of this revision may be used.
     usable: Option<Instant>,
 }
 
 impl Plan {
     /// Adds a newer revision.
-    pub(crate) fn set(&mut self, revision: Revision, entries: &[Process], caps: Table<Key, Cap>) {
+    pub(crate) fn set(
+        &mut self,
+        me: &Process,
+        revision: Revision,
+        entries: &[Process],
+        caps: Table<Key, Cap>,
+        options: &Options,
+    ) {
         if self.versions.last().is_some_and(|v| v.revision >= revision) {
             return;
         }
         self.versions.push(Version {
             revision,
             entries: entries.to_vec(),
+            parts: parts(me, entries, &caps, options),
             caps,
             usable: None,
         });
@@ -69,14 +79,14 @@
         }
     }
 
-    /// Returns the part of a cap that `me` may lend.
-    pub(crate) fn part(&self, me: &Process, key: &Key, count: usize, now: Instant) -> u32 {
+    /// Returns the part of a cap that this entry may lend.
+    pub(crate) fn part(&self, key: &Key, now: Instant) -> u32 {
         let newest = self.versions.iter().rposition(|v| v.is_usable(now));
         let Some(newest) = newest else {
             return 0;
         };
-        let versions = self.versions[newest..].iter();
-        versions.map(|v| v.part(me, key, count)).min().unwrap_or(0)
+        let part = |version: &Version| version.parts.get(key).copied().unwrap_or(0);
+        self.versions[newest..].iter().map(part).min().unwrap_or(0)
     }
 
     /// Returns the cap under the newest revision.
@@ -84,10 +94,18 @@
         self.versions.last()?.caps.get(key).copied()
     }
 
+    /// Returns the newest revision.
+    pub(crate) fn newest(&self) -> Option<Revision> {
+        self.versions.last().map(|version| version.revision)
+    }
+
     /// Returns the homes of a cap under the newest revision.
-    pub(crate) fn homes(&self, key: &Key, count: usize) -> Vec<&Process> {
-        let newest = self.versions.last();
-        newest.map_or_else(Vec::new, |v| homes(key, &v.entries, count))
+    pub(crate) fn homes(&self, key: &Key, options: &Options) -> Vec<&Process> {
+        let Some(newest) = self.versions.last() else {
+            return Vec::new();
+        };
+        let cap = newest.caps.get(key).copied().unwrap_or(0);
+        homes(key, cap, &newest.entries, options)
     }
 }
 
@@ -95,13 +113,19 @@
     fn is_usable(&self, now: Instant) -> bool {
         self.usable.is_some_and(|at| at <= now)
     }
+}
 
-    fn part(&self, me: &Process, key: &Key, count: usize) -> u32 {
-        let Some(&cap) = self.caps.get(key) else {
-            return 0;
-        };
-        let homes = homes(key, &self.entries, count);
-        let rank = homes.iter().position(|home| *home == me);
-        rank.map_or(0, |rank| part(cap, rank, homes.len()))
-    }
+/// Returns the parts of the caps that `me` lends.
+fn parts(
+    me: &Process,
+    entries: &[Process],
+    caps: &Table<Key, Cap>,
+    options: &Options,
+) -> Table<Key, u32> {
+    let own = |(key, &cap): (&Key, &Cap)| {
+        let homes = homes(key, cap, entries, options);
+        let rank = homes.iter().position(|home| *home == me)?;
+        Some((key.clone(), part(cap, rank, homes.len())))
+    };
+    caps.iter().filter_map(own).collect()
 }
--- a/crates/admit/src/quota/purse.rs
+++ b/crates/admit/src/quota/purse.rs
@@ -4,21 +4,26 @@
 
 use cactusnotch_base::Table;
 use cactusnotch_base::name::Process;
-use cactusnotch_base::number::Sequence;
+use cactusnotch_base::number::{Revision, Sequence};
 
 use crate::quota::{Grant, Options};
 
 /// What a borrower holds of one cap, by home.
 #[derive(Debug)]
 pub(crate) struct Purse {
+    /// The homes under `revision`, the one to try first at the front.
+    homes: Vec<Process>,
+    revision: Option<Revision>,
     holds: Table<Process, Hold>,
     /// The part that is in use, which cannot be given back yet.
     used: u32,
     /// The part that there is use for.
     wanted: u32,
-    /// The most that there was use for in this lease and in the former one.
+    /// The most that there was use for in this period and in the former one.
     peaks: [u32; 2],
     turned: Instant,
+    /// The homes that were asked for more in this period.
+    tries: u32,
 }
 
 #[derive(Debug, Default)]
@@ -45,14 +50,24 @@
     pub(crate) wants: u32,
 }
 
+impl Due {
+    fn new(home: &Process, holds: u32, wants: u32) -> Self {
+        let home = home.clone();
+        Self { home, holds, wants }
+    }
+}
+
 impl Purse {
     pub(crate) fn new(now: Instant) -> Self {
         Self {
+            homes: Vec::new(),
+            revision: None,
             holds: Table::new(),
             used: 0,
             wanted: 0,
             peaks: [0; 2],
             turned: now,
+            tries: 0,
         }
     }
 
@@ -64,15 +79,16 @@
     }
 
     /// Drops what has expired.
-    pub(crate) fn expire(&mut self, now: Instant, lease: Duration) {
+    pub(crate) fn expire(&mut self, now: Instant, keep: Duration) {
         for (_, hold) in self.holds.iter_mut() {
             if hold.until.is_some_and(|until| until <= now) {
                 (hold.amount, hold.target, hold.until) = (0, 0, None);
             }
         }
-        if now.saturating_duration_since(self.turned) >= lease {
+        if now.saturating_duration_since(self.turned) >= keep {
             self.peaks = [self.wanted, self.peaks[0]];
             self.turned = now;
+            self.tries = 0;
         }
     }
 
@@ -97,66 +113,67 @@
         self.wanted == 0 && self.peaks == [0; 2] && self.holds.values().all(idle)
     }
 
-    /// Returns the ask that is due at one of `homes`, which start with the one
-    /// to try first, and drops what it gives back.
-    pub(crate) fn next_ask(
+    /// Takes the homes under a revision, unless it has them.
+    pub(crate) fn set_homes(
         &mut self,
-        homes: &[&Process],
-        options: &Options,
-        now: Instant,
-    ) -> Option<Due> {
+        revision: Option<Revision>,
+        homes: impl FnOnce() -> Vec<Process>,
+    ) {
+        if self.revision != revision {
+            self.homes = homes();
+            self.revision = revision;
+        }
+    }
+
+    /// Returns the ask that is due at a home, and drops what it gives back.
+    pub(crate) fn next_ask(&mut self, options: &Options, now: Instant) -> Option<Due> {
         let wanted = self.wanted.max(self.peaks[0]).max(self.peaks[1]);
         let sum = self.held(now);
         let short = wanted.saturating_sub(sum);
-        let idle = sum.saturating_sub(self.used);
-        let spare = sum.saturating_sub(wanted);
-        self.renewal(spare, idle, short, options, now)
-            .or_else(|| self.addition(short, homes, options, now))
+        self.give_back(sum.saturating_sub(wanted), options, now)
+            .or_else(|| self.renewal(sum, short, options, now))
+            .or_else(|| self.addition(short, options, now))
     }
 
-    /// Returns the ask that keeps or gives back what a home has lent.
-    fn renewal(
-        &mut self,
-        spare: u32,
-        idle: u32,
-        short: u32,
-        options: &Options,
-        now: Instant,
-    ) -> Option<Due> {
+    /// Returns the ask that gives back what there is no use for.
+    fn give_back(&mut self, spare: u32, options: &Options, now: Instant) -> Option<Due> {
+        if spare == 0 {
+            return None;
+        }
+        let mut holds = self.holds.iter_mut();
+        let is_free = |hold: &Hold| hold.amount > 0 && !hold.is_asked(options, now);
+        let (home, hold) = holds.find(|(_, hold)| is_free(hold))?;
+        hold.amount -= spare.min(hold.amount);
+        Some(Due::new(home, hold.amount, hold.amount))
+    }
+
+    /// Returns the ask that keeps what a home has lent, or gives back what is
+    /// idle of it if others want their part.
+    fn renewal(&mut self, sum: u32, short: u32, options: &Options, now: Instant) -> Option<Due> {
+        let idle = sum.saturating_sub(self.used);
+        let is_due = |hold: &Hold| {
+            let is_wanted = idle > 0 && hold.over() > 0 && !hold.is_asked(options, now);
+            is_wanted || hold.is_due(options, now)
+        };
         let mut holds = self.holds.iter_mut();
-        let (home, hold) = holds.find(|(_, hold)| hold.is_due(options, now))?;
-        let over = hold.amount.saturating_sub(hold.target);
-        let back = spare.max(over.min(idle)).min(hold.amount);
-        hold.amount -= back;
-        let more = if back > 0 { 0 } else { short };
-        Some(Due {
-            home: home.clone(),
-            holds: hold.amount,
-            wants: hold.amount + more,
-        })
+        let (home, hold) = holds.find(|(_, hold)| is_due(hold))?;
+        let over = hold.over();
+        hold.amount -= over.min(idle);
+        Some(Due::new(home, hold.amount, hold.amount + over + short))
     }
 
     /// Returns the ask for what is short, at the home asked longest ago.
-    fn addition(
-        &self,
-        short: u32,
-        homes: &[&Process],
-        options: &Options,
-        now: Instant,
-    ) -> Option<Due> {
-        if short == 0 {
+    fn addition(&mut self, short: u32, options: &Options, now: Instant) -> Option<Due> {
+        if short == 0 || self.tries >= options.tries {
             return None;
         }
         let asked = |home: &Process| self.holds.get(home).and_then(|hold| hold.asked);
-        let is_free = |home: &&&Process| asked(home).is_none_or(|a| a.is_over(options, now));
-        let free = homes.iter().filter(is_free);
+        let is_free = |home: &&Process| asked(home).is_none_or(|a| a.is_over(options, now));
+        let free = self.homes.iter().filter(is_free);
         let home = free.min_by_key(|home| asked(home).map(|asked| asked.at))?;
-        let amount = self.holds.get(*home).map_or(0, |hold| hold.amount);
-        Some(Due {
-            home: (*home).clone(),
-            holds: amount,
-            wants: amount + short,
-        })
+        self.tries += 1;
+        let amount = self.holds.get(home).map_or(0, |hold| hold.amount);
+        Some(Due::new(home, amount, amount + short))
     }
 
     /// Notes an ask that is sent.
@@ -166,10 +183,16 @@
             number,
             wants: due.wants,
             at: now,
-            answer: None,
+            answer: (due.wants == 0).then_some(0),
         });
     }
 
+    /// Tells whether the ask of this number waits for the home's answer.
+    pub(crate) fn awaits(&self, home: &Process, number: Sequence) -> bool {
+        let asked = self.holds.get(home).and_then(|hold| hold.asked);
+        asked.is_some_and(|asked| asked.number == number && asked.answer.is_none())
+    }
+
     /// Takes a grant if it answers the last ask at the home and has not
     /// expired on the way.
     pub(crate) fn grant(&mut self, home: &Process, grant: &Grant, options: &Options, now: Instant) {
@@ -191,14 +214,25 @@
 }
 
 impl Hold {
-    /// Tells whether the loan should be renewed or given back.
-    fn is_due(&self, options: &Options, now: Instant) -> bool {
+    /// Tells whether an answer is waited for.
+    fn is_asked(&self, options: &Options, now: Instant) -> bool {
         let age = |asked: Asked| now.saturating_duration_since(asked.at);
-        let due = |asked: Asked| match asked.answer {
-            Some(_) => age(asked) >= options.lease / 3,
-            None => age(asked) >= options.patience,
-        };
-        self.amount > 0 && self.asked.is_none_or(due)
+        let waits = |asked: Asked| asked.answer.is_none() && age(asked) < options.patience;
+        self.asked.is_some_and(waits)
+    }
+
+    /// Returns the part that others want back.
+    fn over(&self) -> u32 {
+        self.amount.saturating_sub(self.target)
+    }
+
+    /// Tells whether the loan should be renewed.
+    fn is_due(&self, options: &Options, now: Instant) -> bool {
+        let left = |until: Instant| until.saturating_duration_since(now);
+        let ends = self
+            .until
+            .is_some_and(|until| left(until) <= options.lease / 3);
+        self.amount > 0 && ends && !self.is_asked(options, now)
     }
 }
 
@@ -208,7 +242,7 @@
     fn is_over(&self, options: &Options, now: Instant) -> bool {
         let age = now.saturating_duration_since(self.at);
         match self.answer {
-            Some(amount) => amount >= self.wants || age >= options.lease / 3,
+            Some(amount) => amount >= self.wants || age >= options.keep,
             None => age >= options.patience,
         }
     }
--- a/crates/admit/tests/quota.rs
+++ b/crates/admit/tests/quota.rs
@@ -170,7 +170,7 @@
 
 fn options() -> Options {
     Options {
-        homes: 3,
+        home_size: 8,
         ..Options::default()
     }
 }
