feat: let drivers fetch what the platform holds without a reader

A process that follows the order with its own calls has to read the floor after each listing, or it can take a leftover of a trimmed number for an entry. The listing of the last edits takes the time as an argument.

Ruled out: leaving it to each driver to repeat the three calls.

--- a/crates/history/src/call.rs
+++ b/crates/history/src/call.rs
@@ -5,7 +5,7 @@
 use cactusnotch_base::number::Revision;
 use cactusnotch_platform::object::{Condition, Version};
 
-use crate::{Entry, Snapshot};
+use crate::{Entry, Snapshot, Stored};
 
 /// A call to the platform.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -39,7 +39,7 @@
     /// The entries in order, and the version up to which they are complete.
     Listed {
         /// The entries that could be decoded.
-        entries: Vec<Entry>,
+        entries: Vec<Stored<Entry>>,
         /// The version.
         version: Version,
     },
@@ -53,7 +53,7 @@
     /// The snapshot, if there is one.
     Snapshot {
         /// The snapshot.
-        snapshot: Option<Box<Snapshot>>,
+        snapshot: Option<Box<Stored<Snapshot>>>,
         /// The condition under which it is still this one.
         condition: Condition,
     },
--- a/crates/history/src/catchup.rs
+++ b/crates/history/src/catchup.rs
@@ -1,19 +1,21 @@
-//! Bringing a replica up to date from the platform.
+//! Finding out what the platform holds beyond a revision.
 
 use std::time::Duration;
 
 use cactusnotch_base::number::Revision;
 use cactusnotch_platform::object::Version;
 
-use crate::{Answer, Call, Entry, Replica, Reply, Step};
+use crate::{Call, Proven, Reply, Step};
 
-/// Brings a replica up to date, in two calls, or three if it is far behind.
+/// Finds out what the platform holds beyond a revision, in two calls, or three
+/// if the revision is far behind.
 ///
 /// The floor is read after the entries were listed. An entry above that floor
 /// was never trimmed before, so that it is the only one of its number there
 /// ever was; entries at or below it prove nothing and are left out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Catchup {
+    held: Revision,
     after: Version,
     wait: Duration,
     state: State,
@@ -22,29 +24,30 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum State {
     Listing,
-    ReadingFloor { entries: Vec<Entry> },
-    ReadingSnapshot { entries: Vec<Entry> },
+    ReadingFloor(Proven),
+    ReadingSnapshot(Proven),
 }
 
 impl Catchup {
-    /// Creates the work of listing all entries.
+    /// Creates the work of listing all entries, for a holder of `held`.
     #[must_use]
-    pub const fn new() -> Self {
-        Self::after(Version(0), Duration::ZERO)
+    pub const fn new(held: Revision) -> Self {
+        Self::after(held, Version(0), Duration::ZERO)
     }
 
     /// Creates the work of listing the entries written after a version, and
     /// of waiting for the first one.
     #[must_use]
-    pub const fn after(after: Version, wait: Duration) -> Self {
+    pub const fn after(held: Revision, after: Version, wait: Duration) -> Self {
         Self {
+            held,
             after,
             wait,
             state: State::Listing,
         }
     }
 
-    /// Returns the call that is waited for first.
+    /// Returns the first call.
     #[must_use]
     pub const fn start(&self) -> Call {
         Call::List {
@@ -53,34 +56,30 @@
         }
     }
 
-    /// Tells whether only what is newer than a version is listed.
-    #[must_use]
-    pub fn is_watch(&self) -> bool {
-        self.after > Version(0)
-    }
-
     /// Takes in the reply to the last call. A call without an answer is made
     /// again.
-    pub fn step(&mut self, replica: &mut Replica, reply: Reply) -> Step<Answer> {
+    pub fn step(&mut self, reply: Reply) -> Step<Proven> {
         match (std::mem::replace(&mut self.state, State::Listing), reply) {
-            (State::Listing, Reply::Listed { entries, .. }) => {
-                self.state = State::ReadingFloor { entries };
+            (State::Listing, Reply::Listed { entries, version }) => {
+                let is_watch = self.after > Version(0);
+                let is_news = !is_watch || !entries.is_empty();
+                let found = Proven {
+                    snapshot: None,
+                    entries,
+                    version,
+                };
+                if !is_news {
+                    return Step::Done(found);
+                }
+                self.state = State::ReadingFloor(found);
                 Step::Call(Call::ReadFloor)
             }
-            (State::ReadingFloor { entries }, Reply::Floor { revision, .. }) => {
-                self.compare(replica, entries, revision)
+            (State::ReadingFloor(found), Reply::Floor { revision, .. }) => {
+                self.leave_out(found, revision)
             }
-            (State::ReadingSnapshot { entries }, Reply::Snapshot { snapshot, .. }) => {
-                let Some(snapshot) = snapshot else {
-                    let from = replica.revision().next();
-                    return Step::Done(Answer::Gap { from });
-                };
-                let answer = replica.offer_snapshot(&snapshot);
-                if !answer.is_held() {
-                    return Step::Done(answer);
-                }
-                let rest = replica.offer_entries(&entries);
-                Step::Done(if rest == Answer::Stale { answer } else { rest })
+            (State::ReadingSnapshot(mut found), Reply::Snapshot { snapshot, .. }) => {
+                found.snapshot = snapshot;
+                Step::Done(found)
             }
             (state, _) => {
                 self.state = state;
@@ -89,31 +88,21 @@
         }
     }
 
-    fn compare(
-        &mut self,
-        replica: &mut Replica,
-        mut entries: Vec<Entry>,
-        floor: Revision,
-    ) -> Step<Answer> {
-        entries.retain(|entry| entry.revision > floor);
-        if floor > replica.revision() {
-            self.state = State::ReadingSnapshot { entries };
-            return Step::Call(Call::ReadSnapshot);
+    /// Leaves out the entries at and below the floor.
+    fn leave_out(&mut self, mut found: Proven, floor: Revision) -> Step<Proven> {
+        found.entries.retain(|entry| entry.value.revision > floor);
+        if floor <= self.held {
+            return Step::Done(found);
         }
-        Step::Done(replica.offer_entries(&entries))
+        self.state = State::ReadingSnapshot(found);
+        Step::Call(Call::ReadSnapshot)
     }
 
     const fn pending(&self) -> Call {
         match self.state {
             State::Listing => self.start(),
-            State::ReadingFloor { .. } => Call::ReadFloor,
-            State::ReadingSnapshot { .. } => Call::ReadSnapshot,
+            State::ReadingFloor(_) => Call::ReadFloor,
+            State::ReadingSnapshot(_) => Call::ReadSnapshot,
         }
     }
 }
-
-impl Default for Catchup {
-    fn default() -> Self {
-        Self::new()
-    }
-}
--- a/crates/history/src/fold.rs
+++ b/crates/history/src/fold.rs
@@ -55,7 +55,7 @@
                     snapshot,
                     condition,
                 },
-            ) => self.write_snapshot(snapshot.as_deref(), condition),
+            ) => self.write_snapshot(snapshot.map(|stored| stored.value.revision), condition),
             (State::WritingSnapshot, Reply::Done) => self.read_floor(self.snapshot.revision),
             (
                 State::ReadingFloor(target),
@@ -66,7 +66,7 @@
             ) => self.write_floor(target, revision, condition),
             (State::WritingFloor(floor), Reply::Done) => self.list(floor),
             (State::Listing(floor), Reply::Listed { entries, .. }) => {
-                let numbers = entries.iter().map(|entry| entry.revision);
+                let numbers = entries.iter().map(|entry| entry.value.revision);
                 self.remove(numbers.filter(|&number| number <= floor).collect())
             }
             (State::Removing(rest), Reply::Done) => self.remove(rest),
@@ -84,8 +84,8 @@
         Step::Call(Call::ReadSnapshot)
     }
 
-    fn write_snapshot(&mut self, stored: Option<&Snapshot>, condition: Condition) -> Step<bool> {
-        let stored = stored.map_or(Revision(0), |stored| stored.revision);
+    fn write_snapshot(&mut self, stored: Option<Revision>, condition: Condition) -> Step<bool> {
+        let stored = stored.unwrap_or_default();
         if stored >= self.snapshot.revision {
             return self.read_floor(stored);
         }
--- a/crates/history/src/listing.rs
+++ b/crates/history/src/listing.rs
@@ -21,6 +21,8 @@
     /// When it was made, in seconds since the Unix epoch, if its identity
     /// carries a time.
     pub time: Option<u64>,
+    /// How long ago that was, in seconds.
+    pub age: Option<u64>,
     /// Who edited.
     pub author: String,
     /// Why.
@@ -40,47 +42,45 @@
 }
 
 impl Listing {
-    /// Lists up to `count` of the edits that `replica` keeps.
+    /// Lists up to `count` of the edits that `replica` keeps, as of `now`.
     #[must_use]
-    pub fn new(replica: &Replica, count: usize) -> Self {
+    pub fn new(replica: &Replica, count: usize, now: SystemTime) -> Self {
         let newest = replica.entries().iter().rev().take(count);
+        let epoch = SystemTime::UNIX_EPOCH;
+        let now = now.duration_since(epoch).unwrap_or_default();
         Self {
-            rows: newest.map(Row::new).collect(),
+            rows: newest.map(|entry| Row::new(entry, now)).collect(),
         }
     }
 }
 
 impl Row {
-    fn new(entry: &Entry) -> Self {
+    fn new(entry: &Entry, now: Duration) -> Self {
         let edit = &entry.edit;
+        let time = seconds(&edit.id);
         Self {
             revision: entry.revision,
             edit: edit.id.clone(),
-            time: seconds(&edit.id),
+            time,
+            age: time.map(|time| now.as_secs().saturating_sub(time)),
             author: edit.author.clone(),
             reason: edit.reason.clone(),
             operations: edit.operations.iter().map(ToString::to_string).collect(),
         }
     }
-
-    fn age(&self) -> String {
-        let now = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
-        match self.time {
-            Some(time) => format!("{}s ago", now.as_secs().saturating_sub(time)),
-            None => "-".to_owned(),
-        }
-    }
 }
 
 fn seconds(id: &str) -> Option<u64> {
     let (seconds, _) = Uuid::try_parse(id).ok()?.get_timestamp()?.to_unix();
-    Some(Duration::from_secs(seconds).as_secs())
+    Some(seconds)
 }
 
 impl fmt::Display for Listing {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for row in &self.rows {
-            let age = row.age();
+            let age = row
+                .age
+                .map_or_else(|| "-".to_owned(), |age| format!("{age}s ago"));
             writeln!(f, "revision {}  {age}  {}", row.revision, row.author)?;
             writeln!(f, "  edit {}: {}", row.edit, row.reason)?;
             for operation in &row.operations {
--- a/crates/history/src/port.rs
+++ b/crates/history/src/port.rs
@@ -8,7 +8,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::entry::KIND;
-use crate::{Call, Entry, Reply, Snapshot};
+use crate::{Call, Entry, Reply, Snapshot, Stored};
 
 fn floor_path() -> Path {
     Path::new("floor", "settings")
@@ -18,8 +18,8 @@
 pub fn perform<S: Store>(store: &S, call: &Call) -> Reply {
     let reply = match call {
         Call::List { after, wait } => store.changes(KIND, *after, *wait).map(|changes| {
-            let mut entries: Vec<Entry> = changes.objects.iter().filter_map(entry).collect();
-            entries.sort_by_key(|entry| entry.revision);
+            let mut entries: Vec<_> = changes.objects.iter().filter_map(stored).collect();
+            entries.sort_by_key(|entry| entry.value.revision);
             Reply::Listed {
                 entries,
                 version: changes.version,
@@ -80,6 +80,11 @@
     decoded::<Entry>(object).filter(|entry| Entry::path(entry.revision) == object.path)
 }
 
+fn stored(object: &Object) -> Option<Stored<Entry>> {
+    let version = object.version;
+    entry(object).map(|value| Stored { value, version })
+}
+
 fn floor(object: Option<&Object>) -> Reply {
     let Some(object) = object else {
         return Reply::Floor {
@@ -105,7 +110,10 @@
     };
     match decoded(object) {
         Some(snapshot) => Reply::Snapshot {
-            snapshot: Some(Box::new(snapshot)),
+            snapshot: Some(Box::new(Stored {
+                value: snapshot,
+                version: object.version,
+            })),
             condition: unchanged(object.version),
         },
         None => malformed(object),
--- a/crates/history/src/reader.rs
+++ b/crates/history/src/reader.rs
@@ -6,7 +6,7 @@
 use cactusnotch_platform::object::Version;
 use derive_more::{Display, Error};
 
-use crate::{Answer, Catchup, Replica, Reply, Step, perform};
+use crate::{Answer, Catchup, Proven, Replica, Reply, Step, perform};
 
 /// Why a replica could not be brought up to date. It stays as it was, or has
 /// gone forward.
@@ -87,40 +87,46 @@
     }
 
     fn follow(&mut self, after: Version, wait: Duration) -> Result<Answer, Error> {
-        let catchup = Catchup::after(after, wait);
-        let (answer, version) = follow(&self.store, &mut self.replica, catchup)?;
-        self.version = version;
+        let catchup = Catchup::after(self.replica.revision(), after, wait);
+        let proven = fetch(&self.store, catchup)?;
+        let answer = take(&mut self.replica, &proven)?;
+        self.version = proven.version;
         Ok(answer)
     }
 }
 
-/// Carries out `catchup` and returns the version up to which it went.
-pub(crate) fn follow<S: Store>(
-    store: &S,
-    replica: &mut Replica,
-    mut catchup: Catchup,
-) -> Result<(Answer, Version), Error> {
+/// Carries out `catchup` on `store` and returns what it found, blocking until
+/// that is complete.
+///
+/// # Errors
+///
+/// [`Error::Unavailable`] if a call got no answer.
+pub fn fetch<S: Store>(store: &S, mut catchup: Catchup) -> Result<Proven, Error> {
     let mut call = catchup.start();
-    let mut reached = Version(0);
     loop {
-        let reply = perform(store, &call);
-        match &reply {
+        let reply = match perform(store, &call) {
             Reply::Lost { detail } | Reply::Failed { detail } => {
-                let detail = detail.clone();
                 return Err(Error::Unavailable { detail });
             }
-            Reply::Listed { entries, version } => {
-                reached = *version;
-                if entries.is_empty() && catchup.is_watch() {
-                    return Ok((Answer::Stale, reached));
-                }
-            }
-            _ => {}
-        }
-        match catchup.step(replica, reply) {
+            reply => reply,
+        };
+        match catchup.step(reply) {
             Step::Call(next) => call = next,
-            Step::Done(answer) if answer.is_held() => return Ok((answer, reached)),
-            Step::Done(answer) => return Err(Error::Broken { answer }),
+            Step::Done(proven) => return Ok(proven),
         }
     }
 }
+
+/// Brings `replica` up to date from `store`.
+pub(crate) fn sync<S: Store>(store: &S, replica: &mut Replica) -> Result<Answer, Error> {
+    let proven = fetch(store, Catchup::new(replica.revision()))?;
+    take(replica, &proven)
+}
+
+fn take(replica: &mut Replica, proven: &Proven) -> Result<Answer, Error> {
+    let answer = replica.take(proven);
+    if answer.is_held() {
+        return Ok(answer);
+    }
+    Err(Error::Broken { answer })
+}
--- a/crates/history/src/replica.rs
+++ b/crates/history/src/replica.rs
@@ -3,7 +3,7 @@
 use cactusnotch_base::number::Revision;
 use cactusnotch_settings::{Edit, Tree, apply, replay};
 
-use crate::{Answer, Digest, Entry, Judgement, Offer, Refusal, Snapshot, Summary};
+use crate::{Answer, Digest, Entry, Judgement, Offer, Proven, Refusal, Snapshot, Summary};
 
 /// The entries that are kept for peers at least, once there are that many.
 const TAIL: usize = 128;
@@ -83,6 +83,24 @@
         }
     }
 
+    /// Takes in what is new of what the platform holds.
+    pub fn take(&mut self, proven: &Proven) -> Answer {
+        let before = self.revision();
+        if let Some(snapshot) = &proven.snapshot {
+            let answer = self.offer_snapshot(&snapshot.value);
+            if !answer.is_held() {
+                return answer;
+            }
+        }
+        for entry in &proven.entries {
+            let answer = self.offer_entry(&entry.value);
+            if !answer.is_held() {
+                return answer;
+            }
+        }
+        self.since(before)
+    }
+
     /// Takes in the entries that are new, in order.
     pub fn offer_entries(&mut self, entries: &[Entry]) -> Answer {
         let before = self.revision();
@@ -92,12 +110,7 @@
                 return answer;
             }
         }
-        if self.revision() == before {
-            return Answer::Stale;
-        }
-        Answer::Applied {
-            to: self.revision(),
-        }
+        self.since(before)
     }
 
     /// Takes in the snapshot if it is newer.
@@ -139,6 +152,15 @@
         })
     }
 
+    fn since(&self, before: Revision) -> Answer {
+        if self.revision() == before {
+            return Answer::Stale;
+        }
+        Answer::Applied {
+            to: self.revision(),
+        }
+    }
+
     fn offer_entry(&mut self, entry: &Entry) -> Answer {
         let next = self.revision().next();
         if entry.revision < next {
--- a/crates/history/src/submission.rs
+++ b/crates/history/src/submission.rs
@@ -28,6 +28,7 @@
 
 #[derive(Debug, Clone)]
 enum State {
+    Idle,
     CatchingUp(Catchup),
     Creating(Box<Entry>),
     ReadingBack(Box<Entry>),
@@ -42,7 +43,7 @@
     pub fn new(edit: Edit, options: &Options) -> Self {
         Self {
             edit,
-            state: State::CatchingUp(Catchup::new()),
+            state: State::Idle,
             is_fresh: false,
             pending: None,
             attempts: options.attempts,
@@ -61,18 +62,21 @@
             return self.unanswered(replica, &reply, detail.clone());
         }
         match self.state.clone() {
-            State::CatchingUp(mut catchup) => match catchup.step(replica, reply) {
+            State::CatchingUp(mut catchup) => match catchup.step(reply) {
                 Step::Call(call) => {
                     self.state = State::CatchingUp(catchup);
                     Step::Call(call)
                 }
-                Step::Done(answer) => self.caught_up(replica, &answer),
+                Step::Done(proven) => {
+                    let answer = replica.take(&proven);
+                    self.caught_up(replica, &answer)
+                }
             },
-            State::Creating(entry) => self.created(entry, reply),
+            State::Creating(entry) => self.created(replica, entry, reply),
             State::ReadingBack(entry) => self.read_back(replica, entry.revision, reply),
             State::Confirming(entry) => self.confirmed(replica, entry, &reply),
             State::Settling(entry) => self.settled(replica, &entry, reply),
-            State::Removing => self.judge(replica),
+            State::Idle | State::Removing => self.judge(replica),
         }
     }
 
@@ -84,12 +88,12 @@
                 Step::Call(Call::Create(entry))
             }
             Err(refusal) if self.is_fresh => Step::Done(Verdict::Refused(refusal)),
-            Err(_) => self.catch_up(),
+            Err(_) => self.catch_up(replica),
         }
     }
 
-    fn catch_up(&mut self) -> Step<Verdict> {
-        let catchup = Catchup::new();
+    fn catch_up(&mut self, replica: &Replica) -> Step<Verdict> {
+        let catchup = Catchup::new(replica.revision());
         let call = catchup.start();
         self.state = State::CatchingUp(catchup);
         Step::Call(call)
@@ -106,11 +110,11 @@
         self.judge(replica)
     }
 
-    fn created(&mut self, entry: Box<Entry>, reply: Reply) -> Step<Verdict> {
+    fn created(&mut self, replica: &Replica, entry: Box<Entry>, reply: Reply) -> Step<Verdict> {
         match reply {
             Reply::Done => self.confirm(entry),
             Reply::Taken(Some(other)) if other.edit.id == self.edit.id => self.confirm(other),
-            Reply::Taken(Some(_)) => self.outrun(entry.revision),
+            Reply::Taken(Some(_)) => self.outrun(replica, entry.revision),
             _ => {
                 self.pending = None;
                 let slot = Entry::path(entry.revision);
@@ -122,19 +126,19 @@
     fn read_back(&mut self, replica: &Replica, slot: Revision, reply: Reply) -> Step<Verdict> {
         match reply {
             Reply::Entry(Some(found)) if found.edit.id == self.edit.id => self.confirm(found),
-            Reply::Entry(Some(_)) => self.outrun(slot),
+            Reply::Entry(Some(_)) => self.outrun(replica, slot),
             _ => self.judge(replica),
         }
     }
 
     /// Goes on after another edit took the number.
-    fn outrun(&mut self, slot: Revision) -> Step<Verdict> {
+    fn outrun(&mut self, replica: &Replica, slot: Revision) -> Step<Verdict> {
         self.pending = None;
         if self.races == 0 {
             return Step::Done(self.give_up(format!("{slot} and those before went to others")));
         }
         self.races -= 1;
-        self.catch_up()
+        self.catch_up(replica)
     }
 
     fn confirm(&mut self, entry: Box<Entry>) -> Step<Verdict> {
@@ -171,12 +175,13 @@
     /// the floor, came into the order before it was folded.
     fn settled(&mut self, replica: &mut Replica, entry: &Entry, reply: Reply) -> Step<Verdict> {
         let Reply::Snapshot {
-            snapshot: Some(snapshot),
+            snapshot: Some(stored),
             ..
         } = reply
         else {
             return Step::Done(self.give_up("there is a floor and no snapshot".to_owned()));
         };
+        let snapshot = stored.value;
         if !covers(&snapshot, entry.revision) {
             return Step::Done(self.give_up("the order has gone on too far".to_owned()));
         }
@@ -216,8 +221,8 @@
             State::Confirming(_) => Step::Call(Call::ReadFloor),
             State::Settling(_) => Step::Call(Call::ReadSnapshot),
             // What is left behind the floor is removed at the next fold.
-            State::Removing => self.judge(replica),
-            State::CatchingUp(_) => self.catch_up(),
+            State::Idle | State::Removing => self.judge(replica),
+            State::CatchingUp(_) => self.catch_up(replica),
         }
     }
 
--- a/crates/history/src/writer.rs
+++ b/crates/history/src/writer.rs
@@ -6,10 +6,8 @@
 use cactusnotch_settings::Edit;
 use rand::Rng;
 
-use crate::reader::{self, follow};
-use crate::{
-    Answer, Call, Catchup, Fold, Options, Replica, Reply, Step, Submission, Verdict, perform,
-};
+use crate::reader;
+use crate::{Answer, Call, Fold, Options, Replica, Reply, Step, Submission, Verdict, perform};
 
 /// The most doublings of the pause between repetitions.
 const DOUBLINGS: u32 = 6;
@@ -51,7 +49,7 @@
     ///
     /// As [`reader::Error`] says.
     pub fn sync(&mut self) -> Result<Answer, reader::Error> {
-        follow(&self.store, &mut self.replica, Catchup::new()).map(|(answer, _)| answer)
+        reader::sync(&self.store, &mut self.replica)
     }
 
     /// Submits `edit`, blocking until it is known what became of it or the
--- a/crates/history/tests/interleaving.rs
+++ b/crates/history/tests/interleaving.rs
@@ -242,9 +242,10 @@
                 Step::Call(next) => Work::Folding(fold, next),
                 Step::Done(_) => Work::Idle,
             },
-            Work::Reading(mut catchup, pending) => match catchup.step(replica, call(&pending)) {
+            Work::Reading(mut catchup, pending) => match catchup.step(call(&pending)) {
                 Step::Call(next) => Work::Reading(catchup, next),
-                Step::Done(answer) => {
+                Step::Done(proven) => {
+                    let answer = replica.take(&proven);
                     assert!(answer.is_held(), "a reader's answer: {answer}");
                     Work::Idle
                 }
@@ -258,7 +259,7 @@
         let replica = self.processes[at].replica.clone();
         match self.rng.random_range(0..6) {
             0 => {
-                let catchup = Catchup::new();
+                let catchup = Catchup::new(replica.revision());
                 let call = catchup.start();
                 Work::Reading(catchup, call)
             }
--- a/crates/history/tests/writer.rs
+++ b/crates/history/tests/writer.rs
@@ -7,7 +7,7 @@
     Answer, Digest, Entry, Listing, Offer, Options, Reader, Refusal, Replica, Verdict, Writer,
 };
 use cactusnotch_settings::{Edit, Key, Kind};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use support::{Fault, Memory, create, delete, edit, layout, relocate, set};
 
 fn options() -> Options {
@@ -158,7 +158,10 @@
         reader.watch(Duration::ZERO),
         Ok(Answer::Applied { to: Revision(42) })
     );
-    assert_eq!(Listing::new(reader.replica(), 1).rows[0].author, "inaki");
+    assert_eq!(
+        Listing::new(reader.replica(), 1, SystemTime::now()).rows[0].author,
+        "inaki"
+    );
 }
 
 #[test]
