perf: try moves on more ranks, one place on each

Cause: after a plan the predicted skew on the seasonal trace stayed at 1.03 to 1.05 over a bound of 1.00, though the search had effort left: the four roomiest places were often the slots of one or two ranks.

--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -11,7 +11,7 @@
 /// How many experts of the hot ranks are tried.
 const EXPERTS: usize = 3;
 /// How many places are tried for each of them.
-const PLACES: usize = 4;
+const PLACES: usize = 16;
 
 /// A replica to add, and one to give up in its place.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -126,13 +126,15 @@
             places.push(Place { rank, evict, room });
             continue;
         }
-        for &held in &layer.held[at] {
-            if layer.rows[usize::from(held)].len() > 1 {
-                let room = room + freed(layer, ranks, slowest, held, rank);
-                let evict = Some(held);
-                places.push(Place { rank, evict, room });
-            }
-        }
+        let spare = layer.held[at]
+            .iter()
+            .filter(|&&held| layer.rows[usize::from(held)].len() > 1);
+        let place = |&held: &u16| Place {
+            rank,
+            evict: Some(held),
+            room: room + freed(layer, ranks, slowest, held, rank),
+        };
+        places.extend(spare.map(place).max_by(|a, b| a.room.total_cmp(&b.room)));
     }
     places.retain(|place| place.room > 0.0);
     places.sort_by(|a, b| b.room.total_cmp(&a.room));
