fix: try places whose evicted expert has little room elsewhere

Cause: with groups of four ranks that share experts only among themselves, a rank at half speed left its group at 1.107 for ever. The splitting of tried moves was ruled out (eight rounds for three changed nothing): the list of places dismissed every one whose evicted expert would not fit on its other ranks as they are, though traffic there can be shifted on.

--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -136,7 +136,6 @@
         };
         places.extend(spare.map(place).max_by(|a, b| a.room.total_cmp(&b.room)));
     }
-    places.retain(|place| place.room > 0.0);
     places.sort_by(|a, b| b.room.total_cmp(&a.room));
     places
 }
