feat: let cost-first groups wait before they move for a burst

Cause: a_short_burst_moves_experts_for_skew_first_only was red: the cost-first weights moved 12 experts for a burst of ten seconds, since the slow rate that stands for the time after the burst already holds a part of it, and ten minutes of a small saving outweigh a move. A layer with a burst younger than the patience of the group is now left alone.

--- a/crates/placement/src/improve.rs
+++ b/crates/placement/src/improve.rs
@@ -11,7 +11,7 @@
 use crate::weights::Weights;
 
 /// The most moves that are sought in one layer for one plan.
-const LAYER_MOVES: usize = 16;
+const LAYER_MOVES: usize = 6;
 
 /// Adds the moves that pay back, the worthiest for each byte first, as long as
 /// the budget and the memory of the ranks allow. Returns what they are worth.
@@ -64,6 +64,9 @@
     for layer in order {
         let at = usize::from(layer);
         let forecast = &draft.forecasts[at];
+        if young(forecast, options, weights) {
+            continue;
+        }
         let terms = terms(draft, forecast, options, weights, budget);
         let target = draft.bounds[at] * (1.0 + options.margin);
         let mut bundle = Bundle::new(layer, terms);
@@ -101,14 +104,11 @@
     weights: &Weights,
     budget: &Budget,
 ) -> Terms {
-    let lasted = |steps: u64| {
-        let steps = u32::try_from(steps).unwrap_or(u32::MAX);
-        options.step.saturating_mul(steps).max(budget.interval)
-    };
     let horizon = weights.horizon;
-    let near: Duration = forecast
-        .burst
-        .map_or(horizon, |age| lasted(age).min(horizon));
+    let near = forecast.burst.map_or(horizon, |steps| {
+        let age = age(steps, options);
+        age.max(budget.interval).min(horizon)
+    });
     Terms {
         saving: weights.skew / draft.slowest(),
         cost: weights.cost * budget.seconds(options.bytes),
@@ -117,3 +117,14 @@
         caution: weights.caution,
     }
 }
+
+/// Tells whether the layer has a burst that may be over soon.
+fn young(forecast: &Forecast, options: &Options, weights: &Weights) -> bool {
+    let burst = forecast.burst;
+    burst.is_some_and(|steps| age(steps, options) < weights.patience)
+}
+
+fn age(steps: u64, options: &Options) -> Duration {
+    let steps = u32::try_from(steps).unwrap_or(u32::MAX);
+    options.step.saturating_mul(steps)
+}
--- a/crates/placement/src/weights.rs
+++ b/crates/placement/src/weights.rs
@@ -18,6 +18,8 @@
     pub cost: f64,
     /// How long a placement is expected to stay useful if popularity is steady.
     pub horizon: Duration,
+    /// How long a burst must have lasted before anything is moved for it.
+    pub patience: Duration,
     /// How many standard deviations of the estimate a saving must exceed to
     /// count.
     pub caution: f64,
@@ -29,6 +31,7 @@
         skew: 3.0,
         cost: 1.0,
         horizon: Duration::from_mins(10),
+        patience: Duration::ZERO,
         caution: 1.0,
     };
 
@@ -41,7 +44,8 @@
 
     /// Cost weighs more, for load that shifts slowly.
     pub const COST_FIRST: Self = Self {
-        skew: 1.0,
+        skew: 2.0,
+        patience: Duration::from_secs(20),
         caution: 2.0,
         ..Self::BALANCED
     };
