--- a/crates/placement/src/options.rs
+++ b/crates/placement/src/options.rs
@@ -50,7 +50,7 @@
             switch: Duration::from_millis(10),
             margin: 0.02,
             stale: Duration::from_secs(30),
-            effort: 4_000,
+            effort: 8_000,
             popularity: cactusnotch_popularity::Options::default(),
         }
     }
--- a/crates/placement/src/weights.rs
+++ b/crates/placement/src/weights.rs
@@ -45,7 +45,7 @@
     /// Cost weighs more, for load that shifts slowly.
     pub const COST_FIRST: Self = Self {
         skew: 2.0,
-        patience: Duration::from_secs(20),
+        patience: Duration::from_secs(12),
         caution: 2.0,
         ..Self::BALANCED
     };
