feat: admit requests by deadline, share and cap

Cause: the entry sent every request on at once; beyond capacity all waits would grow until the deadlines. Requests now pass a bounded queue for each service (fair over organisations, refused at once if the answer would be late), and organisations' declared caps hold over all entries by loans that the entries make one another. Models are served only to the organisations that their group allows; calls of plain services follow their route's repeatable flag.

--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -69,6 +69,12 @@
         self.flows.get(organisation).map_or(0, Flow::len)
     }
 
+    /// Returns the organisations with requests that wait, and how many.
+    pub fn demands(&self) -> impl Iterator<Item = (&Organisation, usize)> {
+        let flows = self.flows.iter().map(|(name, flow)| (name, flow.len()));
+        flows.filter(|(_, waiting)| *waiting > 0)
+    }
+
     /// Takes a request in, to be started by [`Gate::poll`]. `room` is the
     /// number of requests that the endpoints could take at once. If another
     /// request has to yield its place, a command to refuse it is appended.
--- a/crates/agent/src/rank.rs
+++ b/crates/agent/src/rank.rs
@@ -21,11 +21,18 @@
 
 /// The standard deviations by which a saving must exceed its uncertainty, for
 /// each unit by which cost outweighs skew.
-const CAUTION: f64 = 0.2;
+const CAUTION: f64 = 0.4;
 
 /// The largest caution.
 const CAUTION_MAX: f64 = 2.0;
 
+/// How long a burst must have lasted before anything is moved for it, for each
+/// unit by which cost outweighs skew.
+const PATIENCE: Duration = Duration::from_millis(2_400);
+
+/// The largest ratio of cost to skew that adds patience.
+const RELATIVE_MAX: f64 = 25.0;
+
 /// How a rank is looked after, beside what the settings say.
 #[derive(Debug, Clone)]
 pub struct Care {
@@ -192,6 +199,11 @@
         skew: group.skew_weight,
         cost: group.rebalancing_weight,
         horizon: group.payback_horizon,
+        patience: if relative > 1.0 {
+            PATIENCE.mul_f64(relative.min(RELATIVE_MAX))
+        } else {
+            Duration::ZERO
+        },
         caution: (CAUTION * relative).min(CAUTION_MAX),
     }
 }
--- /dev/null
+++ b/crates/entry/src/admission.rs
@@ -0,0 +1,407 @@
+//! Which requests an entry lets in, and when.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use cactusnotch_admit::quota::{self, Cap, Exchange, Unit};
+use cactusnotch_admit::{Command, Gate, Priority, Refusal, Request, Ticket, Usage};
+use cactusnotch_base::name::{Organisation, Process};
+use cactusnotch_base::number::Revision;
+use cactusnotch_base::{Clock, Table};
+use cactusnotch_member::Role;
+use cactusnotch_node::View;
+use cactusnotch_route::Service;
+use cactusnotch_settings::{Key, Resolved, resolved};
+use cactusnotch_wire::Body;
+use tokio::sync::oneshot;
+
+use crate::Options;
+use crate::problem::Problem;
+use crate::shared::Shared;
+
+/// How many times as many requests as it has slots an endpoint may hold, so
+/// that a slot that gets free is filled at once.
+const AHEAD: f64 = 1.5;
+
+/// How often the queues are looked at without any other reason.
+const TICK: Duration = Duration::from_millis(50);
+
+/// The least and the greatest priority of the settings that are neither low
+/// nor high.
+const NORMAL: std::ops::RangeInclusive<u64> = 3..=6;
+
+/// The place of a request in the queue of its service.
+type Place = (Service, Ticket);
+
+/// Where the answer to a request arrives.
+type Answers<C> = oneshot::Receiver<Result<Permit<C>, Refusal>>;
+
+#[derive(Debug)]
+struct Inner<C: Clock> {
+    gates: Table<Service, Gate>,
+    usage: Usage,
+    quota: Exchange,
+    waiting: Table<Place, Waiter<C>>,
+    /// The organisations that the exchange of caps was told of.
+    told: Table<Organisation, u32>,
+    revision: Revision,
+}
+
+/// Which requests an entry lets in, and when.
+#[derive(Debug)]
+pub(crate) struct Admission<C: Clock> {
+    inner: Mutex<Inner<C>>,
+}
+
+/// The right of one request to run, given back when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Permit<C: Clock> {
+    shared: Arc<Shared<C>>,
+    service: Service,
+    organisation: Organisation,
+}
+
+/// A request that waits, and where its answer goes.
+#[derive(Debug)]
+struct Waiter<C: Clock> {
+    organisation: Organisation,
+    sender: oneshot::Sender<Result<Permit<C>, Refusal>>,
+}
+
+/// An answer that is sent once the tables are unlocked: a permit that nobody
+/// takes any more is given back then.
+struct Answer<C: Clock> {
+    waiter: Waiter<C>,
+    refusal: Option<Refusal>,
+}
+
+/// A request in the queue, taken out when it is dropped.
+struct Waiting<'a, C: Clock> {
+    shared: &'a Arc<Shared<C>>,
+    place: Place,
+    organisation: &'a Organisation,
+}
+
+impl<C: Clock> Admission<C> {
+    pub(crate) fn new(options: &Options, now: Instant) -> Self {
+        let identity = &options.node.link.identity;
+        let quota = Exchange::new(
+            identity.process.clone(),
+            identity.incarnation,
+            quota::Options::default(),
+            now,
+        );
+        Self {
+            inner: Mutex::new(Inner {
+                gates: Table::new(),
+                usage: Usage::default(),
+                quota,
+                waiting: Table::new(),
+                told: Table::new(),
+                revision: Revision(0),
+            }),
+        }
+    }
+
+    /// Returns the number of requests that wait.
+    pub(crate) fn waiting(&self) -> usize {
+        self.lock().waiting.len()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner<C>> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Waits until a request may run.
+///
+/// # Errors
+///
+/// Refuses a request at once if its answer would come late.
+pub(crate) async fn enter<C: Clock>(
+    shared: &Arc<Shared<C>>,
+    service: &Service,
+    name: &Organisation,
+    values: &resolved::Organisation,
+) -> Result<Permit<C>, Problem> {
+    let (receiver, place) =
+        arrive(shared, service, name, values).map_err(|refusal| refused(&refusal))?;
+    let waiting = Waiting {
+        shared,
+        place,
+        organisation: name,
+    };
+    poll(shared, service);
+    let answer = receiver.await;
+    drop(waiting);
+    match answer {
+        Ok(Ok(permit)) => Ok(permit),
+        Ok(Err(refusal)) => Err(refused(&refusal)),
+        Err(_) => Err(Problem::unavailable("the queue was closed", TICK)),
+    }
+}
+
+fn arrive<C: Clock>(
+    shared: &Arc<Shared<C>>,
+    service: &Service,
+    name: &Organisation,
+    values: &resolved::Organisation,
+) -> Result<(Answers<C>, Place), Refusal> {
+    let now = shared.clock.now();
+    let (room, run) = {
+        let router = shared.router();
+        (router.room(service, AHEAD), router.residence(service))
+    };
+    let request = Request {
+        organisation: name,
+        share: u32::try_from(values.concurrency_floor.saturating_add(1)).unwrap_or(u32::MAX),
+        priority: priority(values.priority),
+        cost: 1.0,
+        deadline: now + values.deadline,
+        run,
+    };
+    let total = queue_bound(&shared.settings(), service);
+    let mut commands = Vec::new();
+    let mut inner = shared.admission.lock();
+    let gate = inner.gates.get_or_insert_with(service.clone(), || {
+        Gate::new(cactusnotch_admit::Options {
+            total,
+            ..cactusnotch_admit::Options::default()
+        })
+    });
+    let ticket = gate.arrive(&request, room, &mut commands, now, &mut rand::rng())?;
+    let (sender, receiver) = oneshot::channel();
+    let place = (service.clone(), ticket);
+    let organisation = name.clone();
+    let waiter = Waiter {
+        organisation,
+        sender,
+    };
+    inner.waiting.insert(place.clone(), waiter);
+    let answers = inner.answers(service, commands);
+    drop(inner);
+    deliver(shared, service, answers);
+    Ok((receiver, place))
+}
+
+/// Starts what may start of a service and refuses what is hopeless.
+fn poll<C: Clock>(shared: &Arc<Shared<C>>, service: &Service) {
+    let room = shared.router().room(service, AHEAD);
+    let now = shared.clock.now();
+    let (answers, messages) = {
+        let mut inner = shared.admission.lock();
+        let answers = inner.poll(service, room, now);
+        (answers, inner.demand(now))
+    };
+    post(shared, messages);
+    deliver(shared, service, answers);
+}
+
+fn deliver<C: Clock>(shared: &Arc<Shared<C>>, service: &Service, answers: Vec<Answer<C>>) {
+    for Answer { waiter, refusal } in answers {
+        let answer = match refusal {
+            Some(refusal) => Err(refusal),
+            None => Ok(Permit {
+                shared: Arc::clone(shared),
+                service: service.clone(),
+                organisation: waiter.organisation,
+            }),
+        };
+        // If the caller has gone away, the permit is dropped here.
+        let _ = waiter.sender.send(answer);
+    }
+}
+
+/// Keeps queues and caps going for as long as the entry runs.
+pub(crate) async fn tick<C: Clock>(shared: Arc<Shared<C>>) {
+    let mut ticks = tokio::time::interval(TICK);
+    loop {
+        ticks.tick().await;
+        let now = shared.clock.now();
+        let in_force = shared.node.status().in_force;
+        let view = shared.node.view();
+        let (services, messages) = {
+            let mut inner = shared.admission.lock();
+            inner.follow(&view);
+            inner.quota.confirm(Revision(in_force.0), now);
+            inner.usage.tick(now);
+            let services: Vec<Service> = inner.gates.keys().cloned().collect();
+            (services, inner.quota.tick(now))
+        };
+        post(&shared, messages);
+        for service in services {
+            poll(&shared, &service);
+        }
+    }
+}
+
+/// Takes in what a peer says about caps.
+pub(crate) fn receive<C: Clock>(shared: &Arc<Shared<C>>, from: &Process, message: &quota::Message) {
+    let now = shared.clock.now();
+    let (services, messages) = {
+        let mut inner = shared.admission.lock();
+        let messages = inner.quota.receive(from, message, now);
+        (inner.gates.keys().cloned().collect::<Vec<_>>(), messages)
+    };
+    post(shared, messages);
+    for service in services {
+        poll(shared, &service);
+    }
+}
+
+fn post<C: Clock>(shared: &Shared<C>, messages: Vec<(Process, quota::Message)>) {
+    for (to, message) in messages {
+        shared.node.send(&to, Body::Quota(message));
+    }
+}
+
+impl<C: Clock> Inner<C> {
+    fn poll(&mut self, service: &Service, room: u32, now: Instant) -> Vec<Answer<C>> {
+        let mut commands = Vec::new();
+        let Some(gate) = self.gates.get_mut(service) else {
+            return Vec::new();
+        };
+        let (usage, quota) = (&mut self.usage, &self.quota);
+        gate.poll(room, &mut commands, now, &mut rand::rng(), |organisation| {
+            usage.try_start(organisation, quota.allowance(organisation, now), now)
+        });
+        self.answers(service, commands)
+    }
+
+    fn answers(&mut self, service: &Service, commands: Vec<Command>) -> Vec<Answer<C>> {
+        let mut answers = Vec::new();
+        for command in commands {
+            let (ticket, refusal) = match command {
+                Command::Start(ticket) => (ticket, None),
+                Command::Refuse(ticket, refusal) => (ticket, Some(refusal)),
+            };
+            if let Some(waiter) = self.waiting.remove(&(service.clone(), ticket)) {
+                answers.push(Answer { waiter, refusal });
+            } else if refusal.is_none() {
+                tracing::error!("a request was started that does not wait");
+            }
+        }
+        answers
+    }
+
+    /// Tells the exchange what each capped organisation uses and wants, and
+    /// returns what it asks for.
+    fn demand(&mut self, now: Instant) -> Vec<(Process, quota::Message)> {
+        let mut queued: Table<Organisation, u32> =
+            self.told.keys().map(|name| (name.clone(), 0)).collect();
+        for (name, count) in self.gates.values().flat_map(Gate::demands) {
+            let count = u32::try_from(count).unwrap_or(u32::MAX);
+            *queued.get_or_insert_with(name.clone(), || 0) += count;
+        }
+        let mut messages = Vec::new();
+        for (organisation, queued) in queued.iter() {
+            let running = self.usage.running(organisation);
+            let wanted = running.saturating_add(*queued);
+            for unit in [Unit::Concurrency, Unit::Rate] {
+                let organisation = organisation.clone();
+                let key = quota::Key { organisation, unit };
+                self.quota.set_demand(&key, running, wanted, now);
+                if *queued > 0 {
+                    messages.extend(self.quota.ask(&key, now));
+                }
+            }
+            if wanted == 0 {
+                self.told.remove(organisation);
+            } else {
+                self.told.insert(organisation.clone(), wanted);
+            }
+        }
+        messages
+    }
+
+    /// Takes the caps of a newer revision.
+    fn follow(&mut self, view: &View) {
+        if view.revision <= self.revision {
+            return;
+        }
+        self.revision = view.revision;
+        let entries: Vec<Process> = view
+            .roster
+            .iter()
+            .filter(|record| record.role == Role::Entry)
+            .map(|record| record.process.clone())
+            .collect();
+        let caps = view
+            .settings
+            .organisations()
+            .iter()
+            .flat_map(|(name, values)| caps(&Organisation::new(name.as_str()), values))
+            .collect();
+        self.quota.set_caps(view.revision, &entries, caps);
+    }
+}
+
+/// Returns the caps of an organisation that are below those that hold without
+/// any declaration.
+fn caps(name: &Organisation, values: &resolved::Organisation) -> Vec<(quota::Key, Cap)> {
+    let limits = [
+        (
+            Unit::Concurrency,
+            Key::ConcurrencyLimit,
+            values.concurrency_limit,
+        ),
+        (Unit::Rate, Key::RequestRateLimit, values.request_rate_limit),
+    ];
+    limits
+        .into_iter()
+        .filter(|(_, key, limit)| key.default_value().as_integer() != Some(*limit))
+        .map(|(unit, _, limit)| {
+            let organisation = name.clone();
+            let cap = Cap::try_from(limit).unwrap_or(Cap::MAX);
+            (quota::Key { organisation, unit }, cap)
+        })
+        .collect()
+}
+
+/// Returns how many requests may wait for a service.
+fn queue_bound(settings: &Resolved, service: &Service) -> usize {
+    let Service::Model(model) = service else {
+        return cactusnotch_admit::Options::default().total;
+    };
+    let groups = settings.groups().values();
+    let serving = groups.filter(|group| group.model == model.as_str());
+    let bounds = serving.map(|group| group.queue_bound);
+    let bound = bounds.max().unwrap_or_default();
+    usize::try_from(bound).unwrap_or(usize::MAX)
+}
+
+const fn priority(value: u64) -> Priority {
+    if value > *NORMAL.end() {
+        Priority::High
+    } else if value < *NORMAL.start() {
+        Priority::Low
+    } else {
+        Priority::Normal
+    }
+}
+
+fn refused(refusal: &Refusal) -> Problem {
+    Problem::unavailable(refusal.reason.to_string(), refusal.retry_after)
+}
+
+impl<C: Clock> Drop for Permit<C> {
+    fn drop(&mut self) {
+        self.shared
+            .admission
+            .lock()
+            .usage
+            .finish(&self.organisation);
+        poll(&self.shared, &self.service);
+    }
+}
+
+impl<C: Clock> Drop for Waiting<'_, C> {
+    fn drop(&mut self) {
+        let mut inner = self.shared.admission.lock();
+        let answered = inner.waiting.remove(&self.place).is_none();
+        let (service, ticket) = &self.place;
+        if !answered && let Some(gate) = inner.gates.get_mut(service) {
+            gate.cancel(self.organisation, *ticket);
+        }
+    }
+}
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -13,7 +13,7 @@
 use cactusnotch_ledger::message::Repeat;
 use cactusnotch_ledger::{Attempt, Identity};
 use cactusnotch_route::{Service, prefix};
-use cactusnotch_settings::resolved;
+use cactusnotch_settings::{Resolved, resolved};
 use cactusnotch_spread::Standing;
 use cactusnotch_telemetry::trace::{Context, HEADER as TRACEPARENT, Span};
 use cactusnotch_wire::Call;
@@ -26,6 +26,7 @@
 use uuid::Uuid;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::admission;
 use crate::body::Body;
 use crate::drive::{self, Job};
 use crate::output::Output;
@@ -105,11 +106,12 @@
     path: String,
     payload: Bytes,
 ) -> Result<Response<Body>, Problem> {
-    admit(shared)?;
+    stand(shared)?;
     let settings = shared.settings();
     let organisation = settings
         .organisation(manner.organisation.as_str())
         .ok_or_else(|| unknown_organisation(&manner.organisation))?;
+    check_allowed(&settings, &service, &manner.organisation)?;
     let call = Call {
         method,
         path,
@@ -117,9 +119,11 @@
         priority: u8::try_from(organisation.priority).unwrap_or(u8::MAX),
         payload,
     };
-    let order = order(shared, organisation, &manner, &call)?;
+    let order = order(shared, organisation, &service, &manner, &call)?;
+    let permit = admission::enter(shared, &service, &manner.organisation, organisation).await?;
     let seed = xxhash_rust::xxh3::xxh3_64(manner.organisation.as_str().as_bytes());
     let job = Job {
+        permit,
         order,
         service,
         tokens: u32::try_from(call.payload.len() / BYTES_PER_TOKEN).unwrap_or(u32::MAX),
@@ -133,7 +137,7 @@
 }
 
 /// Refuses work while the settings that the entry holds may be old ones.
-fn admit<C: Clock>(shared: &Shared<C>) -> Result<(), Problem> {
+fn stand<C: Clock>(shared: &Shared<C>) -> Result<(), Problem> {
     match shared.node.standing() {
         Standing::Serving | Standing::Leaving => Ok(()),
         Standing::Joining | Standing::Isolated | Standing::Superseded => Err(Problem::new(
@@ -150,10 +154,17 @@
 fn order<C: Clock>(
     shared: &Shared<C>,
     organisation: &resolved::Organisation,
+    service: &Service,
     manner: &Manner,
     call: &Call,
 ) -> Result<Order, Problem> {
-    let repeat = manner.repeat.unwrap_or(if organisation.is_idempotent {
+    let is_idempotent = match service {
+        Service::Model(_) => organisation.is_idempotent,
+        Service::Path(_) => organisation
+            .route(&call.path)
+            .is_some_and(|route| route.repeatable),
+    };
+    let repeat = manner.repeat.unwrap_or(if is_idempotent {
         Repeat::Idempotent
     } else {
         Repeat::Once
@@ -221,7 +232,7 @@
     shared: &Arc<Shared<C>>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Problem> {
-    admit(shared)?;
+    stand(shared)?;
     let manner = Manner::read(request.headers())?;
     let payload = receive(shared, request).await?;
     let wish = serde_json::from_slice(&payload)
@@ -335,6 +346,24 @@
     }
 }
 
+/// Refuses a model that no group serves to the organisation.
+fn check_allowed(
+    settings: &Resolved,
+    service: &Service,
+    organisation: &Organisation,
+) -> Result<(), Problem> {
+    let Service::Model(model) = service else {
+        return Ok(());
+    };
+    let mut groups = settings.serving(model.as_str(), organisation.as_str());
+    match groups.next() {
+        Some(_) => Ok(()),
+        None => Err(Problem::absent(format!(
+            "no group serves the model {model} to {organisation}"
+        ))),
+    }
+}
+
 fn unknown_organisation(name: &Organisation) -> Problem {
     Problem::new(
         "unknown-organisation",
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 use uuid::Uuid;
 
+use crate::admission::Permit;
 use crate::claims;
 use crate::mailbox;
 use crate::output::Output;
@@ -27,6 +28,9 @@
 /// A request that is ready to be driven.
 #[derive(Debug)]
 pub(crate) struct Job<C: Clock> {
+    /// Held until the request has ended.
+    #[expect(dead_code, reason = "it is given back when it is dropped")]
+    pub(crate) permit: Permit<C>,
     pub(crate) order: Order,
     pub(crate) service: Service,
     pub(crate) tokens: u32,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 mod addresses;
+mod admission;
 mod agents;
 mod body;
 mod caller;
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -31,6 +31,7 @@
         lacking: spread.lacking,
         lagging: spread.laggards.iter().map(Lagging::from).collect(),
         connections: shared.stopping.connections(),
+        waiting: shared.admission.waiting(),
         endpoints: endpoints(shared),
     }
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -6,8 +6,8 @@
 use cactusnotch_link::{Link, Listener};
 use cactusnotch_wire::Body;
 
-use crate::claims;
 use crate::shared::Shared;
+use crate::{admission, claims};
 
 /// Takes links from peers for as long as the entry runs.
 pub(crate) async fn accept<C: Clock>(mut listener: Listener<Body>, shared: Arc<Shared<C>>) {
@@ -28,6 +28,7 @@
         match received {
             Ok(Body::Spread(message)) => shared.node.receive(&peer, message),
             Ok(Body::Claim(message)) => claims::receive(&shared, &peer, message),
+            Ok(Body::Quota(message)) => admission::receive(&shared, &peer, &message),
             Ok(_) => {
                 tracing::warn!(%peer, "link closed: not what a peer may send to an entry");
                 return;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -17,7 +17,7 @@
 use tokio::task::JoinHandle;
 
 use crate::shared::Shared;
-use crate::{Options, caller, claims, operator, peers, roster, stopping};
+use crate::{Options, admission, caller, claims, operator, peers, roster, stopping};
 
 /// How long a caller may take to send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -88,6 +88,7 @@
             tokio::spawn(peers::accept(peers, Arc::clone(&shared))),
             tokio::spawn(roster::follow(Arc::clone(&shared))),
             tokio::spawn(claims::tick(Arc::clone(&shared))),
+            tokio::spawn(admission::tick(Arc::clone(&shared))),
         ];
         Ok(Self {
             shared,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -10,6 +10,7 @@
 use cactusnotch_settings::Resolved;
 
 use crate::Options;
+use crate::admission::Admission;
 use crate::agents::Agents;
 use crate::claims::Claims;
 use crate::mailbox::Mailboxes;
@@ -23,6 +24,7 @@
     pub(crate) clock: C,
     pub(crate) agents: Agents,
     pub(crate) mailboxes: Mailboxes,
+    pub(crate) admission: Admission<C>,
     pub(crate) claims: Claims,
     pub(crate) signer: Signer,
     pub(crate) node: Node<C>,
@@ -34,15 +36,16 @@
 impl<C: Clock> Shared<C> {
     pub(crate) fn new(options: Options, node: Node<C>, clock: C) -> Self {
         Self {
-            clock,
             agents: Agents::default(),
             mailboxes: Mailboxes::default(),
+            admission: Admission::new(&options, clock.now()),
             claims: Claims::new(&options),
             signer: signer(&options),
             node,
             stopping: Stopping::default(),
             router: Mutex::new(Router::new(options.route.clone())),
             budget: Mutex::new(Budget::new(options.retry_fraction, options.retry_store)),
+            clock,
             options,
         }
     }
--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -32,6 +32,8 @@
     pub lagging: Vec<Lagging>,
     /// The callers' connections to this entry.
     pub connections: usize,
+    /// The requests that wait for their turn.
+    pub waiting: usize,
     /// The endpoints that it knows.
     pub endpoints: Vec<Seen>,
 }
@@ -88,8 +90,13 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "{} in {}, incarnation {}: {}, {} connections",
-            self.process, self.data_centre, self.incarnation, self.standing, self.connections
+            "{} in {}, incarnation {}: {}, {} connections, {} requests waiting",
+            self.process,
+            self.data_centre,
+            self.incarnation,
+            self.standing,
+            self.connections,
+            self.waiting
         )?;
         writeln!(
             f,
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -113,6 +113,31 @@
             .map_or_else(Load::default, |at| self.rows[at].own)
     }
 
+    /// Returns how many more requests the endpoints of a service could take at
+    /// once, if each may hold `ahead` times as many as it has slots.
+    #[must_use]
+    pub fn room(&self, service: &Service, ahead: f64) -> u32 {
+        let Some(pool) = self.pools.get(service) else {
+            return 0;
+        };
+        let rows = pool.members.iter().map(|&at| &self.rows[at]);
+        let serving = rows.filter(|row| row.state == State::Serving);
+        let free = serving.map(|row| {
+            let held = f64::from(row.own.requests.saturating_add(row.others.requests));
+            (row.slots * ahead - held).max(0.0)
+        });
+        whole(free.sum())
+    }
+
+    /// Returns how long a request of a service holds its slot, as measured.
+    #[must_use]
+    pub fn residence(&self, service: &Service) -> Duration {
+        let pool = self.pools.get(service);
+        pool.map_or(self.options.residence, |pool| {
+            Duration::from_secs_f64(pool.residence(&self.options).max(0.0))
+        })
+    }
+
     /// Returns the services that are on offer, in order.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
         self.pools.keys()
@@ -281,6 +306,16 @@
     }
 }
 
+/// Returns the whole part of a number of requests.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a number of free slots is not negative and far below 2^32"
+)]
+const fn whole(requests: f64) -> u32 {
+    requests as u32
+}
+
 /// Takes an attempt off the entry's own load.
 fn release(row: &mut Row, attempt: &Attempt) {
     row.own.requests = row.own.requests.saturating_sub(1);
--- a/crates/route/src/row.rs
+++ b/crates/route/src/row.rs
@@ -30,7 +30,7 @@
     /// This entry's own requests.
     pub(crate) own: Load,
     /// The requests of the other entries, as last reported.
-    others: Load,
+    pub(crate) others: Load,
     reported: Option<Instant>,
     pub(crate) health: Health,
     /// Measured first-token times as multiples of the undisturbed prediction.
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -1,5 +1,6 @@
 //! What a link carries.
 
+use cactusnotch_admit::quota;
 use cactusnotch_derive::message;
 use cactusnotch_ledger::Reply;
 use cactusnotch_spread::Message;
@@ -20,6 +21,8 @@
     Spread(Message),
     /// An entry tells another one about claims of keys.
     Claim(claim::Message),
+    /// An entry tells another one about organisations' caps.
+    Quota(quota::Message),
     /// An agent tells another one of its group of ranks.
     Group(group::Message),
 }
