--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -122,6 +122,10 @@
     plan_interval: Duration,
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "a guard is given a reference"
+)]
 fn is_positive(value: &u32) -> bool {
     *value > 0
 }
--- a/crates/cactusnotch/src/command/entry.rs
+++ b/crates/cactusnotch/src/command/entry.rs
@@ -124,6 +124,10 @@
     trace_fraction: f64,
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "a guard is given a reference"
+)]
 fn is_fraction(value: &f64) -> bool {
     (0.0..=1.0).contains(value)
 }
--- a/crates/cactusnotch/src/command/settings/declare.rs
+++ b/crates/cactusnotch/src/command/settings/declare.rs
@@ -45,13 +45,11 @@
         &authorship.reason,
     )
     .map_err(Error::at("applying the declaration"))?;
-    match verdict {
-        Some(verdict) => tell(&verdict),
-        None => {
-            println!("nothing to change");
-            Ok(())
-        }
+    if let Some(verdict) = verdict {
+        return tell(&verdict);
     }
+    println!("nothing to change");
+    Ok(())
 }
 
 fn load(paths: &[PathBuf]) -> Result<Declaration, Error> {
--- a/crates/cactusnotch/src/options.rs
+++ b/crates/cactusnotch/src/options.rs
@@ -12,6 +12,10 @@
 /// operators' commands
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "one value is made in the life of the process"
+)]
 pub(crate) enum Command {
     /// Run an entry, to which callers connect
     #[bpaf(command)]
--- a/crates/entry/src/addresses.rs
+++ b/crates/entry/src/addresses.rs
@@ -7,7 +7,6 @@
 
 use crate::body::Body;
 use crate::models::json;
-use crate::problem::Problem;
 use crate::roster;
 use crate::shared::Shared;
 
@@ -25,7 +24,7 @@
 
 /// Lists the entries that take callers' connections, the nearest first, and
 /// says for how long the list may be kept.
-pub(crate) fn answer<C: Clock>(shared: &Shared<C>) -> Result<Response<Body>, Problem> {
+pub(crate) fn answer<C: Clock>(shared: &Shared<C>) -> Response<Body> {
     let own = &shared.options.node.link.identity.data_centre;
     let view = shared.node.view();
     let mut addresses: Vec<Address> = roster::entries(&view)
@@ -39,8 +38,8 @@
     rand::seq::SliceRandom::shuffle(addresses.as_mut_slice(), &mut rand::rng());
     addresses.sort_by_key(|address| address.data_centre != *own);
     let lifetime = view.settings.system.address_lifetime;
-    Ok(json(&Addresses {
+    json(&Addresses {
         addresses,
         lifetime_seconds: lifetime.as_secs(),
-    }))
+    })
 }
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -30,8 +30,8 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     let answered = match (request.method(), request.uri().path()) {
-        (&Method::GET, ADDRESSES) => addresses::answer(&shared),
-        (&Method::GET, MODELS) => models::answer(&shared),
+        (&Method::GET, ADDRESSES) => Ok(addresses::answer(&shared)),
+        (&Method::GET, MODELS) => Ok(models::answer(&shared)),
         (&Method::POST, TICKETS) => completion::ticket(&shared, request).await,
         (&Method::POST, path) if COMPLETIONS.contains(&path) => {
             completion::answer(&shared, request).await
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -74,8 +74,8 @@
         }
     }
 
-    fn desk(&self, shard: u32) -> MutexGuard<'_, Desk> {
-        let desk = &self.desks[shard as usize];
+    fn desk(&self, index: u32) -> MutexGuard<'_, Desk> {
+        let desk = &self.desks[index as usize];
         desk.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -102,15 +102,15 @@
 
 /// Claims a key and returns what became of it.
 pub(crate) async fn claim<C: Clock>(shared: &Arc<Shared<C>>, claim: Claim) -> Answer {
-    let shard = owner::shard(&claim.identity, SHARDS);
+    let index = owner::shard(&claim.identity, SHARDS);
     let own = &shared.options.node.link.identity.process;
-    if let Some(owner) = owner_of(shared, shard).filter(|owner| owner != own)
+    if let Some(owner) = owner_of(shared, index).filter(|owner| owner != own)
         && let Some(answer) = ask_peer(shared, &owner, &claim).await
     {
         return answer;
     }
     let (sender, receiver) = oneshot::channel();
-    ask(shared, shard, claim, Waiter::Here(sender));
+    ask(shared, index, claim, Waiter::Here(sender));
     receiver.await.unwrap_or(Answer::Unavailable)
 }
 
@@ -118,8 +118,8 @@
 pub(crate) fn receive<C: Clock>(shared: &Arc<Shared<C>>, from: &Process, message: claim::Message) {
     match message {
         claim::Message::Ask(claim) => {
-            let shard = owner::shard(&claim.identity, SHARDS);
-            ask(shared, shard, claim, Waiter::Peer(from.clone()));
+            let index = owner::shard(&claim.identity, SHARDS);
+            ask(shared, index, claim, Waiter::Peer(from.clone()));
         }
         claim::Message::Answer { attempt, answer } => shared.claims.answered(attempt, answer),
     }
@@ -134,14 +134,14 @@
             () = tokio::time::sleep_until(wake.into()) => {}
             () = shared.claims.changed.notified() => {}
         }
-        for shard in 0..SHARDS {
-            step(&shared, shard, Event::Tick);
+        for index in 0..SHARDS {
+            step(&shared, index, Event::Tick);
         }
     }
 }
 
 /// Returns the entry that is asked first for a shard.
-fn owner_of<C: Clock>(shared: &Shared<C>, shard: u32) -> Option<Process> {
+fn owner_of<C: Clock>(shared: &Shared<C>, index: u32) -> Option<Process> {
     let now = shared.clock.now();
     let view = shared.node.view();
     let live: Vec<Process> = view
@@ -151,7 +151,7 @@
         .map(|record| record.process.clone())
         .filter(|process| !shared.claims.is_suspect(process, now))
         .collect();
-    owner::owner(shard, &live).cloned()
+    owner::owner(index, &live).cloned()
 }
 
 async fn ask_peer<C: Clock>(shared: &Shared<C>, owner: &Process, claim: &Claim) -> Option<Answer> {
@@ -171,44 +171,44 @@
     None
 }
 
-fn ask<C: Clock>(shared: &Arc<Shared<C>>, shard: u32, claim: Claim, waiter: Waiter) {
+fn ask<C: Clock>(shared: &Arc<Shared<C>>, index: u32, claim: Claim, waiter: Waiter) {
     let link = {
-        let mut desk = shared.claims.desk(shard);
+        let mut desk = shared.claims.desk(index);
         let link = desk.next;
         desk.next = Link(link.0 + 1);
         desk.waiters.insert(link, waiter);
         link
     };
-    step(shared, shard, Event::Ask { link, claim });
+    step(shared, index, Event::Ask { link, claim });
     shared.claims.changed.notify_one();
 }
 
-fn step<C: Clock>(shared: &Arc<Shared<C>>, shard: u32, event: Event) {
+fn step<C: Clock>(shared: &Arc<Shared<C>>, index: u32, event: Event) {
     let commands = {
-        let mut desk = shared.claims.desk(shard);
+        let mut desk = shared.claims.desk(index);
         desk.shard
             .step(event, shared.clock.now(), shared.clock.wall())
     };
     for command in commands {
-        carry_out(shared, shard, command);
+        carry_out(shared, index, command);
     }
 }
 
-fn carry_out<C: Clock>(shared: &Arc<Shared<C>>, shard: u32, command: Command) {
+fn carry_out<C: Clock>(shared: &Arc<Shared<C>>, index: u32, command: Command) {
     match command {
         Command::Put { number, batch } => {
             metrics::counter!("cactusnotch_entry_claim_batches_total").increment(1);
-            call(shared, shard, move |store| {
-                Some(calls::put(store, shard, number, &batch))
+            call(shared, index, move |store| {
+                Some(calls::put(store, index, number, &batch))
             });
         }
         Command::List { after } => {
-            call(shared, shard, move |store| {
-                Some(calls::list(store, shard, after))
+            call(shared, index, move |store| {
+                Some(calls::list(store, index, after))
             });
         }
-        Command::Delete { number } => call(shared, shard, move |store| {
-            if let Err(error) = calls::delete(store, shard, number) {
+        Command::Delete { number } => call(shared, index, move |store| {
+            if let Err(error) = calls::delete(store, index, number) {
                 tracing::debug!(%error, "old batch of claims not deleted");
             }
             None
@@ -218,7 +218,7 @@
             attempt,
             answer,
         } => {
-            let waiter = shared.claims.desk(shard).waiters.remove(&link);
+            let waiter = shared.claims.desk(index).waiters.remove(&link);
             match waiter {
                 // The request may have ended in the meantime.
                 Some(Waiter::Here(sender)) => drop(sender.send(answer)),
@@ -235,13 +235,13 @@
 /// Makes a blocking call on a thread of its own and takes its result in.
 fn call<C: Clock>(
     shared: &Arc<Shared<C>>,
-    shard: u32,
+    index: u32,
     call: impl FnOnce(&Client) -> Option<Event> + Send + 'static,
 ) {
     let shared = Arc::clone(shared);
     tokio::task::spawn_blocking(move || {
         if let Some(event) = call(&shared.claims.store) {
-            step(&shared, shard, event);
+            step(&shared, index, event);
             shared.claims.changed.notify_one();
         }
     });
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -337,13 +337,11 @@
 fn span<C: Clock>(shared: &Shared<C>, header: Option<&str>) -> Span<C> {
     let mut random = rand::rng();
     let clock = shared.clock.clone();
-    match header.and_then(|text| text.parse::<Context>().ok()) {
-        Some(parent) => Span::child(SPAN, &parent, &mut random, clock),
-        None => {
-            let is_sampled = random.random_bool(shared.options.trace_fraction);
-            Span::root(SPAN, Context::root(&mut random, is_sampled), clock)
-        }
+    if let Some(parent) = header.and_then(|text| text.parse::<Context>().ok()) {
+        return Span::child(SPAN, &parent, &mut random, clock);
     }
+    let is_sampled = random.random_bool(shared.options.trace_fraction);
+    Span::root(SPAN, Context::root(&mut random, is_sampled), clock)
 }
 
 /// Refuses a model that no group serves to the organisation.
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -105,7 +105,7 @@
         let mut waiting = std::collections::VecDeque::from(commands);
         while let Some(command) = waiting.pop_front() {
             let follow = match command {
-                Command::Route { only, avoid } => self.route(only.as_ref(), &avoid),
+                Command::Route { only, avoid } => Some(self.route(only.as_ref(), &avoid)),
                 Command::Claim(claim) => {
                     self.claim(claim);
                     None
@@ -123,19 +123,19 @@
         }
     }
 
-    fn route(&mut self, only: Option<&Endpoint>, avoid: &[Endpoint]) -> Option<Event> {
+    fn route(&mut self, only: Option<&Endpoint>, avoid: &[Endpoint]) -> Event {
         self.finish_route(End::Failed);
         let terms = match only {
             Some(endpoint) => self.shared.agents.terms(endpoint),
             None => self.choose(avoid),
         };
-        Some(match terms {
+        match terms {
             Some(terms) => Event::Routed {
                 terms,
                 attempt: Attempt(Uuid::new_v4()),
             },
             None => Event::Unroutable,
-        })
+        }
     }
 
     fn choose(&mut self, avoid: &[Endpoint]) -> Option<Terms> {
--- a/crates/entry/src/models.rs
+++ b/crates/entry/src/models.rs
@@ -8,7 +8,6 @@
 use serde::Serialize;
 
 use crate::body::Body;
-use crate::problem::Problem;
 use crate::shared::Shared;
 
 #[derive(Serialize)]
@@ -24,7 +23,7 @@
 }
 
 /// Lists the models that endpoints known here serve.
-pub(crate) fn answer<C: Clock>(shared: &Shared<C>) -> Result<Response<Body>, Problem> {
+pub(crate) fn answer<C: Clock>(shared: &Shared<C>) -> Response<Body> {
     let data = shared
         .router()
         .services()
@@ -36,10 +35,10 @@
             Service::Path(_) => None,
         })
         .collect();
-    Ok(json(&Listing {
+    json(&Listing {
         object: "list",
         data,
-    }))
+    })
 }
 
 /// Returns a response that carries `value` as JSON.
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -126,6 +126,10 @@
     })
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
 fn status_number<S: serde::Serializer>(
     status: &StatusCode,
     serializer: S,
--- a/crates/group/src/coordination.rs
+++ b/crates/group/src/coordination.rs
@@ -47,9 +47,9 @@
         self.step(context, Event::Start);
     }
 
-    pub(crate) fn wake(&self) -> Option<Instant> {
+    pub(crate) fn wake(&self) -> Instant {
         let plan = self.plans.due();
-        Some(self.wake.map_or(plan, |wake| wake.min(plan)))
+        self.wake.map_or(plan, |wake| wake.min(plan))
     }
 
     pub(crate) fn tell(&self, status: &mut Status) {
@@ -74,9 +74,9 @@
         }
         let is_free = self.coordinator.fence().is_some() && self.coordinator.is_idle();
         let current = membership.content().filter(|_| is_free);
-        if let Some(content) = self.plans.next(current, &self.seats, now) {
-            let digest = content.digest();
-            self.wanted.insert(digest, content);
+        if let Some(placed) = self.plans.next(current, &self.seats, now) {
+            let digest = placed.digest();
+            self.wanted.insert(digest, placed);
             self.step(context, Event::Want { digest });
         }
     }
@@ -134,11 +134,17 @@
     ) {
         match command {
             Command::ReadLease => {
-                context.call(|objects, _| objects.read_lease().map(Input::Lease));
+                context.call(|objects, _| {
+                    objects
+                        .read_lease()
+                        .map(|found| Input::Lease(found.object()))
+                });
             }
             Command::WriteLease { version, lease } => {
-                context
-                    .call(move |objects, _| objects.write_lease(version, &lease).map(Input::Lease));
+                context.call(move |objects, _| {
+                    let found = objects.write_lease(version, &lease)?;
+                    Some(Input::Lease(found.object()))
+                });
             }
             Command::ReadGroup => context.call(|objects, _| group(objects.read_group())),
             Command::WriteGroup { version, view } => {
@@ -160,13 +166,14 @@
     }
 
     fn record<P: Post, C: Clock>(&self, context: &Context<P, C>, map: Map) {
-        let Some(content) = self.wanted.get(&map.digest).cloned() else {
+        let Some(placed) = self.wanted.get(&map.digest).cloned() else {
             return;
         };
         context.call(move |objects, _| {
-            objects
-                .record(map, &content)
-                .then_some(Input::Recorded { map, content })
+            objects.record(map, &placed).then_some(Input::Recorded {
+                map,
+                content: placed,
+            })
         });
     }
 
--- a/crates/group/src/driver.rs
+++ b/crates/group/src/driver.rs
@@ -143,7 +143,7 @@
     loop {
         let wake = earliest(
             membership.wake(),
-            coordination.as_ref().and_then(Coordination::wake),
+            coordination.as_ref().map(Coordination::wake),
         );
         tokio::select! {
             input = receiver.recv() => {
--- a/crates/group/src/membership.rs
+++ b/crates/group/src/membership.rs
@@ -61,7 +61,7 @@
         self.member.current()
     }
 
-    /// Returns the content of the map in force, if it is known.
+    /// Returns the placed of the map in force, if it is known.
     pub(crate) fn content(&self) -> Option<&Content> {
         self.contents.get(&self.current()?.map)
     }
@@ -86,7 +86,7 @@
         }
     }
 
-    /// Reads the content of the map in force unless it is known.
+    /// Reads the placed of the map in force unless it is known.
     fn read_current<P: Post, C: Clock>(&self, context: &Context<P, C>) {
         let unknown = self
             .current()
@@ -94,8 +94,11 @@
             .filter(|map| !self.contents.contains(map));
         if let Some(map) = unknown {
             context.call(move |objects, _| {
-                let content = objects.read_map(map)?;
-                Some(Input::InForce { map, content })
+                let placed = objects.read_map(map)?;
+                Some(Input::InForce {
+                    map,
+                    content: placed,
+                })
             });
         }
     }
@@ -129,17 +132,17 @@
         &mut self,
         context: &Context<P, C>,
         map: Map,
-        content: Content,
+        placed: Content,
     ) {
         let place = Place(context.options.rank.0);
-        let experts = content.held(place).map(expert).collect();
-        self.keep(map, content);
+        let experts = placed.held(place).map(expert).collect();
+        self.keep(map, placed);
         self.step(context, Event::Experts { map, experts });
     }
 
-    /// Keeps the content of a map for orders and plans.
-    pub(crate) fn keep(&mut self, map: Map, content: Content) {
-        self.contents.insert(map, content);
+    /// Keeps the placed of a map for orders and plans.
+    pub(crate) fn keep(&mut self, map: Map, placed: Content) {
+        self.contents.insert(map, placed);
         if self.contents.len() > CONTENTS {
             let oldest = self.contents.keys().next().copied();
             oldest.map(|map| self.contents.remove(&map));
@@ -190,12 +193,12 @@
             Command::ReadMap(map) => self.read_map(context, map),
             Command::Send { to, message } => self.send(context, to, message),
             Command::Order(order) => {
-                let content = match order.wanted {
+                let placed = match order.wanted {
                     Wish::Use(switch) => self.contents.get(&switch.map).cloned(),
                     _ => None,
                 };
                 context.call(move |_, engine| {
-                    engine.order(&order, content.as_ref()).map(Input::Engine)
+                    engine.order(&order, placed.as_ref()).map(Input::Engine)
                 });
             }
             Command::ReadEngine(fence) => {
@@ -223,8 +226,11 @@
     fn read_map<P: Post, C: Clock>(&self, context: &Context<P, C>, map: Map) {
         let known = self.contents.get(&map).cloned();
         context.call(move |objects, _| {
-            let content = known.or_else(|| objects.read_map(map))?;
-            Some(Input::Content { map, content })
+            let placed = known.or_else(|| objects.read_map(map))?;
+            Some(Input::Content {
+                map,
+                content: placed,
+            })
         });
     }
 
--- a/crates/group/src/objects.rs
+++ b/crates/group/src/objects.rs
@@ -19,7 +19,27 @@
 /// The kind of the objects that hold leases.
 const LEASE: &str = "lease";
 
-/// The group's objects in the platform. Its calls block.
+/// What a read found.
+#[derive(Debug, Clone)]
+pub(crate) enum Found<T> {
+    /// The object, at its version.
+    Object(Version, T),
+    /// There is no such object.
+    Absent,
+}
+
+impl<T> Found<T> {
+    /// Returns the object, if there is one.
+    pub(crate) fn object(self) -> Option<(Version, T)> {
+        match self {
+            Self::Object(version, value) => Some((version, value)),
+            Self::Absent => None,
+        }
+    }
+}
+
+/// The group's objects in the platform. Its calls block, and bring nothing if
+/// the platform does not answer.
 #[derive(Debug, Clone)]
 pub(crate) struct Objects {
     store: Client,
@@ -42,8 +62,8 @@
     /// Reads the group's object, and creates it if there is none.
     pub(crate) fn read_group(&self) -> Option<(Version, View)> {
         let path = self.group_path();
-        if let Some(found) = self.read(&path)? {
-            return Some(found);
+        if let Found::Object(version, view) = self.read(&path)? {
+            return Some((version, view));
         }
         let base = Switch {
             map: Map {
@@ -57,18 +77,18 @@
         }
         let view = View::new(self.size, base);
         self.write(&path, &view, Condition::Absent);
-        self.read(&path)?
+        self.read(&path)?.object()
     }
 
     /// Writes the group's object if it is at `version`, and reads it back.
     pub(crate) fn write_group(&self, version: Version, view: &View) -> Option<(Version, View)> {
         let path = self.group_path();
         self.write(&path, view, Condition::Version(version));
-        self.read(&path)?
+        self.read(&path)?.object()
     }
 
     /// Reads the coordinator's lease.
-    pub(crate) fn read_lease(&self) -> Option<Option<(Version, Lease)>> {
+    pub(crate) fn read_lease(&self) -> Option<Found<Lease>> {
         self.read(&self.lease_path())
     }
 
@@ -77,7 +97,7 @@
         &self,
         version: Option<Version>,
         lease: &Lease,
-    ) -> Option<Option<(Version, Lease)>> {
+    ) -> Option<Found<Lease>> {
         let condition = version.map_or(Condition::Absent, Condition::Version);
         let path = self.lease_path();
         self.write(&path, lease, condition);
@@ -86,7 +106,7 @@
 
     /// Reads the content of a map.
     pub(crate) fn read_map(&self, map: Map) -> Option<Content> {
-        let (_, content): (Version, Content) = self.read(&self.map_path(map))??;
+        let (_, content): (Version, Content) = self.read(&self.map_path(map))?.object()?;
         (content.digest() == map.digest).then_some(content)
     }
 
@@ -109,19 +129,18 @@
         Path::new(MAP, name)
     }
 
-    /// Reads an object; `None` if the platform does not answer, and inside
-    /// it `None` if there is no such object.
-    fn read<T: DeserializeOwned>(&self, path: &Path) -> Option<Option<(Version, T)>> {
+    /// Reads an object.
+    fn read<T: DeserializeOwned>(&self, path: &Path) -> Option<Found<T>> {
         let object = match self.store.get(path) {
             Ok(Some(object)) => object,
-            Ok(None) => return Some(None),
+            Ok(None) => return Some(Found::Absent),
             Err(error) => {
                 tracing::debug!(%error, "group's object not read");
                 return None;
             }
         };
         match serde_json::from_value(object.value) {
-            Ok(value) => Some(Some((object.version, value))),
+            Ok(value) => Some(Found::Object(object.version, value)),
             Err(error) => {
                 tracing::error!(%error, %path, "group's object not understood");
                 None
--- a/crates/lab/examples/quickstart.rs
+++ b/crates/lab/examples/quickstart.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use cactusnotch_agent::Care;
+use cactusnotch_entry::Server;
 use cactusnotch_lab::caller::{Ask, Outcome, key};
 use cactusnotch_lab::cluster::{Cluster, Options};
 use cactusnotch_lab::{Caller, Failure, Figures, Operator, check};
@@ -106,8 +107,8 @@
     fn new(cluster: &Cluster) -> Self {
         Self {
             platform: cluster.platform_options(),
-            operators: cluster.entries.iter().map(|e| e.operators()).collect(),
-            callers: cluster.entries.iter().map(|e| e.callers()).collect(),
+            operators: cluster.entries.iter().map(Server::operators).collect(),
+            callers: cluster.entries.iter().map(Server::callers).collect(),
         }
     }
 
@@ -201,7 +202,7 @@
         prompt: format!("pattern note {request} for weaver {caller}"),
         max_tokens: TOKENS,
         key: Some(key()),
-        idempotent: Some(request % 2 == 0),
+        idempotent: Some(request.is_multiple_of(2)),
         after: None,
     }
 }
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread::ScopedJoinHandle;
 use std::time::{Duration, Instant};
 
 use cactusnotch_standins::engine::Engine;
@@ -139,7 +140,7 @@
                 scope.spawn(move || call(options, addresses, next, seed))
             })
             .collect();
-        let told = threads.into_iter().map(|thread| thread.join());
+        let told = threads.into_iter().map(ScopedJoinHandle::join);
         told.flat_map(Result::unwrap_or_default).collect()
     });
     Answers {
--- a/crates/lab/tests/path.rs
+++ b/crates/lab/tests/path.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cactusnotch_entry::Server;
 use cactusnotch_lab::caller::{Ask, Outcome, key};
 use cactusnotch_lab::cluster::{Cluster, Options};
 use cactusnotch_lab::{Caller, Operator};
@@ -26,8 +27,8 @@
 async fn a_caller_gets_its_own_whole_answer() {
     let cluster = Cluster::start(&Options::default()).await.unwrap();
     let platform = cluster.platform_options();
-    let operators: Vec<_> = cluster.entries.iter().map(|e| e.operators()).collect();
-    let callers: Vec<_> = cluster.entries.iter().map(|e| e.callers()).collect();
+    let operators: Vec<_> = cluster.entries.iter().map(Server::operators).collect();
+    let callers: Vec<_> = cluster.entries.iter().map(Server::callers).collect();
     let done = tokio::task::spawn_blocking(move || {
         let mut operator = Operator::new(&platform);
         let revision = operator.declare(ORGANISATION, MODEL, 2).unwrap();
--- a/crates/lab/tests/ranks.rs
+++ b/crates/lab/tests/ranks.rs
@@ -14,7 +14,7 @@
     layers: 2,
     experts: 8,
 };
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 
 fn care() -> Care {
     Care {
--- a/crates/node/src/courier.rs
+++ b/crates/node/src/courier.rs
@@ -37,7 +37,7 @@
         let mut routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(route) = routes.get(peer) {
             match route.try_send(message) {
-                Ok(()) | Err(mpsc::error::TrySendError::Full(_)) => return,
+                Ok(()) | Err(mpsc::error::TrySendError::Full(_)) => {}
                 Err(mpsc::error::TrySendError::Closed(message)) => {
                     routes.insert(peer.clone(), self.open(peer, address, message));
                 }
@@ -83,7 +83,7 @@
                     return;
                 }
             }
-            received = receiver.recv() => match received {
+            unasked = receiver.recv() => match unasked {
                 Some(Ok(_)) => {}
                 Some(Err(_)) | None => return,
             },
