--- a/crates/cactusnotch/src/command/settings.rs
+++ b/crates/cactusnotch/src/command/settings.rs
@@ -4,6 +4,8 @@
 mod edit;
 mod show;
 
+pub(crate) use declare::check;
+
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
@@ -165,13 +167,6 @@
         #[bpaf(positional("NODE"))]
         node: String,
     },
-    /// Check a declaration, without a connection
-    #[bpaf(command)]
-    Check {
-        /// TOML files, or directories of them
-        #[bpaf(positional("PATH"), some("a declaration's PATH is missing"))]
-        paths: Vec<PathBuf>,
-    },
     /// Show what applying a declaration would change
     #[bpaf(command)]
     Diff {
@@ -218,7 +213,6 @@
             json,
             last,
         } => show::history(&platform, last, json),
-        Options::Check { paths } => declare::check(&paths),
         Options::Diff {
             platform,
             prune,
--- a/crates/cactusnotch/src/main.rs
+++ b/crates/cactusnotch/src/main.rs
@@ -27,6 +27,7 @@
         Command::Entry(options) => command::entry::run(options),
         Command::Status(options) => command::status::run(&options),
         Command::Addresses(options) => command::addresses::run(&options),
+        Command::Check { paths } => command::settings::check(&paths),
         Command::Settings(options) => command::settings::run(options),
     }
 }
--- a/crates/cactusnotch/src/options.rs
+++ b/crates/cactusnotch/src/options.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use bpaf::Bpaf;
 use cactusnotch_options::checked;
@@ -26,6 +27,13 @@
     /// Show the addresses that callers may use
     #[bpaf(command)]
     Addresses(#[bpaf(external(query))] Query),
+    /// Check a declaration of settings, without a connection
+    #[bpaf(command)]
+    Check {
+        /// TOML files, or directories of them
+        #[bpaf(positional("PATH"), some("a declaration's PATH is missing"))]
+        paths: Vec<PathBuf>,
+    },
     /// Read and edit the tree of settings
     #[bpaf(command)]
     Settings(#[bpaf(external(settings_options))] settings::Options),
--- a/crates/lab/src/caller.rs
+++ b/crates/lab/src/caller.rs
@@ -99,6 +99,7 @@
 #[derive(Debug, Clone)]
 pub struct Caller {
     agent: Agent,
+    trace: Option<String>,
 }
 
 impl Default for Caller {
@@ -117,7 +118,15 @@
             .timeout_global(Some(patience))
             .build()
             .new_agent();
-        Self { agent }
+        Self { agent, trace: None }
+    }
+
+    /// Lets the caller's requests be part of a trace, given as the W3C header
+    /// `traceparent`.
+    #[must_use]
+    pub fn with_trace(mut self, header: String) -> Self {
+        self.trace = Some(header);
+        self
     }
 
     /// Asks an entry for the addresses to use.
@@ -162,6 +171,9 @@
             .agent
             .post(format!("http://{address}/v1/chat/completions"))
             .header("OpenAI-Organization", &ask.organisation);
+        if let Some(trace) = &self.trace {
+            request = request.header("traceparent", trace);
+        }
         if let Some(key) = &ask.key {
             request = request.header("Idempotency-Key", key);
         }
