test: let five tests of the stand-ins fail for their mechanism

Cause: with the mechanism taken out, the tests of a refused connection, of a frozen engine, of a frozen proxy, of the proxy's spread and of connections left waiting stayed green. Each now checks what only the mechanism brings about. The test of a call that hung gave a client 50 ms to send it and failed once in a trial on a busy machine; the call is now known to have arrived before its caller goes. Ruled out: longer waits, which would not make them fail.

--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -225,6 +225,13 @@
     let engine = Engine::start(&Options::default()).unwrap();
     engine.freeze();
     let mut frozen = send(&engine, "connection: close\r\n", &completion("a", 3));
+    let load = ureq::get(url(&engine, "/load"))
+        .config()
+        .timeout_global(Some(Duration::from_millis(100)))
+        .build()
+        .call();
+    assert!(matches!(load, Err(ureq::Error::Timeout(_))), "{load:?}");
+    assert!(engine.runs().is_empty());
     engine.slow(0.5);
     engine.thaw();
     let mut answer = String::new();
--- a/crates/standins/tests/objects.rs
+++ b/crates/standins/tests/objects.rs
@@ -2,6 +2,8 @@
 
 mod wait;
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 
@@ -15,15 +17,11 @@
 
 fn platform() -> (Platform, Client) {
     let platform = Platform::start(&objects::Options::default()).unwrap();
-    let client = client(&platform, LONG);
-    (platform, client)
-}
-
-fn client(platform: &Platform, timeout: Duration) -> Client {
-    Client::new(&Options {
+    let client = Client::new(&Options {
         base: platform.base(),
-        timeout,
-    })
+        timeout: LONG,
+    });
+    (platform, client)
 }
 
 #[test]
@@ -147,6 +145,9 @@
         let down = client.put(&path, &json!(1), Condition::Always);
         assert!(matches!(down, Err(Error::Unanswered { .. })));
     }
+    let put = ("PUT".to_owned(), "status".to_owned());
+    let calls = platform.calls();
+    assert_eq!(calls.get(&put), Some(&1), "a refused connection is no call");
     platform.set_outage(Outage::None);
     assert_eq!(client.get(&path).unwrap(), None);
     let large = json!("x".repeat(1 << 20));
@@ -167,13 +168,17 @@
 #[test]
 fn a_call_that_hung_takes_effect_when_the_outage_ends() {
     let (platform, client) = platform();
-    let path = Path::new("status", "late");
     let other = Path::new("other", "o");
     let before = client.put(&other, &json!(0), Condition::Always).unwrap();
     platform.set_outage(Outage::Hang);
-    let impatient = self::client(&platform, Duration::from_millis(50));
-    let unanswered = impatient.put(&path, &json!(1), Condition::Always);
-    assert!(matches!(unanswered, Err(Error::Unanswered { .. })));
+    // The second call tells that the server has seen the first caller go.
+    for kind in ["status", "later"] {
+        let mut caller = TcpStream::connect(platform.address()).unwrap();
+        let head = "HTTP/1.1\r\nhost: p\r\ncontent-length: 1";
+        write!(caller, "PUT /objects/{kind}/late {head}\r\n\r\n1").unwrap();
+        let put = ("PUT".to_owned(), kind.to_owned());
+        until(|| platform.calls().get(&put) == Some(&1));
+    }
     platform.set_outage(Outage::None);
     let changes = client.changes("status", before, LONG).unwrap();
     assert_eq!(changes.objects[0].value, json!(1));
--- a/crates/standins/tests/proxy.rs
+++ b/crates/standins/tests/proxy.rs
@@ -69,6 +69,16 @@
     answer
 }
 
+/// Gives bytes that are not held back the time to come, and checks that none
+/// have.
+fn assert_silent(stream: &mut TcpStream) {
+    let limit = Duration::from_millis(100);
+    stream.set_read_timeout(Some(limit)).unwrap();
+    let read = stream.read(&mut [0]).map_err(|error| error.kind());
+    assert_eq!(read, Err(std::io::ErrorKind::WouldBlock));
+    stream.set_read_timeout(Some(LONG)).unwrap();
+}
+
 fn wait_for(proxy: &Proxy, reached: impl Fn(Counts) -> bool) {
     until(|| reached(proxy.counts()));
 }
@@ -128,6 +138,7 @@
     let mut stream = connect(&proxy);
     stream.write_all(b"held").unwrap();
     wait_for(&proxy, |counts| counts.frozen == 1);
+    assert_silent(&mut stream);
     assert_eq!(echo.got(), b"");
     proxy.thaw();
     let mut answer = [0; 4];
@@ -148,6 +159,7 @@
     proxy.set_accept(Accept::Ignore);
     let mut waiting = connect(&proxy);
     waiting.write_all(b"b").unwrap();
+    assert_silent(&mut waiting);
     let other = Echo::start();
     proxy.set_target(other.address);
     proxy.set_accept(Accept::Open);
@@ -173,6 +185,7 @@
     assert_eq!(talk(&proxy, b"slow"), b"slow");
     assert!(begun.elapsed() >= delay && proxy.counts().delayed > 0);
     proxy.set_line(Direction::Up, Line::default());
+    let delayed = proxy.counts().delayed;
     proxy.set_spread(Duration::from_millis(200));
     let mut streams: Vec<_> = (0..8).map(|_| connect(&proxy)).collect();
     wait_for(&proxy, |counts| counts.accepted == 9);
@@ -182,6 +195,10 @@
     for stream in &mut streams {
         stream.read_exact(&mut [0]).unwrap();
     }
+    assert!(
+        proxy.counts().delayed >= delayed + 16,
+        "up and down of each"
+    );
     let mut got = echo.got().split_off(4);
     assert!(!got.is_sorted());
     got.sort_unstable();
--- a/crates/standins/tests/ranks.rs
+++ b/crates/standins/tests/ranks.rs
@@ -313,7 +313,11 @@
     let mut slow = TcpStream::connect(store.address()).unwrap();
     write!(slow, "GET /weights/0/0 HTTP/1.1\r\nhost: w\r\n\r\n").unwrap();
     until(|| store.waiting() > 0);
-    let refused = ureq::get(format!("http://{}/weights/0/1", store.address())).call();
+    let refused = ureq::get(format!("http://{}/weights/0/1", store.address()))
+        .config()
+        .timeout_global(Some(LONG))
+        .build()
+        .call();
     assert!(matches!(refused, Err(ureq::Error::StatusCode(429))));
     drop(slow);
     until(|| store.waiting() == 0);
