test: offer a replica entries that are not valid successors

A replica that took in an entry with the right number and digest but a refused edit passed all tests, since no writer makes such an entry. Two are now offered by hand: a floor above its cap, and an edit that clashes with one accepted since its base.

--- a/crates/history/tests/writer.rs
+++ b/crates/history/tests/writer.rs
@@ -209,6 +209,20 @@
     };
     let fork = Answer::Forked { at: Revision(4) };
     assert_eq!(replica.offer_entries(std::slice::from_ref(&foreign)), fork);
+    let floor = edit(
+        "inaki",
+        Revision(3),
+        vec![set("o", Key::ConcurrencyFloor, 11)],
+    );
+    for edit in [floor, priority("inaki", 1, 9)] {
+        let invalid = Entry {
+            edit,
+            ..entries[3].clone()
+        };
+        let answer = replica.offer_entries(&[invalid]);
+        assert!(matches!(answer, Answer::Invalid { .. }), "{answer}");
+        assert_eq!(replica.revision(), Revision(3));
+    }
     replica.offer_entries(&entries);
     assert_eq!(replica.offer_entries(&[foreign]), fork);
     let offer = Offer::Snapshot(Box::new(older.snapshot().clone()));
