--- a/crates/member/src/fingerprint.rs
+++ b/crates/member/src/fingerprint.rs
@@ -1,6 +1,6 @@
 //! A short digest of a set of lives.
 
-use std::ops::AddAssign;
+use std::ops::{AddAssign, SubAssign};
 
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::Incarnation;
@@ -42,3 +42,10 @@
         self.sum = self.sum.wrapping_add(other.sum);
     }
 }
+
+impl SubAssign for Fingerprint {
+    fn sub_assign(&mut self, other: Self) {
+        self.count = self.count.wrapping_sub(other.count);
+        self.sum = self.sum.wrapping_sub(other.sum);
+    }
+}
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -59,26 +59,39 @@
             return false;
         }
         if delta.after == Version(0) {
-            self.replace(delta);
-        } else {
-            self.upsert(delta);
+            self.rows = Table::new();
+            self.fingerprints = Table::new();
+        }
+        for process in &delta.removed {
+            self.remove(process);
+        }
+        for row in &delta.rows {
+            self.remove(&row.record.process);
+            self.insert(row.clone());
         }
         self.through = delta.through;
-        self.fingerprints = fingerprints(&self.rows);
         true
     }
 
-    fn replace(&mut self, delta: &Delta) {
-        let rows = delta.rows.iter().cloned();
-        self.rows = rows.map(|row| (row.record.process.clone(), row)).collect();
+    fn insert(&mut self, row: Row) {
+        let record = &row.record;
+        let lives = self
+            .fingerprints
+            .get_or_insert_with(record.data_centre.clone(), Fingerprint::default);
+        *lives += Fingerprint::of(&record.process, record.incarnation);
+        self.rows.insert(record.process.clone(), row);
     }
 
-    fn upsert(&mut self, delta: &Delta) {
-        for process in &delta.removed {
-            self.rows.remove(process);
-        }
-        for row in &delta.rows {
-            self.rows.insert(row.record.process.clone(), row.clone());
+    fn remove(&mut self, process: &Process) {
+        let Some(Row { record, .. }) = self.rows.remove(process) else {
+            return;
+        };
+        let Some(lives) = self.fingerprints.get_mut(&record.data_centre) else {
+            return;
+        };
+        *lives -= Fingerprint::of(process, record.incarnation);
+        if *lives == Fingerprint::default() {
+            self.fingerprints.remove(&record.data_centre);
         }
     }
 
@@ -129,17 +142,3 @@
         self.fingerprints.iter().map(|(name, of)| (name, *of))
     }
 }
-
-fn fingerprints(rows: &Table<Process, Row>) -> Table<DataCentre, Fingerprint> {
-    let mut table: Table<DataCentre, Fingerprint> = Table::new();
-    for Row { record, .. } in rows.values() {
-        let life = Fingerprint::of(&record.process, record.incarnation);
-        match table.get_mut(&record.data_centre) {
-            Some(sum) => *sum += life,
-            None => {
-                table.insert(record.data_centre.clone(), life);
-            }
-        }
-    }
-    table
-}
--- a/crates/spread/src/journal.rs
+++ b/crates/spread/src/journal.rs
@@ -1,9 +1,11 @@
 //! The roster with its latest changes.
 
-use cactusnotch_member::{Delta, Roster};
+use cactusnotch_base::Table;
+use cactusnotch_base::name::Process;
+use cactusnotch_member::{Delta, Roster, Row};
 use cactusnotch_platform::object::Version;
 
-use crate::tail::{Piece, Tail};
+use crate::tail::{self, Piece, Tail};
 
 /// The bytes that a record takes on the wire, roughly.
 const ROW: usize = 200;
@@ -58,13 +60,45 @@
         moved
     }
 
-    /// Returns the changes that take a holder of `version` on; the whole
-    /// roster if they are no longer all kept.
-    pub(crate) fn since(&self, version: Version) -> Vec<Delta> {
+    /// Returns the size on the wire of [`Journal::since`], in bytes, roughly and
+    /// at most.
+    pub(crate) fn cost_since(&self, version: Version) -> usize {
+        let kept = self.tail.since(version.0).filter(|kept| !kept.is_empty());
+        kept.map_or_else(|| NAME + ROW * self.roster.len(), tail::cost)
+    }
+
+    /// Returns the change that takes a holder of `version` on; the whole
+    /// roster if the changes since are no longer all kept.
+    pub(crate) fn since(&self, version: Version) -> Option<Delta> {
         if version >= self.roster.through() {
-            return Vec::new();
+            return None;
         }
         let kept = self.tail.since(version.0).filter(|kept| !kept.is_empty());
-        kept.map_or_else(|| vec![self.roster.snapshot()], <[Delta]>::to_vec)
+        Some(kept.map_or_else(|| self.roster.snapshot(), merged))
+    }
+}
+
+/// Returns changes that follow one another as one.
+fn merged(deltas: &[Delta]) -> Delta {
+    let mut rows: Table<&Process, Option<&Row>> = Table::new();
+    for delta in deltas {
+        if delta.after == Version(0) {
+            rows = Table::new();
+        }
+        for process in &delta.removed {
+            rows.insert(process, None);
+        }
+        for row in &delta.rows {
+            rows.insert(&row.record.process, Some(row));
+        }
+    }
+    let whole = deltas.iter().any(|delta| delta.after == Version(0));
+    let first = deltas.first().map_or(Version(0), |delta| delta.after);
+    let gone = rows.iter().filter(|(_, row)| row.is_none());
+    Delta {
+        after: if whole { Version(0) } else { first },
+        through: deltas.last().map_or(first, |delta| delta.through),
+        removed: gone.map(|(process, _)| (*process).clone()).collect(),
+        rows: rows.values().filter_map(|row| row.cloned()).collect(),
     }
 }
--- a/crates/spread/src/node.rs
+++ b/crates/spread/src/node.rs
@@ -7,7 +7,7 @@
 mod tick;
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use cactusnotch_base::Table;
 use cactusnotch_base::name::Process;
@@ -33,9 +33,6 @@
 use crate::structure::Structure;
 use crate::watch::{Calls, Doubts};
 
-/// Over how long the first calls of processes that start together are spread.
-const START_SPREAD: Duration = Duration::from_secs(2);
-
 /// The part of one process in membership and spread.
 ///
 /// The driver calls [`Node::on_tick`] about ten times a second,
@@ -91,7 +88,7 @@
     ) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let mut registration = Registration::new(&options.member, record);
-        registration.backoff().delay(now, START_SPREAD, &mut rng);
+        registration.backoff().delay(now, options.start, &mut rng);
         let record = registration.record();
         let own = record.process.clone();
         let liveness = Liveness::new(options.member.clone(), own, record.incarnation);
--- a/crates/spread/src/node/platform.rs
+++ b/crates/spread/src/node/platform.rs
@@ -4,6 +4,7 @@
 
 use cactusnotch_member::{Delta, Record, registration};
 use cactusnotch_platform::object::Version;
+use rand::Rng;
 
 use crate::command::{Answer, Call, Command, Ticket};
 use crate::node::Node;
@@ -138,30 +139,43 @@
     }
 
     fn read(&mut self, now: Instant, out: &mut Vec<Command>) {
+        let late = self.doubts.late.is_some_and(|at| now >= at);
+        if late {
+            let pause = self.options.late.mul_f64(1.0 + self.rng.random::<f64>());
+            self.doubts.late = Some(now + pause);
+        }
+        self.read_settings(late, now, out);
+        self.read_members(late, now, out);
+    }
+
+    fn read_settings(&mut self, late: bool, now: Instant, out: &mut Vec<Command>) {
         let registered = self.registration.version();
         let entering = !self.entrance.open && registered.is_some();
         let unread = entering && self.entrance.read != registered;
-        if (unread || self.doubts.settings) && self.calls.free(Purpose::ReadSettings, now) {
-            self.entrance.asked_after = registered;
-            let after = if self.doubts.settings {
-                Version(0)
-            } else {
-                self.log.version()
-            };
+        let wanted = unread || self.doubts.settings || (late && self.log.held() < self.newest);
+        if !wanted || !self.calls.free(Purpose::ReadSettings, now) {
+            return;
+        }
+        self.entrance.asked_after = registered;
+        let after = if self.doubts.settings {
+            Version(0)
+        } else {
+            self.log.version()
+        };
+        let wait = Duration::ZERO;
+        let call = Call::Settings { after, wait };
+        out.push(self.calls.make(Purpose::ReadSettings, call, now));
+    }
+
+    fn read_members(&mut self, late: bool, now: Instant, out: &mut Vec<Command>) {
+        let registered = self.registration.version();
+        let after = self.roster().confirmed();
+        let entering = !self.entrance.open && registered > Some(after);
+        let unproved = self.structure.is_head() && self.log.version() > after;
+        let wanted = entering || unproved || late || self.doubts.members;
+        if wanted && self.calls.free(Purpose::ReadMembers, now) {
             let wait = Duration::ZERO;
-            let call = Call::Settings { after, wait };
-            out.push(self.calls.make(Purpose::ReadSettings, call, now));
-        }
-        let confirmed = self.roster().confirmed();
-        let unknown = entering && registered > Some(confirmed);
-        let unproved = self.structure.is_head() && self.log.version() > confirmed;
-        if (unknown || unproved || self.doubts.members)
-            && self.calls.free(Purpose::ReadMembers, now)
-        {
-            let call = Call::Members {
-                after: confirmed,
-                wait: Duration::ZERO,
-            };
+            let call = Call::Members { after, wait };
             out.push(self.calls.make(Purpose::ReadMembers, call, now));
         }
     }
--- a/crates/spread/src/node/receive.rs
+++ b/crates/spread/src/node/receive.rs
@@ -132,7 +132,6 @@
         if self.journal.take(delta) {
             out.push(Command::Roster);
             self.notice_own_row(now);
-            self.restructure(now);
             self.push(now, out);
         } else if let Some(peer) = from.filter(|_| through > self.roster().through()) {
             self.fetch_paced(peer, now, out);
--- a/crates/spread/src/node/send.rs
+++ b/crates/spread/src/node/send.rs
@@ -119,15 +119,14 @@
         if expected >= self.roster().through() {
             return;
         }
-        let deltas = self.journal.since(expected);
-        if deltas.is_empty() || !self.afford(tail::cost(&deltas), asked, now) {
+        if !self.afford(self.journal.cost_since(expected), asked, now) {
             return;
         }
-        let through = self.roster().through();
-        self.peer(to, now).offer_roster(through, now);
-        for delta in deltas {
-            Self::send(to, Message::Delta(delta), out);
-        }
+        let Some(delta) = self.journal.since(expected) else {
+            return;
+        };
+        self.peer(to, now).offer_roster(delta.through, now);
+        Self::send(to, Message::Delta(delta), out);
     }
 
     fn afford(&mut self, bytes: usize, asked: bool, now: Instant) -> bool {
--- a/crates/spread/src/node/tick.rs
+++ b/crates/spread/src/node/tick.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use cactusnotch_base::name::Process;
+use rand::Rng;
 use rand::seq::IteratorRandom;
 
 use crate::command::Command;
@@ -265,10 +266,15 @@
         let source = ahead.map(|(process, _)| process).choose(&mut self.rng);
         let Some(source) = source.cloned() else {
             self.lagging = None;
+            self.doubts.late = None;
             return;
         };
         let repeat = self.options.repeat;
         let since = *self.lagging.get_or_insert(now);
+        let late = self.options.late;
+        if self.doubts.late.is_none() && now.saturating_duration_since(since) >= late {
+            self.doubts.late = Some(now + late.mul_f64(self.rng.random()));
+        }
         let last = self.fetched.map_or(since, |fetched| fetched.max(since));
         if now.saturating_duration_since(last) >= repeat {
             self.fetch(&source, now, out);
--- a/crates/spread/src/options.rs
+++ b/crates/spread/src/options.rs
@@ -9,6 +9,9 @@
 pub struct Options {
     /// The times of membership.
     pub member: cactusnotch_member::Options,
+    /// Over how long the first calls of processes that start together are
+    /// spread.
+    pub start: Duration,
     /// How many children a process has in its data centre's tree.
     pub fan_out: usize,
     /// How many processes of a data centre watch the platform.
@@ -40,6 +43,9 @@
     pub watch: Duration,
     /// After how long without an acknowledgement a push is repeated.
     pub repeat: Duration,
+    /// After how long a process that peers could not bring up to date reads the
+    /// platform itself.
+    pub late: Duration,
     /// The largest push that is sent unasked, in bytes.
     pub unasked: usize,
     /// The bytes a second for pushes, and for transfers larger than
@@ -57,6 +63,7 @@
     fn default() -> Self {
         Self {
             member: cactusnotch_member::Options::default(),
+            start: Duration::from_secs(8),
             fan_out: 4,
             watchers: 2,
             contacts: 3,
@@ -70,10 +77,11 @@
             quorum: 2,
             watch: Duration::from_secs(30),
             repeat: Duration::from_secs(1),
+            late: Duration::from_secs(5),
             unasked: 16 << 10,
             rate: 4 << 10,
             burst: 32 << 10,
-            kept: 128,
+            kept: 512,
             named: 8,
         }
     }
--- a/crates/spread/src/watch.rs
+++ b/crates/spread/src/watch.rs
@@ -35,6 +35,9 @@
     pub(crate) settings: bool,
     /// The roster has changed.
     pub(crate) members: bool,
+    /// When to read, since peers hold more for long and could not bring this
+    /// process up to date.
+    pub(crate) late: Option<Instant>,
 }
 
 /// The calls to the platform that a node has open, with their pauses.
