test: search the whole model without faults and with one of each kind

Two mutations that the explorer had found went unseen once the model had grown, since 60,000 states no longer reached them.

--- a/crates/attempt/src/answer.rs
+++ b/crates/attempt/src/answer.rs
@@ -46,10 +46,10 @@
 }
 
 impl Reason {
-    /// Tells whether `not-run` for this reason also says that the request had
-    /// not run under its key when it was sent here.
+    /// Tells whether `not-run` for this reason also says that a non-idempotent
+    /// request had not run under its key when it was sent here.
     ///
-    /// Otherwise the key was not looked up, and `not-run` speaks of this
+    /// Otherwise, and for idempotent requests, the key was not looked up, and `not-run` speaks of this
     /// sending only: what became of an earlier one is to be learned by sending
     /// the request again under the same key.
     #[must_use]
--- a/crates/attempt/tests/explore/setup.rs
+++ b/crates/attempt/tests/explore/setup.rs
@@ -58,3 +58,17 @@
     Drain(usize),
     Advance,
 }
+
+/// A kind of faults, and a step that allows one more of it.
+pub type Kind = (&'static str, fn(&mut Faults));
+
+/// The kinds of faults.
+pub const KINDS: [Kind; 7] = [
+    ("lost frame", |faults| faults.lost_frames += 1),
+    ("doubled frame", |faults| faults.doubled_frames += 1),
+    ("lost link", |faults| faults.lost_links += 1),
+    ("killed entry", |faults| faults.killed_entries += 1),
+    ("killed agent", |faults| faults.killed_agents += 1),
+    ("platform", |faults| faults.platform += 1),
+    ("drain", |faults| faults.drains += 1),
+];
