fix: measure the use of a rate cap by starts

Cause: running requests say nothing of how many start in a second, and a driver had nothing better to tell the exchange. The unused outlook of the router goes; its test now checks the room that the entry asks for, with the same numbers. Conclusion: Usage::rate, tested with a burst and its fading.

--- a/crates/admit/tests/gate.rs
+++ b/crates/admit/tests/gate.rs
@@ -224,4 +224,6 @@
     usage.try_start(&b, five, start);
     let starts = (0..20).filter(|_| usage.try_start(&b, five, later)).count();
     assert_eq!(starts, 5, "a burst is a second's worth");
+    assert_eq!(usage.rate(&b, later), 6);
+    assert_eq!(usage.rate(&b, later + MINUTE), 1, "old starts fade");
 }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -11,7 +11,7 @@
 use crate::choice::{Choice, Error, Reason};
 use crate::row::{Density, Reference, Row};
 use crate::selection::{Candidate, Selection};
-use crate::{Attempt, Load, Member, Options, Outlook, Report, Request, Service, State};
+use crate::{Attempt, Load, Member, Options, Report, Request, Service, State};
 
 /// What one entry knows of its endpoints, and the decision made from it.
 #[derive(Debug)]
@@ -172,18 +172,9 @@
         now: Instant,
         rng: &mut impl Rng,
     ) -> Result<Choice, Error> {
-        let pool = self.pools.get_mut(request.service).ok_or(Error::Unknown)?;
-        let residence = pool.residence(&self.options);
-        let selection = Selection {
-            reference: pool.reference(),
-            residence,
-            seen: &mut pool.others,
-            options: &self.options,
-            rows: &self.rows,
-            now,
-            candidates: &mut self.candidates,
-        };
-        let pick = selection.run(&pool.members, request, rng)?;
+        let (selection, members) = self.select(request.service, now).ok_or(Error::Unknown)?;
+        let residence = selection.residence;
+        let pick = selection.run(members, request, rng)?;
         Ok(Choice {
             endpoint: self.rows[pick.row].member.name.clone(),
             reason: pick.reason,
@@ -194,18 +185,6 @@
         })
     }
 
-    /// Returns what admission needs to know of a service's endpoints; nothing
-    /// has room if none takes work.
-    pub fn outlook(&mut self, service: &Service, now: Instant) -> Outlook {
-        let Some((selection, members)) = self.select(service, now) else {
-            return Outlook::default();
-        };
-        Outlook {
-            residence: Duration::from_secs_f64(selection.residence),
-            room: selection.room(members),
-        }
-    }
-
     /// Prepares a decision among the endpoints of a service.
     fn select(&mut self, service: &Service, now: Instant) -> Option<(Selection<'_>, &[usize])> {
         let pool = self.pools.get_mut(service)?;
--- a/crates/route/src/selection.rs
+++ b/crates/route/src/selection.rs
@@ -80,21 +80,6 @@
         Ok(self.pick(chosen, reason, request))
     }
 
-    /// Returns this entry's part of the slots that are free.
-    pub(crate) fn room(mut self, members: &[usize]) -> u32 {
-        if self.collect(members, &[]).is_err() {
-            return 0;
-        }
-        self.drop_ejected();
-        let own = |c: &Candidate| f64::from(self.rows[c.row].own.requests);
-        let own: f64 = self.candidates.iter().map(own).sum();
-        let all: f64 = self.candidates.iter().map(|c| c.requests).sum();
-        let free = |c: &Candidate| (c.slots * self.options.full - c.requests).max(0.0);
-        let free: f64 = self.candidates.iter().map(free).sum();
-        let part = if all > 0.0 { own / all } else { 1.0 };
-        whole(free.min((free * part).max(1.0)))
-    }
-
     /// Collects the endpoints that take work and have not been tried.
     fn collect(&mut self, members: &[usize], tried: &[Endpoint]) -> Result<(), Error> {
         let (mut leaving, mut unreachable, mut serving) = (0, 0, 0);
@@ -329,9 +314,3 @@
     let float = |n: usize| u32::try_from(n).map_or(f64::MAX, f64::from);
     float(part) / float(whole)
 }
-
-/// Returns the whole part of a number of requests.
-fn whole(requests: f64) -> u32 {
-    let seconds = Duration::try_from_secs_f64(requests).unwrap_or_default();
-    u32::try_from(seconds.as_secs()).unwrap_or(u32::MAX)
-}
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -181,12 +181,12 @@
         router.start(&choice, &request, now);
         reasons.push((choice.endpoint.as_str().to_owned(), choice.reason));
     }
-    assert_eq!(router.outlook(&service, now).room, 0, "all is full");
+    assert_eq!(router.room(&service, 1.0), 0, "all is full");
     router.set_state(&members[0].name, State::Leaving);
     router.report(&members[1].name, &report(0, Duration::ZERO), now);
     router.set_members(&[members.as_slice(), &[member("s3", "a")]].concat());
     router.set_state(&Endpoint::new("s3"), State::Serving);
-    assert_eq!(router.outlook(&service, now).room, SLOTS, "s3 is free");
+    assert_eq!(router.room(&service, 1.0), SLOTS, "s3 is free");
     reasons.dedup();
     reasons.pop();
     let expected = [
