--- a/crates/admit/tests/gate.rs
+++ b/crates/admit/tests/gate.rs
@@ -199,7 +199,7 @@
 fn limits_hold_one_organisation_back_and_not_the_others() {
     let mut bench = Bench::new(Options::default());
     let (a, b) = (Organisation::new("a"), Organisation::new("b"));
-    for organisation in [&a, &a, &a, &b] {
+    for organisation in [&a, &a, &a, &b, &b, &b] {
         bench
             .arrive(organisation, 1, Priority::Normal, MINUTE)
             .expect("there is time");
@@ -211,15 +211,11 @@
         rate: None,
     };
     let started = bench.poll_with(9, |name| usage.try_start(name, two, start));
-    assert_eq!(started.len(), 3);
-    assert_eq!((usage.running(&a), usage.running(&b)), (2, 1));
-    usage.finish(&a);
-    assert_eq!(
-        bench
-            .poll_with(9, |name| usage.try_start(name, two, start))
-            .len(),
-        1
-    );
+    assert_eq!(started.len(), 4, "b starts although a is held back");
+    assert_eq!((usage.running(&a), usage.running(&b)), (2, 2));
+    usage.finish(&b);
+    let started = bench.poll_with(9, |name| usage.try_start(name, two, start));
+    assert_eq!(started.len(), 1, "a, whose turn it is, is passed over");
     let five = Allowance {
         concurrency: None,
         rate: Some(5),
@@ -228,4 +224,6 @@
     usage.try_start(&b, five, start);
     let starts = (0..20).filter(|_| usage.try_start(&b, five, later)).count();
     assert_eq!(starts, 5, "a burst is a second's worth");
+    assert_eq!(usage.rate(&b, later), 6);
+    assert_eq!(usage.rate(&b, later + MINUTE), 1, "old starts fade");
 }
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -181,12 +181,12 @@
         router.start(&choice, &request, now);
         reasons.push((choice.endpoint.as_str().to_owned(), choice.reason));
     }
-    assert_eq!(router.outlook(&service, now).room, 0, "all is full");
+    assert_eq!(router.room(&service, 1.0), 0, "all is full");
     router.set_state(&members[0].name, State::Leaving);
     router.report(&members[1].name, &report(0, Duration::ZERO), now);
     router.set_members(&[members.as_slice(), &[member("s3", "a")]].concat());
     router.set_state(&Endpoint::new("s3"), State::Serving);
-    assert_eq!(router.outlook(&service, now).room, SLOTS, "s3 is free");
+    assert_eq!(router.room(&service, 1.0), SLOTS, "s3 is free");
     reasons.dedup();
     reasons.pop();
     let expected = [
@@ -208,7 +208,7 @@
         tokens: 0,
         ..request(&service, &[], &[])
     };
-    router.report(&members[0].name, &report(4, Duration::ZERO), now);
+    router.report(&members[0].name, &report(6, Duration::ZERO), now);
     router.report(&members[1].name, &report(0, Duration::ZERO), now);
     let mut counts = [0, 0];
     for _ in 0..4 {
@@ -220,8 +220,9 @@
     let later = now + Duration::from_secs(30);
     let choice = router.choose(&request, later, rng).expect("serving");
     assert_eq!(choice.endpoint, members[0].name, "only own work is known");
-    let stale = report(8, Duration::from_secs(40));
-    router.report(&members[0].name, &stale, later);
+    router.report(&members[0].name, &report(0, Duration::ZERO), later);
+    let older = report(8, Duration::from_millis(1));
+    router.report(&members[0].name, &older, later);
     let choice = router.choose(&request, later, rng).expect("serving");
     assert_eq!(
         choice.endpoint, members[0].name,
