fix: reply to the process that a message came from

Cause: a replaced process is told its view by a reply, which goes to the process the message came from, not to the one in the seat. The driver keeps the sender of the message it hands on. Ruled out: looking the seat up, which finds the replacement.

--- a/crates/group/src/membership.rs
+++ b/crates/group/src/membership.rs
@@ -33,6 +33,8 @@
     reported: Sequence,
     /// Where each coordinator was heard from.
     coordinators: Table<Fence, Process>,
+    /// Who sent the message heard last, for the reply to it.
+    sender: Option<Process>,
     contents: Table<Map, Content>,
 }
 
@@ -44,6 +46,7 @@
             report: context.clock.now() + context.options.report_interval,
             reported: Sequence(0),
             coordinators: Table::new(),
+            sender: None,
             contents: Table::new(),
         }
     }
@@ -103,8 +106,9 @@
         }
     }
 
-    /// Notes where a coordinator is reached.
+    /// Notes who sent a message, and where a coordinator is reached.
     pub(crate) fn heard(&mut self, from: &Process, message: &Message) {
+        self.sender = Some(from.clone());
         if let Peer::Coordinator(fence) = message.from {
             self.coordinators.retain(|known, _| *known >= fence);
             self.coordinators.insert(fence, from.clone());
@@ -192,6 +196,11 @@
             }
             Command::ReadMap(map) => self.read_map(context, map),
             Command::Send { to, message } => self.send(context, to, message),
+            Command::Reply(message) => {
+                if let Some(sender) = &self.sender {
+                    deliver(context, sender, message);
+                }
+            }
             Command::Order(order) => {
                 let placed = match order.wanted {
                     Wish::Use(switch) => self.contents.get(&switch.map).cloned(),
