test: make the tests of noise and of the median able to fail

Cause: with the learning of noise taken out, and with the fastest sample taken for the median, no test was red. The noise test now asks for twice the deviation of steady counts, and the speed test has samples that are too fast as well as too slow; both are red without their mechanism. Nothing was eased.

--- a/crates/popularity/tests/estimates.rs
+++ b/crates/popularity/tests/estimates.rs
@@ -168,13 +168,8 @@
     let noisy = fed((0..900).map(|at| if at % 2 == 0 { 80.0 } else { 120.0 }));
     let estimate = noisy.rate(CELL).unwrap();
     assert!(estimate.burst.is_none());
-    assert!(
-        estimate.fast_deviation
-            > fed((0..900).map(|_| 100.0))
-                .rate(CELL)
-                .unwrap()
-                .fast_deviation
-    );
+    let steady = fed((0..900).map(|_| 100.0)).rate(CELL).unwrap();
+    assert!(estimate.fast_deviation > 2.0 * steady.fast_deviation);
 }
 
 #[test]
@@ -183,8 +178,9 @@
     for sequence in 0..40 {
         for rank in 0..2 {
             let mut report = report(rank, sequence, 100.0);
-            let stalled = sequence % 7 == 3;
-            let factor = if rank == 1 { 2.0 } else { 1.0 } * if stalled { 30.0 } else { 1.0 };
+            let noise = [1.0, 1.0, 1.0, 30.0, 1.0, 0.2, 1.0][sequence as usize % 7];
+            let factor = if rank == 1 { 2.0 } else { 1.0 };
+            let factor = factor * noise;
             report.busy = report.busy.mul_f64(factor);
             popularity.observe(&report).expect("a new report");
         }
