feat: add an open-loop load tool

Cause: load was made by closed-loop callers, which send less as soon as the system is slow and so hide what callers wait for.

Ruled out: threads with ureq, one for each stream, which do not reach thousands.

The reading of event streams is one module that both callers use; it also checks that the events' numbers follow on each other.

--- a/crates/lab/src/caller.rs
+++ b/crates/lab/src/caller.rs
@@ -11,6 +11,10 @@
 use uuid::Uuid;
 
 use crate::Failure;
+use crate::transcript::Transcript;
+
+/// The path of chat completions.
+pub(crate) const PATH: &str = "/v1/chat/completions";
 
 /// Returns a new key that says when it was made, as non-idempotent requests
 /// need.
@@ -39,6 +43,31 @@
 }
 
 impl Ask {
+    /// Returns the headers of the request.
+    pub(crate) fn headers(&self) -> Vec<(&'static str, String)> {
+        let mut headers = vec![("OpenAI-Organization", self.organisation.clone())];
+        if let Some(key) = &self.key {
+            headers.push(("Idempotency-Key", key.clone()));
+        }
+        if let Some(idempotent) = self.idempotent {
+            headers.push(("Cactusnotch-Idempotent", idempotent.to_string()));
+        }
+        if let Some(after) = self.after {
+            headers.push(("Last-Event-ID", after.to_string()));
+        }
+        headers
+    }
+
+    /// Returns the body of the request.
+    pub(crate) fn body(&self) -> Value {
+        json!({
+            "model": self.model,
+            "messages": [{"role": "user", "content": self.prompt}],
+            "max_tokens": self.max_tokens,
+            "stream": true,
+        })
+    }
+
     /// Returns the text that the stand-in engines answer with.
     #[must_use]
     pub fn expected(&self) -> String {
@@ -83,6 +112,10 @@
     pub gaps: Vec<Duration>,
     /// The outcome that a final error event stated, if there was one.
     pub stated: Option<String>,
+    /// Whether the transport said that the answer broke off.
+    pub is_severed: bool,
+    /// Whether an event did not have the number after the last one's.
+    pub misnumbered: bool,
 }
 
 #[derive(Debug, Deserialize)]
@@ -158,33 +191,18 @@
     /// Fails if the request brought no response at all; what became of it is
     /// unknown then.
     pub fn ask(&self, address: SocketAddr, ask: &Ask) -> Result<Outcome, Failure> {
-        let mut request = self
-            .agent
-            .post(format!("http://{address}/v1/chat/completions"))
-            .header("OpenAI-Organization", &ask.organisation);
-        if let Some(key) = &ask.key {
-            request = request.header("Idempotency-Key", key);
-        }
-        if let Some(idempotent) = ask.idempotent {
-            request = request.header("Cactusnotch-Idempotent", idempotent.to_string());
-        }
-        if let Some(after) = ask.after {
-            request = request.header("Last-Event-ID", after.to_string());
+        let mut request = self.agent.post(format!("http://{address}{PATH}"));
+        for (name, value) in ask.headers() {
+            request = request.header(name, value);
         }
-        let body = json!({
-            "model": ask.model,
-            "messages": [{"role": "user", "content": ask.prompt}],
-            "max_tokens": ask.max_tokens,
-            "stream": true,
-        });
         let start = Instant::now();
         let mut response = request
-            .send_json(body)
+            .send_json(ask.body())
             .map_err(|error| Failure::new("request for a completion", error))?;
         if response.status() != 200 {
             return Ok(refused(&mut response));
         }
-        Ok(read(response.into_body().into_reader(), start))
+        Ok(read(response.into_body().into_reader(), start, ask.after))
     }
 }
 
@@ -203,33 +221,16 @@
     }
 }
 
-fn read(body: impl std::io::Read, start: Instant) -> Outcome {
-    let mut answer = Answer::default();
-    let mut last = None;
-    let mut is_error = false;
+fn read(body: impl std::io::Read, start: Instant, after: Option<u64>) -> Outcome {
+    let mut transcript = Transcript::new(start, after);
     for line in BufReader::new(body).lines() {
-        let Ok(line) = line else {
-            return Outcome::Broken(answer);
-        };
-        if let Some(id) = line.strip_prefix("id: ") {
-            answer.last_event = id.parse().unwrap_or(answer.last_event);
-        } else if line == "event: error" {
-            is_error = true;
-        } else if line == "data: [DONE]" {
-            return Outcome::Whole(answer);
-        } else if let Some(data) = line.strip_prefix("data: ") {
-            let value: Value = serde_json::from_str(data).unwrap_or(Value::Null);
-            if is_error {
-                answer.stated = value["outcome"].as_str().map(str::to_owned);
-            } else if let Some(text) = value["choices"][0]["delta"]["content"].as_str() {
-                let now = Instant::now();
-                match last.replace(now) {
-                    None => answer.first_token = Some(now - start),
-                    Some(before) => answer.gaps.push(now - before),
-                }
-                answer.text.push_str(text);
-            }
+        match line {
+            Ok(line) => transcript.line(&line),
+            Err(_) => return transcript.finish(true),
+        }
+        if transcript.is_whole() {
+            break;
         }
     }
-    Outcome::Broken(answer)
+    transcript.finish(false)
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,9 +8,11 @@
 mod failure;
 mod figures;
 pub mod injector;
+pub mod load;
 pub mod operator;
 pub mod process;
 pub mod site;
+mod transcript;
 pub mod trial;
 
 pub use caller::Caller;
--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -113,6 +113,12 @@
             .map_err(|error| Failure::new(format!("address {name}"), error))
     }
 
+    /// Returns the number that the operating system gave the process.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -118,6 +118,8 @@
             format!("http://{}", engine.address()),
             "--peer-advertise".to_owned(),
             peers.address().to_string(),
+            "--slots".to_owned(),
+            engine.load().slots.to_string(),
         ];
         let options = self.options(Binary::Agent, format!("engine-host-{number}"), &arguments);
         let mut place = Place {
--- /dev/null
+++ b/crates/lab/src/transcript.rs
@@ -0,0 +1,87 @@
+//! A streamed answer as its events come.
+
+use std::time::Instant;
+
+use serde_json::Value;
+
+use crate::caller::{Answer, Outcome};
+
+/// A streamed answer as its events come, line by line.
+#[derive(Debug)]
+pub(crate) struct Transcript {
+    start: Instant,
+    answer: Answer,
+    last_token: Option<Instant>,
+    is_error: bool,
+    is_whole: bool,
+}
+
+impl Transcript {
+    /// Creates the transcript of an answer that was due to be asked for at
+    /// `start`, whose events up to `after` the caller has.
+    pub(crate) fn new(start: Instant, after: Option<u64>) -> Self {
+        Self {
+            start,
+            answer: Answer {
+                last_event: after.unwrap_or_default(),
+                ..Answer::default()
+            },
+            last_token: None,
+            is_error: false,
+            is_whole: false,
+        }
+    }
+
+    /// Takes one line, without its end.
+    pub(crate) fn line(&mut self, line: &str) {
+        if let Some(id) = line.strip_prefix("id: ") {
+            let next = id.parse().unwrap_or_default();
+            // The head of the answer has the first number and no event.
+            self.answer.misnumbered |= next != self.answer.last_event.max(1) + 1;
+            self.answer.last_event = next;
+        } else if line == "event: error" {
+            self.is_error = true;
+        } else if line == "data: [DONE]" {
+            self.is_whole = true;
+        } else if let Some(data) = line.strip_prefix("data: ") {
+            self.data(&serde_json::from_str(data).unwrap_or(Value::Null));
+        }
+    }
+
+    fn data(&mut self, data: &Value) {
+        if self.is_error {
+            self.answer.stated = data["outcome"].as_str().map(str::to_owned);
+            return;
+        }
+        let Some(text) = data["choices"][0]["delta"]["content"].as_str() else {
+            return;
+        };
+        let now = Instant::now();
+        match self.last_token.replace(now) {
+            None => self.answer.first_token = Some(now.saturating_duration_since(self.start)),
+            Some(before) => self.answer.gaps.push(now - before),
+        }
+        self.answer.text.push_str(text);
+    }
+
+    /// Tells whether a token has come.
+    pub(crate) const fn has_token(&self) -> bool {
+        self.last_token.is_some()
+    }
+
+    /// Tells whether the end mark has come.
+    pub(crate) const fn is_whole(&self) -> bool {
+        self.is_whole
+    }
+
+    /// Returns what came of the request, after the last line. `is_severed`
+    /// tells whether the transport said that the answer broke off.
+    pub(crate) fn finish(mut self, is_severed: bool) -> Outcome {
+        self.answer.is_severed = is_severed;
+        if self.is_whole {
+            Outcome::Whole(self.answer)
+        } else {
+            Outcome::Broken(self.answer)
+        }
+    }
+}
