fix: write the last event of a broken answer before breaking off

Cause: an entry queues the event that states the outcome and then breaks the body; hyper drops what it has buffered when a body fails, so that no caller ever saw the event. The body is now pending once between the two, which lets hyper write. Ruled out: a pause, which is a guess at how long the write takes.

tests/streams.rs tries streams through real processes behind proxies: 1,000 at once under delay and jitter, streams cut at a byte and resumed at another entry, an agent killed, a caller gone. The lab's callers now count an event once its blank line has come, as a cut event is sent again on resuming.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -1,7 +1,7 @@
 //! Bodies of responses: whole, or pieces sent as they arrive.
 
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -26,6 +26,8 @@
     Whole(Option<Bytes>),
     /// A body whose pieces are sent as they arrive.
     Pieces(mpsc::Receiver<Result<Bytes, Broken>>),
+    /// A body that broke, whose last pieces are on their way.
+    Breaking,
 }
 
 impl Body {
@@ -51,11 +53,20 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
-        match self.get_mut() {
+        let body = self.get_mut();
+        match body {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Pieces(receiver) => receiver
-                .poll_recv(context)
-                .map(|piece| piece.map(|piece| piece.map(Frame::data))),
+            Self::Pieces(receiver) => match ready!(receiver.poll_recv(context)) {
+                Some(Err(Broken)) => {
+                    // The transport drops what it has not written when the
+                    // body breaks; it writes while the body is pending.
+                    *body = Self::Breaking;
+                    context.waker().wake_by_ref();
+                    Poll::Pending
+                }
+                piece => Poll::Ready(piece.map(|piece| piece.map(Frame::data))),
+            },
+            Self::Breaking => Poll::Ready(Some(Err(Broken))),
         }
     }
 
@@ -66,7 +77,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
-            Self::Pieces(_) => SizeHint::default(),
+            Self::Pieces(_) | Self::Breaking => SizeHint::default(),
         }
     }
 }
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -40,6 +40,8 @@
     pub agents: Vec<Place>,
     /// The entries.
     pub entries: Vec<Place>,
+    /// Whether the processes are reached past the proxies.
+    is_plain: bool,
 }
 
 impl Site {
@@ -53,6 +55,30 @@
         engines: usize,
         engine: &engine::Options,
         seed: u64,
+    ) -> Result<Self, Failure> {
+        Self::build(entries, engines, engine, seed, false)
+    }
+
+    /// Starts a system whose callers and processes reach each other past the
+    /// proxies, so that these cost nothing where no fault is injected.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process or stand-in does not start.
+    pub fn start_plain(
+        entries: usize,
+        engines: usize,
+        engine: &engine::Options,
+    ) -> Result<Self, Failure> {
+        Self::build(entries, engines, engine, 0, true)
+    }
+
+    fn build(
+        entries: usize,
+        engines: usize,
+        engine: &engine::Options,
+        seed: u64,
+        is_plain: bool,
     ) -> Result<Self, Failure> {
         let platform = Platform::start(&objects::Options::default())
             .map_err(Failure::at("start of the platform"))?;
@@ -63,6 +89,7 @@
             engines: Vec::new(),
             agents: Vec::new(),
             entries: Vec::new(),
+            is_plain,
         };
         for number in 0..engines {
             let engine = Engine::start(engine).map_err(Failure::at("start of an engine"))?;
@@ -87,11 +114,14 @@
     /// Returns the callers' addresses of the entries.
     #[must_use]
     pub fn callers(&self) -> Vec<SocketAddr> {
-        let proxies = self
-            .entries
-            .iter()
-            .filter_map(|place| place.callers.as_ref());
-        proxies.map(Proxy::address).collect()
+        let addresses = self.entries.iter().filter_map(|place| {
+            let process = place.process.as_ref().filter(|_| self.is_plain);
+            match process {
+                Some(process) => process.address("callers").ok(),
+                None => place.callers.as_ref().map(Proxy::address),
+            }
+        });
+        addresses.collect()
     }
 
     /// Returns the operators' address of the first entry that runs.
@@ -116,11 +146,10 @@
             cluster::endpoint(number).to_string(),
             "--engine-url".to_owned(),
             format!("http://{}", engine.address()),
-            "--peer-advertise".to_owned(),
-            peers.address().to_string(),
             "--slots".to_owned(),
             engine.load().slots.to_string(),
         ];
+        let arguments = self.arguments(&arguments, &[("--peer-advertise", &peers)]);
         let options = self.options(Binary::Agent, format!("engine-host-{number}"), &arguments);
         let mut place = Place {
             options,
@@ -139,9 +168,9 @@
         let arguments = [
             "--listen=127.0.0.1:0".to_owned(),
             "--operator-listen=127.0.0.1:0".to_owned(),
-            format!("--peer-advertise={}", peers.address()),
-            format!("--advertise={}", callers.address()),
         ];
+        let proxies = [("--peer-advertise", &peers), ("--advertise", &callers)];
+        let arguments = self.arguments(&arguments, &proxies);
         let options = self.options(Binary::Entry, format!("entry-host-{number}"), &arguments);
         let mut place = Place {
             options,
@@ -154,6 +183,13 @@
         Ok(())
     }
 
+    /// Adds the proxies to advertise, unless the system is plain.
+    fn arguments(&self, own: &[String], proxies: &[(&str, &Proxy)]) -> Vec<String> {
+        let advertised = proxies.iter().filter(|_| !self.is_plain);
+        let advertised = advertised.map(|(flag, proxy)| format!("{flag}={}", proxy.address()));
+        own.iter().cloned().chain(advertised).collect()
+    }
+
     fn options(&self, binary: Binary, host: String, arguments: &[String]) -> Options {
         Options {
             binary,
--- a/crates/lab/src/transcript.rs
+++ b/crates/lab/src/transcript.rs
@@ -7,15 +7,26 @@
 use crate::caller::{Answer, Outcome};
 
 /// A streamed answer as its events come, line by line.
+///
+/// An event counts once its blank line has come, so that one that was cut is
+/// sent again to a caller that resumes.
 #[derive(Debug)]
 pub(crate) struct Transcript {
     start: Instant,
     answer: Answer,
     last_token: Option<Instant>,
-    is_error: bool,
+    event: Event,
     is_whole: bool,
 }
 
+/// The event whose lines come.
+#[derive(Debug, Default)]
+struct Event {
+    id: Option<u64>,
+    is_error: bool,
+    data: String,
+}
+
 impl Transcript {
     /// Creates the transcript of an answer that was due to be asked for at
     /// `start`, whose events up to `after` the caller has.
@@ -27,35 +38,44 @@
                 ..Answer::default()
             },
             last_token: None,
-            is_error: false,
+            event: Event::default(),
             is_whole: false,
         }
     }
 
     /// Takes one line, without its end.
     pub(crate) fn line(&mut self, line: &str) {
-        if let Some(id) = line.strip_prefix("id: ") {
-            let next = id.parse().unwrap_or_default();
-            // The head of the answer has the first number and no event.
-            self.answer.misnumbered |= next != self.answer.last_event.max(1) + 1;
-            self.answer.last_event = next;
+        if line.is_empty() {
+            let event = std::mem::take(&mut self.event);
+            self.take(&event);
+        } else if let Some(id) = line.strip_prefix("id: ") {
+            self.event.id = Some(id.parse().unwrap_or_default());
         } else if line == "event: error" {
-            self.is_error = true;
-        } else if line == "data: [DONE]" {
-            self.is_whole = true;
+            self.event.is_error = true;
         } else if let Some(data) = line.strip_prefix("data: ") {
-            self.data(&serde_json::from_str(data).unwrap_or(Value::Null));
+            self.event.data.push_str(data);
         }
     }
 
-    fn data(&mut self, data: &Value) {
-        if self.is_error {
-            self.answer.stated = data["outcome"].as_str().map(str::to_owned);
-            return;
+    fn take(&mut self, event: &Event) {
+        if let Some(id) = event.id {
+            // The head of the answer has the first number and no event.
+            self.answer.misnumbered |= id != self.answer.last_event.max(1) + 1;
+            self.answer.last_event = id;
         }
-        let Some(text) = data["choices"][0]["delta"]["content"].as_str() else {
+        if event.data == "[DONE]" {
+            self.is_whole = true;
             return;
-        };
+        }
+        let data: Value = serde_json::from_str(&event.data).unwrap_or(Value::Null);
+        if event.is_error {
+            self.answer.stated = data["outcome"].as_str().map(str::to_owned);
+        } else if let Some(text) = data["choices"][0]["delta"]["content"].as_str() {
+            self.token(text);
+        }
+    }
+
+    fn token(&mut self, text: &str) {
         let now = Instant::now();
         match self.last_token.replace(now) {
             None => self.answer.first_token = Some(now.saturating_duration_since(self.start)),
--- /dev/null
+++ b/crates/lab/tests/streams.rs
@@ -0,0 +1,201 @@
+//! Streams through real processes behind proxies that delay, reorder and cut:
+//! each caller gets its own answer, whole or visibly not.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use cactusnotch_entry::Status;
+use cactusnotch_lab::caller::{Answer, Ask, Outcome, key};
+use cactusnotch_lab::load::Streamer;
+use cactusnotch_lab::{Operator, Site};
+use cactusnotch_standins::engine::{self, End, Run};
+use cactusnotch_standins::proxy::{Direction, Line};
+use tokio::task::JoinSet;
+use tokio::time::{interval, timeout};
+
+const MODEL: &str = "letters";
+const ORGANISATION: &str = "palmetto";
+const PATIENCE: Duration = Duration::from_secs(60);
+const GLANCE: Duration = Duration::from_millis(20);
+const SEED: u64 = 5;
+
+fn ask(number: usize, tokens: usize) -> Ask {
+    Ask {
+        organisation: ORGANISATION.to_owned(),
+        model: MODEL.to_owned(),
+        prompt: format!("dispute reply {number}"),
+        max_tokens: tokens,
+        key: Some(key()),
+        idempotent: Some(false),
+        after: None,
+    }
+}
+
+/// Starts a system and waits until its entries serve.
+fn start(entries: usize, engines: usize, slots: usize) -> Site {
+    let engine = engine::Options {
+        slots,
+        queue: 1024,
+        ..engine::Options::default()
+    };
+    let site = Site::start(entries, engines, &engine, SEED).unwrap();
+    let mut operator = Operator::new(&site.operator_options());
+    let revision = operator.declare(ORGANISATION, MODEL, engines).unwrap();
+    for address in site.operators().unwrap() {
+        let is_ready = |status: &Status| {
+            let is_serving = status.standing == "serving" && status.serving() == engines;
+            is_serving && status.revision >= revision
+        };
+        operator.wait(address, PATIENCE, is_ready).unwrap();
+    }
+    site
+}
+
+fn slow(delay: u64, jitter: u64) -> Line {
+    Line {
+        delay: Duration::from_millis(delay),
+        jitter: Duration::from_millis(jitter),
+        ..Line::default()
+    }
+}
+
+/// Asks for all answers at once, each at the next of `addresses`.
+async fn all(addresses: &[SocketAddr], asks: Vec<Ask>) -> Vec<(Ask, Outcome)> {
+    let streamer = Streamer::default();
+    let mut streams = JoinSet::new();
+    for (number, ask) in asks.into_iter().enumerate() {
+        let (streamer, address) = (streamer.clone(), addresses[number % addresses.len()]);
+        streams.spawn(async move {
+            let now = Instant::now();
+            let outcome = streamer.ask(address, &ask, now, now + PATIENCE).await;
+            (ask, outcome.unwrap())
+        });
+    }
+    streams.join_all().await
+}
+
+fn whole(outcome: Outcome) -> Answer {
+    match outcome {
+        Outcome::Whole(answer) if !answer.misnumbered => answer,
+        other => panic!("no whole answer: {other:?}"),
+    }
+}
+
+/// Checks that an answer that broke off is a part of the right one and says
+/// that it is not whole.
+fn broken(ask: &Ask, outcome: Outcome) -> Answer {
+    match outcome {
+        Outcome::Broken(answer)
+            if answer.is_severed
+                && !answer.misnumbered
+                && ask.expected().starts_with(&answer.text) =>
+        {
+            answer
+        }
+        other => panic!("not visibly broken: {other:?}"),
+    }
+}
+
+fn runs(site: &Site) -> Vec<Run> {
+    let runs = site.engines.iter().flat_map(engine::Engine::runs);
+    runs.filter(|run| run.started).collect()
+}
+
+/// Waits until the engines' runs are as wanted.
+async fn wait(site: &Site, wanted: impl Fn(&[Run]) -> bool) {
+    let waiting = async {
+        let mut glances = interval(GLANCE);
+        while !wanted(&runs(site)) {
+            glances.tick().await;
+        }
+    };
+    timeout(PATIENCE, waiting).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_thousand_streams_at_once_stay_apart() {
+    let site = start(3, 4, 256);
+    for agent in &site.agents {
+        agent.peers.set_line(Direction::Up, slow(2, 10));
+        agent.peers.set_line(Direction::Down, slow(2, 30));
+    }
+    for entry in &site.entries {
+        let callers = entry.callers.as_ref().unwrap();
+        callers.set_spread(Duration::from_millis(40));
+        callers.set_line(Direction::Down, slow(0, 10));
+    }
+    let asks = (0..1000).map(|number| Ask {
+        key: (number % 2 == 0).then(key),
+        ..ask(number, 16 + number % 17)
+    });
+    for (ask, outcome) in all(&site.callers(), asks.collect()).await {
+        assert_eq!(whole(outcome).text, ask.expected());
+    }
+    assert_eq!(runs(&site).len(), 1000);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_stream_resumes_at_another_entry_with_each_piece_once() {
+    let site = start(2, 2, 32);
+    let callers = site.entries[0].callers.as_ref().unwrap();
+    let cut = Line {
+        cut_at: Some(4_000),
+        ..Line::default()
+    };
+    callers.set_line(Direction::Down, cut);
+    // Questions to an agent are sent again before the answers come.
+    for agent in &site.agents {
+        agent.peers.set_line(Direction::Down, slow(400, 0));
+    }
+    let addresses = site.callers();
+    let asks = (0..40).map(|number| ask(number, 60)).collect();
+    let first = all(&addresses[..1], asks).await;
+    let mut texts = Vec::new();
+    let mut rest = Vec::new();
+    for (ask, outcome) in first {
+        let answer = broken(&ask, outcome);
+        assert!(answer.last_event > 0);
+        texts.push((ask.key.clone(), answer.text));
+        rest.push(Ask {
+            after: Some(answer.last_event),
+            ..ask
+        });
+    }
+    for (ask, outcome) in all(&addresses[1..], rest).await {
+        let (_, begin) = texts.iter().find(|(key, _)| *key == ask.key).unwrap();
+        assert_eq!(format!("{begin}{}", whole(outcome).text), ask.expected());
+    }
+    assert_eq!(runs(&site).len(), 40);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_an_agent_that_dies_never_look_whole() {
+    let mut site = start(1, 1, 32);
+    let addresses = site.callers();
+    let asks = (0..32).map(|number| ask(number, 100_000)).collect();
+    let streams = tokio::spawn(async move { all(&addresses, asks).await });
+    let under_way = |runs: &[Run]| runs.len() == 32 && runs.iter().all(|run| run.tokens > 4);
+    wait(&site, under_way).await;
+    site.agents[0].kill();
+    for (ask, outcome) in streams.await.unwrap() {
+        let answer = broken(&ask, outcome);
+        assert_eq!(answer.stated.as_deref(), Some("unknown"));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_goes_away_frees_its_slot() {
+    let site = start(1, 1, 1);
+    let address = site.callers()[0];
+    let endless = Ask {
+        key: None,
+        ..ask(0, 1_000_000)
+    };
+    let has_begun = Streamer::default().leave_early(address, &endless).await;
+    assert!(has_begun.unwrap());
+    let next = ask(1, 8);
+    let outcome = all(&[address], vec![next.clone()]).await.remove(0).1;
+    assert_eq!(whole(outcome).text, next.expected());
+    let ends: Vec<End> = runs(&site).iter().map(|run| run.end).collect();
+    assert_eq!(ends, [End::Cancelled, End::Completed]);
+}
