fix: refuse to resume an answer whose run cannot be found

Cause: Last-Event-ID was taken without a key, or for an idempotent request, whose key is claimed nowhere. Another run was started then and its first pieces left out: a caller got an answer with its end mark that lacked its begin, or pieces of two runs. Such requests are refused as malformed and not-run now; the caller sends them again from the start. Ruled out: claiming idempotent keys as well, which costs a platform write for each request.

--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -169,6 +169,13 @@
     } else {
         Repeat::Once
     });
+    if manner.after > Sequence(0) && (manner.key.is_none() || repeat == Repeat::Idempotent) {
+        // Another run may make other pieces, and only the keys of
+        // non-idempotent requests say where their run is.
+        return Err(Problem::malformed(format!(
+            "header {LAST_EVENT_ID}: only a non-idempotent request with a key can be resumed"
+        )));
+    }
     let (key, way) = match &manner.key {
         Some(key) => (key.clone(), way(shared, organisation, manner, key, repeat)?),
         None => (Key::new(Uuid::new_v4().to_string()), Way::Private),
--- a/crates/lab/tests/streams.rs
+++ b/crates/lab/tests/streams.rs
@@ -199,3 +199,27 @@
     let ends: Vec<End> = runs(&site).iter().map(|run| run.end).collect();
     assert_eq!(ends, [End::Cancelled, End::Completed]);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_cannot_be_found_again_is_not_resumed() {
+    let site = start(1, 1, 4);
+    let late = Ask {
+        after: Some(4),
+        ..ask(0, 8)
+    };
+    let unkeyed = Ask {
+        key: None,
+        ..late.clone()
+    };
+    let idempotent = Ask {
+        idempotent: Some(true),
+        ..late
+    };
+    for (_, outcome) in all(&site.callers(), vec![unkeyed, idempotent]).await {
+        let Outcome::Refused { outcome, .. } = outcome else {
+            panic!("pieces of another run: {outcome:?}");
+        };
+        assert_eq!(outcome, "not-run");
+    }
+    assert_eq!(runs(&site), Vec::new());
+}
