fix: end a planned stop without waiting for a watch at the platform

Cause: the runtime waits on its drop for blocking calls, and a watch waits up to 30 s at the platform, so a stopped process ended half a minute late.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -160,7 +160,10 @@
 fn run(settings: Settings) -> Result<(), Failure> {
     service::start(&settings.common.logs.service()).map_err(Failure::at("start of the process"))?;
     let runtime = tokio::runtime::Runtime::new().map_err(Failure::at("start of the runtime"))?;
-    runtime.block_on(serve(options(settings)))
+    let served = runtime.block_on(serve(options(settings)));
+    // A watch that waits at the platform is not waited for.
+    runtime.shutdown_background();
+    served
 }
 
 async fn serve(options: Options) -> Result<(), Failure> {
--- a/crates/cactusnotch/src/command/entry.rs
+++ b/crates/cactusnotch/src/command/entry.rs
@@ -136,7 +136,10 @@
 pub(crate) fn run(options: Options) -> Result<(), Error> {
     service::start(&options.common.logs.service()).map_err(Error::at("start of the process"))?;
     let runtime = tokio::runtime::Runtime::new().map_err(Error::at("start of the runtime"))?;
-    runtime.block_on(serve(options))
+    let served = runtime.block_on(serve(options));
+    // A watch that waits at the platform is not waited for.
+    runtime.shutdown_background();
+    served
 }
 
 async fn serve(options: Options) -> Result<(), Error> {
