--- a/crates/agent/tests/cli.rs
+++ b/crates/agent/tests/cli.rs
@@ -34,6 +34,7 @@
 #[test]
 fn wrong_settings_are_refused_at_start() {
     let cases = [
+        ("--peer-listen=nonsense", ["--peer-listen", "nonsense"]),
         ("--slots=0", ["--slots", "at least 1"]),
         ("--platform-url=ftp://x", ["--platform-url", "http://"]),
         ("--plan-interval=soon", ["--plan-interval", "1500ms"]),
