feat: let an entry know a bounded subset of each service's endpoints

Cause: every entry linked to every agent, ranks included: 380 entries before 1,300 servers would keep 494,000 links. An entry now links to the subset that the settings size (rendezvous hashing, balanced), and reaches another agent only for a run that is held there or a ticket that names it.

--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -12,6 +12,7 @@
 use cactusnotch_wire::{Announcement, Body};
 use tokio::task::JoinHandle;
 
+use crate::roster;
 use crate::shared::Shared;
 
 /// The first wait before a lost link is dialled again.
@@ -28,6 +29,17 @@
     link: Option<Open>,
 }
 
+impl Agent {
+    fn dial<C: Clock>(endpoint: &Endpoint, address: SocketAddr, shared: &Arc<Shared<C>>) -> Self {
+        let keep = keep_link(endpoint.clone(), address, Arc::clone(shared));
+        Self {
+            address,
+            task: tokio::spawn(keep),
+            link: None,
+        }
+    }
+}
+
 /// A link on which the agent has stated its condition.
 #[derive(Debug)]
 struct Open {
@@ -60,17 +72,23 @@
         });
         for (endpoint, address) in wanted.iter() {
             if !rows.contains(endpoint) {
-                let keep = keep_link(endpoint.clone(), *address, Arc::clone(shared));
-                let agent = Agent {
-                    address: *address,
-                    task: tokio::spawn(keep),
-                    link: None,
-                };
-                rows.insert(endpoint.clone(), agent);
+                rows.insert(endpoint.clone(), Agent::dial(endpoint, *address, shared));
             }
         }
     }
 
+    /// Dials the agent of `endpoint` unless it is known already. The link
+    /// stays until the roster or the settings change.
+    pub(crate) fn reach<C: Clock>(&self, endpoint: &Endpoint, shared: &Arc<Shared<C>>) {
+        let address = roster::agent(&shared.node.view(), endpoint);
+        let mut rows = self.lock();
+        if let Some(address) = address.filter(|_| !rows.contains(endpoint)) {
+            metrics::counter!("cactusnotch_entry_links_beyond_subset_total").increment(1);
+            let agent = Agent::dial(endpoint, address, shared);
+            rows.insert(endpoint.clone(), agent);
+        }
+    }
+
     /// Returns the agent's incarnation and a lower bound of its age.
     pub(crate) fn terms(&self, endpoint: &Endpoint) -> Option<Terms> {
         let rows = self.lock();
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -1,7 +1,7 @@
 //! The course of one request: the exchange's commands carried out.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use cactusnotch_attempt::{Answer, Command, Event, Exchange, Order};
@@ -25,6 +25,12 @@
 /// What the span says of a request whose caller went away.
 const GONE: &str = "caller-gone";
 
+/// How often a link that is being made is looked at.
+const REACH_GLANCE: Duration = Duration::from_millis(10);
+
+/// How many times a link that is being made is looked at.
+const REACH_GLANCES: u32 = 30;
+
 /// A request that is ready to be driven.
 #[derive(Debug)]
 pub(crate) struct Job<C: Clock> {
@@ -105,7 +111,7 @@
         let mut waiting = std::collections::VecDeque::from(commands);
         while let Some(command) = waiting.pop_front() {
             let follow = match command {
-                Command::Route { only, avoid } => Some(self.route(only.as_ref(), &avoid)),
+                Command::Route { only, avoid } => Some(self.route(only.as_ref(), &avoid).await),
                 Command::Claim(claim) => {
                     self.claim(claim);
                     None
@@ -123,10 +129,10 @@
         }
     }
 
-    fn route(&mut self, only: Option<&Endpoint>, avoid: &[Endpoint]) -> Event {
+    async fn route(&mut self, only: Option<&Endpoint>, avoid: &[Endpoint]) -> Event {
         self.finish_route(End::Failed);
         let terms = match only {
-            Some(endpoint) => self.shared.agents.terms(endpoint),
+            Some(endpoint) => self.reached(endpoint).await,
             None => self.choose(avoid),
         };
         match terms {
@@ -138,6 +144,20 @@
         }
     }
 
+    /// Returns the terms of the one agent that may run the request, after a
+    /// short wait for a link if there is none yet.
+    async fn reached(&self, endpoint: &Endpoint) -> Option<Terms> {
+        for _ in 0..REACH_GLANCES {
+            let terms = self.shared.agents.terms(endpoint);
+            if terms.is_some() {
+                return terms;
+            }
+            self.shared.agents.reach(endpoint, &self.shared);
+            tokio::time::sleep(REACH_GLANCE).await;
+        }
+        self.shared.agents.terms(endpoint)
+    }
+
     fn choose(&mut self, avoid: &[Endpoint]) -> Option<Terms> {
         let request = route::Request {
             service: &self.job.service,
@@ -178,11 +198,12 @@
         if self.shared.agents.send(endpoint, &body) {
             return None;
         }
-        Some(if is_run {
-            Event::Unsent(attempt)
-        } else {
-            Event::LinkLost(endpoint.clone())
-        })
+        if is_run {
+            return Some(Event::Unsent(attempt));
+        }
+        // A question is asked again until its time is up.
+        self.shared.agents.reach(endpoint, &self.shared);
+        None
     }
 
     /// Lets the replies of a conversation come to this request.
--- a/crates/entry/src/roster.rs
+++ b/crates/entry/src/roster.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use cactusnotch_base::name::{DataCentre, Endpoint, Model};
+use cactusnotch_base::name::{DataCentre, Endpoint, Model, Process};
 use cactusnotch_base::{Clock, Table};
 use cactusnotch_member::{Role, State};
 use cactusnotch_node::View;
-use cactusnotch_route::{Member, Service};
+use cactusnotch_route::{Member, Service, subset};
 use cactusnotch_settings::Resolved;
 
 use crate::shared::Shared;
@@ -18,16 +18,71 @@
 /// Keeps the routing table and the links in line with settings and roster.
 pub(crate) async fn follow<C: Clock>(shared: Arc<Shared<C>>) {
     let mut views = shared.node.views();
+    let own = shared.options.node.link.identity.process.clone();
     loop {
         let view = Arc::clone(&views.borrow_and_update());
-        shared.router().set_members(&members(&view));
-        shared.agents.set(&agents(&view), &shared);
+        let members = known(&own, &view, members(&view));
+        let all = agents(&view);
+        let wanted = members
+            .iter()
+            .filter_map(|member| Some((member.name.clone(), *all.get(&member.name)?)))
+            .collect();
+        shared.router().set_members(&members);
+        shared.agents.set(&wanted, &shared);
         if views.changed().await.is_err() {
             return;
         }
     }
 }
 
+/// Returns the address of the agent beside an endpoint.
+pub(crate) fn agent(view: &View, endpoint: &Endpoint) -> Option<SocketAddr> {
+    agents(view).get(endpoint).copied()
+}
+
+/// Keeps the endpoints that the entry `own` is to know: a subset of those of
+/// each service, which all entries compute alike.
+fn known(own: &Process, view: &View, members: Vec<Member>) -> Vec<Member> {
+    let entries: Vec<&str> = view
+        .roster
+        .iter()
+        .filter(|record| record.role == Role::Entry)
+        .map(|record| record.process.as_str())
+        .collect();
+    let mut services: Vec<&Service> = members.iter().flat_map(|m| &m.services).collect();
+    services.sort();
+    services.dedup();
+    let mut names: Table<Endpoint, ()> = Table::new();
+    for service in services {
+        let serving: Vec<&Member> = members
+            .iter()
+            .filter(|member| member.services.contains(service))
+            .collect();
+        let endpoints: Vec<&str> = serving.iter().map(|member| member.name.as_str()).collect();
+        let size = subset_size(&view.settings, service);
+        for at in subset::of(own.as_str(), &entries, &endpoints, size) {
+            names.insert(serving[at].name.clone(), ());
+        }
+    }
+    let mut members = members;
+    members.retain(|member| names.contains(&member.name));
+    members
+}
+
+/// Returns how many endpoints of a service one entry knows.
+fn subset_size(settings: &Resolved, service: &Service) -> usize {
+    let size = match service {
+        Service::Path(_) => settings.system.subset_size,
+        Service::Model(model) => {
+            let groups = settings.groups().values();
+            let serving = groups.filter(|group| group.model == model.as_str());
+            let sizes = serving.map(|group| group.subset_size);
+            sizes.max().unwrap_or(settings.system.subset_size)
+        }
+    };
+    usize::try_from(size).unwrap_or(usize::MAX)
+}
+
 /// Returns the callers' addresses of the entries that serve.
 pub(crate) fn entries(view: &View) -> Vec<(SocketAddr, DataCentre)> {
     view.roster
--- a/crates/lab/examples/quickstart.rs
+++ b/crates/lab/examples/quickstart.rs
@@ -128,7 +128,7 @@
             operator.wait(*address, PATIENCE, |status| {
                 status.revision.0 == 2
                     && status.standing == "serving"
-                    && status.serving() >= ENGINES + usize::from(RANKS)
+                    && status.serving() == ENGINES
             })?;
         }
         println!("serving after {} ms", start.elapsed().as_millis());
