--- a/crates/spread/src/node/send.rs
+++ b/crates/spread/src/node/send.rs
@@ -17,12 +17,8 @@
     }
 
     pub(super) fn peer(&mut self, process: &Process, now: Instant) -> &mut Peer {
-        if !self.peers.contains(process) {
-            self.peers.insert(process.clone(), Peer::new(now));
-        }
         self.peers
-            .get_mut(process)
-            .expect("the row was inserted above")
+            .get_or_insert_with(process.clone(), || Peer::new(now))
     }
 
     fn summary(&mut self, to: &Process) -> Summary {
