--- a/crates/switch/src/message.rs
+++ b/crates/switch/src/message.rs
@@ -71,6 +71,9 @@
         proposal: Proposal,
         /// The promises that the sender knows of.
         ballot: Ballot,
+        /// Whether the sender waits for the outcome: a rank that has not
+        /// promised then vetoes at once.
+        urgent: bool,
     },
     /// The outcome as far as the sender knows it, announced by the
     /// coordinator or in answer to a query.
@@ -104,8 +107,6 @@
 #[message]
 #[derive(Copy, Eq, Hash)]
 pub enum Reason {
-    /// A proposal with a larger number has been seen.
-    Fenced,
     /// Another proposal is open.
     Busy,
     /// The rank is in another view.
