fix: a node takes only proven revisions, and holds what it has in force

And the spread counted a revision as held before the replica had taken it: an unreadable or forked one was proved to be in force where it was not.

Lowering that version instead was ruled out: the proof that a revision is in force everywhere rests on it. A span goes to the replica first; one that it refuses never reaches the spread, and an answer of the platform that holds one counts as not given after the revisions before it.

--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use cactusnotch_history::{Entry, Snapshot};
+use cactusnotch_base::number::Revision;
+use cactusnotch_history::{Catchup, Proven, fetch};
 use cactusnotch_member::registration::{self, Answer as Own};
 use cactusnotch_member::{Delta, Record, Row};
 use cactusnotch_platform::Object;
@@ -12,18 +13,22 @@
 
 use crate::payload;
 
-/// The kind of the objects that hold entries of the order.
-const ENTRY_KIND: &str = "revision";
+/// How often the order is read if the snapshot is written anew meanwhile.
+const READS: usize = 3;
 
 /// Makes one call and returns its answer. Blocks its thread.
-pub(crate) fn perform<S: Store>(store: &S, own: &Record, call: Call) -> Answer {
+pub(crate) fn perform<S: Store>(store: &S, own: &Record, held: Revision, call: Call) -> Answer {
     let answer = match call {
-        Call::Settings { after, wait } => settings(store, after, wait).map(Answer::Settings),
-        Call::Members { after, wait } => members(store, after, wait).map(Answer::Members),
+        Call::Settings { after, wait } => settings(store, held, after, wait).map(Answer::Settings),
+        Call::Members { after, wait } => members(store, after, wait)
+            .map(Answer::Members)
+            .map_err(|error| error.to_string()),
         Call::Own(call) => Ok(Answer::Own(register(store, own, call))),
         Call::Expire { process, version } => {
             let path = Path::new(Record::KIND, process.as_str());
-            expire(store, &path, version).map(|()| Answer::Expired)
+            expire(store, &path, version)
+                .map(|()| Answer::Expired)
+                .map_err(|error| error.to_string())
         }
     };
     answer.unwrap_or_else(|error| {
@@ -33,47 +38,38 @@
     })
 }
 
-fn settings<S: Store>(store: &S, after: Version, wait: Duration) -> Result<Vec<Span>, Error> {
-    let mut spans = Vec::new();
-    if after == Version(0) {
-        spans.extend(stored_snapshot(store)?);
+/// Reads what follows on `held`: nothing of it is a leftover of a number that
+/// was trimmed.
+fn settings<S: Store>(
+    store: &S,
+    held: Revision,
+    after: Version,
+    wait: Duration,
+) -> Result<Vec<Span>, String> {
+    let read = |catchup| fetch(store, catchup).map_err(|error| error.to_string());
+    let mut proven = read(Catchup::after(held, after, wait))?;
+    for _ in 0..READS {
+        if !is_snapshot_later(&proven) {
+            return Ok(spans(proven));
+        }
+        proven = read(Catchup::new(held))?;
     }
-    let changes = store.changes(ENTRY_KIND, after, wait)?;
-    let mut entries: Vec<(Entry, Version)> = changes
-        .objects
-        .into_iter()
-        .filter_map(stored_entry)
-        .collect();
-    entries.sort_by_key(|(entry, _)| entry.revision);
-    spans.extend(
-        entries
-            .into_iter()
-            .map(|(entry, version)| payload::entry(entry, version)),
-    );
-    Ok(spans)
+    Err("the snapshot was written anew during each read".to_owned())
 }
 
-fn stored_snapshot<S: Store>(store: &S) -> Result<Option<Span>, Error> {
-    let Some(object) = store.get(&Snapshot::path())? else {
-        return Ok(None);
-    };
-    match serde_json::from_value::<Snapshot>(object.value) {
-        Ok(snapshot) => Ok(Some(payload::snapshot(snapshot, object.version))),
-        Err(error) => {
-            tracing::error!(%error, "the platform's snapshot is not understood");
-            Ok(None)
-        }
-    }
+/// Tells whether the snapshot was written after the entries were listed. A
+/// holder of its version would never be told of entries from between.
+fn is_snapshot_later(proven: &Proven) -> bool {
+    let snapshot = proven.snapshot.as_ref();
+    snapshot.is_some_and(|snapshot| snapshot.version > proven.version)
 }
 
-fn stored_entry(object: Object) -> Option<(Entry, Version)> {
-    match serde_json::from_value(object.value) {
-        Ok(entry) => Some((entry, object.version)),
-        Err(error) => {
-            tracing::error!(%error, path = %object.path, "a revision is not understood");
-            None
-        }
-    }
+fn spans(proven: Proven) -> Vec<Span> {
+    let snapshot = proven.snapshot.map(|stored| *stored);
+    let snapshot = snapshot.map(|stored| payload::snapshot(stored.value, stored.version));
+    let entries = proven.entries.into_iter();
+    let entries = entries.map(|stored| payload::entry(stored.value, stored.version));
+    snapshot.into_iter().chain(entries).collect()
 }
 
 fn members<S: Store>(store: &S, after: Version, wait: Duration) -> Result<Delta, Error> {
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -1,14 +1,17 @@
 //! The driver of the spread decision.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 use cactusnotch_base::Clock;
 use cactusnotch_base::name::Process;
-use cactusnotch_history::{Answer as Taken, Replica};
+use cactusnotch_history::Replica;
 use cactusnotch_member::{Record, Roster};
 use cactusnotch_platform::http::Client;
 use cactusnotch_settings::Resolved;
-use cactusnotch_spread::{self as spread, Call, Command, Message, Span, Standing, Status, Ticket};
+use cactusnotch_spread::{
+    self as spread, Answer, Call, Command, Message, Span, Standing, Status, Ticket,
+};
 use cactusnotch_wire::Body;
 use tokio::runtime::Handle;
 use tokio::sync::watch;
@@ -66,7 +69,7 @@
             loop {
                 ticks.tick().await;
                 let now = ticking.clock.now();
-                ticking.step(|spread| spread.on_tick(now));
+                ticking.step(|inner| inner.spread.on_tick(now));
             }
         });
         Self { shared, ticks }
@@ -75,8 +78,7 @@
     /// Takes in a message that came from a peer by a link.
     pub fn receive(&self, from: &Process, message: Message) {
         let now = self.shared.clock.now();
-        self.shared
-            .step(|spread| spread.on_message(from, message, now));
+        self.shared.step(|inner| inner.hear(from, message, now));
     }
 
     /// Sends a message to a process on the roster, or drops it.
@@ -143,10 +145,10 @@
     }
 
     /// Lets the decision take one step and carries its commands out.
-    fn step(self: &Arc<Self>, step: impl FnOnce(&mut spread::Node) -> Vec<Command>) {
+    fn step(self: &Arc<Self>, step: impl FnOnce(&mut Inner) -> Vec<Command>) {
         let mut inner = self.lock();
-        let commands = step(&mut inner.spread);
         let before = inner.replica.revision();
+        let commands = step(&mut inner);
         let mut is_roster_new = false;
         for command in commands {
             match command {
@@ -157,7 +159,8 @@
                     }
                 }
                 Command::Call { ticket, call } => self.call(&inner, ticket, call),
-                Command::Apply(span) => apply(&mut inner.replica, &span),
+                // The replica took it before the decision was told of it.
+                Command::Apply(_) => {}
                 Command::Roster => is_roster_new = true,
             }
         }
@@ -178,34 +181,69 @@
     /// Makes a call on a thread of its own and takes its answer in.
     fn call(self: &Arc<Self>, inner: &Inner, ticket: Ticket, call: Call) {
         let own = inner.spread.record().clone();
+        let held = inner.replica.revision();
         let shared = Arc::clone(self);
         self.runtime.spawn_blocking(move || {
-            let answer = calls::perform(&shared.store, &own, call);
+            let answer = calls::perform(&shared.store, &own, held, call);
             let now = shared.clock.now();
-            shared.step(|spread| spread.on_answer(ticket, answer, now));
+            shared.step(|inner| inner.answer(ticket, answer, now));
         });
     }
 }
 
-/// Puts a span in force.
-fn apply(replica: &mut Replica, span: &Span) {
+impl Inner {
+    /// Takes in a peer's message, but no revision that the replica refuses:
+    /// what the decision counts as held is in force.
+    fn hear(&mut self, from: &Process, message: Message, now: Instant) -> Vec<Command> {
+        match &message {
+            Message::Span(span) if !take(&mut self.replica, span) => Vec::new(),
+            _ => self.spread.on_message(from, message, now),
+        }
+    }
+
+    /// Takes in the platform's answer. If the replica refuses a revision of
+    /// it, those before it count, and the answer does not.
+    fn answer(&mut self, ticket: Ticket, answer: Answer, now: Instant) -> Vec<Command> {
+        let Answer::Settings(mut spans) = answer else {
+            return self.spread.on_answer(ticket, answer, now);
+        };
+        let refused = spans.iter().position(|s| !take(&mut self.replica, s));
+        let Some(refused) = refused else {
+            let answer = Answer::Settings(spans);
+            return self.spread.on_answer(ticket, answer, now);
+        };
+        spans.truncate(refused);
+        let mut commands = Vec::new();
+        for span in spans {
+            commands.extend(self.spread.on_accepted(span, now));
+        }
+        commands.extend(self.spread.on_answer(ticket, Answer::Unanswered, now));
+        commands
+    }
+}
+
+/// Puts a span in force if it leads on; returns whether the replica holds it
+/// or lacks what comes before it.
+fn take(replica: &mut Replica, span: &Span) -> bool {
+    let held = replica.revision().0;
+    if span.through.0 <= held || span.after.0 > held {
+        return true;
+    }
     let offer = match payload::read(span) {
         Ok(offer) => offer,
         Err(error) => {
             tracing::error!(%error, "a revision is not understood");
-            return;
+            return false;
         }
     };
-    match replica.offer(&offer) {
-        Taken::Applied { to } => {
-            metrics::gauge!("cactusnotch_node_revision").set(precise(to.0));
-            tracing::info!(revision = %to, "settings in force in this process");
-        }
-        Taken::Stale => {}
-        refused => {
-            tracing::error!(%refused, through = %span.through, "a revision was not applied");
-        }
+    let taken = replica.offer(&offer);
+    if taken.is_held() {
+        metrics::gauge!("cactusnotch_node_revision").set(precise(span.through.0));
+        tracing::info!(revision = %span.through, "settings in force in this process");
+    } else {
+        tracing::error!(refused = %taken, through = %span.through, "a revision was not applied");
     }
+    taken.is_held()
 }
 
 fn view(replica: &Replica, roster: &Roster) -> View {
--- a/crates/node/src/payload.rs
+++ b/crates/node/src/payload.rs
@@ -38,11 +38,32 @@
 }
 
 /// Reads what a span carries.
+///
+/// # Errors
+///
+/// Fails if that is not understood, or does not lead from where to where the
+/// span says.
 pub(crate) fn read(span: &Span) -> Result<Offer, Error> {
-    ciborium::from_reader(span.payload.as_ref()).map_err(|error| Error {
+    let fail = |detail: String| Error {
         through: span.through,
-        detail: error.to_string(),
-    })
+        detail,
+    };
+    let offer = ciborium::from_reader(span.payload.as_ref()).map_err(|e| fail(e.to_string()))?;
+    let (after, through) = bounds(&offer).ok_or_else(|| fail("it is empty".to_owned()))?;
+    if (after, through) != (span.after.0, span.through.0) {
+        return Err(fail(format!("it leads from {after} to {through}")));
+    }
+    Ok(offer)
+}
+
+fn bounds(offer: &Offer) -> Option<(u64, u64)> {
+    match offer {
+        Offer::Entries(entries) => {
+            let (first, last) = (entries.first()?, entries.last()?);
+            Some((first.revision.0.checked_sub(1)?, last.revision.0))
+        }
+        Offer::Snapshot(snapshot) => Some((0, snapshot.revision.0)),
+    }
 }
 
 fn encode(offer: &Offer) -> Bytes {
