test: a group's ranks keep to one map a step under faults

Four ranks with agents as processes behind proxies (lab::Ranks) meet links slow, cut, frozen and half-open, engines frozen and cut, agents and ranks killed and replaced empty, the coordinator paused past its lease and killed, and two outages of the platform, in an order by a seed. The logs are compared step by step, apart from the stand-in's own comparison.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod injector;
 pub mod operator;
 pub mod process;
+pub mod ranks;
 pub mod site;
 pub mod trial;
 
@@ -20,4 +21,5 @@
 pub use injector::Injector;
 pub use operator::Operator;
 pub use process::Process;
+pub use ranks::Ranks;
 pub use site::Site;
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -110,24 +110,15 @@
     }
 
     fn add_agent(&mut self, number: usize, engine: &Engine, seed: u64) -> Result<(), Failure> {
-        let peers = start_proxy(NOWHERE, seed ^ number as u64)?;
         let arguments = [
             "--endpoint".to_owned(),
             cluster::endpoint(number).to_string(),
             "--engine-url".to_owned(),
             format!("http://{}", engine.address()),
-            "--peer-advertise".to_owned(),
-            peers.address().to_string(),
         ];
         let options = self.options(Binary::Agent, format!("engine-host-{number}"), &arguments);
-        let mut place = Place {
-            options,
-            process: None,
-            peers,
-            callers: None,
-        };
-        place.replace()?;
-        self.agents.push(place);
+        self.agents
+            .push(Place::start(options, seed ^ number as u64)?);
         Ok(())
     }
 
@@ -164,6 +155,21 @@
 }
 
 impl Place {
+    /// Starts a process behind a proxy for its peers.
+    pub(crate) fn start(mut options: Options, seed: u64) -> Result<Self, Failure> {
+        let peers = start_proxy(NOWHERE, seed)?;
+        let advertised = format!("--peer-advertise={}", peers.address());
+        options.arguments.push(advertised);
+        let mut place = Self {
+            options,
+            process: None,
+            peers,
+            callers: None,
+        };
+        place.replace()?;
+        Ok(place)
+    }
+
     /// Ends the process at once, if it runs.
     pub fn kill(&mut self) {
         self.process = None;
@@ -187,7 +193,8 @@
     }
 }
 
-fn start_proxy(target: SocketAddr, seed: u64) -> Result<Proxy, Failure> {
+/// Starts a proxy that injects no faults yet.
+pub(crate) fn start_proxy(target: SocketAddr, seed: u64) -> Result<Proxy, Failure> {
     let options = proxy::Options {
         seed,
         ..proxy::Options::new(target)
