--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -140,7 +140,6 @@
     }
 
     fn add_agent(&mut self, number: usize, engine: &Engine, seed: u64) -> Result<(), Failure> {
-        let peers = start_proxy(NOWHERE, seed ^ number as u64)?;
         let arguments = [
             "--endpoint".to_owned(),
             cluster::endpoint(number).to_string(),
@@ -149,16 +148,9 @@
             "--slots".to_owned(),
             engine.load().slots.to_string(),
         ];
-        let arguments = self.arguments(&arguments, &[("--peer-advertise", &peers)]);
         let options = self.options(Binary::Agent, format!("engine-host-{number}"), &arguments);
-        let mut place = Place {
-            options,
-            process: None,
-            peers,
-            callers: None,
-        };
-        place.replace()?;
-        self.agents.push(place);
+        self.agents
+            .push(Place::start(options, seed ^ number as u64, !self.is_plain)?);
         Ok(())
     }
 
@@ -202,6 +194,24 @@
 }
 
 impl Place {
+    /// Starts a process with a proxy for its peers, which they are told of if
+    /// it `is_behind` it.
+    pub(crate) fn start(mut options: Options, seed: u64, is_behind: bool) -> Result<Self, Failure> {
+        let peers = start_proxy(NOWHERE, seed)?;
+        if is_behind {
+            let advertised = format!("--peer-advertise={}", peers.address());
+            options.arguments.push(advertised);
+        }
+        let mut place = Self {
+            options,
+            process: None,
+            peers,
+            callers: None,
+        };
+        place.replace()?;
+        Ok(place)
+    }
+
     /// Ends the process at once, if it runs.
     pub fn kill(&mut self) {
         self.process = None;
@@ -225,7 +235,8 @@
     }
 }
 
-fn start_proxy(target: SocketAddr, seed: u64) -> Result<Proxy, Failure> {
+/// Starts a proxy that injects no faults yet.
+pub(crate) fn start_proxy(target: SocketAddr, seed: u64) -> Result<Proxy, Failure> {
     let options = proxy::Options {
         seed,
         ..proxy::Options::new(target)
