--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod check;
 pub mod cluster;
 mod failure;
+pub mod faults;
 mod figures;
 pub mod injector;
 pub mod load;
