fix: serve plain services by the caller's own routes

Cause: a path was matched against the routes of all organisations, so one organisation could call another's service, and the longest prefix of a stranger took precedence. Also a route's repeatable was looked up with the query still on the path, so a call to the prefix itself with a query counted as not repeatable (found by reading). Now the route comes from the organisation's own settings, without the query. Seen red before: the case "another's route" of bad_requests_are_refused_and_start_nothing got 200 and placed an order. Left: two organisations that route the same prefix to different endpoints still share one table of endpoints.

--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -8,7 +8,6 @@
 use hyper::{Method, Request, Response};
 
 use crate::body::Body;
-use crate::problem::Problem;
 use crate::shared::Shared;
 use crate::{addresses, completion, models};
 
@@ -36,13 +35,7 @@
         (&Method::POST, path) if COMPLETIONS.contains(&path) => {
             completion::answer(&shared, request).await
         }
-        (_, path) => {
-            let service = shared.router().service_of(path).cloned();
-            match service {
-                Some(service) => completion::forward(&shared, service, request).await,
-                None => Err(Problem::absent(format!("no service under {path}"))),
-            }
-        }
+        _ => completion::forward(&shared, request).await,
     };
     Ok(answered.unwrap_or_else(|problem| {
         let outcome = problem.outcome.to_string();
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -89,9 +89,9 @@
 /// Forwards a call to a plain service.
 pub(crate) async fn forward<C: Clock>(
     shared: &Arc<Shared<C>>,
-    service: Service,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Problem> {
+    let service = plain(&shared.settings(), &request)?;
     let manner = Manner::read(request.headers())?;
     let (method, path) = target(&request);
     let payload = receive(shared, request).await?;
@@ -160,9 +160,10 @@
 ) -> Result<Order, Problem> {
     let is_idempotent = match service {
         Service::Model(_) => organisation.is_idempotent,
-        Service::Path(_) => organisation
-            .route(&call.path)
-            .is_some_and(|route| route.repeatable),
+        Service::Path(prefix) => {
+            let mut routes = organisation.routes.iter();
+            routes.any(|route| route.prefix == *prefix && route.repeatable)
+        }
     };
     let repeat = manner.repeat.unwrap_or(if is_idempotent {
         Repeat::Idempotent
@@ -362,6 +363,17 @@
     }
 }
 
+/// Returns the plain service that the caller's organisation has under the
+/// path of a request.
+fn plain(settings: &Resolved, request: &Request<Incoming>) -> Result<Service, Problem> {
+    let path = request.uri().path();
+    let absent = || Problem::absent(format!("no service of the organisation under {path}"));
+    let name = text(request.headers(), ORGANISATION)?.ok_or_else(absent)?;
+    let organisation = settings.organisation(name).ok_or_else(absent)?;
+    let route = organisation.route(path).ok_or_else(absent)?;
+    Ok(Service::Path(route.prefix.clone()))
+}
+
 fn unknown_organisation(name: &Organisation) -> Problem {
     Problem::new(
         "unknown-organisation",
