feat: let the time for a request's head be set

Cause: the head of a request had 10 s by a constant, so a test of slow heads would have had to wait for it. Clusters of the lab take both times of receiving and can have plain services.

--- a/crates/cactusnotch/src/command/entry.rs
+++ b/crates/cactusnotch/src/command/entry.rs
@@ -99,7 +99,17 @@
         display_fallback
     )]
     body_limit: usize,
-    /// How long a caller may take to send its request
+    /// How long a caller may take to send the head of a request
+    #[bpaf(
+        long("head-timeout"),
+        env("CACTUSNOTCH_HEAD_TIMEOUT"),
+        argument::<String>("TIME"),
+        parse(checked("head-timeout")),
+        fallback(Duration::from_secs(10)),
+        debug_fallback
+    )]
+    head_timeout: Duration,
+    /// How long a caller may take to send the body of a request
     #[bpaf(
         long("receive-timeout"),
         env("CACTUSNOTCH_RECEIVE_TIMEOUT"),
@@ -202,6 +212,7 @@
         retry_fraction: RETRY_FRACTION,
         retry_store: RETRY_STORE,
         body_limit: options.body_limit,
+        head_timeout: options.head_timeout,
         receive_timeout: options.receive_timeout,
         trace_fraction: options.trace_fraction,
         linger: LINGER,
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -39,7 +39,9 @@
     pub retry_store: u32,
     /// The largest body of a caller's request, in bytes.
     pub body_limit: usize,
-    /// How long a caller may take to send its request.
+    /// How long a caller may take to send the head of a request.
+    pub head_timeout: Duration,
+    /// How long a caller may take to send the body of a request.
     pub receive_timeout: Duration,
     /// The fraction of requests without a trace of their own whose spans are
     /// written.
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -19,9 +19,6 @@
 use crate::shared::Shared;
 use crate::{Options, admission, caller, claims, operator, peers, roster, stopping};
 
-/// How long a caller may take to send the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// The largest head of a caller's request, in bytes.
 const HEAD_LIMIT: usize = 32 << 10;
 
@@ -197,10 +194,11 @@
         return;
     }
     let held = Arc::clone(&shared);
+    let head_timeout = shared.options.head_timeout;
     let service = service_fn(move |request| caller::answer(Arc::clone(&shared), request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
+        .header_read_timeout(head_timeout)
         .max_buf_size(HEAD_LIMIT)
         .serve_connection(TokioIo::new(stream), service);
     let _counted = held.stopping.enter();
--- a/crates/lab/src/cluster.rs
+++ b/crates/lab/src/cluster.rs
@@ -12,12 +12,12 @@
 use cactusnotch_link::{self as link, Identity, Role, Secret};
 use cactusnotch_node as node;
 use cactusnotch_platform::http;
-use cactusnotch_standins::{engine, objects, ranks};
+use cactusnotch_standins::{engine, objects, ranks, service};
 
 use crate::Failure;
 
 /// The secret that the processes of a cluster share.
-pub(crate) const SECRET: &str = "a secret for trials on loopback, at least 32 bytes";
+pub const SECRET: &str = "a secret for trials on loopback, at least 32 bytes";
 
 /// A free port on loopback.
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
@@ -36,6 +36,10 @@
     pub data_centres: usize,
     /// How an engine behaves.
     pub engine: engine::Options,
+    /// How long a caller may take to send the head of a request.
+    pub head_timeout: Duration,
+    /// How long a caller may take to send the body of a request.
+    pub receive_timeout: Duration,
 }
 
 impl Default for Options {
@@ -45,6 +49,8 @@
             engines: 2,
             data_centres: 1,
             engine: engine::Options::default(),
+            head_timeout: Duration::from_secs(10),
+            receive_timeout: Duration::from_secs(10),
         }
     }
 }
@@ -64,7 +70,11 @@
     pub group: Option<ranks::Group>,
     /// The agents beside the ranks.
     pub rank_agents: Vec<agent::Server<System>>,
-    data_centres: usize,
+    /// The plain services.
+    pub services: Vec<service::Service>,
+    /// The agents, one beside each plain service.
+    pub service_agents: Vec<agent::Server<System>>,
+    options: Options,
 }
 
 impl Cluster {
@@ -82,7 +92,9 @@
             entries: Vec::new(),
             group: None,
             rank_agents: Vec::new(),
-            data_centres: options.data_centres,
+            services: Vec::new(),
+            service_agents: Vec::new(),
+            options: options.clone(),
         };
         for _ in 0..options.engines {
             cluster.add_engine(&options.engine).await?;
@@ -116,6 +128,28 @@
         Ok(())
     }
 
+    /// Starts a plain service with an agent beside it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if either cannot be started.
+    pub async fn add_service(&mut self, options: &service::Options) -> Result<(), Failure> {
+        let number = self.services.len();
+        let service = service::Service::start(options)
+            .map_err(|error| Failure::new("start of a service", error))?;
+        let address = format!("http://{}", service.address());
+        let options = agent::Options {
+            endpoint: service_endpoint(number),
+            ..self.agent(&format!("agent-service-{number}"), number, address)
+        };
+        let agent = agent::Server::start(options, System)
+            .await
+            .map_err(|error| Failure::new("start of a service's agent", error))?;
+        self.services.push(service);
+        self.service_agents.push(agent);
+        Ok(())
+    }
+
     /// Starts a group of ranks with an agent beside each.
     ///
     /// # Errors
@@ -171,7 +205,8 @@
             retry_fraction: 100,
             retry_store: 10,
             body_limit: 1 << 20,
-            receive_timeout: Duration::from_secs(10),
+            head_timeout: self.options.head_timeout,
+            receive_timeout: self.options.receive_timeout,
             trace_fraction: 0.0,
             linger: Duration::from_secs(10),
         };
@@ -207,7 +242,7 @@
     }
 
     fn data_centre(&self, number: usize) -> DataCentre {
-        DataCentre::new(format!("dc-{}", number % self.data_centres))
+        DataCentre::new(format!("dc-{}", number % self.options.data_centres))
     }
 
     fn node(&self, process: &str, role: Role, number: usize) -> node::Options {
@@ -235,6 +270,13 @@
     Endpoint::new(format!("engine-{number}"))
 }
 
+/// Returns the name of the endpoint that is the plain service with the given
+/// number.
+#[must_use]
+pub fn service_endpoint(number: usize) -> Endpoint {
+    Endpoint::new(format!("service-{number}"))
+}
+
 /// Returns the name of the endpoint that is the rank with the given number.
 #[must_use]
 pub fn rank_endpoint(rank: usize) -> Endpoint {
