fix: let a run last until its deadline however old the agent's age

Cause: an entry reckoned the age at which an agent ends a run from the age that the agent last stated, as if it had just been stated. It is up to an announce interval old, one second, so that agents ended runs up to a second before their deadline, and callers were told unknown. Routed now says when the age was stated. Ruled out: a slack for all runs, by which runs outlive their callers; and passing an advanced age on, which the windows of attempts may not be reckoned from.

Red before: a_run_lasts_until_the_deadline_however_old_the_known_age (age 59100 for 60100 with the old reckoning). The explorer's courses are green.

--- a/crates/attempt/src/event.rs
+++ b/crates/attempt/src/event.rs
@@ -1,5 +1,7 @@
 //! What an exchange is told.
 
+use std::time::Instant;
+
 use cactusnotch_base::name::Endpoint;
 use cactusnotch_claim as claim;
 use cactusnotch_ledger::{Attempt, Reply, Terms};
@@ -11,6 +13,8 @@
     Routed {
         /// The endpoint, its agent's incarnation and last known age.
         terms: Terms,
+        /// When the agent stated that age.
+        heard: Instant,
         /// A fresh random name for the attempt.
         attempt: Attempt,
     },
--- a/crates/attempt/src/exchange.rs
+++ b/crates/attempt/src/exchange.rs
@@ -6,7 +6,7 @@
 use cactusnotch_base::name::Endpoint;
 use cactusnotch_claim::{self as claim, Claim};
 use cactusnotch_ledger::message::{Repeat, Run};
-use cactusnotch_ledger::{Attempt, Holder, Request, Terms, Window};
+use cactusnotch_ledger::{Age, Attempt, Holder, Request, Terms, Window};
 
 use crate::intake::Intake;
 use crate::{Answer, Budget, Command, Event, Options, Order, Reason, Way};
@@ -52,6 +52,8 @@
     pub(crate) holder: Option<Holder>,
     /// The agent of the latest route, at its latest known age.
     pub(crate) route: Option<Terms>,
+    /// The age of that agent at the deadline.
+    pub(crate) finish_by: Age,
     /// The attempt that held the key and provably never starts.
     pub(crate) from: Option<Attempt>,
     /// The attempt that started the run whose pieces we get.
@@ -77,6 +79,7 @@
             conversation: order.conversation,
             holder: None,
             route: None,
+            finish_by: Age::default(),
             from: None,
             runner: None,
             avoid: Vec::new(),
@@ -149,7 +152,11 @@
             return commands;
         }
         match event {
-            Event::Routed { terms, attempt } => self.routed(terms, attempt, now, &mut commands),
+            Event::Routed {
+                terms,
+                heard,
+                attempt,
+            } => self.routed(terms, heard, attempt, now, &mut commands),
             Event::Unroutable if self.state == State::Routing => {
                 self.unreached(Reason::Unroutable, &mut commands);
             }
@@ -180,6 +187,7 @@
     fn routed(
         &mut self,
         terms: Terms,
+        heard: Instant,
         attempt: Attempt,
         now: Instant,
         commands: &mut Vec<Command>,
@@ -187,6 +195,8 @@
         if self.state != State::Routing {
             return;
         }
+        let left = self.order.deadline.saturating_duration_since(heard);
+        self.finish_by = terms.age.after(left);
         let grant = match &self.order.way {
             Way::Ticket(grant) => grant.clone(),
             Way::Private | Way::Claim | Way::Resume(_) => terms.clone(),
@@ -274,14 +284,13 @@
 
     fn dispatch(&mut self, own: &Holder, now: Instant, commands: &mut Vec<Command>) {
         let Some(route) = &self.route else { return };
-        let left = self.order.deadline.saturating_duration_since(now);
         let run = Run {
             attempt: own.attempt,
             identity: self.order.identity.clone(),
             digest: self.order.digest,
             repeat: self.order.repeat,
             window: own.window.clone(),
-            finish_by: route.age.after(left),
+            finish_by: self.finish_by,
             linger_ms: self.order.linger_ms,
         };
         commands.push(Command::Send {
--- a/crates/attempt/tests/exchange.rs
+++ b/crates/attempt/tests/exchange.rs
@@ -70,7 +70,12 @@
     fn routed(&mut self, number: u128, endpoint: &str) -> Vec<Command> {
         let terms = terms(endpoint);
         let attempt = attempt(number);
-        self.step(Event::Routed { terms, attempt })
+        let heard = self.now;
+        self.step(Event::Routed {
+            terms,
+            heard,
+            attempt,
+        })
     }
 
     fn timer(&mut self) -> Vec<Command> {
@@ -213,6 +218,7 @@
     other.incarnation = Incarnation(2);
     let event = Event::Routed {
         terms: other,
+        heard: replaced.now,
         attempt: attempt(1),
     };
     let answer = told(&replaced.step(event));
@@ -232,3 +238,22 @@
     let unsent = entry.step(Event::Unsent(attempt(2)));
     assert_eq!(told(&unsent), Some((Outcome::NotRun, Reason::Unsent)));
 }
+
+#[test]
+fn a_run_lasts_until_the_deadline_however_old_the_known_age() {
+    let mut entry = Entry::new(Repeat::Idempotent, Way::Private, 0);
+    let heard = entry.now;
+    entry.now += Duration::from_secs(1);
+    let sent = entry.step(Event::Routed {
+        terms: terms("one"),
+        heard,
+        attempt: attempt(1),
+    });
+    let [Command::Send { request, .. }] = &sent[..] else {
+        panic!("no run: {sent:?}");
+    };
+    let Request::Run(run) = request else {
+        panic!("no run: {request:?}");
+    };
+    assert_eq!(run.finish_by, Age(100).after(Duration::from_mins(1)));
+}
--- a/crates/attempt/tests/explore/world.rs
+++ b/crates/attempt/tests/explore/world.rs
@@ -270,7 +270,13 @@
         let count = self.entries[entry].attempts.len();
         let attempt = Attempt(Uuid::from_u128((entry * 16 + count + 1) as u128));
         self.entries[entry].attempts.push(attempt);
-        self.tell_entry(entry, Event::Routed { terms, attempt });
+        let heard = if fresh { self.now } else { self.origin };
+        let event = Event::Routed {
+            terms,
+            heard,
+            attempt,
+        };
+        self.tell_entry(entry, event);
     }
 
     pub(crate) fn kill_entry(&mut self, number: usize) {
--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -89,11 +89,12 @@
         }
     }
 
-    /// Returns the agent's incarnation and a lower bound of its age.
-    pub(crate) fn terms(&self, endpoint: &Endpoint) -> Option<Terms> {
+    /// Returns the agent's incarnation and its age when it was last heard of,
+    /// and when that was.
+    pub(crate) fn terms(&self, endpoint: &Endpoint) -> Option<(Terms, Instant)> {
         let rows = self.lock();
         let open = rows.get(endpoint)?.link.as_ref()?;
-        Some(open.terms.clone())
+        Some((open.terms.clone(), open.heard))
     }
 
     /// Queues a message to the agent of `endpoint`; without a link, or with a
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -136,8 +136,9 @@
             None => self.choose(avoid),
         };
         match terms {
-            Some(terms) => Event::Routed {
+            Some((terms, heard)) => Event::Routed {
                 terms,
+                heard,
                 attempt: Attempt(Uuid::new_v4()),
             },
             None => Event::Unroutable,
@@ -146,7 +147,7 @@
 
     /// Returns the terms of the one agent that may run the request, after a
     /// short wait for a link if there is none yet.
-    async fn reached(&self, endpoint: &Endpoint) -> Option<Terms> {
+    async fn reached(&self, endpoint: &Endpoint) -> Option<(Terms, Instant)> {
         for _ in 0..REACH_GLANCES {
             let terms = self.shared.agents.terms(endpoint);
             if terms.is_some() {
@@ -158,7 +159,7 @@
         self.shared.agents.terms(endpoint)
     }
 
-    fn choose(&mut self, avoid: &[Endpoint]) -> Option<Terms> {
+    fn choose(&mut self, avoid: &[Endpoint]) -> Option<(Terms, Instant)> {
         let request = route::Request {
             service: &self.job.service,
             tokens: self.job.tokens,
--- a/crates/entry/src/tickets.rs
+++ b/crates/entry/src/tickets.rs
@@ -47,7 +47,7 @@
     };
     let now = shared.clock.now();
     let chosen = shared.router().choose(&request, now, &mut rand::rng());
-    let terms = chosen
+    let (terms, _) = chosen
         .ok()
         .and_then(|choice| shared.agents.terms(&choice.endpoint))
         .ok_or_else(|| Problem::unavailable("no endpoint takes requests for the model", RETRY))?;
