--- a/crates/spread/tests/common/mod.rs
+++ b/crates/spread/tests/common/mod.rs
@@ -4,7 +4,9 @@
 #![allow(dead_code, reason = "each test and example uses a part")]
 
 pub mod bench;
+mod due;
 pub mod platform;
+mod shape;
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -13,11 +15,14 @@
 use cactusnotch_base::Table;
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::{Incarnation, Sequence};
-use cactusnotch_member::{Record, Role, State};
+use cactusnotch_member::Record;
 use cactusnotch_spread::{Answer, Command, Message, Node, Options, Span, Ticket};
+use due::{Due, Event};
 use platform::Platform;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+pub use shape::Shape;
+use shape::record;
 
 /// Microseconds of virtual time.
 pub type Micros = u64;
@@ -26,15 +31,6 @@
 const TICK: Micros = 100_000;
 const TIMEOUT: Micros = 2 * SECOND;
 
-/// Where the processes are.
-#[derive(Debug, Clone)]
-pub struct Shape {
-    pub regions: usize,
-    pub data_centres: usize,
-    pub entries: usize,
-    pub agents: usize,
-}
-
 /// How the network behaves.
 #[derive(Debug, Clone, Default)]
 pub struct Network {
@@ -45,40 +41,6 @@
     pub side: Vec<u8>,
 }
 
-#[derive(Debug, Clone)]
-enum Event {
-    Tick,
-    Message(usize, Message),
-    Answer(Ticket, Answer),
-    Call(Ticket, cactusnotch_spread::Call),
-}
-
-#[derive(Debug)]
-struct Due {
-    at: Micros,
-    order: u64,
-    to: usize,
-    life: u64,
-    event: Event,
-}
-
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-impl Eq for Due {}
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
 /// What one process cost.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Cost {
@@ -139,29 +101,6 @@
     }
 }
 
-fn record(shape: &Shape, at: usize) -> Record {
-    let entry = at < shape.entries;
-    let number = if entry { at } else { at - shape.entries };
-    let data_centre = number % shape.data_centres;
-    let region = data_centre % shape.regions;
-    let role = if entry { Role::Entry } else { Role::Agent };
-    let name = if entry { "entry" } else { "agent" };
-    let port = u16::try_from(at % 60_000).unwrap_or_default();
-    let address = ([10, 0, 0, 1], port).into();
-    Record {
-        process: Process::new(format!("{name}-{number:04}")),
-        role,
-        host: format!("host-{number:04}").as_str().into(),
-        data_centre: format!("dc-{data_centre}").as_str().into(),
-        region: format!("region-{region}").as_str().into(),
-        peers: address,
-        callers: entry.then_some(address),
-        endpoint: (!entry).then(|| format!("endpoint-{number:04}").as_str().into()),
-        incarnation: Incarnation(0),
-        state: State::Joining,
-    }
-}
-
 impl World {
     /// Creates the processes, all of them down.
     pub fn new(shape: &Shape, options: Options, seed: u64) -> Self {
