--- a/crates/switch/examples/switch_cost.rs
+++ b/crates/switch/examples/switch_cost.rs
@@ -11,8 +11,13 @@
 use std::collections::BinaryHeap;
 use std::time::{Duration, Instant};
 
+use cactusnotch_base::name::Process;
+use cactusnotch_base::number::Incarnation;
+use cactusnotch_platform::object::Version;
 use cactusnotch_switch::coordinator::{self, Ending};
-use cactusnotch_switch::{Message, Options, rank};
+use cactusnotch_switch::rank::Member;
+use cactusnotch_switch::view::Seat;
+use cactusnotch_switch::{Message, Options, Rank, Switch, View, rank};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use world::{Packet, Part, Sender, World};
@@ -28,6 +33,7 @@
 const TICK: Duration = Duration::from_micros(100);
 const SWITCHES: u64 = 20;
 const SEED: u64 = 6;
+const SIZES: [u16; 4] = [4, 16, 64, 256];
 
 /// What is due at a time, in the order in which it was put there.
 struct Due {
@@ -241,20 +247,32 @@
     pages.parse::<u64>().expect("it is a number") * PAGE
 }
 
-/// Returns the bytes that one more copy of a member takes.
-fn member_memory(run: &Run) -> u64 {
-    const COPIES: u64 = 2_000;
-    const UNUSED: u64 = 16 << 20;
-    let member = run.world.agents[0].member.get();
-    let mut copies = Vec::new();
-    let start = resident();
-    while resident() < start + UNUSED {
-        copies.extend((0..COPIES).map(|_| member.clone()));
+/// Creates a member that has its seat in a group of `size`.
+fn seated_member(size: u16) -> Member {
+    let base = Switch::default();
+    let mut view = View::new(size, base);
+    for (number, seat) in view.seats.iter_mut().enumerate() {
+        *seat = Some(Seat {
+            incarnation: Incarnation(number as u64 + 1),
+            process: Process::new(format!("agent-{number}")),
+        });
     }
-    copies.reserve_exact(usize::try_from(COPIES).expect("it is small"));
+    let mut member = Member::new(Rank(0), Process::new("agent-0"), Options::default());
+    let version = Version(1);
+    member.step(rank::Event::Group { version, view }, Instant::now());
+    member
+}
+
+/// Prints the bytes that one member takes. The copies are returned, so that
+/// their memory is not used again.
+fn measure_memory(size: u16) -> Vec<Member> {
+    const COPIES: usize = 5_000;
+    let member = seated_member(size);
+    let mut copies = Vec::with_capacity(COPIES);
     let before = resident();
     copies.extend((0..COPIES).map(|_| member.clone()));
-    (resident() - before) / COPIES
+    println!("{size:>5} {:>9}", (resident() - before) / COPIES as u64);
+    copies
 }
 
 /// Measures a switch whose coordinator is gone once it has proposed, so that
@@ -298,26 +316,28 @@
     #[expect(clippy::cast_precision_loss, reason = "the figures are rounded")]
     let each = |sum: u64| sum as f64 / count;
     println!(
-        "{size:>5} {:>5.0}% {applied:>4}/{SWITCHES} {:>9.1} {:>10.0} {:>6.1} {:>9.1} {:>9}",
+        "{size:>5} {:>5.0}% {applied:>4}/{SWITCHES} {:>9.1} {:>10.0} {:>6.1} {:>9.1}",
         loss * 100.0,
         each(run.messages),
         each(run.bytes as u64),
         each(run.world.platform_calls - calls),
         run.stall.as_secs_f64() * 1e3,
-        member_memory(&run),
     );
 }
 
 fn main() {
-    println!("ranks  loss applied  messages      bytes  calls  stall ms  member B");
+    println!("ranks  member B");
+    let copies = SIZES.map(measure_memory);
+    drop(copies);
+    println!("ranks  loss applied  messages      bytes  calls  stall ms");
     for loss in [0.0, 0.05] {
-        for size in [4, 16, 64, 256] {
+        for size in SIZES {
             measure(size, loss);
         }
     }
     println!("without its coordinator:");
     println!("ranks  messages      bytes  stall ms");
-    for size in [4, 16, 64, 256] {
+    for size in SIZES {
         measure_orphan(size);
     }
 }
--- a/crates/switch/src/rank/engine.rs
+++ b/crates/switch/src/rank/engine.rs
@@ -103,7 +103,7 @@
         if self.phase != Phase::Standing {
             return;
         }
-        self.note_in_force(out);
+        self.note_in_force(now, out);
         let Some(engine) = self.engine.clone() else {
             return;
         };
@@ -114,7 +114,7 @@
     }
 
     /// Notes that the engine has started a step with the committed map.
-    fn note_in_force(&mut self, out: &mut Vec<Command>) {
+    fn note_in_force(&mut self, now: Instant, out: &mut Vec<Command>) {
         let current = self.engine.as_ref().and_then(State::current);
         if let Open::Committed { id, switch } = self.open
             && current == Some(switch)
@@ -126,6 +126,21 @@
             if let Some(id) = id {
                 self.tell(Peer::Coordinator(id.fence), Body::Applied { id }, out);
             }
+            self.unload_rest(now, out);
+        }
+    }
+
+    /// Drops the weights that the map in force does not need.
+    fn unload_rest(&mut self, now: Instant, out: &mut Vec<Command>) {
+        let map = self.current.map;
+        self.experts.retain(|other, _| *other >= map);
+        let (Some(needed), Some(engine)) = (self.experts.get(&map), &self.engine) else {
+            return;
+        };
+        let spare = engine.experts.iter().copied();
+        let spare: Vec<Expert> = spare.filter(|expert| !needed.contains(expert)).collect();
+        for expert in spare {
+            self.order(OrderEvent::Want(Wish::Unload(expert)), now, out);
         }
     }
 
--- a/crates/switch/tests/world/engine.rs
+++ b/crates/switch/tests/world/engine.rs
@@ -1,20 +1,23 @@
 //! A rank's engine, as far as the agreement sees it.
 
 use cactusnotch_base::number::{Fence, Step};
-use cactusnotch_order::{Answer, Order, Reply};
+use cactusnotch_order::{Answer, Fencing, Order, Reply};
 use cactusnotch_switch::engine::{State, Wish};
 use cactusnotch_switch::map::Map;
 
 #[derive(Debug, Clone, Hash)]
 pub struct Engine {
+    /// Whether it checks fencing numbers.
+    checks: bool,
     pub fence: Fence,
     pub state: State,
 }
 
 impl Engine {
     /// A new engine process, which will join the others at step `next`.
-    pub fn new(life: u64, next: Step) -> Self {
+    pub fn new(life: u64, next: Step, fencing: Fencing) -> Self {
         Self {
+            checks: fencing == Fencing::Checked,
             fence: Fence(0),
             state: State {
                 life,
@@ -29,7 +32,7 @@
     }
 
     pub fn order(&mut self, order: &Order<Wish>) -> Answer<State> {
-        let reply = if order.fence < self.fence {
+        let reply = if self.checks && order.fence < self.fence {
             Reply::Fenced
         } else {
             self.fence = order.fence;
--- a/crates/switch/tests/world/mod.rs
+++ b/crates/switch/tests/world/mod.rs
@@ -3,78 +3,31 @@
 #![allow(dead_code, reason = "each test uses a part of the world")]
 
 pub mod engine;
+mod obey;
+mod part;
 
-use std::hash::{Hash, Hasher};
-use std::rc::Rc;
+use std::hash::Hash;
 use std::time::{Duration, Instant};
 
 use cactusnotch_base::name::Process;
-use cactusnotch_base::number::{Epoch, Fence, Step};
-use cactusnotch_order::{Answer, Order, Reply};
+use cactusnotch_base::number::{Epoch, Step};
+use cactusnotch_order::{Answer, Reply};
 use cactusnotch_platform::object::Version;
 use cactusnotch_switch::coordinator::{self, Coordinator};
-use cactusnotch_switch::engine::{State, Wish};
+use cactusnotch_switch::engine::State;
 use cactusnotch_switch::map::{Map, Switch};
-use cactusnotch_switch::message::{Body, Message, Peer, Vote};
 use cactusnotch_switch::proposal::Id;
-use cactusnotch_switch::rank::{self, Member, Retirement};
+use cactusnotch_switch::rank::{self, Member};
 use cactusnotch_switch::{Lease, Options, Rank, View};
 use xxhash_rust::xxh3::Xxh3;
 
 pub use engine::Engine;
-
-fn digest<T: Hash>(value: &T) -> u64 {
-    let mut hasher = Xxh3::new();
-    value.hash(&mut hasher);
-    hasher.finish()
-}
+use obey::seated;
+pub use part::{Packet, Part, Sender};
 
 /// More packets than a group in these tests sends without a timer.
 const DELIVERIES: usize = 1_000_000;
 
-/// A shared value with its hash.
-#[derive(Debug, Clone)]
-pub struct Part<T> {
-    value: Rc<T>,
-    hash: u64,
-}
-
-impl<T: Hash + Clone> Part<T> {
-    pub fn new(value: T) -> Self {
-        let hash = digest(&value);
-        let value = Rc::new(value);
-        Self { value, hash }
-    }
-
-    pub fn get(&self) -> &T {
-        &self.value
-    }
-
-    pub fn change<R>(&mut self, change: impl FnOnce(&mut T) -> R) -> R {
-        let result = change(Rc::make_mut(&mut self.value));
-        self.hash = digest(&*self.value);
-        result
-    }
-}
-
-/// Something on its way; agents and coordinators by their index.
-#[derive(Debug, Clone, Hash)]
-pub enum Packet {
-    Agent(usize, rank::Event),
-    Message(usize, Sender, Message),
-    Coordinator(usize, coordinator::Event),
-    Order(usize, Order<Wish>),
-    Read(usize, Fence),
-    Answer(usize, Answer<State>),
-}
-
-/// The process that sent a message.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Sender {
-    Agent(usize),
-    Coordinator(usize),
-}
-
 /// One agent process of a rank. A dead one takes part in nothing.
 #[derive(Debug, Clone)]
 pub struct Agent {
@@ -152,7 +105,7 @@
         };
         for rank in 0..usize::from(size) {
             world.lives += 1;
-            let engine = Engine::new(world.lives, Step(1));
+            let engine = Engine::new(world.lives, Step(1), options.orders.fencing);
             world.engines.push(Part::new(engine));
             world.start_agent(rank);
         }
@@ -223,12 +176,8 @@
         });
         let next = Step(furthest.max().unwrap_or(1).max(1));
         self.lives += 1;
-        self.engines[rank] = Part::new(Engine::new(self.lives, next));
-        let agents = &self.agents;
-        self.net.retain(|packet| match packet.get() {
-            Packet::Order(from, _) | Packet::Read(from, _) => agents[*from].rank != rank,
-            _ => true,
-        });
+        self.engines[rank] = Part::new(Engine::new(self.lives, next, self.options.orders.fencing));
+        self.drop_orders(rank);
         if self
             .engines
             .iter()
@@ -238,6 +187,15 @@
         }
     }
 
+    /// Loses all orders on their way to the engine of a rank.
+    pub fn drop_orders(&mut self, rank: usize) {
+        let agents = &self.agents;
+        self.net.retain(|packet| match packet.get() {
+            Packet::Order(from, _) | Packet::Read(from, _) => agents[*from].rank != rank,
+            _ => true,
+        });
+    }
+
     fn sweep(&mut self) {
         let agents = &self.agents;
         self.net.retain(|packet| match packet.get() {
@@ -312,160 +270,6 @@
         }
     }
 
-    fn obey_agent(&mut self, index: usize, command: rank::Command) {
-        match command {
-            rank::Command::ReadGroup => self.read_group(index),
-            rank::Command::WriteGroup { version, view } => {
-                self.write_group(version, view);
-                self.read_group(index);
-            }
-            rank::Command::ReadMap(map) => {
-                let experts = Vec::new();
-                self.agent(index, rank::Event::Experts { map, experts });
-            }
-            rank::Command::Send { to, message } => {
-                self.note_vote(index, &message);
-                self.route(index, to, message);
-            }
-            rank::Command::Reply(message) => {
-                if let Some(Sender::Agent(to)) = self.heard {
-                    self.send(Packet::Message(to, Sender::Agent(index), message));
-                }
-            }
-            rank::Command::Order(order) => self.send(Packet::Order(index, order)),
-            rank::Command::ReadEngine(fence) if self.near => {
-                self.deliver(Packet::Read(index, fence));
-            }
-            rank::Command::ReadEngine(fence) => self.send(Packet::Read(index, fence)),
-            rank::Command::Retire(why) => {
-                self.agents[index].alive = false;
-                self.sweep();
-                let rank = self.agents[index].rank;
-                let newest = self.agents.iter().rposition(|agent| agent.rank == rank);
-                if why == Retirement::EngineLost && newest == Some(index) {
-                    self.start_agent(rank);
-                }
-            }
-            rank::Command::Wake(after) => self.note_wake(Sender::Agent(index), after),
-            rank::Command::Decided { .. } | rank::Command::InForce(_) => {}
-        }
-    }
-
-    fn read_group(&mut self, index: usize) {
-        if self.platform {
-            self.platform_calls += 1;
-            let (version, view) = self.group.get().clone();
-            let event = rank::Event::Group { version, view };
-            if self.near_platform {
-                self.agent(index, event);
-            } else {
-                self.send(Packet::Agent(index, event));
-            }
-        }
-    }
-
-    fn write_group(&mut self, version: Version, view: View) {
-        if self.platform {
-            self.platform_calls += 1;
-            if self.group.get().0 == version {
-                self.group = Part::new((Version(version.0 + 1), view));
-            }
-        }
-    }
-
-    /// Sends to the process that stands for the receiver in the sender's view.
-    fn route(&mut self, from: usize, to: Peer, message: Message) {
-        match to {
-            Peer::Rank(rank) => {
-                let seat = seated(self.agents[from].member.get().view(), rank);
-                if let Some(to) = seat {
-                    self.send(Packet::Message(to, Sender::Agent(from), message));
-                }
-            }
-            Peer::Coordinator(fence) => {
-                let holds = |part: &Part<Coordinator>| part.get().fence() == Some(fence);
-                if let Some(to) = self.coordinators.iter().position(holds) {
-                    let event = coordinator::Event::Message(message);
-                    self.send(Packet::Coordinator(to, event));
-                }
-            }
-        }
-    }
-
-    /// It is a violation if a process changes its vote on a proposal.
-    fn note_vote(&mut self, index: usize, message: &Message) {
-        if let Body::Vote { id, vote } = message.body {
-            let promise = vote == Vote::Promise;
-            let earlier = |(by, on, _): &&(usize, Id, bool)| *by == index && *on == id;
-            match self.votes.iter().find(earlier) {
-                Some((_, _, before)) if *before == promise => {}
-                Some(_) => self.violation = Some("a vote changed".into()),
-                None => self.votes.push((index, id, promise)),
-            }
-        }
-    }
-
-    pub fn coordinator(&mut self, index: usize, event: coordinator::Event) {
-        let now = self.now;
-        let commands = self.coordinators[index].change(|part| part.step(event, now));
-        for command in commands {
-            self.obey_coordinator(index, command);
-        }
-    }
-
-    fn obey_coordinator(&mut self, index: usize, command: coordinator::Command) {
-        use coordinator::{Command, Event};
-        match command {
-            Command::ReadLease => self.read_lease(index),
-            Command::WriteLease { version, lease } => {
-                self.platform_calls += 1;
-                if self.lease.as_ref().map(|(version, _)| *version) == version {
-                    let version = Version(version.map_or(1, |version| version.0 + 1));
-                    self.lease = Some((version, lease));
-                }
-                self.read_lease(index);
-            }
-            Command::ReadGroup => self.read_group_for_coordinator(index),
-            Command::WriteGroup { version, view } => {
-                self.write_group(version, view);
-                self.read_group_for_coordinator(index);
-            }
-            Command::RecordMap(map) => {
-                self.platform_calls += 1;
-                self.send(Packet::Coordinator(index, Event::MapRecorded(map)));
-            }
-            Command::Send { to, message } => {
-                if let Some(to) = seated(&self.group.get().1, to) {
-                    self.send(Packet::Message(to, Sender::Coordinator(index), message));
-                }
-            }
-            Command::Ended(ending) => self.endings.push(ending),
-            Command::Wake(after) => self.note_wake(Sender::Coordinator(index), after),
-            Command::Superseded => {}
-        }
-    }
-
-    fn note_wake(&mut self, who: Sender, after: Duration) {
-        if let Some(wakes) = &mut self.wakes {
-            wakes.push((who, after));
-        }
-    }
-
-    fn read_lease(&mut self, index: usize) {
-        self.platform_calls += 1;
-        let lease = self.lease.clone();
-        self.send(Packet::Coordinator(index, coordinator::Event::Lease(lease)));
-    }
-
-    fn read_group_for_coordinator(&mut self, index: usize) {
-        if self.platform {
-            self.platform_calls += 1;
-            let (version, view) = self.group.get().clone();
-            let event = coordinator::Event::Group { version, view };
-            self.send(Packet::Coordinator(index, event));
-        }
-    }
-
     /// Tells whether an engine can start its next step.
     pub fn can_start(&self, rank: usize) -> bool {
         let engine = self.engines[rank].get();
@@ -582,9 +386,3 @@
         panic!("the group does not start");
     }
 }
-
-/// Returns the agent that has the seat of a rank in a view.
-fn seated(view: &View, rank: Rank) -> Option<usize> {
-    let (_, number) = view.seat(rank)?.process.as_str().split_once('-')?;
-    number.parse().ok()
-}
--- /dev/null
+++ b/crates/switch/tests/world/part.rs
@@ -0,0 +1,59 @@
+//! A shared value with its hash, and what is on its way.
+
+use std::hash::{Hash, Hasher};
+use std::rc::Rc;
+
+use cactusnotch_base::number::Fence;
+use cactusnotch_order::{Answer, Order};
+use cactusnotch_switch::engine::{State, Wish};
+use cactusnotch_switch::{Message, coordinator, rank};
+use xxhash_rust::xxh3::Xxh3;
+
+fn digest<T: Hash>(value: &T) -> u64 {
+    let mut hasher = Xxh3::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// A shared value with its hash.
+#[derive(Debug, Clone)]
+pub struct Part<T> {
+    value: Rc<T>,
+    pub hash: u64,
+}
+
+impl<T: Hash + Clone> Part<T> {
+    pub fn new(value: T) -> Self {
+        let hash = digest(&value);
+        let value = Rc::new(value);
+        Self { value, hash }
+    }
+
+    pub fn get(&self) -> &T {
+        &self.value
+    }
+
+    pub fn change<R>(&mut self, change: impl FnOnce(&mut T) -> R) -> R {
+        let result = change(Rc::make_mut(&mut self.value));
+        self.hash = digest(&*self.value);
+        result
+    }
+}
+
+/// Something on its way; agents and coordinators by their index.
+#[derive(Debug, Clone, Hash)]
+pub enum Packet {
+    Agent(usize, rank::Event),
+    Message(usize, Sender, Message),
+    Coordinator(usize, coordinator::Event),
+    Order(usize, Order<Wish>),
+    Read(usize, Fence),
+    Answer(usize, Answer<State>),
+}
+
+/// The process that sent a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Sender {
+    Agent(usize),
+    Coordinator(usize),
+}
