--- a/crates/lab/src/process.rs
+++ b/crates/lab/src/process.rs
@@ -68,6 +68,7 @@
             .args(["--platform-url", &options.platform])
             .args(["--peer-listen", "127.0.0.1:0"])
             .args(["--log-format", "json"])
+            .args(["--counters-interval", "5s"])
             .args(&options.arguments)
             .env("CACTUSNOTCH_SECRET", cluster::SECRET)
             .stdin(Stdio::null())
