fix: an entry's first caps wait until the roster names the entry

Cause: a starting entry took the settings before the roster, and so divided the caps among a list without itself or an empty one; capped requests that came to it waited for a loan that nobody could give, until another revision. Until the first caps are known, requests wait in the queue; none starts without a cap.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -41,6 +41,7 @@
 
 #[derive(Debug)]
 struct Inner<C: Clock> {
+    me: Process,
     gates: Table<Service, Gate>,
     usage: Usage,
     quota: Exchange,
@@ -95,7 +96,8 @@
             quota::Options::default(),
             now,
         );
-        let mut inner = Inner {
+        let inner = Inner {
+            me: identity.process.clone(),
             gates: Table::new(),
             usage: Usage::default(),
             quota,
@@ -104,7 +106,6 @@
             revision: Revision(0),
             revisions: node.revisions(),
         };
-        inner.follow(&node.view());
         Self {
             inner: Mutex::new(inner),
         }
@@ -198,7 +199,7 @@
     let (answers, messages) = {
         let mut inner = shared.admission.lock();
         // No request starts under a revision whose caps are not known here.
-        inner.follow_all();
+        inner.follow_all(&shared.node);
         let answers = inner.poll(service, room, now);
         (answers, inner.demand(now))
     };
@@ -230,7 +231,7 @@
         let status = shared.node.status();
         let (services, messages) = {
             let mut inner = shared.admission.lock();
-            inner.follow_all();
+            inner.follow_all(&shared.node);
             if status.standing == Standing::Serving {
                 inner.quota.confirm(Revision(status.in_force.0), now);
             }
@@ -271,6 +272,10 @@
         let Some(gate) = self.gates.get_mut(service) else {
             return Vec::new();
         };
+        if self.revision == Revision(0) {
+            // The caps are not known yet.
+            return Vec::new();
+        }
         let (usage, quota) = (&mut self.usage, &self.quota);
         gate.poll(room, &mut commands, now, &mut rand::rng(), |organisation| {
             usage.try_start(organisation, quota.allowance(organisation, now), now)
@@ -333,7 +338,10 @@
 
     /// Takes the caps of each newer revision in order: of one that is missed
     /// nothing would be lent until a newer one is confirmed.
-    fn follow_all(&mut self) {
+    fn follow_all(&mut self, node: &Node<C>) {
+        if self.revision == Revision(0) {
+            self.follow(&node.view());
+        }
         loop {
             match self.revisions.try_recv() {
                 Ok(view) => self.follow(&view),
@@ -345,9 +353,11 @@
         }
     }
 
-    /// Takes the caps of a newer revision.
+    /// Takes the caps of a newer revision. The first one waits until the
+    /// roster names this entry: a list from before would name no homes.
     fn follow(&mut self, view: &View) {
-        if view.revision <= self.revision {
+        let is_first = self.revision == Revision(0);
+        if view.revision <= self.revision || is_first && view.roster.get(&self.me).is_none() {
             return;
         }
         self.revision = view.revision;
