fix: requests that wait for the first caps are still refused once hopeless

The gate was not polled at all until the caps were known, so that a request whose deadline passed then would have waited on.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -272,13 +272,11 @@
         let Some(gate) = self.gates.get_mut(service) else {
             return Vec::new();
         };
-        if self.revision == Revision(0) {
-            // The caps are not known yet.
-            return Vec::new();
-        }
         let (usage, quota) = (&mut self.usage, &self.quota);
+        let are_caps_known = self.revision > Revision(0);
         gate.poll(room, &mut commands, now, &mut rand::rng(), |organisation| {
-            usage.try_start(organisation, quota.allowance(organisation, now), now)
+            let allowance = quota.allowance(organisation, now);
+            are_caps_known && usage.try_start(organisation, allowance, now)
         });
         self.answers(service, commands)
     }
