fix: drop the weights that no map needs, so that ranks have room for the next

Cause: nothing ever ordered a rank to drop weights. After a few switches its memory was full, it refused the loads of the next map, and the coordinator repeated its Prepare until it gave up after two minutes. Two of the four first runs of rank_faults show it: no switch within 60 s, once with one rank's engine at 8 of 8 experts and none loading, and a Prepare every 20 ms. A rank now drops what neither the map in force nor the prepared one needs before it loads a prepared map; an expert with an unsettled order to load or drop does not count as loaded. The engine still refuses to drop what its plan needs. The test gave the ranks less memory than the agents' planner counts on (slots of each layer and two for staging), and left endpoint-fencing at ignored, so that each new agent waited a lease time: the group stood still for 10 s after each rank was replaced (ruled out as a fault: it is the rule for engines that check nothing). Both are now set as the ranks are.

--- a/crates/lab/tests/rank_faults.rs
+++ b/crates/lab/tests/rank_faults.rs
@@ -7,9 +7,11 @@
 use std::time::{Duration, Instant};
 
 use cactusnotch_base::number::{Epoch, Fence, Step};
+use cactusnotch_lab::operator::set;
 use cactusnotch_lab::{Operator, Process, Ranks};
 use cactusnotch_placement::Rank;
 use cactusnotch_popularity::{Cell, Shape};
+use cactusnotch_settings::{Id, Key, Value};
 use cactusnotch_standins::objects::Outage;
 use cactusnotch_standins::proxy::{Direction, Line, Proxy};
 use cactusnotch_standins::ranks::{Entry, Options};
@@ -25,6 +27,9 @@
     layers: 2,
     experts: 8,
 };
+/// The experts that the agents' planner takes a rank to have memory for: of
+/// each layer its even share and two more, and two that replace others.
+const CAPACITY: usize = (SHAPE.experts / RANKS + 2) as usize * SHAPE.layers as usize + 2;
 const GROUP: &str = "drafts";
 /// Bounds what the test waits for; the time itself is not judged.
 const PATIENCE: Duration = Duration::from_mins(1);
@@ -68,6 +73,7 @@
     fn start() -> Self {
         let options = Options {
             step: Duration::from_millis(1),
+            capacity: CAPACITY,
             seed: SEED,
             ..Options::new(RANKS, SHAPE)
         };
@@ -77,6 +83,13 @@
         operator
             .declare_ranks(GROUP, RANKS, SHAPE, (1_000_000, 1_000))
             .unwrap();
+        // Otherwise each new agent leaves its rank alone for a lease time.
+        let group = Id::new(format!("group-{GROUP}"));
+        let checked = Value::Text("checked".to_owned());
+        let fencing = set(&group, Key::EndpointFencing, checked);
+        operator
+            .edit("ranks refuse old orders", vec![fencing])
+            .unwrap();
         Self {
             ranks,
             random: StdRng::seed_from_u64(SEED),
--- a/crates/switch/src/rank/engine.rs
+++ b/crates/switch/src/rank/engine.rs
@@ -165,7 +165,7 @@
             self.sleep(out);
             return false;
         };
-        let lacking = |expert: &&Expert| !engine.experts.contains(expert);
+        let lacking = |expert: &&Expert| !engine.experts.contains(expert) || self.moves(**expert);
         let lacking: Vec<Expert> = experts.iter().filter(lacking).copied().collect();
         for expert in &lacking {
             self.order(OrderEvent::Want(Wish::Load(*expert)), now, out);
@@ -173,6 +173,34 @@
         lacking.is_empty()
     }
 
+    /// Tells whether an order to load or drop an expert is not settled, so
+    /// that the engine's state does not tell whether it stays loaded.
+    fn moves(&self, expert: Expert) -> bool {
+        let mut wants = self.sender.iter().flat_map(Sender::wants);
+        wants.any(|wish| matches!(wish, Wish::Load(own) | Wish::Unload(own) if *own == expert))
+    }
+
+    /// Drops the experts that neither the map in force nor `map` needs, if
+    /// the engine lacks any of `map`: it may have no room for them else.
+    fn make_room(&mut self, map: Map, engine: &State, now: Instant, out: &mut Vec<Command>) {
+        let Some(wanted) = self.experts.get(&map) else {
+            return;
+        };
+        if wanted.iter().all(|expert| engine.experts.contains(expert)) {
+            return;
+        }
+        let Some(used) = self.experts.get(&self.current.map) else {
+            out.push(Command::ReadMap(self.current.map));
+            return;
+        };
+        let is_needed = |expert: &Expert| wanted.contains(expert) || used.contains(expert);
+        let loaded = engine.experts.iter().copied();
+        let unused: Vec<Expert> = loaded.filter(|expert| !is_needed(expert)).collect();
+        for expert in unused {
+            self.order(OrderEvent::Want(Wish::Unload(expert)), now, out);
+        }
+    }
+
     fn load_prepared(&mut self, engine: &State, now: Instant, out: &mut Vec<Command>) {
         let Some((id, map)) = self
             .prepared
@@ -181,6 +209,7 @@
         else {
             return;
         };
+        self.make_room(map, engine, now, out);
         let loaded = self.load(map, engine, now, out);
         if let Some(prepared) = &mut self.prepared
             && loaded
