fix: let an entry keep its part of the endpoints' room between reports

Cause: an entry let requests in only while the endpoints had room by the load that the agents last stated, up to a second ago. At twice the capacity all entries saw full endpoints until the next statement and let nothing in, then all saw empty ones and filled them together: sampled every 200 ms (a trial), the engines' 32 slots held 32, 9, 2, 2, 2, 32, 32 ... requests. Agents now state how many entries have a link, and an entry may always hold its equal part of the room, more if the others left it when last reported.

Ruled out: stating the load at each start and end, which costs a message to each entry for each; fading the others' load, which lets all entries fill the same room. Red before: an_entry_keeps_its_part_of_the_room_while_reports_tell_of_others.

--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -4,7 +4,7 @@
 
 use cactusnotch_base::{Clock, Table};
 use cactusnotch_ledger::{Attempt, Command, Event, Ledger, Link, Reply};
-use cactusnotch_link::Sender;
+use cactusnotch_link::{Role, Sender};
 use cactusnotch_wire::{Announcement, Body};
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
@@ -158,6 +158,7 @@
             slots: inner.slots,
             requests: u32::try_from(inner.ledger.running()).unwrap_or(u32::MAX),
             mine: inner.peers.get(&link).map_or(0, |peer| peer.runs),
+            entries: inner.entries(),
         }
     }
 
@@ -167,6 +168,13 @@
 }
 
 impl Inner {
+    /// Returns the number of entries that have a link.
+    fn entries(&self) -> u32 {
+        let peers = self.peers.values();
+        let entries = peers.filter(|peer| peer.sender.peer().role == Role::Entry);
+        u32::try_from(entries.count()).unwrap_or(u32::MAX)
+    }
+
     fn reply(&mut self, link: Link, reply: Reply) {
         self.send(link, &Body::Reply(reply));
     }
--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -222,6 +222,7 @@
         slots: stated.slots,
         total: load(stated.requests),
         mine: Some(load(stated.mine)),
+        sharers: stated.entries,
         age: Duration::ZERO,
     };
     let mut router = shared.router();
--- a/crates/route/examples/policies/model.rs
+++ b/crates/route/examples/policies/model.rs
@@ -168,6 +168,7 @@
                         requests: my_requests,
                         backlog: my_backlog,
                     }),
+                    sharers: u32::try_from(self.scenario.entries).unwrap_or(u32::MAX),
                     age: self.scenario.lag,
                 };
                 self.policy.report(entry, endpoint, &report, now);
--- a/crates/route/examples/policies/subsets.rs
+++ b/crates/route/examples/policies/subsets.rs
@@ -165,6 +165,7 @@
             slots: 16,
             total,
             mine: None,
+            sharers: 1,
             age: Duration::ZERO,
         };
         router.report(&member.name, &report, now);
--- a/crates/route/src/report.rs
+++ b/crates/route/src/report.rs
@@ -18,6 +18,8 @@
     /// The part of `total` that came from the entry which gets the report;
     /// `None` if the sender does not know.
     pub mine: Option<Load>,
+    /// The entries that send it requests.
+    pub sharers: u32,
     /// How old the statement is, as far as its senders measured that.
     pub age: Duration,
 }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -113,8 +113,9 @@
             .map_or_else(Load::default, |at| self.rows[at].own)
     }
 
-    /// Returns how many more requests the endpoints of a service could take at
-    /// once, if each may hold `ahead` times as many as it has slots.
+    /// Returns how many more requests this entry may send to the endpoints of
+    /// a service at once, if each may hold `ahead` times as many as it has
+    /// slots. It is never less than an equal part among the entries.
     #[must_use]
     pub fn room(&self, service: &Service, ahead: f64) -> u32 {
         let Some(pool) = self.pools.get(service) else {
@@ -122,11 +123,7 @@
         };
         let rows = pool.members.iter().map(|&at| &self.rows[at]);
         let serving = rows.filter(|row| row.state == State::Serving);
-        let free = serving.map(|row| {
-            let held = f64::from(row.own.requests.saturating_add(row.others.requests));
-            (row.slots * ahead - held).max(0.0)
-        });
-        whole(free.sum())
+        whole(serving.map(|row| row.room(ahead)).sum())
     }
 
     /// Returns how long a request of a service holds its slot, as measured.
--- a/crates/route/src/row.rs
+++ b/crates/route/src/row.rs
@@ -31,6 +31,8 @@
     pub(crate) own: Load,
     /// The requests of the other entries, as last reported.
     pub(crate) others: Load,
+    /// The entries that send requests, as last reported.
+    pub(crate) sharers: f64,
     reported: Option<Instant>,
     pub(crate) health: Health,
     /// Measured first-token times as multiples of the undisturbed prediction.
@@ -68,6 +70,7 @@
             state: State::default(),
             own: Load::default(),
             others: Load::default(),
+            sharers: 1.0,
             reported: None,
             health: Health::default(),
             first: Average::default(),
@@ -92,6 +95,7 @@
         }
         self.reported = Some(made);
         self.slots = f64::from(report.slots.max(1));
+        self.sharers = f64::from(report.sharers.max(1));
         self.others = report.total.without(report.mine.unwrap_or(self.own));
         if self.state != State::Unreachable {
             self.state = self.state.max(report.state);
@@ -131,6 +135,16 @@
         )
     }
 
+    /// Returns how many more requests this entry may send, if the endpoint may
+    /// hold `ahead` times as many as it has slots: what the others leave, and
+    /// an equal part in any case, since they may have left more by now.
+    pub(crate) fn room(&self, ahead: f64) -> f64 {
+        let all = self.slots * ahead;
+        let left = all - f64::from(self.others.requests);
+        let part = all / self.sharers;
+        (left.max(part) - f64::from(self.own.requests)).max(0.0)
+    }
+
     /// Returns how slow the endpoint is against the others of its service.
     pub(crate) fn slowness(&self, reference: &Reference, options: &Options, now: Instant) -> f64 {
         let half_life = options.slowness_half_life;
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -67,6 +67,7 @@
             backlog: 0,
         },
         mine: Some(Load::default()),
+        sharers: 1,
         age,
     }
 }
@@ -353,3 +354,25 @@
         "{kept} of 600 links stay when one endpoint goes"
     );
 }
+
+#[test]
+fn an_entry_keeps_its_part_of_the_room_while_reports_tell_of_others() {
+    let service = service();
+    let members = home(1);
+    let mut router = router(&members);
+    let now = Instant::now();
+    let rng = &mut StdRng::seed_from_u64(1);
+    let request = request(&service, &[], &[]);
+    let of_four = |requests| Report {
+        sharers: 4,
+        ..report(requests, Duration::ZERO)
+    };
+    let name = &members[0].name;
+    router.report(name, &of_four(SLOTS), now);
+    assert_eq!(router.room(&service, 1.0), SLOTS / 4, "others hold all");
+    let choice = router.choose(&request, now, rng).expect("serving");
+    router.start(&choice, &request, now);
+    assert_eq!(router.room(&service, 1.0), SLOTS / 4 - 1, "own work counts");
+    router.report(name, &of_four(2), now);
+    assert_eq!(router.room(&service, 1.0), SLOTS - 3, "others left more");
+}
--- a/crates/wire/src/announcement.rs
+++ b/crates/wire/src/announcement.rs
@@ -24,4 +24,6 @@
     pub requests: u32,
     /// The part of `requests` that came by this link.
     pub mine: u32,
+    /// The entries that have a link to the agent.
+    pub entries: u32,
 }
