--- a/crates/lab/examples/load_tables/bench.rs
+++ b/crates/lab/examples/load_tables/bench.rs
@@ -2,13 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cactusnotch_lab::load::{self, Options, Plan, Policy, Report, Targets};
 use cactusnotch_lab::operator::{create, set};
 use cactusnotch_lab::{Failure, Operator, Site};
 use cactusnotch_settings::{Id, Key, Kind, Value};
-use cactusnotch_standins::engine::{self, Engine};
+use cactusnotch_standins::engine::{self, End, Engine};
 
 pub(crate) const ENTRIES: usize = 3;
 pub(crate) const ENGINES: usize = 4;
@@ -18,13 +18,18 @@
 const MODEL: &str = "letters";
 const PATIENCE: Duration = Duration::from_secs(30);
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
-const SEED: u64 = 7;
+/// The requests a second by which the capacity is measured: more than the
+/// engines can answer.
+const FLOOD: f64 = 700.0;
 
-/// How many times the capacity that is guessed is offered to measure it.
-const FLOOD: f64 = 2.0;
+/// How long they arrive, in seconds.
+const FLOOD_SECONDS: u64 = 4;
 
-/// A guess at what the engines answer a second.
-const GUESS: f64 = 250.0;
+/// How long it takes until all slots are full.
+const WARM_UP: Duration = Duration::from_millis(1000);
+
+/// How long completed requests are counted.
+const MEASURED: Duration = Duration::from_millis(2500);
 
 /// The system that is measured, and its capacity.
 pub(crate) struct Bench {
@@ -33,7 +38,6 @@
     pub(crate) capacity: f64,
     /// The wrong answers so far.
     pub(crate) wrong: u64,
-    runs: u64,
 }
 
 /// Where a load goes.
@@ -71,16 +75,8 @@
             site: site()?,
             capacity: 0.0,
             wrong: 0,
-            runs: 0,
-        };
-        let flood = Options {
-            deadline: PATIENCE,
-            ..options(FLOOD * GUESS, 3)
         };
-        let way = Way::Direct(Policy::RoundRobin);
-        let report = bench.load(way, &flood).await?;
-        bench.capacity =
-            report.goodput() * report.arriving.as_secs_f64() / report.time.as_secs_f64();
+        bench.capacity = bench.flood().await?;
         println!(
             "{ENTRIES} entries, {ENGINES} engines of {} slots; {:.0} whole answers/s at most, flooded directly",
             engine_options().slots,
@@ -89,28 +85,54 @@
         Ok(bench)
     }
 
-    /// Returns the options of a load at a fraction of the capacity.
-    pub(crate) fn options(&self, fraction: f64, seconds: u64) -> Options {
-        options(self.capacity * fraction, seconds)
+    /// Floods the engines directly and returns the requests a second that they
+    /// complete while they are full.
+    async fn flood(&mut self) -> Result<f64, Failure> {
+        let way = Way::Direct(Policy::RoundRobin);
+        let addresses = self.addresses(way);
+        let flood = options(FLOOD, FLOOD_SECONDS);
+        let engines = &self.site.engines;
+        let measured = async {
+            tokio::time::sleep(WARM_UP).await;
+            let (start, before) = (Instant::now(), completed(engines));
+            tokio::time::sleep(MEASURED).await;
+            f64::from(completed(engines) - before) / start.elapsed().as_secs_f64()
+        };
+        let (report, capacity) = tokio::join!(run(way, addresses, &flood), measured);
+        self.wrong += report?.wrong;
+        Ok(capacity)
     }
 
-    /// Makes a load against the system.
-    pub(crate) async fn load(&mut self, way: Way, options: &Options) -> Result<Report, Failure> {
-        let addresses = match way {
+    fn addresses(&self, way: Way) -> Vec<SocketAddr> {
+        match way {
             Way::Entries => self.site.callers(),
             Way::Direct(_) => self.site.engines.iter().map(Engine::address).collect(),
-        };
-        self.runs += 1;
-        let options = Options {
-            seed: SEED + self.runs,
-            ..options.clone()
-        };
-        let report = run(way, addresses, &options).await?;
+        }
+    }
+
+    /// Returns the options of a load at a fraction of the capacity, whose
+    /// arrivals and lengths `seed` fixes.
+    pub(crate) fn options(&self, fraction: f64, seconds: u64, seed: u64) -> Options {
+        Options {
+            seed,
+            ..options(self.capacity * fraction, seconds)
+        }
+    }
+
+    /// Makes a load against the system.
+    pub(crate) async fn load(&mut self, way: Way, options: &Options) -> Result<Report, Failure> {
+        let report = run(way, self.addresses(way), options).await?;
         self.wrong += report.wrong;
         Ok(report)
     }
 }
 
+fn completed(engines: &[Engine]) -> u32 {
+    let runs = engines.iter().flat_map(Engine::runs);
+    let count = runs.filter(|run| run.end == End::Completed).count();
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
 /// Makes a load against `addresses`.
 pub(crate) async fn run(
     way: Way,
--- a/crates/lab/examples/load_tables/faults.rs
+++ b/crates/lab/examples/load_tables/faults.rs
@@ -29,7 +29,7 @@
         tries: TRIES,
         keyed: 0.5,
         once: 0.5,
-        ..bench.options(0.5, SECONDS)
+        ..bench.options(0.5, SECONDS, 1)
     };
     for way in Way::ALL {
         let report = match way {
--- a/crates/lab/examples/load_tables/tables.rs
+++ b/crates/lab/examples/load_tables/tables.rs
@@ -18,9 +18,9 @@
     println!("|---|---|---|---|---|---|---|---|---|");
     let mut cost = Vec::new();
     for fraction in [0.1, 0.5] {
-        let options = bench.options(fraction, 2);
         let (mut direct, mut through) = (Rounds::default(), Rounds::default());
-        for _ in 0..3 {
+        for round in 0..3 {
+            let options = bench.options(fraction, 2, round);
             let way = Way::Direct(Policy::RoundRobin);
             direct.reports.push(bench.load(way, &options).await?);
             let before = Cpu::read(&bench.site)?;
@@ -79,7 +79,7 @@
     for way in [Way::Direct(Policy::RoundRobin), Way::Entries] {
         let mut goodput = Vec::new();
         for fraction in [1.0, 2.0] {
-            let options = bench.options(fraction, 5);
+            let options = bench.options(fraction, 5, 1);
             let mut rounds = Rounds::default();
             rounds.reports.push(bench.load(way, &options).await?);
             let label = format!("{:.0}%, {}", fraction * 100.0, way.name());
@@ -100,9 +100,9 @@
     println!("\n## One endpoint {SLOWNESS} times slower, at 65% of the capacity\n");
     println!("{HEAD}");
     bench.site.engines[0].slow(SLOWNESS);
-    let options = bench.options(0.65, 5);
     let mut all: Vec<Rounds> = Way::ALL.iter().map(|_| Rounds::default()).collect();
-    for _ in 0..2 {
+    for round in 0..3 {
+        let options = bench.options(0.65, 4, round);
         for (way, rounds) in Way::ALL.into_iter().zip(&mut all) {
             rounds.reports.push(bench.load(way, &options).await?);
         }
--- a/crates/lab/src/load/plan.rs
+++ b/crates/lab/src/load/plan.rs
@@ -5,6 +5,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp, Zipf};
+use uuid::Uuid;
 
 use super::Options;
 use crate::Failure;
@@ -60,7 +61,7 @@
             let ask = Ask {
                 organisation: organisation(options, rank),
                 model: options.model.clone(),
-                prompt: prompt(options.seed, arrivals.len(), words),
+                prompt: prompt(words),
                 max_tokens: options.answer.draw(&answers, &mut random),
                 key: has_key.then(key),
                 idempotent: Some(!random.random_bool(options.once)),
@@ -73,15 +74,15 @@
 
 /// Returns the organisation of a rank, which counts from one.
 fn organisation(options: &Options, rank: f64) -> String {
-    let mut names = options.organisations.iter().enumerate();
-    let found = names.rfind(|(at, _)| u32::try_from(*at).is_ok_and(|at| f64::from(at) < rank));
-    found.map(|(_, name)| name.clone()).unwrap_or_default()
+    let at = (1..).position(|place| f64::from(place) >= rank);
+    let name = at.and_then(|at| options.organisations.get(at));
+    name.cloned().unwrap_or_default()
 }
 
-/// Returns a prompt that no other request of the plan has.
-fn prompt(seed: u64, number: usize, words: usize) -> String {
+/// Returns a prompt that no other request has, so that no cache holds it.
+fn prompt(words: usize) -> String {
     let rest = (1..words).map(|at| WORDS[at % WORDS.len()]);
-    let first = format!("{seed}/{number}");
+    let first = Uuid::new_v4().to_string();
     std::iter::once(first.as_str())
         .chain(rest)
         .collect::<Vec<_>>()
--- a/crates/lab/src/load/report.rs
+++ b/crates/lab/src/load/report.rs
@@ -18,6 +18,8 @@
     Other,
     /// With an answer that broke off.
     Broken,
+    /// Without a connection.
+    Unconnected,
     /// Without a response.
     Silent,
     /// With the deadline, at which the caller went away.
@@ -130,7 +132,7 @@
             End::Unknown => &mut self.unknown,
             End::Other => &mut self.other,
             End::Broken => &mut self.broken,
-            End::Silent => &mut self.silent,
+            End::Unconnected | End::Silent => &mut self.silent,
             End::Expired => &mut self.expired,
         };
         *count += 1;
--- a/crates/lab/src/load/run.rs
+++ b/crates/lab/src/load/run.rs
@@ -108,7 +108,8 @@
             Ok(Outcome::Refused { outcome, .. }) if outcome == "unknown" => End::Unknown,
             Ok(Outcome::Refused { .. }) => End::Other,
             Err(Error::Late { .. }) => End::Expired,
-            Err(Error::Unconnected { .. } | Error::Silent { .. }) => End::Silent,
+            Err(Error::Unconnected { .. }) => End::Unconnected,
+            Err(Error::Silent { .. }) => End::Silent,
         };
     }
 
@@ -120,22 +121,21 @@
     /// Tells whether the caller sends the request once more, and makes it the
     /// one to send.
     fn goes_on(&mut self, ask: &mut Ask, told: &mut Told) -> bool {
-        if !matches!(told.end, End::Broken | End::Silent) {
-            return false;
+        let may_repeat = ask.idempotent == Some(true);
+        match told.end {
+            End::Unconnected => {}
+            End::Broken | End::Silent if may_repeat || ask.key.is_some() => {}
+            _ => return false,
         }
-        if ask.idempotent == Some(true) {
+        let last = told.answers.last().map(|answer| answer.last_event);
+        ask.after = last.filter(|last| *last > 0 && !may_repeat);
+        if ask.after.is_some() {
+            told.resumed += 1;
+        } else {
             self.text.clear();
             told.answers.clear();
             told.again += 1;
-            return true;
-        }
-        if ask.key.is_none() {
-            return false;
         }
-        let last = told.answers.last().map(|answer| answer.last_event);
-        ask.after = last.filter(|last| *last > 0);
-        told.resumed += u64::from(ask.after.is_some());
-        told.again += u64::from(ask.after.is_none());
         true
     }
 }
