--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -4,13 +4,13 @@
 use std::time::{Duration, Instant};
 
 use cactusnotch_admit::quota::{self, Exchange, Unit};
-use cactusnotch_admit::{Command, Gate, Priority, Refusal, Request, Ticket, Usage};
+use cactusnotch_admit::{Command, Gate, Refusal, Request, Ticket, Usage};
 use cactusnotch_base::name::{Organisation, Process};
 use cactusnotch_base::number::Revision;
 use cactusnotch_base::{Clock, Table};
 use cactusnotch_node::{Node, View};
 use cactusnotch_route::Service;
-use cactusnotch_settings::{Resolved, resolved};
+use cactusnotch_settings::resolved;
 use cactusnotch_spread::Standing;
 use cactusnotch_wire::Body;
 use tokio::sync::broadcast::Receiver;
@@ -21,6 +21,7 @@
 use crate::caps;
 use crate::problem::Problem;
 use crate::shared::Shared;
+use crate::terms;
 
 /// How many times as many requests as it has slots an endpoint may hold, so
 /// that a slot that gets free is filled at once.
@@ -29,10 +30,6 @@
 /// How often the queues are looked at without any other reason.
 const TICK: Duration = Duration::from_millis(50);
 
-/// The least and the greatest priority of the settings that are neither low
-/// nor high.
-const NORMAL: std::ops::RangeInclusive<u64> = 3..=6;
-
 /// The place of a request in the queue of its service.
 type Place = (Service, Ticket);
 
@@ -163,12 +160,12 @@
     let request = Request {
         organisation: name,
         share: u32::try_from(values.concurrency_floor.saturating_add(1)).unwrap_or(u32::MAX),
-        priority: priority(values.priority),
+        priority: terms::priority(values.priority),
         cost: 1.0,
         deadline: now + values.deadline,
         run,
     };
-    let total = queue_bound(&shared.settings(), service);
+    let total = terms::queue_bound(&shared.settings(), service);
     let mut commands = Vec::new();
     let mut inner = shared.admission.lock();
     let gate = inner.gates.get_or_insert_with(service.clone(), || {
@@ -364,28 +361,6 @@
     }
 }
 
-/// Returns how many requests may wait for a service.
-fn queue_bound(settings: &Resolved, service: &Service) -> usize {
-    let Service::Model(model) = service else {
-        return cactusnotch_admit::Options::default().total;
-    };
-    let groups = settings.groups().values();
-    let serving = groups.filter(|group| group.model == model.as_str());
-    let bounds = serving.map(|group| group.queue_bound);
-    let bound = bounds.max().unwrap_or_default();
-    usize::try_from(bound).unwrap_or(usize::MAX)
-}
-
-const fn priority(value: u64) -> Priority {
-    if value > *NORMAL.end() {
-        Priority::High
-    } else if value < *NORMAL.start() {
-        Priority::Low
-    } else {
-        Priority::Normal
-    }
-}
-
 fn refused(refusal: &Refusal) -> Problem {
     Problem::unavailable(refusal.reason.to_string(), refusal.retry_after)
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,6 +27,7 @@
 mod shared;
 mod status;
 mod stopping;
+mod terms;
 mod tickets;
 
 pub use options::Options;
--- /dev/null
+++ b/crates/entry/src/terms.rs
@@ -0,0 +1,32 @@
+//! On which terms requests wait, by the settings.
+
+use cactusnotch_admit::Priority;
+use cactusnotch_route::Service;
+use cactusnotch_settings::Resolved;
+
+/// The least and the greatest priority of the settings that are neither low
+/// nor high.
+const NORMAL: std::ops::RangeInclusive<u64> = 3..=6;
+
+/// Returns how many requests may wait for a service.
+pub(crate) fn queue_bound(settings: &Resolved, service: &Service) -> usize {
+    let Service::Model(model) = service else {
+        return cactusnotch_admit::Options::default().total;
+    };
+    let groups = settings.groups().values();
+    let serving = groups.filter(|group| group.model == model.as_str());
+    let bounds = serving.map(|group| group.queue_bound);
+    let bound = bounds.max().unwrap_or_default();
+    usize::try_from(bound).unwrap_or(usize::MAX)
+}
+
+/// Returns the priority that a value of the settings stands for.
+pub(crate) const fn priority(value: u64) -> Priority {
+    if value > *NORMAL.end() {
+        Priority::High
+    } else if value < *NORMAL.start() {
+        Priority::Low
+    } else {
+        Priority::Normal
+    }
+}
