feat: name every metric in the table and honour key-lifetime

Cause: eleven counters of the drivers were in no table, so the operators' page did not have them, and requests, runs and first pieces were not counted at all. The setting key-lifetime was read nowhere and allowed up to 7 days, which nothing remembers: it now refuses keys that carry an older time, up to the 15 minutes that agents and claims remember.

--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -10,6 +10,7 @@
 use cactusnotch_link::{self as link, Identity, Listener, Receiver};
 use cactusnotch_member::{self as member, Record, Role};
 use cactusnotch_node::Node;
+use cactusnotch_telemetry::metric;
 use cactusnotch_telemetry::trace::{Context, Span};
 use cactusnotch_wire::{Body, Call, Dispatch};
 use tokio::task::JoinHandle;
@@ -238,6 +239,7 @@
         }
     };
     shared.state.step(event);
+    metrics::counter!(metric::AGENT_RUNS, "outcome" => outcome).increment(1);
     span.finish(outcome);
 }
 
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -5,6 +5,7 @@
 use cactusnotch_base::{Clock, Table};
 use cactusnotch_ledger::{Attempt, Command, Event, Ledger, Link, Reply};
 use cactusnotch_link::{Role, Sender};
+use cactusnotch_telemetry::metric;
 use cactusnotch_wire::{Announcement, Body};
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
@@ -186,7 +187,7 @@
             return;
         };
         if peer.sender.try_send(body).is_err() {
-            metrics::counter!("cactusnotch_agent_links_overrun_total").increment(1);
+            metrics::counter!(metric::AGENT_LINKS_OVERRUN).increment(1);
             self.peers.remove(&link);
         }
     }
--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -9,6 +9,7 @@
 use cactusnotch_ledger::Terms;
 use cactusnotch_link::{Receiver, Sender, dial};
 use cactusnotch_route::{Report, State};
+use cactusnotch_telemetry::metric;
 use cactusnotch_wire::{Announcement, Body};
 use tokio::task::JoinHandle;
 
@@ -83,7 +84,7 @@
         let address = roster::agent(&shared.node.view(), endpoint);
         let mut rows = self.lock();
         if let Some(address) = address.filter(|_| !rows.contains(endpoint)) {
-            metrics::counter!("cactusnotch_entry_links_beyond_subset_total").increment(1);
+            metrics::counter!(metric::ENTRY_LINKS_BEYOND_SUBSET).increment(1);
             let agent = Agent::dial(endpoint, address, shared);
             rows.insert(endpoint.clone(), agent);
         }
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use cactusnotch_base::Clock;
+use cactusnotch_telemetry::metric;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 
@@ -39,7 +40,7 @@
     };
     Ok(answered.unwrap_or_else(|problem| {
         let outcome = problem.outcome.to_string();
-        metrics::counter!("cactusnotch_entry_refusals_total", "outcome" => outcome).increment(1);
+        metrics::counter!(metric::ENTRY_REFUSALS, "outcome" => outcome).increment(1);
         problem.response()
     }))
 }
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -9,6 +9,7 @@
 use cactusnotch_ledger::{Attempt, Link};
 use cactusnotch_member::{Role, State};
 use cactusnotch_platform::http::Client;
+use cactusnotch_telemetry::metric;
 use cactusnotch_wire::{Body, claim};
 use tokio::sync::{Notify, oneshot};
 use uuid::Uuid;
@@ -165,7 +166,7 @@
     if let Ok(answer) = answer {
         return answer.ok();
     }
-    metrics::counter!("cactusnotch_entry_claim_owner_timeouts_total").increment(1);
+    metrics::counter!(metric::ENTRY_CLAIM_OWNER_TIMEOUTS).increment(1);
     let until = shared.clock.now() + OWNER_SUSPECT;
     lock(&shared.claims.suspects).insert(owner.clone(), until);
     None
@@ -197,7 +198,7 @@
 fn carry_out<C: Clock>(shared: &Arc<Shared<C>>, index: u32, command: Command) {
     match command {
         Command::Put { number, batch } => {
-            metrics::counter!("cactusnotch_entry_claim_batches_total").increment(1);
+            metrics::counter!(metric::ENTRY_CLAIM_BATCHES).increment(1);
             call(shared, index, move |store| {
                 Some(calls::put(store, index, number, &batch))
             });
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -9,17 +9,17 @@
 use cactusnotch_base::number::Sequence;
 use cactusnotch_base::outcome::Key;
 use cactusnotch_base::{Clock, Outcome};
+use cactusnotch_claim as claim;
 use cactusnotch_claim::kind::{self, Bare};
 use cactusnotch_ledger::message::Repeat;
 use cactusnotch_ledger::{Attempt, Identity};
 use cactusnotch_route::{Service, prefix};
 use cactusnotch_settings::{Resolved, resolved};
 use cactusnotch_spread::Standing;
-use cactusnotch_telemetry::trace::{Context, HEADER as TRACEPARENT, Span};
+use cactusnotch_telemetry::trace::{Context, Span};
 use cactusnotch_wire::Call;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderMap};
 use hyper::{Request, Response, StatusCode};
 use rand::Rng;
 use serde::Deserialize;
@@ -29,23 +29,12 @@
 use crate::admission;
 use crate::body::Body;
 use crate::drive::{self, Job};
+use crate::manner::{LAST_EVENT_ID, Manner, ORGANISATION, text};
 use crate::output::Output;
 use crate::problem::Problem;
 use crate::shared::Shared;
 use crate::tickets;
 
-/// The header that names the caller's organisation.
-const ORGANISATION: &str = "openai-organization";
-
-/// The header that names a request across retries.
-const IDEMPOTENCY_KEY: &str = "idempotency-key";
-
-/// The header that says whether a request may be repeated.
-const IDEMPOTENT: &str = "cactusnotch-idempotent";
-
-/// The header that names the last event that a caller has.
-const LAST_EVENT_ID: &str = "last-event-id";
-
 /// The name of the entry's span of a request.
 const SPAN: &str = "entry";
 
@@ -61,17 +50,6 @@
     model: String,
 }
 
-/// What a caller said about a request besides its payload.
-#[derive(Debug)]
-struct Manner {
-    organisation: Organisation,
-    key: Option<Key>,
-    repeat: Option<Repeat>,
-    after: Sequence,
-    trace: Option<String>,
-    content_type: Option<String>,
-}
-
 /// Answers a request for a completion.
 pub(crate) async fn answer<C: Clock>(
     shared: &Arc<Shared<C>>,
@@ -214,13 +192,17 @@
         Bare::Refuse
     };
     let wall = shared.clock.wall();
-    let options = &shared.options.claim;
+    let memory = &shared.options.claim;
+    let options = claim::Options {
+        lifetime: organisation.key_lifetime.min(memory.lifetime),
+        ..memory.clone()
+    };
     match kind::way(
         key,
         &manner.organisation,
         &shared.signer,
         bare,
-        options,
+        &options,
         wall,
     ) {
         Ok(kind::Way::Claim) => Ok(Way::Claim),
@@ -255,47 +237,6 @@
     tickets::issue(shared, manner.organisation, &wish)
 }
 
-impl Manner {
-    fn read(headers: &HeaderMap) -> Result<Self, Problem> {
-        let organisation = text(headers, ORGANISATION)?
-            .ok_or_else(|| Problem::malformed(format!("the header {ORGANISATION} is missing")))?;
-        let repeat = match text(headers, IDEMPOTENT)? {
-            None => None,
-            Some("true") => Some(Repeat::Idempotent),
-            Some("false") => Some(Repeat::Once),
-            Some(other) => {
-                let detail = format!("header {IDEMPOTENT}: {other:?} is neither true nor false");
-                return Err(Problem::malformed(detail));
-            }
-        };
-        let after = match text(headers, LAST_EVENT_ID)? {
-            None => Sequence::default(),
-            Some(number) => number.parse().map(Sequence).map_err(|_| {
-                Problem::malformed(format!("header {LAST_EVENT_ID}: {number:?} is no number"))
-            })?,
-        };
-        Ok(Self {
-            organisation: Organisation::new(organisation),
-            key: text(headers, IDEMPOTENCY_KEY)?.map(Key::new),
-            repeat,
-            after,
-            trace: text(headers, TRACEPARENT)?.map(str::to_owned),
-            content_type: text(headers, CONTENT_TYPE.as_str())?.map(str::to_owned),
-        })
-    }
-}
-
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Problem> {
-    headers
-        .get(name)
-        .map(|value| {
-            value
-                .to_str()
-                .map_err(|_| Problem::malformed(format!("header {name}: it is not plain text")))
-        })
-        .transpose()
-}
-
 fn target(request: &Request<Incoming>) -> (String, String) {
     let path = request
         .uri()
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -11,6 +11,7 @@
 use cactusnotch_ledger::{Attempt, Request, Terms};
 use cactusnotch_route::attempt::End;
 use cactusnotch_route::{self as route, Service};
+use cactusnotch_telemetry::metric;
 use cactusnotch_telemetry::trace::Span;
 use cactusnotch_wire::{Body, Call, Dispatch};
 use tokio::sync::mpsc;
@@ -55,6 +56,7 @@
     conversation: Option<Attempt>,
     routed: Option<route::Attempt>,
     pieces: u32,
+    started: Instant,
     output: Output,
     /// How the request ended, for its span.
     ended: &'static str,
@@ -78,6 +80,7 @@
         conversation: None,
         routed: None,
         pieces: 0,
+        started: now,
         output,
         ended: GONE,
     };
@@ -93,6 +96,7 @@
     }
     drive.finish_route(End::Withdrawn);
     drive.hang_up();
+    metrics::counter!(metric::ENTRY_REQUESTS, "outcome" => drive.ended).increment(1);
     drive.job.span.finish(drive.ended);
 }
 
@@ -228,6 +232,10 @@
     async fn piece(&mut self, sequence: Sequence, data: Bytes) -> Option<Event> {
         self.pieces += 1;
         let now = self.now();
+        if self.pieces == 1 {
+            let waited = now.saturating_duration_since(self.started);
+            metrics::histogram!(metric::ENTRY_FIRST_PIECE).record(waited);
+        }
         if let Some(routed) = &mut self.routed {
             self.shared.router().first_piece(routed, now);
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod completion;
 mod drive;
 mod mailbox;
+mod manner;
 mod models;
 mod operator;
 mod options;
--- a/crates/entry/src/mailbox.rs
+++ b/crates/entry/src/mailbox.rs
@@ -6,6 +6,7 @@
 use cactusnotch_base::Table;
 use cactusnotch_base::name::Endpoint;
 use cactusnotch_ledger::{Attempt, Reply};
+use cactusnotch_telemetry::metric;
 use tokio::sync::mpsc;
 
 /// The replies that may wait for one request; one that falls further behind
@@ -51,7 +52,7 @@
             return;
         };
         if slot.endpoint != *endpoint {
-            metrics::counter!("cactusnotch_entry_foreign_replies_total").increment(1);
+            metrics::counter!(metric::ENTRY_FOREIGN_REPLIES).increment(1);
             return;
         }
         if slot.sender.try_send(Event::Reply(reply)).is_err() {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -9,6 +9,7 @@
 use cactusnotch_link::Listener;
 use cactusnotch_member::{Record, Role, State};
 use cactusnotch_node::Node;
+use cactusnotch_telemetry::metric;
 use derive_more::{Display, Error};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -211,7 +212,7 @@
         }
     };
     if let Err(error) = served {
-        metrics::counter!("cactusnotch_entry_connections_broken_total").increment(1);
+        metrics::counter!(metric::ENTRY_CONNECTIONS_BROKEN).increment(1);
         tracing::debug!(%error, ?peer, "caller's connection broke");
     }
 }
--- a/crates/group/src/membership.rs
+++ b/crates/group/src/membership.rs
@@ -12,6 +12,7 @@
 use cactusnotch_switch::engine::{Expert, State, Wish};
 use cactusnotch_switch::rank::{Command, Event, Member, Retirement};
 use cactusnotch_switch::{Map, Message, Peer, Rank, Switch, View};
+use cactusnotch_telemetry::metric;
 use cactusnotch_wire::group::Body;
 
 use crate::Post;
@@ -221,7 +222,7 @@
                 tracing::debug!(%id, committed = switch.is_some(), "proposal decided");
             }
             Command::InForce(switch) => {
-                metrics::counter!("cactusnotch_group_switches_total").increment(1);
+                metrics::counter!(metric::GROUP_SWITCHES).increment(1);
                 tracing::info!(
                     epoch = %switch.map.epoch,
                     from = %switch.from,
--- a/crates/group/src/planning.rs
+++ b/crates/group/src/planning.rs
@@ -5,6 +5,7 @@
 use cactusnotch_base::name::Process;
 use cactusnotch_placement::{Map as Content, Planner, State};
 use cactusnotch_popularity::Report;
+use cactusnotch_telemetry::metric;
 
 use crate::Planning;
 
@@ -34,7 +35,7 @@
     pub(crate) fn observe(&mut self, reports: &[Report], now: Instant) {
         for report in reports {
             if let Err(error) = self.planner.observe(report, now) {
-                metrics::counter!("cactusnotch_group_reports_uncounted_total").increment(1);
+                metrics::counter!(metric::GROUP_REPORTS_UNCOUNTED).increment(1);
                 tracing::debug!(%error, "report not counted");
             }
         }
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -10,6 +10,7 @@
 use cactusnotch_platform::object::{Condition, Path, Version};
 use cactusnotch_platform::store::{Error, Store};
 use cactusnotch_spread::{Answer, Call, Span};
+use cactusnotch_telemetry::metric;
 
 use crate::payload;
 
@@ -32,7 +33,7 @@
         }
     };
     answer.unwrap_or_else(|error| {
-        metrics::counter!("cactusnotch_node_platform_failures_total").increment(1);
+        metrics::counter!(metric::NODE_PLATFORM_FAILURES).increment(1);
         tracing::debug!(%error, "call to the platform failed");
         Answer::Unanswered
     })
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -13,6 +13,7 @@
 use cactusnotch_spread::{
     self as spread, Answer, Call, Command, Message, Span, Standing, Status, Ticket,
 };
+use cactusnotch_telemetry::metric;
 use cactusnotch_wire::Body;
 use tokio::runtime::Handle;
 use tokio::sync::{broadcast, watch};
@@ -265,7 +266,7 @@
         };
         let taken = self.replica.offer(&offer);
         if taken.is_held() {
-            metrics::gauge!("cactusnotch_node_revision").set(precise(span.through.0));
+            metrics::gauge!(metric::NODE_REVISION).set(precise(span.through.0));
             tracing::info!(revision = %span.through, "settings in force in this process");
             let tree = Arc::new(self.replica.tree().clone());
             self.passed.push((self.replica.revision(), tree));
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -94,11 +94,12 @@
         name: "key-lifetime",
         shape: Shape::Duration {
             min: SECOND,
-            max: 7 * DAY,
+            max: 15 * MINUTE,
         },
         unit: "time",
-        default: Preset::Duration(DAY),
-        doc: "How long the key of a non-idempotent request is remembered.",
+        default: Preset::Duration(15 * MINUTE),
+        doc: "The age from which a key that carries its time is refused. Keys are remembered for \
+              15 minutes, which no setting extends.",
         kinds: FOR_CALLERS,
     },
     Spec {
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -55,6 +55,30 @@
 }
 
 metrics! {
+    AGENT_LINKS_OVERRUN = "cactusnotch_agent_links_overrun_total", Counter, Count, [],
+        "Links that an agent gave up since the entry took its pieces too slowly.";
+    AGENT_RUNS = "cactusnotch_agent_runs_total", Counter, Count, ["outcome"],
+        "Runs at the endpoint, by outcome: ok, not-run or unknown.";
+    ENTRY_CLAIM_BATCHES = "cactusnotch_entry_claim_batches_total", Counter, Count, [],
+        "Batches of claims that this entry tried to record in the platform.";
+    ENTRY_CLAIM_OWNER_TIMEOUTS = "cactusnotch_entry_claim_owner_timeouts_total", Counter, Count, [],
+        "Claims that another entry was asked to record and did not answer in time.";
+    ENTRY_CONNECTIONS_BROKEN = "cactusnotch_entry_connections_broken_total", Counter, Count, [],
+        "Callers' connections that broke or sent no valid HTTP.";
+    ENTRY_FIRST_PIECE = "cactusnotch_entry_first_piece_seconds", Histogram, Seconds, [],
+        "Time from a request's start, after it was let in, to its answer's first piece.";
+    ENTRY_FOREIGN_REPLIES = "cactusnotch_entry_foreign_replies_total", Counter, Count, [],
+        "Replies that came from another endpoint than the one asked, and were dropped.";
+    ENTRY_LINKS_BEYOND_SUBSET = "cactusnotch_entry_links_beyond_subset_total", Counter, Count, [],
+        "Links made to agents outside the entry's subset, for held runs and tickets.";
+    ENTRY_REFUSALS = "cactusnotch_entry_refusals_total", Counter, Count, ["outcome"],
+        "Requests refused before an endpoint was asked, by outcome.";
+    ENTRY_REQUESTS = "cactusnotch_entry_requests_total", Counter, Count, ["outcome"],
+        "Requests that were let in, by outcome: ok, not-run, unknown or caller-gone.";
+    GROUP_REPORTS_UNCOUNTED = "cactusnotch_group_reports_uncounted_total", Counter, Count, [],
+        "Reports of ranks that were repeated, too old or invalid.";
+    GROUP_SWITCHES = "cactusnotch_group_switches_total", Counter, Count, [],
+        "Expert maps that came in force at this rank.";
     LINK_BYTES = "cactusnotch_link_bytes_total", Counter, Bytes, ["direction"],
         "Bytes on the links between processes, handshakes and framing included.";
     LINK_CLOSED = "cactusnotch_link_closed_total", Counter, Count, ["reason"],
@@ -66,6 +90,10 @@
         "Messages on the links between processes.";
     LINK_OPENED = "cactusnotch_link_opened_total", Counter, Count, [],
         "Links that have been opened.";
+    NODE_PLATFORM_FAILURES = "cactusnotch_node_platform_failures_total", Counter, Count, [],
+        "Calls to the platform for settings and roster that brought no answer.";
+    NODE_REVISION = "cactusnotch_node_revision", Gauge, Count, [],
+        "The revision of the settings in force in this process.";
     PROCESS_CPU = "process_cpu_microseconds_total", Counter, Microseconds, [],
         "User and system processor time of the process.";
     PROCESS_RESIDENT = "process_resident_memory_bytes", Gauge, Bytes, [],
