fix: leave no endpoint without an entry that knows it

Cause: with 16 endpoints an entry, two entries before 60 endpoints knew 32 of them at most and left 28 idle. A subset is now at least as large as it takes for each endpoint to be known to two entries on the mean.

--- a/crates/entry/src/roster.rs
+++ b/crates/entry/src/roster.rs
@@ -15,6 +15,10 @@
 /// The requests that an endpoint runs at once until it has said so itself.
 const SLOTS_ASSUMED: u32 = 8;
 
+/// How many entries know an endpoint at the least, on the mean, so that a few
+/// entries before many endpoints leave none of them idle.
+const COVER: usize = 2;
+
 /// Keeps the routing table and the links in line with settings and roster.
 pub(crate) async fn follow<C: Clock>(shared: Arc<Shared<C>>) {
     let mut views = shared.node.views();
@@ -59,7 +63,8 @@
             .filter(|member| member.services.contains(service))
             .collect();
         let endpoints: Vec<&str> = serving.iter().map(|member| member.name.as_str()).collect();
-        let size = subset_size(&view.settings, service);
+        let least = COVER * endpoints.len().div_ceil(entries.len().max(1));
+        let size = subset_size(&view.settings, service).max(least);
         for at in subset::of(own.as_str(), &entries, &endpoints, size) {
             names.insert(serving[at].name.clone(), ());
         }
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -186,8 +186,9 @@
             max: 10_000,
         },
         unit: "endpoints",
-        default: Preset::Integer(16),
-        doc: "The endpoints of a model group that one entry knows.",
+        default: Preset::Integer(8),
+        doc: "The endpoints of a model group that one entry knows; more where there are few entries, \
+              so that each endpoint is known to two of them on the mean.",
         kinds: FOR_SERVING,
     },
     Spec {
