--- a/crates/lab/examples/load_tables/bench.rs
+++ b/crates/lab/examples/load_tables/bench.rs
@@ -26,7 +26,7 @@
 const FLOOD_SECONDS: u64 = 4;
 
 /// How long it takes until all slots are full.
-const WARM_UP: Duration = Duration::from_millis(1000);
+const WARM_UP: Duration = Duration::from_secs(1);
 
 /// How long completed requests are counted.
 const MEASURED: Duration = Duration::from_millis(2500);
--- a/crates/lab/examples/load_tables/tables.rs
+++ b/crates/lab/examples/load_tables/tables.rs
@@ -1,7 +1,7 @@
 //! The tables of a system without faults.
 
 use cactusnotch_lab::Failure;
-use cactusnotch_lab::load::{Cpu, Policy};
+use cactusnotch_lab::load::{Cpu, Policy, Report};
 
 use crate::bench::{Bench, Way};
 use crate::rounds::{Rounds, median, millis};
@@ -40,7 +40,7 @@
 
 fn print_hop(fraction: f64, name: &str, rounds: &Rounds) {
     print!("| {:.0}% | {name} |", fraction * 100.0);
-    print!(" {:.0} |", rounds.median(|report| report.throughput()));
+    print!(" {:.0} |", rounds.median(Report::throughput));
     for quantile in [0.5, 0.95, 0.99] {
         print!(" {:.1} |", rounds.first(quantile));
     }
@@ -54,22 +54,20 @@
     println!("\n## Processor time at half the capacity\n");
     println!("| process | ms a request | µs a token |");
     println!("|---|---|---|");
+    print_process("entry", cost, |cpu| millis(cpu.entries));
+    print_process("agent", cost, |cpu| millis(cpu.agents));
+}
+
+fn print_process(name: &str, cost: &[(Cpu, u64, u64)], time: impl Fn(&Cpu) -> f64) {
     let count = |count: u64| u32::try_from(count).map_or(f64::NAN, f64::from);
-    let times: [(&str, fn(&Cpu) -> std::time::Duration); 2] =
-        [("entry", |cpu| cpu.entries), ("agent", |cpu| cpu.agents)];
-    for (name, time) in times {
-        let requests = cost
-            .iter()
-            .map(|(cpu, requests, _)| millis(time(cpu)) / count(*requests));
-        let tokens = cost
-            .iter()
-            .map(|(cpu, _, tokens)| millis(time(cpu)) / count(*tokens));
-        println!(
-            "| {name} | {:.2} | {:.0} |",
-            median(requests.collect()),
-            median(tokens.collect()) * 1_000.0
-        );
-    }
+    let requests = cost
+        .iter()
+        .map(|(cpu, requests, _)| time(cpu) / count(*requests));
+    let tokens = cost
+        .iter()
+        .map(|(cpu, _, tokens)| time(cpu) / count(*tokens));
+    let (requests, tokens) = (median(requests.collect()), median(tokens.collect()));
+    println!("| {name} | {requests:.2} | {:.0} |", tokens * 1_000.0);
 }
 
 /// Prints goodput at and beyond the capacity.
@@ -84,7 +82,7 @@
             rounds.reports.push(bench.load(way, &options).await?);
             let label = format!("{:.0}%, {}", fraction * 100.0, way.name());
             print_row(&label, &rounds);
-            goodput.push(rounds.median(|report| report.goodput()));
+            goodput.push(rounds.median(Report::goodput));
         }
         println!(
             "| {}: goodput at twice the capacity / at the capacity | | {:.2} | | | | | | | | | | |",
@@ -119,9 +117,8 @@
 |---|---|---|---|---|---|---|---|---|---|---|---|---|";
 
 pub(crate) fn print_row(name: &str, rounds: &Rounds) {
-    let offered = rounds.median(|report| report.goodput() / report.good_fraction().max(1e-9));
-    print!("| {name} | {offered:.0} |");
-    print!(" {:.0} |", rounds.median(|report| report.goodput()));
+    print!("| {name} | {:.0} |", rounds.median(Report::rate));
+    print!(" {:.0} |", rounds.median(Report::goodput));
     let good = rounds.median(|report| report.good_fraction() * 100.0);
     print!(" {good:.1} |");
     for quantile in [0.5, 0.95, 0.99] {
--- a/crates/lab/src/load/plan.rs
+++ b/crates/lab/src/load/plan.rs
@@ -74,9 +74,9 @@
 
 /// Returns the organisation of a rank, which counts from one.
 fn organisation(options: &Options, rank: f64) -> String {
-    let at = (1..).position(|place| f64::from(place) >= rank);
-    let name = at.and_then(|at| options.organisations.get(at));
-    name.cloned().unwrap_or_default()
+    let mut places = (1u32..).zip(&options.organisations);
+    let found = places.find(|(place, _)| f64::from(*place) >= rank);
+    found.map(|(_, name)| name.clone()).unwrap_or_default()
 }
 
 /// Returns a prompt that no other request has, so that no cache holds it.
--- a/crates/lab/src/load/report.rs
+++ b/crates/lab/src/load/report.rs
@@ -31,6 +31,8 @@
 pub(crate) struct Told {
     pub(crate) at: Duration,
     pub(crate) late: Duration,
+    /// When it ended, after the begin of the load.
+    pub(crate) ended: Duration,
     pub(crate) end: End,
     pub(crate) is_wrong: bool,
     pub(crate) again: u64,
@@ -54,6 +56,8 @@
     pub offered: u64,
     /// Those that got their whole answer in time.
     pub good: u64,
+    /// Those of them whose answer ended while requests arrived.
+    pub good_meanwhile: u64,
     /// Those that were refused as not run.
     pub not_run: u64,
     /// Those of which it is unknown whether they ran.
@@ -89,10 +93,17 @@
 }
 
 impl Report {
-    /// Returns the whole answers in time for each second of arrivals.
+    /// Returns the whole answers in time that ended while requests arrived,
+    /// for each second of that. What a queue holds at the end does not count.
     #[must_use]
     pub fn goodput(&self) -> f64 {
-        per_second(self.good, self.arriving)
+        per_second(self.good_meanwhile, self.arriving)
+    }
+
+    /// Returns the requests a second.
+    #[must_use]
+    pub fn rate(&self) -> f64 {
+        per_second(self.offered, self.arriving)
     }
 
     /// Returns the tokens for each second until the last request had ended.
@@ -138,6 +149,7 @@
         *count += 1;
         let is_good = told.end == End::Whole;
         if is_good {
+            self.good_meanwhile += u64::from(told.ended <= self.arriving);
             told.answers
                 .iter()
                 .for_each(|answer| self.figures.add(answer));
--- a/crates/lab/src/load/run.rs
+++ b/crates/lab/src/load/run.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -63,6 +63,7 @@
         let mut told = Told {
             at: arrival.at,
             late: self.start.elapsed(),
+            ended: Duration::ZERO,
             end: End::Silent,
             is_wrong: false,
             again: 0,
@@ -80,6 +81,7 @@
                 .ask(address, &ask, self.start, self.until)
                 .await;
             self.take(asked, &mut told);
+            told.ended = arrival.at + self.start.elapsed();
             if left == 0 || !self.goes_on(&mut ask, &mut told) {
                 return told;
             }
