--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -162,8 +162,7 @@
         share: u32::try_from(values.concurrency_floor.saturating_add(1)).unwrap_or(u32::MAX),
         priority: terms::priority(values.priority),
         cost: 1.0,
-        // The answer has to begin within its time too.
-        deadline: now + values.deadline.min(values.first_token_deadline + run),
+        deadline: now + values.deadline,
         run,
     };
     let total = terms::queue_bound(&shared.settings(), service);
