feat: compare one caller through an entry with one at an engine

Cause: the quick start compared one caller at an engine with 24 callers through entries, which mixes the hop with the load. One caller goes both ways now, in the same run.

--- a/crates/lab/examples/quickstart.rs
+++ b/crates/lab/examples/quickstart.rs
@@ -143,6 +143,10 @@
         for number in 0..REQUESTS_EACH {
             direct.add(&whole(&caller, engine, &ask(CALLERS, number))?);
         }
+        let mut alone = Figures::default();
+        for number in 0..REQUESTS_EACH {
+            alone.add(&whole(&caller, addresses[0], &ask(CALLERS + 1, number))?);
+        }
         let start = Instant::now();
         let threads: Vec<_> = (0..CALLERS)
             .map(|number| {
@@ -163,6 +167,7 @@
             figures.answers()
         );
         println!("one caller at an engine: {direct}");
+        println!("one caller through an entry: {alone}");
         println!("{CALLERS} callers through entries: {figures}");
         Ok(())
     }
