fix: let a link's queue hold the answers that are sent again at once

Cause: an agent queues what it sends and closes a link whose queue is full. The queue held 1,024 messages. 40 callers who resume, or whose entry lost its link, get all kept pieces of their runs at once, which are more than that; the link was closed, dialled again and closed by the same pieces, until the entries gave the runs up after three seconds. The queue holds 65,536 messages now; its bytes stay bounded by 16 MiB. Ruled out: waiting for room, which would hold the agent's one lock.

--- a/crates/link/src/options.rs
+++ b/crates/link/src/options.rs
@@ -47,7 +47,7 @@
             handshake_limit: 4 << 10,
             pending_handshakes: 256,
             frame_limit: 4 << 20,
-            queue_messages: 1024,
+            queue_messages: 1 << 16,
             queue_bytes: 16 << 20,
             ping_interval: Duration::from_secs(2),
             idle_timeout: Duration::from_secs(6),
