fix: keep runs without a key when only the link broke

Cause: a run whose caller gave no key ends as soon as nobody listens, and an agent took a broken link for an entry that went away. A connection that broke for a moment cut all streams without a key off, though the entry dials again within 50 ms. Agents wait three seconds for the entry, as entries wait for an agent. A caller who goes away frees its slot at once as before; the runs of an entry that dies go on three seconds longer. Ruled out: a longer linger time, which would keep the slots of callers who went away.

--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -30,6 +30,10 @@
 /// How often a planned stop looks whether the platform has the record.
 const GLANCE: Duration = Duration::from_millis(50);
 
+/// How long an entry whose link broke may take to come back before its runs
+/// count as left alone; entries wait as long for an agent.
+const RECONNECT: Duration = Duration::from_secs(3);
+
 /// How long a planned stop waits for the platform to take the record away.
 const PATIENCE: Duration = Duration::from_secs(5);
 
@@ -193,6 +197,9 @@
             }
         }
     }
+    shared.state.close(link);
+    // The entry dials again at once if only the connection broke.
+    tokio::time::sleep(RECONNECT).await;
     shared.state.step(Event::LinkLost(link));
 }
 
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -77,6 +77,11 @@
         link
     }
 
+    /// Sends nothing more on a link that broke.
+    pub(crate) fn close(&self, link: Link) {
+        self.lock().peers.remove(&link);
+    }
+
     /// Takes one event and returns the attempt that is to be started, if any.
     pub(crate) fn step(&self, event: Event) -> Option<Attempt> {
         let mut inner = self.lock();
