--- a/docs/capacity.sh
+++ b/docs/capacity.sh
@@ -5,6 +5,7 @@
 cargo build --release --workspace --bins
 run() { echo "== $1 $2"; cargo run --release -q -p "cactusnotch-$1" --example "$2"; }
 run lab capacity
+run lab load_tables
 run spread spread_cost
 run claim claims
 run ledger memory
