refactor: name the client of the project's own object API objects

Cause: the port needs a folder platform/ for the users' platform, and a crate of the same name that speaks another protocol would be mistaken for it. Ruled out: keeping both names, which no reader could tell apart. Before and after: no line of behaviour changes; the workspace checks as before.

--- a/crates/cactusnotch/src/command/entry.rs
+++ b/crates/cactusnotch/src/command/entry.rs
@@ -10,8 +10,8 @@
 use cactusnotch_entry::{self as server, Server};
 use cactusnotch_link::Role;
 use cactusnotch_node as node;
+use cactusnotch_objects::http;
 use cactusnotch_options::{Common, checked, common};
-use cactusnotch_platform::http;
 use cactusnotch_telemetry::service;
 use tokio::signal::unix::{SignalKind, signal};
 
--- a/crates/cactusnotch/src/command/settings/edit.rs
+++ b/crates/cactusnotch/src/command/settings/edit.rs
@@ -1,7 +1,7 @@
 //! The commands that edit one node.
 
 use cactusnotch_history::{self as history, Replica, Verdict, Writer};
-use cactusnotch_platform::http::Client;
+use cactusnotch_objects::http::Client;
 use cactusnotch_settings::{Edit, Id, Key, Kind, Operation};
 
 use super::show::{client, read};
--- a/crates/cactusnotch/src/command/settings/show.rs
+++ b/crates/cactusnotch/src/command/settings/show.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, SystemTime};
 
 use cactusnotch_history::{Listing, Reader, Replica};
-use cactusnotch_platform::http::{Client, Options};
+use cactusnotch_objects::http::{Client, Options};
 use cactusnotch_settings::Id;
 use serde_json::{Map, Value, json};
 
--- a/crates/claim/src/calls.rs
+++ b/crates/claim/src/calls.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use cactusnotch_platform::object::{Condition, Object, Path, Version};
-use cactusnotch_platform::store::{Error, Store};
+use cactusnotch_objects::object::{Condition, Object, Path, Version};
+use cactusnotch_objects::store::{Error, Store};
 
 use crate::batch::Entry;
 use crate::event::Written;
--- a/crates/declaration/src/apply.rs
+++ b/crates/declaration/src/apply.rs
@@ -1,7 +1,7 @@
 //! Submitting a declaration as one edit.
 
 use cactusnotch_history::{Verdict, Writer, reader};
-use cactusnotch_platform::Store;
+use cactusnotch_objects::Store;
 use derive_more::{Display, Error, From};
 
 use crate::{Declaration, Difference, Mismatch, Options};
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -8,7 +8,7 @@
 use cactusnotch_claim::{Answer, Claim, Command, Event, Shard, calls, owner};
 use cactusnotch_ledger::{Attempt, Link};
 use cactusnotch_member::{Role, State};
-use cactusnotch_platform::http::Client;
+use cactusnotch_objects::http::Client;
 use cactusnotch_telemetry::metric;
 use cactusnotch_wire::{Body, claim};
 use tokio::sync::{Notify, oneshot};
--- a/crates/group/src/coordination.rs
+++ b/crates/group/src/coordination.rs
@@ -3,8 +3,8 @@
 use std::time::Instant;
 
 use cactusnotch_base::{Clock, Table};
+use cactusnotch_objects::object::Version;
 use cactusnotch_placement::Map as Content;
-use cactusnotch_platform::object::Version;
 use cactusnotch_popularity::Report;
 use cactusnotch_switch::coordinator::{Command, Coordinator, Ending, Event};
 use cactusnotch_switch::{Lease, Map, Message, View};
--- a/crates/group/src/driver.rs
+++ b/crates/group/src/driver.rs
@@ -5,8 +5,8 @@
 
 use cactusnotch_base::Clock;
 use cactusnotch_base::name::{Group, Process};
+use cactusnotch_objects::http::Client;
 use cactusnotch_placement::{Map as Content, Rank as Place, Replica, Share};
-use cactusnotch_platform::http::Client;
 use cactusnotch_popularity::Shape;
 use cactusnotch_wire::group::{Body, Message};
 use tokio::sync::mpsc;
--- a/crates/group/src/input.rs
+++ b/crates/group/src/input.rs
@@ -1,9 +1,9 @@
 //! What comes in to the part beside a rank.
 
 use cactusnotch_base::name::Process;
+use cactusnotch_objects::object::Version;
 use cactusnotch_order::Answer;
 use cactusnotch_placement::Map as Content;
-use cactusnotch_platform::object::Version;
 use cactusnotch_popularity::Report;
 use cactusnotch_switch::engine::State;
 use cactusnotch_switch::{Lease, Map, View};
--- a/crates/group/src/objects.rs
+++ b/crates/group/src/objects.rs
@@ -2,10 +2,10 @@
 
 use cactusnotch_base::name::Group;
 use cactusnotch_base::number::{Epoch, Step};
+use cactusnotch_objects::http::Client;
+use cactusnotch_objects::object::{Condition, Path, Version};
+use cactusnotch_objects::store::{Error, Store};
 use cactusnotch_placement::Map as Content;
-use cactusnotch_platform::http::Client;
-use cactusnotch_platform::object::{Condition, Path, Version};
-use cactusnotch_platform::store::{Error, Store};
 use cactusnotch_switch::{Lease, Map, Switch, View};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
--- a/crates/group/src/options.rs
+++ b/crates/group/src/options.rs
@@ -4,8 +4,8 @@
 
 use cactusnotch_base::name::{Group, Process};
 use cactusnotch_base::number::Incarnation;
+use cactusnotch_objects::http;
 use cactusnotch_placement::{self as placement, Budget, Weights};
-use cactusnotch_platform::http;
 use cactusnotch_popularity::Shape;
 use cactusnotch_switch::{self as switch, Rank};
 
--- a/crates/history/src/call.rs
+++ b/crates/history/src/call.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cactusnotch_base::number::Revision;
-use cactusnotch_platform::object::{Condition, Version};
+use cactusnotch_objects::object::{Condition, Version};
 
 use crate::{Entry, Snapshot, Stored};
 
--- a/crates/history/src/catchup.rs
+++ b/crates/history/src/catchup.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cactusnotch_base::number::Revision;
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 
 use crate::{Call, Proven, Reply, Step};
 
--- a/crates/history/src/entry.rs
+++ b/crates/history/src/entry.rs
@@ -2,7 +2,7 @@
 
 use cactusnotch_base::number::Revision;
 use cactusnotch_derive::message;
-use cactusnotch_platform::object::Path;
+use cactusnotch_objects::object::Path;
 use cactusnotch_settings::Edit;
 
 use crate::Digest;
--- a/crates/history/src/lib.rs
+++ b/crates/history/src/lib.rs
@@ -5,7 +5,7 @@
 //! each carrying that revision's digest. [`Replica`] is the state that every
 //! process keeps; it never goes back. [`Submission`], [`Catchup`] and [`Fold`]
 //! decide without I/O which calls to make; [`Writer`] and [`Reader`] make them
-//! on a [`cactusnotch_platform::Store`].
+//! on a [`cactusnotch_objects::Store`].
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
--- a/crates/history/src/port.rs
+++ b/crates/history/src/port.rs
@@ -1,9 +1,9 @@
 //! Making calls on a store.
 
 use cactusnotch_base::number::Revision;
-use cactusnotch_platform::object::{Condition, Object, Path};
-use cactusnotch_platform::store::Error;
-use cactusnotch_platform::{Store, object::Version};
+use cactusnotch_objects::object::{Condition, Object, Path};
+use cactusnotch_objects::store::Error;
+use cactusnotch_objects::{Store, object::Version};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
--- a/crates/history/src/proven.rs
+++ b/crates/history/src/proven.rs
@@ -1,7 +1,7 @@
 //! What the platform was found to hold of the order.
 
 use cactusnotch_derive::message;
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 
 use crate::{Entry, Snapshot};
 
--- a/crates/history/src/reader.rs
+++ b/crates/history/src/reader.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use cactusnotch_platform::Store;
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::Store;
+use cactusnotch_objects::object::Version;
 use derive_more::{Display, Error};
 
 use crate::{Answer, Catchup, Proven, Replica, Reply, Step, perform};
--- a/crates/history/src/writer.rs
+++ b/crates/history/src/writer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cactusnotch_platform::Store;
+use cactusnotch_objects::Store;
 use cactusnotch_settings::Edit;
 use rand::Rng;
 
--- a/crates/history/tests/support/mod.rs
+++ b/crates/history/tests/support/mod.rs
@@ -9,9 +9,9 @@
 
 use cactusnotch_base::Table;
 use cactusnotch_base::number::Revision;
-use cactusnotch_platform::Store;
-use cactusnotch_platform::object::{Changes, Condition, Object, Path, Version};
-use cactusnotch_platform::store::Error;
+use cactusnotch_objects::Store;
+use cactusnotch_objects::object::{Changes, Condition, Object, Path, Version};
+use cactusnotch_objects::store::Error;
 use cactusnotch_settings::{Edit, Key, Kind, Operation, Value};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
--- a/crates/lab/examples/quickstart.rs
+++ b/crates/lab/examples/quickstart.rs
@@ -98,7 +98,7 @@
 
 /// Where the processes are reached.
 struct Site {
-    platform: cactusnotch_platform::http::Options,
+    platform: cactusnotch_objects::http::Options,
     operators: Vec<SocketAddr>,
     callers: Vec<SocketAddr>,
 }
--- a/crates/lab/src/cluster.rs
+++ b/crates/lab/src/cluster.rs
@@ -11,7 +11,7 @@
 use cactusnotch_entry as entry;
 use cactusnotch_link::{self as link, Identity, Role, Secret};
 use cactusnotch_node as node;
-use cactusnotch_platform::http;
+use cactusnotch_objects::http;
 use cactusnotch_standins::{engine, objects, ranks, service};
 
 use crate::Failure;
--- a/crates/lab/src/operator.rs
+++ b/crates/lab/src/operator.rs
@@ -6,7 +6,7 @@
 use cactusnotch_base::number::Revision;
 use cactusnotch_entry::Status;
 use cactusnotch_history::{self as history, Replica, Verdict, Writer};
-use cactusnotch_platform::http::{Client, Options};
+use cactusnotch_objects::http::{Client, Options};
 use cactusnotch_popularity::Shape;
 use cactusnotch_settings::{Edit, Id, Key, Kind, Operation, Value};
 use ureq::Agent;
--- a/crates/lab/src/ranks.rs
+++ b/crates/lab/src/ranks.rs
@@ -2,10 +2,10 @@
 //! proxies.
 
 use cactusnotch_base::number::Fence;
+use cactusnotch_objects::http::{self, Client};
+use cactusnotch_objects::object::Path;
+use cactusnotch_objects::store::Store;
 use cactusnotch_placement::Rank;
-use cactusnotch_platform::http::{self, Client};
-use cactusnotch_platform::object::Path;
-use cactusnotch_platform::store::Store;
 use cactusnotch_standins::objects::{self, Platform};
 use cactusnotch_standins::proxy::Proxy;
 use cactusnotch_standins::ranks::{self, Group};
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -2,7 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use cactusnotch_platform::http;
+use cactusnotch_objects::http;
 use cactusnotch_standins::engine::{self, Engine};
 use cactusnotch_standins::objects::{self, Platform};
 use cactusnotch_standins::proxy::{self, Proxy};
--- a/crates/lease/src/call.rs
+++ b/crates/lease/src/call.rs
@@ -1,7 +1,7 @@
 //! The calls that a lease asks for, and their answers.
 
 use cactusnotch_derive::record;
-use cactusnotch_platform::object::{Condition, Version};
+use cactusnotch_objects::object::{Condition, Version};
 
 use crate::record::Record;
 
--- a/crates/lease/src/driver.rs
+++ b/crates/lease/src/driver.rs
@@ -2,8 +2,8 @@
 
 use cactusnotch_base::Clock;
 use cactusnotch_base::number::Fence;
-use cactusnotch_platform::object::{Condition, Object, Path};
-use cactusnotch_platform::{Store, store};
+use cactusnotch_objects::object::{Condition, Object, Path};
+use cactusnotch_objects::{Store, store};
 use derive_more::{Display, Error};
 use rand::Rng;
 
--- a/crates/lease/src/lease.rs
+++ b/crates/lease/src/lease.rs
@@ -5,7 +5,7 @@
 
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::{Fence, Sequence};
-use cactusnotch_platform::object::{Condition, Version};
+use cactusnotch_objects::object::{Condition, Version};
 use rand::Rng;
 
 use crate::attempt::Attempts;
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -1,7 +1,7 @@
 //! Leases and fencing numbers over the platform's conditional updates.
 //!
 //! A [`Lease`] decides what to read and write and performs no calls itself;
-//! [`Driver`] joins it to a [`Store`](cactusnotch_platform::Store). A process
+//! [`Driver`] joins it to a [`Store`](cactusnotch_objects::Store). A process
 //! acts on its right only with a [`Guard`], which carries the fencing number
 //! and the instant at which the right ends. `docs/design/lease.md` gives the
 //! argument for why two guards never overlap.
--- a/crates/lease/tests/holder.rs
+++ b/crates/lease/tests/holder.rs
@@ -6,8 +6,8 @@
 use cactusnotch_base::number::{Fence, Sequence};
 use cactusnotch_lease::call::{Answer, Call, Found, Ticket};
 use cactusnotch_lease::{Driver, Lease, Options, Record};
-use cactusnotch_platform::object::{Condition, Object, Path, Version};
-use cactusnotch_platform::{Store, store};
+use cactusnotch_objects::object::{Condition, Object, Path, Version};
+use cactusnotch_objects::{Store, store};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -161,7 +161,7 @@
         _: &str,
         _: Version,
         _: Duration,
-    ) -> Result<cactusnotch_platform::object::Changes, store::Error> {
+    ) -> Result<cactusnotch_objects::object::Changes, store::Error> {
         unreachable!("a lease is not watched")
     }
 }
--- a/crates/lease/tests/overlap.rs
+++ b/crates/lease/tests/overlap.rs
@@ -5,7 +5,7 @@
 use cactusnotch_base::name::Process;
 use cactusnotch_lease::call::{Answer, Call, Found, Ticket};
 use cactusnotch_lease::{Guard, Lease, Options};
-use cactusnotch_platform::object::{Condition, Version};
+use cactusnotch_objects::object::{Condition, Version};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rand::rngs::StdRng;
--- a/crates/member/src/delta.rs
+++ b/crates/member/src/delta.rs
@@ -4,7 +4,7 @@
 
 use cactusnotch_base::name::Process;
 use cactusnotch_derive::message;
-use cactusnotch_platform::object::{Changes, Object, Version};
+use cactusnotch_objects::object::{Changes, Object, Version};
 use derive_more::{Display, Error};
 
 use crate::record::Record;
--- a/crates/member/src/registration.rs
+++ b/crates/member/src/registration.rs
@@ -4,7 +4,7 @@
 
 use cactusnotch_base::number::Incarnation;
 use cactusnotch_derive::record;
-use cactusnotch_platform::object::{Condition, Version};
+use cactusnotch_objects::object::{Condition, Version};
 use rand::Rng;
 
 use crate::backoff::Backoff;
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -5,7 +5,7 @@
 use cactusnotch_base::Table;
 use cactusnotch_base::name::{DataCentre, Process};
 use cactusnotch_derive::message;
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 
 use crate::delta::Delta;
 use crate::fingerprint::Fingerprint;
--- a/crates/member/tests/liveness.rs
+++ b/crates/member/tests/liveness.rs
@@ -8,7 +8,7 @@
 use cactusnotch_member::{
     Delta, Liveness, Options, Record, Role, Roster, Row, Rumour, State, Status,
 };
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 
 fn row(at: u64, incarnation: u64) -> Row {
     let record = Record {
--- a/crates/member/tests/registration.rs
+++ b/crates/member/tests/registration.rs
@@ -6,7 +6,7 @@
 use cactusnotch_base::number::Incarnation;
 use cactusnotch_member::registration::{Answer, Call};
 use cactusnotch_member::{Options, Record, Registration, Role, Row, State};
-use cactusnotch_platform::object::{Condition, Version};
+use cactusnotch_objects::object::{Condition, Version};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -6,9 +6,9 @@
 use cactusnotch_history::{Catchup, Proven, fetch};
 use cactusnotch_member::registration::{self, Answer as Own};
 use cactusnotch_member::{Delta, Record, Row};
-use cactusnotch_platform::Object;
-use cactusnotch_platform::object::{Condition, Path, Version};
-use cactusnotch_platform::store::{Error, Store};
+use cactusnotch_objects::Object;
+use cactusnotch_objects::object::{Condition, Path, Version};
+use cactusnotch_objects::store::{Error, Store};
 use cactusnotch_spread::{Answer, Call, Span};
 use cactusnotch_telemetry::metric;
 
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -8,7 +8,7 @@
 use cactusnotch_base::number::Revision;
 use cactusnotch_history::Replica;
 use cactusnotch_member::{Record, Roster};
-use cactusnotch_platform::http::Client;
+use cactusnotch_objects::http::Client;
 use cactusnotch_settings::{Resolved, Tree};
 use cactusnotch_spread::{
     self as spread, Answer, Call, Command, Message, Span, Standing, Status, Ticket,
--- a/crates/node/src/options.rs
+++ b/crates/node/src/options.rs
@@ -6,7 +6,7 @@
 use cactusnotch_base::Table;
 use cactusnotch_base::name::Process;
 use cactusnotch_link as link;
-use cactusnotch_platform::http;
+use cactusnotch_objects::http;
 use cactusnotch_spread as spread;
 
 /// How a node runs.
--- a/crates/node/src/payload.rs
+++ b/crates/node/src/payload.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use cactusnotch_base::number::{Revision, Sequence};
 use cactusnotch_history::{Entry, Offer, Snapshot};
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 use cactusnotch_spread::Span;
 use derive_more::{Display, Error};
 
--- a/crates/spread/examples/spread_cost/memory.rs
+++ b/crates/spread/examples/spread_cost/memory.rs
@@ -4,7 +4,7 @@
 
 use cactusnotch_base::Table;
 use cactusnotch_member::{Delta, Row};
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 use cactusnotch_spread::{Message, Node, Options};
 
 use crate::common::{Shape, World};
--- a/crates/spread/src/command.rs
+++ b/crates/spread/src/command.rs
@@ -5,7 +5,7 @@
 use cactusnotch_base::name::Process;
 use cactusnotch_derive::record;
 use cactusnotch_member::{Delta, registration};
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 
 use crate::message::Message;
 use crate::span::Span;
--- a/crates/spread/src/journal.rs
+++ b/crates/spread/src/journal.rs
@@ -3,7 +3,7 @@
 use cactusnotch_base::Table;
 use cactusnotch_base::name::Process;
 use cactusnotch_member::{Delta, Roster, Row};
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 
 use crate::tail::{self, Piece, Tail};
 
--- a/crates/spread/src/log.rs
+++ b/crates/spread/src/log.rs
@@ -1,7 +1,7 @@
 //! The revisions that a process holds.
 
 use cactusnotch_base::number::Sequence;
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 
 use crate::span::Span;
 use crate::tail::Tail;
--- a/crates/spread/src/message.rs
+++ b/crates/spread/src/message.rs
@@ -4,7 +4,7 @@
 use cactusnotch_base::number::Sequence;
 use cactusnotch_derive::message;
 use cactusnotch_member::{Delta, Rumour};
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 
 use crate::report::{Laggard, Report};
 use crate::span::Span;
--- a/crates/spread/src/node.rs
+++ b/crates/spread/src/node.rs
@@ -13,7 +13,7 @@
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::Sequence;
 use cactusnotch_member::{Backoff, Liveness, Record, Registration, Roster, State};
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
--- a/crates/spread/src/node/platform.rs
+++ b/crates/spread/src/node/platform.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use cactusnotch_member::{Delta, Record, registration};
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 use rand::Rng;
 
 use crate::command::{Answer, Call, Command, Ticket};
--- a/crates/spread/src/peer.rs
+++ b/crates/spread/src/peer.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use cactusnotch_base::number::Sequence;
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 
 use crate::message::Summary;
 use crate::report::Report;
--- a/crates/spread/src/span.rs
+++ b/crates/spread/src/span.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use cactusnotch_base::number::Sequence;
 use cactusnotch_derive::message;
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 
 use crate::tail::Piece;
 
--- a/crates/spread/src/standing.rs
+++ b/crates/spread/src/standing.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use cactusnotch_derive::{number, record};
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 
 /// Whether a process may serve.
 #[number]
--- a/crates/spread/tests/common/bench.rs
+++ b/crates/spread/tests/common/bench.rs
@@ -7,7 +7,7 @@
 use cactusnotch_base::number::{Incarnation, Sequence};
 use cactusnotch_member::registration::{Answer as Own, Call as OwnCall};
 use cactusnotch_member::{Delta, Fingerprint, Record, Role, Row, State};
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 use cactusnotch_spread::{
     Answer, Call, Command, Evidence, Message, Node, Options, Pong, Report, Span, Standing, Summary,
     Ticket,
--- a/crates/spread/tests/common/platform.rs
+++ b/crates/spread/tests/common/platform.rs
@@ -7,7 +7,7 @@
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::Sequence;
 use cactusnotch_member::{Delta, Record, Row, registration};
-use cactusnotch_platform::object::{Condition, Version};
+use cactusnotch_objects::object::{Condition, Version};
 use cactusnotch_spread::{Answer, Call, Span, Ticket};
 
 use rand::Rng;
--- a/crates/spread/tests/entrance.rs
+++ b/crates/spread/tests/entrance.rs
@@ -6,7 +6,7 @@
 
 use cactusnotch_base::number::Sequence;
 use cactusnotch_member::{Delta, Role};
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 use cactusnotch_spread::{Message, Pong, Span, Standing, Summary};
 use common::bench::{Bench, row};
 
--- a/crates/spread/tests/proof.rs
+++ b/crates/spread/tests/proof.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cactusnotch_member::{Delta, Role};
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 use common::bench::{Bench, row};
 
 const OLD: Duration = Duration::from_secs(16);
--- a/crates/standins/src/objects.rs
+++ b/crates/standins/src/objects.rs
@@ -63,7 +63,7 @@
         self.server.address()
     }
 
-    /// Returns the base address for `cactusnotch_platform::http::Options`.
+    /// Returns the base address for `cactusnotch_objects::http::Options`.
     #[must_use]
     pub fn base(&self) -> String {
         format!("http://{}", self.address())
--- a/crates/standins/src/objects/call.rs
+++ b/crates/standins/src/objects/call.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use cactusnotch_platform::object::{Changes, Condition, Path, Version};
+use cactusnotch_objects::object::{Changes, Condition, Path, Version};
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::{Method, Request, Response, StatusCode, Uri, http};
--- a/crates/standins/src/objects/store.rs
+++ b/crates/standins/src/objects/store.rs
@@ -2,7 +2,7 @@
 
 use cactusnotch_base::Table;
 use cactusnotch_derive::record;
-use cactusnotch_platform::object::{Changes, Condition, Object, Path, Version};
+use cactusnotch_objects::object::{Changes, Condition, Object, Path, Version};
 use serde_json::Value;
 
 /// One object, or the trace of a deleted one.
--- a/crates/standins/tests/objects.rs
+++ b/crates/standins/tests/objects.rs
@@ -7,10 +7,10 @@
 use std::thread;
 use std::time::Duration;
 
-use cactusnotch_platform::Store;
-use cactusnotch_platform::http::{Client, Options};
-use cactusnotch_platform::object::{Condition, Path, Version};
-use cactusnotch_platform::store::Error;
+use cactusnotch_objects::Store;
+use cactusnotch_objects::http::{Client, Options};
+use cactusnotch_objects::object::{Condition, Path, Version};
+use cactusnotch_objects::store::Error;
 use cactusnotch_standins::objects::{self, Anomaly, Loss, Outage, Platform};
 use serde_json::json;
 use wait::{LONG, until};
--- a/crates/switch/examples/switch_cost.rs
+++ b/crates/switch/examples/switch_cost.rs
@@ -13,7 +13,7 @@
 
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::Incarnation;
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 use cactusnotch_switch::coordinator::{self, Ending};
 use cactusnotch_switch::rank::Member;
 use cactusnotch_switch::view::Seat;
--- a/crates/switch/src/coordinator.rs
+++ b/crates/switch/src/coordinator.rs
@@ -9,7 +9,7 @@
 use cactusnotch_base::Table;
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::{Fence, Sequence, Step};
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 
 use crate::ballot::Ballot;
 use crate::lease::Lease;
--- a/crates/switch/src/coordinator/event.rs
+++ b/crates/switch/src/coordinator/event.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cactusnotch_derive::record;
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 
 use crate::lease::Lease;
 use crate::map::Map;
--- a/crates/switch/src/coordinator/lease.rs
+++ b/crates/switch/src/coordinator/lease.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use cactusnotch_base::number::{Fence, Sequence};
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 
 use super::{Command, Coordinator, Stage, Tenure};
 use crate::lease::Lease;
--- a/crates/switch/src/coordinator/round.rs
+++ b/crates/switch/src/coordinator/round.rs
@@ -4,7 +4,7 @@
 
 use cactusnotch_base::Table;
 use cactusnotch_base::number::Step;
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 
 use super::{Command, Coordinator, Ending, Stage};
 use crate::ballot::Ballot;
--- a/crates/switch/src/rank/enrol.rs
+++ b/crates/switch/src/rank/enrol.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use cactusnotch_base::Table;
+use cactusnotch_objects::object::Version;
 use cactusnotch_order::{Event as OrderEvent, Sender};
-use cactusnotch_platform::object::Version;
 
 use super::{Command, Member, Open, Phase, Retirement};
 use crate::engine::Wish;
--- a/crates/switch/src/rank/event.rs
+++ b/crates/switch/src/rank/event.rs
@@ -4,8 +4,8 @@
 
 use cactusnotch_base::number::Fence;
 use cactusnotch_derive::record;
+use cactusnotch_objects::object::Version;
 use cactusnotch_order::{Answer, Order};
-use cactusnotch_platform::object::Version;
 
 use crate::engine::{Expert, State, Wish};
 use crate::map::{Map, Switch};
--- a/crates/switch/src/rank/join.rs
+++ b/crates/switch/src/rank/join.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 
 use super::{Command, Member, Open, Phase, Retirement};
 use crate::map::Switch;
--- a/crates/switch/tests/world/mod.rs
+++ b/crates/switch/tests/world/mod.rs
@@ -11,8 +11,8 @@
 
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::{Epoch, Step};
+use cactusnotch_objects::object::Version;
 use cactusnotch_order::{Answer, Reply};
-use cactusnotch_platform::object::Version;
 use cactusnotch_switch::coordinator::{self, Coordinator};
 use cactusnotch_switch::engine::State;
 use cactusnotch_switch::map::{Map, Switch};
--- a/crates/switch/tests/world/obey.rs
+++ b/crates/switch/tests/world/obey.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cactusnotch_platform::object::Version;
+use cactusnotch_objects::object::Version;
 use cactusnotch_switch::coordinator;
 use cactusnotch_switch::message::{Body, Message, Peer, Vote};
 use cactusnotch_switch::proposal::Id;
