--- /dev/null
+++ b/crates/cactusnotch/src/command/platform.rs
@@ -0,0 +1,57 @@
+//! The processes on the users' platform.
+
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+use cactusnotch_gateway::Entry;
+use cactusnotch_gateway::journal::Journal;
+use cactusnotch_platform::{Settings, Wire};
+use cactusnotch_telemetry::Exporter;
+use tracing::level_filters::LevelFilter;
+
+use crate::error::Error;
+
+/// How a process on the users' platform is started.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(generate(platform_options))]
+pub(crate) struct Options {
+    /// Settings file; the platform's variable names it otherwise
+    #[bpaf(long, argument("PATH"))]
+    pub(crate) settings: Option<PathBuf>,
+    /// Check the settings and exit
+    #[bpaf(long)]
+    pub(crate) check: bool,
+    /// Least important level of log lines
+    #[bpaf(long, argument("LEVEL"), fallback(LevelFilter::INFO), display_fallback)]
+    pub(crate) log_level: LevelFilter,
+}
+
+impl Options {
+    fn settings(&self) -> Result<Settings, Error> {
+        let path = self.settings.clone().unwrap_or_else(Settings::path);
+        Settings::read(&path).map_err(|error| Error::new("settings", error))
+    }
+
+    /// Starts the log and the metrics.
+    fn observe(&self) -> Result<(Journal, Exporter), Error> {
+        let journal = Journal::start(self.log_level).map_err(Error::at("start the log"))?;
+        let exporter = Exporter::install().map_err(|error| Error::new("metrics", error))?;
+        Ok((journal, exporter))
+    }
+}
+
+/// Runs an entry.
+pub(crate) fn gateway(options: &Options) -> Result<(), Error> {
+    let settings = options
+        .settings()?
+        .entry()
+        .map_err(|error| Error::new("settings", error))?;
+    if options.check {
+        println!("settings of {} are in order", settings.host);
+        return Ok(());
+    }
+    let (journal, exporter) = options.observe()?;
+    let ended = Entry::<Wire, Wire>::new(settings, exporter).run();
+    journal.flush();
+    ended.map_err(|error| Error::new("entry", error))
+}
--- a/crates/cactusnotch/src/options.rs
+++ b/crates/cactusnotch/src/options.rs
@@ -7,6 +7,7 @@
 use cactusnotch_options::checked;
 
 use crate::command::entry::{self, entry_options};
+use crate::command::platform::{self, platform_options};
 use crate::command::settings::{self, settings_options};
 
 /// Load balancer for expert-parallel model groups: the entry, and the
@@ -21,6 +22,9 @@
     /// Run an entry, to which callers connect
     #[bpaf(command)]
     Entry(#[bpaf(external(entry_options))] entry::Options),
+    /// Run an entry on the users' platform, which calls endpoints directly
+    #[bpaf(command)]
+    Gateway(#[bpaf(external(platform_options))] platform::Options),
     /// Show the settings in force, endpoints, groups and drains
     #[bpaf(command)]
     Status(#[bpaf(external(query))] Query),
--- /dev/null
+++ b/crates/gateway/src/body.rs
@@ -0,0 +1,76 @@
+//! The body of an answer on its way to a caller.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::sync::mpsc;
+
+/// The answer can't be completed. The connection is then cut, so that the
+/// answer does not look whole.
+#[derive(Debug, Clone, Copy, Display, Error)]
+#[display("the answer broke off")]
+pub(crate) struct Broken;
+
+impl From<Infallible> for Broken {
+    fn from(never: Infallible) -> Self {
+        match never {}
+    }
+}
+
+/// The body of an answer on its way to a caller.
+#[derive(Debug)]
+pub(crate) enum Outgoing {
+    /// All of it.
+    Whole(Option<Bytes>),
+    /// Pieces as they come; `left` is the stated length that is still due.
+    Pieces {
+        receiver: mpsc::Receiver<Result<Bytes, Broken>>,
+        left: Option<u64>,
+    },
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(
+                bytes
+                    .take()
+                    .filter(|b| !b.is_empty())
+                    .map(|b| Ok(Frame::data(b))),
+            ),
+            Self::Pieces { receiver, left } => receiver.poll_recv(context).map(|piece| {
+                let piece = piece?;
+                if let (Ok(bytes), Some(left)) = (&piece, left) {
+                    *left = left.saturating_sub(bytes.len() as u64);
+                }
+                Some(piece.map(Frame::data))
+            }),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
+            }
+            Self::Pieces {
+                left: Some(left), ..
+            } => SizeHint::with_exact(*left),
+            Self::Pieces { left: None, .. } => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/budget.rs
@@ -0,0 +1,95 @@
+//! How many repeated sends an entry may make.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use cactusnotch_base::Table;
+
+/// The parts into which the window is divided.
+const PARTS: u32 = 10;
+
+/// The sends of one service within the window.
+#[derive(Debug, Default)]
+struct Window {
+    /// The start of each part with its first and its repeated sends.
+    parts: VecDeque<(Instant, u32, u32)>,
+}
+
+impl Window {
+    /// Drops the parts that are too old and opens a new one if it is time.
+    fn turn(&mut self, now: Instant, window: Duration) {
+        while self
+            .parts
+            .front()
+            .is_some_and(|&(at, ..)| now.saturating_duration_since(at) > window)
+        {
+            self.parts.pop_front();
+        }
+        let length = window / PARTS;
+        let open = self
+            .parts
+            .back()
+            .is_some_and(|&(at, ..)| now.saturating_duration_since(at) < length);
+        if !open {
+            self.parts.push_back((now, 0, 0));
+        }
+    }
+
+    fn sums(&self) -> (u32, u32) {
+        let add = |(a, b), &(_, first, again): &(Instant, u32, u32)| (a + first, b + again);
+        self.parts.iter().fold((0, 0), add)
+    }
+}
+
+/// The repeated sends of an entry, by service.
+///
+/// In any window an entry repeats at most `ratio` times the requests that it
+/// took itself in that window, so that the bound holds over all entries
+/// together however many there are and whatever they know of each other.
+#[derive(Debug)]
+pub(crate) struct Budgets {
+    ratio: f64,
+    window: Duration,
+    rows: Table<String, Window>,
+}
+
+impl Budgets {
+    pub(crate) const fn new(ratio: f64, window: Duration) -> Self {
+        Self {
+            ratio,
+            window,
+            rows: Table::new(),
+        }
+    }
+
+    /// Counts a request.
+    pub(crate) fn earn(&mut self, service: &str, now: Instant) {
+        let row = self.row(service, now);
+        if let Some((_, first, _)) = row.parts.back_mut() {
+            *first += 1;
+        }
+    }
+
+    /// Pays for a repeated send; returns whether there was enough.
+    pub(crate) fn spend(&mut self, service: &str, now: Instant) -> bool {
+        let ratio = self.ratio;
+        let row = self.row(service, now);
+        let (first, again) = row.sums();
+        if f64::from(again + 1) > ratio * f64::from(first) {
+            return false;
+        }
+        if let Some((_, _, again)) = row.parts.back_mut() {
+            *again += 1;
+        }
+        true
+    }
+
+    fn row(&mut self, service: &str, now: Instant) -> &mut Window {
+        let window = self.window;
+        let row = self
+            .rows
+            .get_or_insert_with(service.to_owned(), Window::default);
+        row.turn(now, window);
+        row
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/configuration.rs
@@ -0,0 +1,171 @@
+//! The operators' configuration, as one version of it stands.
+
+use std::time::Duration;
+
+use cactusnotch_derive::record;
+
+use crate::route::Route;
+
+/// What a request may take up.
+#[record]
+#[derive(Copy)]
+pub struct Limits {
+    /// The most bytes of a request's head.
+    pub head_bytes: usize,
+    /// The most bytes of a request's body.
+    pub body_bytes: usize,
+    /// The longest time from a head's first byte to its last.
+    pub head_time: Duration,
+    /// The longest time that a connection may be idle.
+    pub idle_time: Duration,
+}
+
+/// An organisation that sends requests.
+#[record]
+pub struct Organisation {
+    /// Its name, which endpoints are told.
+    pub name: String,
+    /// Its rank, which goes before that of a route; lower ones go first.
+    pub priority: Option<u32>,
+}
+
+/// How the model servers of a service work, in the model of a pass.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Engine {
+    /// The requests that run at once.
+    pub slots: u32,
+    /// The time of a step without requests.
+    pub step: Duration,
+    /// What each request that is writing adds to a step.
+    pub per_request: Duration,
+    /// Prompt tokens read in a second.
+    pub read_rate: f64,
+    /// The steps of a pass that writes.
+    pub stride: u32,
+}
+
+/// A service that routes lead to.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    /// Its name.
+    pub name: String,
+    /// The connections that one of its endpoints takes from all callers.
+    pub connections: u32,
+    /// How its endpoints work if they are model servers.
+    pub engine: Option<Engine>,
+}
+
+/// One version of the operators' configuration, with its look-ups.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Configuration {
+    /// The operators' number of this version.
+    pub version: u64,
+    /// What a request may take up.
+    pub limits: Limits,
+    routes: Vec<Route>,
+    services: Vec<Service>,
+    organisations: Vec<Organisation>,
+    /// Keys with the position of their organisation, sorted by key.
+    keys: Vec<(String, usize)>,
+    closed: bool,
+}
+
+/// What a configuration is built from.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Parts {
+    /// The operators' number of this version.
+    pub version: u64,
+    /// What a request may take up.
+    pub limits: Limits,
+    /// The routes in any order.
+    pub routes: Vec<Route>,
+    /// The services in any order.
+    pub services: Vec<Service>,
+    /// The organisations with their keys, or `None` if requests need no key.
+    pub organisations: Option<Vec<(Organisation, Vec<String>)>>,
+}
+
+impl Configuration {
+    /// Builds the look-ups: routes by host and prefix, services by name, keys.
+    #[must_use]
+    pub fn new(parts: Parts) -> Self {
+        let Parts {
+            version,
+            limits,
+            mut routes,
+            mut services,
+            organisations,
+        } = parts;
+        routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
+        services.sort_by(|a, b| a.name.cmp(&b.name));
+        let closed = organisations.is_some();
+        let mut names = Vec::new();
+        let mut keys = Vec::new();
+        for (organisation, own) in organisations.unwrap_or_default() {
+            keys.extend(own.into_iter().map(|key| (key, names.len())));
+            names.push(organisation);
+        }
+        keys.sort();
+        Self {
+            version,
+            limits,
+            routes,
+            services,
+            organisations: names,
+            keys,
+            closed,
+        }
+    }
+
+    /// Returns the route of `host` with the longest prefix that begins `path`.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let ends = path
+            .bytes()
+            .enumerate()
+            .rev()
+            .filter(|&(_, byte)| byte == b'/');
+        for (end, _) in ends {
+            let prefix = &path[..=end];
+            let found = self.routes.binary_search_by(|route| {
+                (route.host.as_str(), route.prefix.as_str()).cmp(&(host, prefix))
+            });
+            if let Ok(at) = found {
+                return Some(&self.routes[at]);
+            }
+        }
+        None
+    }
+
+    /// Returns the service of a name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        let at = self
+            .services
+            .binary_search_by(|service| service.name.as_str().cmp(name))
+            .ok()?;
+        Some(&self.services[at])
+    }
+
+    /// Returns all services in order of their names.
+    #[must_use]
+    pub fn services(&self) -> &[Service] {
+        &self.services
+    }
+
+    /// Returns the organisation that holds `key`.
+    #[must_use]
+    pub fn organisation(&self, key: &str) -> Option<&Organisation> {
+        let at = self
+            .keys
+            .binary_search_by(|(held, _)| held.as_str().cmp(key))
+            .ok()?;
+        self.organisations.get(self.keys[at].1)
+    }
+
+    /// Tells whether requests on `route` need a key.
+    #[must_use]
+    pub const fn needs_key(&self, route: &Route) -> bool {
+        self.closed && !route.anonymous
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/connection.rs
@@ -0,0 +1,50 @@
+//! One caller's connection.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use crate::configuration::Limits;
+use crate::dialect::Dialect;
+use crate::flight;
+use crate::knowledge::Knowledge;
+
+/// The least buffer that the library takes.
+const BUFFER_MIN: usize = 8 * 1024;
+
+/// Serves a caller's connection until it ends; `closing` asks for its end
+/// after the request under way.
+pub(crate) async fn serve<D: Dialect>(
+    knowledge: Rc<Knowledge>,
+    stream: TcpStream,
+    limits: Option<Limits>,
+    mut closing: watch::Receiver<bool>,
+) {
+    let service = service_fn(|request| {
+        let knowledge = Rc::clone(&knowledge);
+        async move { Ok::<_, Infallible>(flight::answer::<D>(knowledge, request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new());
+    if let Some(limits) = limits {
+        builder.header_read_timeout(limits.idle_time);
+        builder.max_buf_size(limits.head_bytes.max(BUFFER_MIN));
+    }
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = closing.wait_for(|closing| *closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        tracing::debug!(%error, "caller's connection ended");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/entry.rs
@@ -0,0 +1,119 @@
+//! The process of an entry.
+
+use std::io;
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use cactusnotch_telemetry::Exporter;
+use derive_more::{Display, Error};
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+
+use crate::dialect::Dialect;
+use crate::knowledge::Knowledge;
+use crate::options::Options;
+use crate::store::{Codec, Kind};
+use crate::{listing, server, stop, tcp, watcher};
+
+/// Why an entry can't start or go on.
+#[derive(Debug, Display, Error)]
+pub enum Error {
+    /// An address can't be listened on.
+    #[display("listen on {address}: {error}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What went wrong.
+        error: io::Error,
+    },
+    /// The process can't be set up.
+    #[display("{step}: {error}")]
+    Setup {
+        /// What was being set up.
+        step: &'static str,
+        /// What went wrong.
+        error: io::Error,
+    },
+}
+
+/// An entry that forwards requests straight to endpoints.
+#[derive(Debug)]
+pub struct Entry<D, C> {
+    options: Options,
+    exporter: Exporter,
+    wire: PhantomData<(D, C)>,
+}
+
+impl<D: Dialect, C: Codec> Entry<D, C> {
+    /// Creates an entry.
+    #[must_use]
+    pub const fn new(options: Options, exporter: Exporter) -> Self {
+        Self {
+            options,
+            exporter,
+            wire: PhantomData,
+        }
+    }
+
+    /// Serves until a stop is asked for and has been carried out.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the entry can't start.
+    pub fn run(self) -> Result<(), Error> {
+        let setup = |step| move |error| Error::Setup { step, error };
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build();
+        let runtime = runtime.map_err(setup("runtime"))?;
+        let local = LocalSet::new();
+        local.block_on(&runtime, async {
+            let (knowledge, socket, closing) = self.start().await?;
+            stop::run::<C>(knowledge, socket, closing)
+                .await
+                .map_err(setup("signals"))
+        })
+    }
+
+    /// Starts all tasks.
+    async fn start(self) -> Result<(Rc<Knowledge>, Rc<UdpSocket>, watch::Sender<bool>), Error> {
+        let listen =
+            |address| tcp::listen(address).map_err(|error| Error::Listen { address, error });
+        let Options {
+            listen: front,
+            readiness,
+            directory,
+            metrics,
+            peers,
+            ..
+        } = self.options;
+        let (callers, readiness, directory, metrics) = (
+            listen(front)?,
+            listen(readiness)?,
+            listen(directory)?,
+            listen(metrics)?,
+        );
+        let socket = UdpSocket::bind(peers)
+            .await
+            .map_err(|error| Error::Listen {
+                address: peers,
+                error,
+            })?;
+        let socket = Rc::new(socket);
+        tracing::info!(host = self.options.host, data_centre = self.options.data_centre, listen = %front, "entry started");
+        let knowledge = Rc::new(Knowledge::new(self.options));
+        let (closing, closed) = watch::channel(false);
+        for kind in [Kind::Configuration, Kind::Endpoints, Kind::Entries] {
+            tokio::task::spawn_local(watcher::run::<C>(Rc::clone(&knowledge), kind));
+        }
+        tokio::task::spawn_local(watcher::register::<C>(Rc::clone(&knowledge)));
+        tokio::task::spawn_local(server::callers::<D>(Rc::clone(&knowledge), callers, closed));
+        tokio::task::spawn_local(server::questions::<D>(Rc::clone(&knowledge), readiness));
+        tokio::task::spawn_local(server::questions::<D>(Rc::clone(&knowledge), directory));
+        tokio::task::spawn_local(server::metrics(self.exporter, metrics));
+        tokio::task::spawn_local(listing::run(Rc::clone(&knowledge), Rc::clone(&socket)));
+        Ok((knowledge, socket, closing))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/events.rs
@@ -0,0 +1,79 @@
+//! The boundaries of a stream's events.
+
+use bytes::{Bytes, BytesMut};
+
+/// The most bytes of one event that are held back; longer ones are passed on
+/// as they come, and the stream then can't be resumed within them.
+const EVENT_MAX: usize = 64 * 1024;
+
+/// Splits a stream after whole events, so that what a caller has got can be
+/// continued by another endpoint.
+#[derive(Debug, Default)]
+pub(crate) struct Events {
+    partial: BytesMut,
+    last: Option<u64>,
+}
+
+impl Events {
+    pub(crate) fn new(last: Option<u64>) -> Self {
+        Self {
+            partial: BytesMut::new(),
+            last,
+        }
+    }
+
+    /// Returns the number of the last whole event.
+    pub(crate) const fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Tells whether an event is incomplete.
+    pub(crate) fn is_partial(&self) -> bool {
+        !self.partial.is_empty()
+    }
+
+    /// Drops an incomplete event, which another endpoint will send whole.
+    pub(crate) fn drop_partial(&mut self) {
+        self.partial.clear();
+    }
+
+    /// Takes bytes and returns all whole events that are there now.
+    pub(crate) fn push(&mut self, data: Bytes) -> Bytes {
+        let whole = if self.partial.is_empty() {
+            let end = boundary(&data);
+            self.partial.extend_from_slice(&data[end..]);
+            data.slice(..end)
+        } else {
+            self.partial.extend_from_slice(&data);
+            let end = boundary(&self.partial);
+            self.partial.split_to(end).freeze()
+        };
+        self.number(&whole);
+        if self.partial.len() > EVENT_MAX {
+            return self.partial.split().freeze();
+        }
+        whole
+    }
+
+    fn number(&mut self, events: &[u8]) {
+        let lines = events.split(|&byte| byte == b'\n');
+        let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+        let numbers = ids.filter_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok());
+        if let Some(last) = numbers.last() {
+            self.last = Some(last);
+        }
+    }
+}
+
+/// Returns the position after the last empty line.
+fn boundary(data: &[u8]) -> usize {
+    let ends_event = |at: usize| {
+        let before = data[..at].strip_suffix(b"\r").unwrap_or(&data[..at]);
+        before.ends_with(b"\n")
+    };
+    let newlines = (0..data.len()).rev().filter(|&at| data[at] == b'\n');
+    newlines
+        .into_iter()
+        .find(|&at| ends_event(at))
+        .map_or(0, |at| at + 1)
+}
--- /dev/null
+++ b/crates/gateway/src/exchange.rs
@@ -0,0 +1,253 @@
+//! One send of a request to one endpoint.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use cactusnotch_base::name;
+use cactusnotch_route::{Attempt, attempt::End, choice};
+use http::response::Parts;
+use http::{Response, StatusCode, header};
+use hyper::body::Incoming;
+
+use crate::channel;
+use crate::decide::{Course, Failure};
+use crate::dialect::Dialect;
+use crate::endpoint::Endpoint;
+use crate::knowledge::Knowledge;
+use crate::pool::{self, Lease, Reuse};
+use crate::request::Call;
+use crate::route::Repeat;
+
+/// An endpoint that holds the request, counted there until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Running {
+    knowledge: Rc<Knowledge>,
+    service: String,
+    attempt: Attempt,
+    end: End,
+    pieces: u32,
+}
+
+impl Running {
+    /// Notes a piece of the answer.
+    pub(crate) fn piece(&mut self, now: Instant) {
+        self.pieces += 1;
+        if self.pieces == 1 {
+            self.knowledge
+                .fleet
+                .borrow_mut()
+                .first_piece(&self.service, &mut self.attempt, now);
+        }
+    }
+
+    /// Notes that the answer is whole.
+    pub(crate) const fn whole(&mut self) {
+        self.end = End::Answered {
+            pieces: self.pieces,
+        };
+    }
+
+    /// Notes that the endpoint failed.
+    pub(crate) const fn failed(&mut self) {
+        self.end = End::Failed;
+    }
+
+    /// Returns the endpoint.
+    pub(crate) const fn endpoint(&self) -> &name::Endpoint {
+        self.attempt.endpoint()
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let mut fleet = self.knowledge.fleet.borrow_mut();
+        fleet.finish(&self.service, &self.attempt, self.end, now);
+    }
+}
+
+/// A sound head of an answer, with all that is needed to read the rest.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) head: Parts,
+    pub(crate) body: Incoming,
+    pub(crate) lease: Lease,
+    pub(crate) running: Running,
+    /// How long the endpoint keeps the connection; `None` within `Some` if it
+    /// doesn't say, `None` if it closes it.
+    pub(crate) kept: Option<Option<Duration>>,
+}
+
+/// How a send ended without an answer.
+#[derive(Debug)]
+pub(crate) struct Failed {
+    pub(crate) failure: Failure,
+    /// What happened, for the log.
+    pub(crate) cause: String,
+}
+
+/// Why no endpoint was chosen.
+#[derive(Debug)]
+pub(crate) enum Unserved {
+    /// There is none to choose.
+    None(choice::Error),
+    /// All are so full that the request would be late.
+    Busy,
+}
+
+/// Chooses an endpoint and counts the request there.
+pub(crate) fn choose(
+    knowledge: &Rc<Knowledge>,
+    call: &Call,
+    tried: &[name::Endpoint],
+    now: Instant,
+) -> Result<(Endpoint, Running), Unserved> {
+    let service = &call.judged.service;
+    let may_probe = call.judged.route.repeat == Repeat::Idempotent;
+    let tokens = call.head.prompt_tokens;
+    let mut fleet = knowledge.fleet.borrow_mut();
+    let mut rng = knowledge.rng.borrow_mut();
+    let chosen = fleet.start(service, tokens, tried, may_probe, now, &mut rng);
+    let (choice, attempt) = chosen.map_err(Unserved::None)?;
+    let endpoint = fleet.get(choice.endpoint.as_str()).cloned();
+    drop(fleet);
+    let running = Running {
+        knowledge: Rc::clone(knowledge),
+        service: service.clone(),
+        attempt,
+        end: End::Withdrawn,
+        pieces: 0,
+    };
+    let late = choice.reason == choice::Reason::Full && choice.wait > call.judged.route.target;
+    match endpoint {
+        Some(_) if late => Err(Unserved::Busy),
+        Some(endpoint) => Ok((endpoint, running)),
+        None => Err(Unserved::None(choice::Error::Unknown)),
+    }
+}
+
+/// Sends the request to `endpoint` and waits for the head of its answer.
+pub(crate) async fn send<D: Dialect>(
+    knowledge: &Rc<Knowledge>,
+    call: &Call,
+    course: &mut Course,
+    endpoint: &Endpoint,
+    mut running: Running,
+    last_event: Option<u64>,
+) -> Result<Reply, Failed> {
+    let mut lease = connect(knowledge, call, endpoint, &mut running).await?;
+    let now = Instant::now();
+    if !knowledge.fleet.borrow().takes_work(&endpoint.id) {
+        return Err(Failed::new(Failure::Unsent, "the endpoint began to leave"));
+    }
+    let request = call.outgoing::<D>(endpoint, last_event, now);
+    course.send();
+    let Some(channel) = lease.channel() else {
+        return Err(Failed::new(Failure::Unsent, "no connection"));
+    };
+    let response = channel.send(request).await.map_err(|error| {
+        let failure = match error {
+            channel::Error::Unsent { .. } => Failure::Unsent,
+            _ => Failure::InDoubt,
+        };
+        if failure == Failure::InDoubt {
+            running.failed();
+        }
+        Failed::new(failure, &error.to_string())
+    })?;
+    check::<D>(call, response, lease, running)
+}
+
+async fn connect(
+    knowledge: &Rc<Knowledge>,
+    call: &Call,
+    endpoint: &Endpoint,
+    running: &mut Running,
+) -> Result<Lease, Failed> {
+    let reuse = match call.judged.route.repeat {
+        Repeat::Never => Reuse::Never,
+        Repeat::Idempotent | Repeat::Resume => Reuse::Allowed,
+    };
+    let most = knowledge.connections(&endpoint.service);
+    let pool = knowledge.pool.clone();
+    pool.take(endpoint, most, reuse, Instant::now())
+        .await
+        .map_err(|error| match error {
+            pool::Error::Full => Failed::new(Failure::Unsent, "the entry's connections are in use"),
+            pool::Error::Connect(error) => {
+                running.failed();
+                Failed::new(Failure::Unsent, &error.to_string())
+            }
+        })
+}
+
+/// Checks whether the answer belongs to the request and is the endpoint's.
+fn check<D: Dialect>(
+    call: &Call,
+    response: Response<Incoming>,
+    lease: Lease,
+    mut running: Running,
+) -> Result<Reply, Failed> {
+    let (head, body) = response.into_parts();
+    let verdict = D::verdict(&head.headers, head.status, call.head.id.as_deref());
+    if verdict.refused && !verdict.foreign {
+        let cause = format!("the endpoint refused with {}", head.status);
+        return Err(Failed::new(Failure::Refused, &cause));
+    }
+    let doubt = if verdict.foreign {
+        Some("an answer to another request")
+    } else if head.headers.contains_key(header::CONTENT_ENCODING) {
+        Some("an encoded answer")
+    } else if !verdict.signed {
+        Some("an unsigned answer")
+    } else {
+        None
+    };
+    if let Some(cause) = doubt {
+        running.failed();
+        return Err(Failed::new(Failure::InDoubt, cause));
+    }
+    let again = head.status.is_server_error() && call.judged.route.repeat == Repeat::Idempotent;
+    if again {
+        running.failed();
+    }
+    let kept = kept(&head);
+    Ok(Reply {
+        head,
+        body,
+        lease,
+        running,
+        kept,
+    })
+}
+
+/// Reads how long the endpoint keeps the connection.
+fn kept(head: &Parts) -> Option<Option<Duration>> {
+    let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+    let closes = text("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
+    if closes || head.version == http::Version::HTTP_10 {
+        return None;
+    }
+    let stated = text("keep-alive").and_then(|value| {
+        let seconds = value
+            .split(',')
+            .find_map(|part| part.trim().strip_prefix("timeout="))?;
+        seconds.trim().parse().ok().map(Duration::from_secs)
+    });
+    Some(stated)
+}
+
+impl Failed {
+    pub(crate) fn new(failure: Failure, cause: &str) -> Self {
+        Self {
+            failure,
+            cause: cause.to_owned(),
+        }
+    }
+}
+
+/// Tells whether an answer is the endpoint's own failure of a request that
+/// may be repeated elsewhere.
+pub(crate) fn worth_repeating(status: StatusCode, repeat: Repeat) -> bool {
+    status.is_server_error() && repeat == Repeat::Idempotent
+}
--- /dev/null
+++ b/crates/gateway/src/flight.rs
@@ -0,0 +1,397 @@
+//! The course of one request, from its head to its final answer.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cactusnotch_telemetry::metric;
+use http::{Request, Response, header};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use rand::Rng;
+use tokio::sync::mpsc;
+
+use crate::answer::{self, Read};
+use crate::body::Outgoing;
+use crate::decide::{Course, Failure, Next};
+use crate::dialect::Dialect;
+use crate::exchange::{self, Failed, Reply, Unserved};
+use crate::knowledge::Knowledge;
+use crate::pump::Pump;
+use crate::refusal::Refusal;
+use crate::request::{self, Call};
+
+/// The pieces of an answer that wait for a slow caller before the endpoint is
+/// made to wait.
+const PIECES_AHEAD: usize = 16;
+
+/// Counts a request as in flight until it is dropped.
+struct InFlight(Rc<Knowledge>);
+
+impl InFlight {
+    fn new(knowledge: &Rc<Knowledge>) -> Self {
+        knowledge.in_flight.set(knowledge.in_flight.get() + 1);
+        Self(Rc::clone(knowledge))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0
+            .in_flight
+            .set(self.0.in_flight.get().saturating_sub(1));
+    }
+}
+
+/// Answers one request.
+pub(crate) async fn answer<D: Dialect>(
+    knowledge: Rc<Knowledge>,
+    incoming: Request<Incoming>,
+) -> Response<Outgoing> {
+    let arrived = Instant::now();
+    let guard = InFlight::new(&knowledge);
+    let call = match admit::<D>(&knowledge, incoming, arrived).await {
+        Ok(call) => call,
+        Err((refusal, id)) => {
+            refused(&knowledge, id.as_deref(), refusal, arrived);
+            return own::<D>(&knowledge, refusal);
+        }
+    };
+    let service = call.judged.service.clone();
+    knowledge.budgets.borrow_mut().earn(&service, arrived);
+    let course = Course::new(call.judged.route.repeat, call.judged.route.attempts);
+    let mut flight = Flight {
+        knowledge: Rc::clone(&knowledge),
+        call,
+        course,
+        tried: Vec::new(),
+        sending: false,
+    };
+    let until = tokio::time::Instant::from_std(flight.call.until);
+    let driven = tokio::time::timeout_at(until, flight.drive::<D>()).await;
+    let driven = driven.unwrap_or_else(|_| Err(flight.course.time_up(flight.sending)));
+    match driven {
+        Ok(Answered::Whole(head, body)) => {
+            flight.log(head.status.as_u16(), "whole");
+            passed_on(&knowledge, head, Outgoing::Whole(Some(body)))
+        }
+        Ok(Answered::Pieces(reply, first)) => flight.pass_on::<D>(reply, first, guard),
+        Err(refusal) => {
+            flight.log(refusal.status().as_u16(), &refusal.to_string());
+            own::<D>(&knowledge, refusal)
+        }
+    }
+}
+
+/// Reads and judges a request.
+async fn admit<D: Dialect>(
+    knowledge: &Rc<Knowledge>,
+    incoming: Request<Incoming>,
+    arrived: Instant,
+) -> Result<Call, (Refusal, Option<String>)> {
+    let (parts, body) = incoming.into_parts();
+    let head = D::head(&parts.headers);
+    let id = head.id.clone();
+    let fail = |refusal| (refusal, id.clone());
+    let configuration = knowledge.configuration();
+    let limit = configuration
+        .as_ref()
+        .map_or(BODY_MAX, |c| c.limits.body_bytes);
+    let patience = configuration
+        .as_ref()
+        .map_or(BODY_TIME, |c| c.limits.idle_time);
+    let body = read_body(body, limit, patience).await.map_err(fail)?;
+    let now = Instant::now();
+    let fresh = knowledge.freshness.borrow().holds(now);
+    let configuration = knowledge
+        .configuration()
+        .ok_or_else(|| fail(Refusal::NotFresh))?;
+    let host = parts
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok());
+    let draw = knowledge.rng.borrow_mut().random();
+    let judged = request::judge(&configuration, host, parts.uri.path(), &head, draw);
+    let judged = match judged {
+        // What isn't known here may have come with a configuration that
+        // hasn't arrived.
+        Err(Refusal::NoRoute | Refusal::NoKey) if !fresh => Err(Refusal::NotFresh),
+        Ok(judged) if judged.organisation.is_some() && !fresh => Err(Refusal::NotFresh),
+        other => other,
+    }
+    .map_err(fail)?;
+    let mut headers = parts.headers;
+    request::strip(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+    let until = Call::due(&judged.route, &head, arrived);
+    let target = parts
+        .uri
+        .path_and_query()
+        .cloned()
+        .ok_or_else(|| fail(Refusal::Malformed))?;
+    Ok(Call {
+        method: parts.method,
+        target,
+        headers,
+        body,
+        head,
+        judged,
+        version: configuration.version,
+        arrived,
+        until,
+    })
+}
+
+/// The most bytes of a body, and the time for one, while no configuration
+/// says otherwise.
+const BODY_MAX: usize = 1 << 20;
+const BODY_TIME: Duration = Duration::from_secs(15);
+
+async fn read_body(body: Incoming, limit: usize, patience: Duration) -> Result<Bytes, Refusal> {
+    let whole = tokio::time::timeout(patience, Limited::new(body, limit).collect()).await;
+    match whole {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
+        Ok(Err(_)) => Err(Refusal::Malformed),
+        Err(_) => Err(Refusal::SlowBody),
+    }
+}
+
+/// An endpoint's answer that is to be passed on.
+enum Answered {
+    Whole(http::response::Parts, Bytes),
+    Pieces(Reply, Bytes),
+}
+
+/// A request on its way.
+struct Flight {
+    knowledge: Rc<Knowledge>,
+    call: Call,
+    course: Course,
+    tried: Vec<cactusnotch_base::name::Endpoint>,
+    /// Whether an endpoint may be at work.
+    sending: bool,
+}
+
+impl Flight {
+    /// Sends the request to endpoints until one answers or none is left.
+    async fn drive<D: Dialect>(&mut self) -> Result<Answered, Refusal> {
+        loop {
+            let (endpoint, running) =
+                match exchange::choose(&self.knowledge, &self.call, &self.tried, Instant::now()) {
+                    Ok(chosen) => chosen,
+                    Err(Unserved::Busy) if self.course.sent() == 0 => return Err(Refusal::Busy),
+                    Err(Unserved::Busy) => return Err(self.course.given_up()),
+                    Err(Unserved::None(error)) => {
+                        tracing::debug!(%error, "no endpoint chosen");
+                        return Err(self.course.given_up());
+                    }
+                };
+            self.tried.push(running.endpoint().clone());
+            self.sending = true;
+            let last = self.call.head.last_event;
+            let sent = exchange::send::<D>(
+                &self.knowledge,
+                &self.call,
+                &mut self.course,
+                &endpoint,
+                running,
+                last,
+            )
+            .await;
+            self.sending = false;
+            let failed = match sent {
+                Ok(reply) => match self.take(reply).await {
+                    Ok(answered) => return Ok(answered),
+                    Err(failed) => failed,
+                },
+                Err(failed) => failed,
+            };
+            self.next(&failed)?;
+        }
+    }
+
+    /// Reads an answer as far as it has to be known before it is passed on.
+    async fn take(&mut self, mut reply: Reply) -> Result<Answered, Failed> {
+        let repeat = self.call.judged.route.repeat;
+        if self.call.judged.route.streaming && reply.head.status.is_success() {
+            return Ok(Answered::Pieces(reply, Bytes::new()));
+        }
+        self.sending = true;
+        let read = answer::read(&mut reply.body).await;
+        self.sending = false;
+        let bytes = match read {
+            Read::Whole(bytes) => bytes,
+            Read::Beginning(bytes) => return Ok(Answered::Pieces(reply, bytes)),
+            Read::Broken(error) => {
+                reply.running.failed();
+                return Err(Failed::new(Failure::InDoubt, &error.to_string()));
+            }
+        };
+        let status = reply.head.status;
+        let more = self.course.sent() < self.call.judged.route.attempts;
+        if exchange::worth_repeating(status, repeat) && more && self.affordable() {
+            self.sending = false;
+            let cause = format!("the endpoint answered {status}");
+            return Err(Failed {
+                failure: Failure::Refused,
+                cause,
+            });
+        }
+        reply.running.piece(Instant::now());
+        if !status.is_server_error() {
+            reply.running.whole();
+        }
+        if let Some(stated) = reply.kept {
+            reply.lease.keep(stated, Instant::now());
+        }
+        Ok(Answered::Whole(reply.head, bytes))
+    }
+
+    fn affordable(&self) -> bool {
+        let mut budgets = self.knowledge.budgets.borrow_mut();
+        budgets.spend(&self.call.judged.service, Instant::now())
+    }
+
+    /// Decides what follows a send without an answer.
+    fn next(&mut self, failed: &Failed) -> Result<(), Refusal> {
+        let mut course = self.course;
+        let next = course.fail(failed.failure, || self.affordable());
+        self.course = course;
+        let id = self.call.head.id.as_deref();
+        let endpoint = self.tried.last().map(|name| name.as_str());
+        tracing::info!(id, endpoint, cause = failed.cause, next = ?next, "endpoint gave no answer");
+        match next {
+            Next::Repeat => {
+                metrics::counter!(metric::GATEWAY_REPEATS).increment(1);
+                Ok(())
+            }
+            Next::Redirect => Ok(()),
+            Next::Give(refusal) => Err(refusal),
+        }
+    }
+
+    /// Starts to pass a long answer or a stream on.
+    fn pass_on<D: Dialect>(
+        self,
+        reply: Reply,
+        first: Bytes,
+        guard: InFlight,
+    ) -> Response<Outgoing> {
+        let (sender, receiver) = mpsc::channel(PIECES_AHEAD);
+        let head = reply.head.clone();
+        let length = head.headers.get(header::CONTENT_LENGTH);
+        let left = length.and_then(|length| length.to_str().ok()?.parse().ok());
+        let response = passed_on(&self.knowledge, head, Outgoing::Pieces { receiver, left });
+        let Self {
+            knowledge,
+            call,
+            course,
+            tried,
+            ..
+        } = self;
+        let status = response.status().as_u16();
+        let pump = Pump {
+            knowledge,
+            call,
+            course,
+            tried,
+            sender,
+            resumed: 0,
+        };
+        tokio::task::spawn_local(async move {
+            let (end, pump) = pump.run::<D>(reply, first).await;
+            log(
+                &pump.knowledge,
+                &pump.call,
+                &pump.tried,
+                status,
+                &end.to_string(),
+                pump.resumed,
+            );
+            drop(guard);
+        });
+        response
+    }
+
+    fn log(&self, status: u16, outcome: &str) {
+        log(&self.knowledge, &self.call, &self.tried, status, outcome, 0);
+    }
+}
+
+/// Writes the line that explains how a request ended.
+fn log(
+    knowledge: &Knowledge,
+    call: &Call,
+    tried: &[cactusnotch_base::name::Endpoint],
+    status: u16,
+    outcome: &str,
+    resumed: u32,
+) {
+    let now = Instant::now();
+    let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    tracing::info!(
+        id = call.head.id.as_deref(),
+        route = call.judged.route.name,
+        organisation = call.judged.organisation.as_ref().map(|o| o.name.as_str()),
+        version = call.version,
+        key_age_ms = knowledge.freshness.borrow().age(now).map(millis),
+        endpoint = tried.last().map(|name| name.as_str()),
+        sends = tried.len(),
+        resumed,
+        status,
+        outcome,
+        ms = millis(now.saturating_duration_since(call.arrived)),
+        "request ended"
+    );
+    metrics::counter!(metric::GATEWAY_REQUESTS).increment(1);
+    metrics::histogram!(metric::GATEWAY_SECONDS)
+        .record(now.saturating_duration_since(call.arrived));
+}
+
+fn refused(knowledge: &Knowledge, id: Option<&str>, refusal: Refusal, arrived: Instant) {
+    let now = Instant::now();
+    let age = knowledge.freshness.borrow().age(now);
+    let version = knowledge.configuration().map(|c| c.version);
+    tracing::info!(
+        id,
+        version,
+        key_age_ms = age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+        status = refusal.status().as_u16(),
+        outcome = %refusal,
+        us = u64::try_from(now.saturating_duration_since(arrived).as_micros()).unwrap_or(u64::MAX),
+        "request refused"
+    );
+    metrics::counter!(metric::GATEWAY_REFUSALS).increment(1);
+}
+
+fn own<D: Dialect>(knowledge: &Knowledge, refusal: Refusal) -> Response<Outgoing> {
+    let mut response = refusal
+        .response::<D>(knowledge.come_back())
+        .map(|body| Outgoing::Whole(Some(body)));
+    close_if_stopping(knowledge, &mut response);
+    response
+}
+
+/// Writes an endpoint's answer for the caller.
+fn passed_on(
+    knowledge: &Knowledge,
+    head: http::response::Parts,
+    body: Outgoing,
+) -> Response<Outgoing> {
+    let mut response = Response::new(body);
+    *response.status_mut() = head.status;
+    *response.headers_mut() = head.headers;
+    request::strip(response.headers_mut());
+    close_if_stopping(knowledge, &mut response);
+    response
+}
+
+fn close_if_stopping(knowledge: &Knowledge, response: &mut Response<Outgoing>) {
+    if knowledge.stopping.get().is_some() {
+        response
+            .headers_mut()
+            .insert(header::CONNECTION, http::HeaderValue::from_static("close"));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/knowledge.rs
@@ -0,0 +1,215 @@
+//! Everything that an entry believes, shared between its tasks.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::budget::Budgets;
+use crate::configuration::Configuration;
+use crate::fleet::Fleet;
+use crate::freshness::Freshness;
+use crate::options::Options;
+use crate::peers::Peers;
+use crate::pool::Pool;
+use crate::store::{Change, Item, Kind, Revision};
+
+/// Everything that an entry believes, shared between its tasks.
+#[derive(Debug)]
+pub(crate) struct Knowledge {
+    pub(crate) options: RefCell<Rc<Options>>,
+    pub(crate) configuration: RefCell<Option<Rc<Configuration>>>,
+    pub(crate) freshness: RefCell<Freshness>,
+    pub(crate) fleet: RefCell<Fleet>,
+    pub(crate) peers: RefCell<Peers>,
+    pub(crate) pool: Pool,
+    pub(crate) budgets: RefCell<Budgets>,
+    pub(crate) rng: RefCell<SmallRng>,
+    pub(crate) in_flight: Cell<u32>,
+    pub(crate) stopping: Cell<Option<Instant>>,
+    /// Whether endpoints and entries have each been listed once.
+    listed: Cell<(bool, bool)>,
+    /// When the store last answered after an outage.
+    returned: Cell<Option<Instant>>,
+}
+
+impl Knowledge {
+    pub(crate) fn new(options: Options) -> Self {
+        Self {
+            freshness: RefCell::new(Freshness::new(options.revocation)),
+            fleet: RefCell::new(Fleet::new(&options.data_centre)),
+            peers: RefCell::new(Peers::new(&options.host, &options.data_centre)),
+            budgets: RefCell::new(Budgets::new(options.retry_ratio, options.retry_window)),
+            options: RefCell::new(Rc::new(options)),
+            configuration: RefCell::default(),
+            pool: Pool::default(),
+            rng: RefCell::new(SmallRng::from_os_rng()),
+            in_flight: Cell::new(0),
+            stopping: Cell::new(None),
+            listed: Cell::new((false, false)),
+            returned: Cell::new(None),
+        }
+    }
+
+    pub(crate) fn options(&self) -> Rc<Options> {
+        Rc::clone(&self.options.borrow())
+    }
+
+    pub(crate) fn configuration(&self) -> Option<Rc<Configuration>> {
+        self.configuration.borrow().clone()
+    }
+
+    /// Tells whether callers should be sent here.
+    pub(crate) fn ready(&self, now: Instant) -> bool {
+        self.stopping.get().is_none()
+            && self.listed.get().0
+            && self.configuration.borrow().is_some()
+            && self.freshness.borrow().holds(now)
+    }
+
+    /// Takes a listing of a kind, which is complete.
+    pub(crate) fn replace(
+        &self,
+        kind: Kind,
+        changes: Vec<Change>,
+        revision: Revision,
+        now: Instant,
+    ) {
+        let named = |name: &str| changes.iter().any(|change| change.name == name);
+        match kind {
+            Kind::Configuration => {}
+            Kind::Endpoints => {
+                let mut fleet = self.fleet.borrow_mut();
+                let gone: Vec<_> = fleet
+                    .iter()
+                    .map(|e| e.id.clone())
+                    .filter(|id| !named(id))
+                    .collect();
+                for id in gone {
+                    tracing::info!(
+                        endpoint = id,
+                        revision = revision.0,
+                        "endpoint missing from the listing"
+                    );
+                    fleet.remove(&id, self.returned.get(), now);
+                }
+                self.listed.set((true, self.listed.get().1));
+            }
+            Kind::Entries => {
+                self.listed.set((self.listed.get().0, true));
+            }
+        }
+        for change in changes {
+            self.apply(kind, change, revision, now);
+        }
+    }
+
+    /// Takes one change.
+    pub(crate) fn apply(&self, kind: Kind, change: Change, revision: Revision, now: Instant) {
+        let Change { name, item } = change;
+        match item {
+            Err(error) => {
+                tracing::error!(%kind, name, revision = revision.0, %error, "object not taken, the last good one stays");
+            }
+            Ok(Some(Item::Configuration(new))) => self.take_configuration(*new, revision),
+            Ok(Some(Item::Endpoint(endpoint))) => {
+                let (leaving, service) = (endpoint.leaving, endpoint.service.clone());
+                if self.fleet.borrow_mut().insert(endpoint) {
+                    tracing::info!(
+                        endpoint = name,
+                        service,
+                        leaving,
+                        revision = revision.0,
+                        "endpoint known"
+                    );
+                }
+            }
+            Ok(Some(Item::Entry(entry))) => self.peers.borrow_mut().insert(entry),
+            Ok(None) => self.forget(kind, &name, revision, now),
+        }
+    }
+
+    fn forget(&self, kind: Kind, name: &str, revision: Revision, now: Instant) {
+        match kind {
+            Kind::Configuration => {
+                tracing::error!(
+                    name,
+                    revision = revision.0,
+                    "configuration removed, the last one stays"
+                );
+            }
+            Kind::Endpoints => {
+                tracing::info!(
+                    endpoint = name,
+                    revision = revision.0,
+                    "endpoint no longer registered"
+                );
+                self.fleet
+                    .borrow_mut()
+                    .remove(name, self.returned.get(), now);
+            }
+            Kind::Entries => self.peers.borrow_mut().remove(name),
+        }
+    }
+
+    fn take_configuration(&self, new: Configuration, revision: Revision) {
+        let known = self
+            .configuration
+            .borrow()
+            .as_ref()
+            .map_or(0, |known| known.version);
+        if new.version < known {
+            tracing::warn!(
+                version = new.version,
+                known,
+                revision = revision.0,
+                "older configuration not taken"
+            );
+            return;
+        }
+        self.fleet.borrow_mut().configure(new.services());
+        tracing::info!(
+            version = new.version,
+            before = known,
+            revision = revision.0,
+            "configuration in force"
+        );
+        *self.configuration.borrow_mut() = Some(Rc::new(new));
+    }
+
+    /// Notes that the store answers again after an outage.
+    pub(crate) fn store_returned(&self, now: Instant) {
+        self.returned.set(Some(now));
+    }
+
+    /// Drops what is past its time.
+    pub(crate) fn tick(&self, now: Instant) {
+        for endpoint in self.fleet.borrow_mut().expire(now) {
+            tracing::info!(endpoint, "endpoint still missing after the store's return");
+        }
+        let fleet = self.fleet.borrow();
+        self.pool.sweep(now, |id| fleet.takes_work(id));
+    }
+
+    /// Returns this entry's part of an endpoint's connections.
+    pub(crate) fn connections(&self, service: &str) -> u32 {
+        let all = self
+            .configuration
+            .borrow()
+            .as_ref()
+            .and_then(|c| c.service(service).map(|s| s.connections));
+        all.map_or(1, |all| (all / self.peers.borrow().count()).max(1))
+    }
+
+    /// Returns the time until a caller whose request was refused should come
+    /// back.
+    pub(crate) fn come_back(&self) -> Duration {
+        COME_BACK
+    }
+}
+
+/// When a refused caller is told to come back: a few passes of a model server,
+/// after which some requests have ended.
+const COME_BACK: Duration = Duration::from_millis(300);
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,51 @@
+//! The entry that forwards callers' requests straight to endpoints over HTTP.
+//!
+//! It stands beside the entry that works through agents, for deployments where
+//! each attempt has an id of its own and endpoints name what they did not run,
+//! so that nothing has to be claimed or remembered. What a deployment calls
+//! things on the wire is behind [`Dialect`] and [`store::Codec`]; this crate
+//! holds the decisions, the state and the recovery.
+//!
+//! A process runs one thread. State is shared between its tasks by `Rc`.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod channel;
+pub mod configuration;
+pub mod dialect;
+pub mod endpoint;
+pub mod entry;
+pub mod journal;
+pub mod options;
+pub mod peer;
+pub mod route;
+pub mod store;
+pub mod tcp;
+
+mod answer;
+mod body;
+mod budget;
+mod connection;
+mod decide;
+mod events;
+mod exchange;
+mod fleet;
+mod flight;
+mod freshness;
+mod knowledge;
+mod listing;
+mod peers;
+mod pool;
+mod pump;
+mod refusal;
+mod request;
+mod server;
+mod stop;
+mod watcher;
+
+pub use configuration::Configuration;
+pub use dialect::Dialect;
+pub use endpoint::Endpoint;
+pub use entry::Entry;
+pub use options::Options;
+pub use route::Route;
--- /dev/null
+++ b/crates/gateway/src/listing.rs
@@ -0,0 +1,129 @@
+//! Statements between entries, load reports of agents, and the answers to
+//! callers that ask where to connect.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use cactusnotch_route::{Load, Report, State};
+use tokio::net::UdpSocket;
+
+use crate::knowledge::Knowledge;
+use crate::peer::{self, Datagram};
+
+/// How often entries near are asked whether they are ready.
+const ASK_EVERY: Duration = Duration::from_millis(600);
+/// Every how many rounds agents are subscribed to; a subscription lasts
+/// several rounds.
+const SUBSCRIBE_EVERY: u32 = 2;
+/// The largest datagram that is read.
+const DATAGRAM_MAX: usize = 2048;
+
+/// Asks and answers other entries and takes agents' reports.
+pub(crate) async fn run(knowledge: Rc<Knowledge>, socket: Rc<UdpSocket>) {
+    let mut ticks = tokio::time::interval(ASK_EVERY);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut buffer = vec![0; DATAGRAM_MAX];
+    let mut round = 0_u32;
+    loop {
+        tokio::select! {
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, from)) => take(&knowledge, &socket, &buffer[..length], from),
+                Err(error) => tracing::debug!(%error, "datagram not received"),
+            },
+            _ = ticks.tick() => {
+                knowledge.tick(Instant::now());
+                ask(&knowledge, &socket, round.is_multiple_of(SUBSCRIBE_EVERY));
+                round = round.wrapping_add(1);
+            }
+        }
+    }
+}
+
+fn take(knowledge: &Knowledge, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
+    let now = Instant::now();
+    match Datagram::decode(bytes) {
+        Ok(Datagram::Ask) => send(
+            socket,
+            &Datagram::State {
+                ready: knowledge.ready(now),
+            },
+            from,
+        ),
+        Ok(Datagram::State { ready }) => {
+            if let Some(host) = knowledge.peers.borrow_mut().hear(from, ready, now) {
+                tracing::info!(host, ready, "entry changed");
+            }
+        }
+        Ok(Datagram::Load(load)) => {
+            let report = report(&load, knowledge.peers.borrow().count());
+            knowledge
+                .fleet
+                .borrow_mut()
+                .report(load.endpoint, &report, now);
+        }
+        Err(error) => tracing::debug!(%from, %error, "datagram dropped"),
+    }
+}
+
+fn report(load: &peer::Load, sharers: u32) -> Report {
+    Report {
+        state: if load.open {
+            State::Serving
+        } else {
+            State::Unreachable
+        },
+        slots: load.slots,
+        total: Load {
+            requests: load.requests,
+            backlog: 0,
+        },
+        mine: None,
+        sharers,
+        age: Duration::from_millis(u64::from(load.age)),
+    }
+}
+
+fn ask(knowledge: &Knowledge, socket: &UdpSocket, subscribe: bool) {
+    let asked = knowledge.peers.borrow().asked();
+    asked
+        .into_iter()
+        .for_each(|peer| send(socket, &Datagram::Ask, peer));
+    if !subscribe || knowledge.stopping.get().is_some() {
+        return;
+    }
+    let port = knowledge.options().agent_port;
+    let fleet = knowledge.fleet.borrow();
+    let configuration = knowledge.configuration();
+    let engines = fleet.iter().filter(|endpoint| {
+        let service = configuration
+            .as_ref()
+            .and_then(|c| c.service(&endpoint.service));
+        service.is_some_and(|service| service.engine.is_some())
+    });
+    for endpoint in engines {
+        send(
+            socket,
+            &Datagram::Ask,
+            SocketAddr::new(endpoint.address.ip(), port),
+        );
+    }
+}
+
+/// Tells the entries near that this one takes no callers any more.
+pub(crate) fn announce_stop(knowledge: &Knowledge, socket: &UdpSocket) {
+    let asked = knowledge.peers.borrow().asked();
+    asked
+        .into_iter()
+        .for_each(|peer| send(socket, &Datagram::State { ready: false }, peer));
+}
+
+/// Sends a datagram; one that can't be sent now is as good as lost on its way.
+fn send(socket: &UdpSocket, datagram: &Datagram, to: SocketAddr) {
+    if let Err(error) = socket.try_send_to(&datagram.encode(), to)
+        && error.kind() != io::ErrorKind::WouldBlock
+    {
+        tracing::debug!(%to, %error, "datagram not sent");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/options.rs
@@ -0,0 +1,46 @@
+//! The settings of an entry's process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Settings that an entry gets from its host, not from the operators' tree.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Options {
+    /// The name of the host.
+    pub host: String,
+    /// The data centre of the host.
+    pub data_centre: String,
+    /// The region of the host.
+    pub region: String,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where it is asked whether it is ready.
+    pub readiness: SocketAddr,
+    /// Where callers ask which entries to use.
+    pub directory: SocketAddr,
+    /// Where entries and agents send each other datagrams.
+    pub peers: SocketAddr,
+    /// Where metrics are scraped.
+    pub metrics: SocketAddr,
+    /// The port on which the agents of endpoints take datagrams.
+    pub agent_port: u16,
+    /// Where the platform's store is.
+    pub store: SocketAddr,
+    /// The longest time for which a taken-away key may still work; `None` if
+    /// that isn't bounded.
+    pub revocation: Option<Duration>,
+    /// The time that a stop may take.
+    pub grace: Duration,
+    /// Repeated sends allowed for each request.
+    pub retry_ratio: f64,
+    /// The span over which repeated sends are counted.
+    pub retry_window: Duration,
+    /// The longest time that callers keep a list of addresses.
+    pub list_time_max: Duration,
+    /// The time from an endpoint's end until its address may be another's.
+    pub address_reuse: Duration,
+    /// The longest time from a leaving endpoint's notice to its last request.
+    pub drain: Duration,
+    /// The file descriptors that connections may use.
+    pub descriptors: usize,
+}
--- /dev/null
+++ b/crates/gateway/src/peer.rs
@@ -0,0 +1,69 @@
+//! The datagrams between entries and agents.
+
+use std::net::SocketAddr;
+
+use cactusnotch_derive::message;
+use derive_more::{Display, Error};
+
+/// What an agent measured of its own endpoint.
+#[message]
+pub struct Load {
+    /// Where the endpoint takes requests.
+    pub endpoint: SocketAddr,
+    /// The requests that it runs at once.
+    pub slots: u32,
+    /// The requests that run or wait there.
+    pub requests: u32,
+    /// Whether its group of ranks can take requests.
+    pub open: bool,
+    /// The part of the memory for prompts that is in use, in thousandths.
+    pub memory: u16,
+    /// The age of the figures when they were sent, in milliseconds.
+    pub age: u16,
+}
+
+/// A datagram.
+#[message]
+pub enum Datagram {
+    /// An entry asks another whether it is ready, or subscribes to an agent.
+    Ask,
+    /// An entry states whether it is ready.
+    State {
+        /// Whether it takes callers' requests.
+        ready: bool,
+    },
+    /// An agent states its endpoint's load.
+    Load(Load),
+}
+
+/// Why a datagram can't be read.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+#[display("unreadable datagram: {detail}")]
+pub struct Unreadable {
+    detail: String,
+}
+
+impl Datagram {
+    /// Returns the bytes to send.
+    ///
+    /// # Panics
+    ///
+    /// Never: writing to memory does not fail.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(64);
+        ciborium::into_writer(self, &mut bytes).expect("memory takes every write");
+        bytes
+    }
+
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the bytes.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Unreadable> {
+        ciborium::from_reader(bytes).map_err(|error| Unreadable {
+            detail: error.to_string(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,134 @@
+//! Which other entries are there and ready.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use cactusnotch_base::Table;
+
+use crate::store::Entry;
+
+/// How long a statement of readiness counts: two lost datagrams are borne, and
+/// a dead entry is off the lists before callers' next question.
+const STATEMENT_TIME: Duration = Duration::from_millis(1_700);
+/// The most entries that are asked; beyond it the nearest in the order of
+/// names are, so that the cost stays the same however many there are.
+const ASKED_MAX: usize = 16;
+/// The entries from which on a list is long enough to stay within the
+/// caller's data centre.
+const LIST_MIN: usize = 2;
+
+#[derive(Debug)]
+struct Row {
+    entry: Entry,
+    ready: bool,
+    heard: Option<Instant>,
+}
+
+impl Row {
+    fn ready(&self, now: Instant) -> bool {
+        self.ready && self.alive(now)
+    }
+
+    fn alive(&self, now: Instant) -> bool {
+        self.heard
+            .is_some_and(|at| now.saturating_duration_since(at) < STATEMENT_TIME)
+    }
+}
+
+/// The other entries, by host.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    data_centre: String,
+    host: String,
+    rows: Table<String, Row>,
+}
+
+impl Peers {
+    pub(crate) fn new(host: &str, data_centre: &str) -> Self {
+        Self {
+            data_centre: data_centre.to_owned(),
+            host: host.to_owned(),
+            rows: Table::new(),
+        }
+    }
+
+    /// Takes an entry's registration.
+    pub(crate) fn insert(&mut self, entry: Entry) {
+        if entry.host == self.host {
+            return;
+        }
+        let row = self.rows.get_or_insert_with(entry.host.clone(), || Row {
+            entry: entry.clone(),
+            ready: false,
+            heard: None,
+        });
+        if row.entry != entry {
+            *row = Row {
+                entry,
+                ready: false,
+                heard: None,
+            };
+        }
+    }
+
+    /// Takes that an entry withdrew.
+    pub(crate) fn remove(&mut self, host: &str) {
+        self.rows.remove(host);
+    }
+
+    /// Returns how many entries there may be, this one included.
+    pub(crate) fn count(&self) -> u32 {
+        u32::try_from(self.rows.len() + 1).unwrap_or(u32::MAX)
+    }
+
+    /// Returns where to ask for statements: the entries of this data centre,
+    /// and a few others if there are not enough.
+    pub(crate) fn asked(&self) -> Vec<SocketAddr> {
+        let near = |row: &&Row| row.entry.data_centre == self.data_centre;
+        let rows = || self.rows.values();
+        let mut asked: Vec<_> = rows().filter(near).map(|row| row.entry.peers).collect();
+        if asked.len() < LIST_MIN {
+            asked.extend(rows().filter(|row| !near(row)).map(|row| row.entry.peers));
+        }
+        asked.truncate(ASKED_MAX);
+        asked
+    }
+
+    /// Takes a statement; returns the entry's host if it changed.
+    pub(crate) fn hear(&mut self, from: SocketAddr, ready: bool, now: Instant) -> Option<&str> {
+        let found = self
+            .rows
+            .iter_mut()
+            .map(|(_, row)| row)
+            .find(|row| row.entry.peers == from);
+        let row = found?;
+        let changed = row.ready(now) != ready;
+        row.ready = ready;
+        row.heard = Some(now);
+        changed.then_some(row.entry.host.as_str())
+    }
+
+    /// Returns where callers of `data_centre` should connect: this entry, if
+    /// `own` is given, and ready ones near it.
+    pub(crate) fn list(
+        &self,
+        data_centre: Option<&str>,
+        own: Option<SocketAddr>,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        let ready = || self.rows.values().filter(|row| row.ready(now));
+        let home = data_centre.is_none_or(|wanted| wanted == self.data_centre);
+        let near = |row: &&Row| data_centre.is_none_or(|wanted| row.entry.data_centre == wanted);
+        let mut list: Vec<_> = ready().filter(near).map(|row| row.entry.listen).collect();
+        if home || list.is_empty() {
+            list.extend(own);
+        }
+        if list.len() < LIST_MIN {
+            list.extend(ready().filter(|row| !near(row)).map(|row| row.entry.listen));
+            list.extend(own);
+        }
+        list.sort_unstable();
+        list.dedup();
+        list
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pool.rs
@@ -0,0 +1,192 @@
+//! Kept connections to endpoints.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use cactusnotch_base::Table;
+
+use crate::channel::{self, Channel};
+use crate::endpoint::Endpoint;
+
+/// The longest time to connect to an endpoint: a healthy one in the same
+/// region takes milliseconds, and a lost opening packet is sent again only
+/// after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// How long a kept connection is used again if the endpoint stated no bound.
+const IDLE_TIME: Duration = Duration::from_secs(4);
+/// The part of the endpoint's stated idle time after which a connection is
+/// not used again, since the endpoint may be closing it.
+const IDLE_PART: f64 = 0.7;
+
+/// A connection that is kept for the next request.
+#[derive(Debug)]
+struct Idle {
+    channel: Channel,
+    until: Instant,
+}
+
+/// The connections to one endpoint.
+#[derive(Debug, Default)]
+struct Row {
+    idle: Vec<Idle>,
+    open: u32,
+}
+
+/// The kept connections of an entry.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Pool {
+    rows: Rc<RefCell<Table<String, Row>>>,
+}
+
+/// A connection in use, which counts as open until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Lease {
+    channel: Option<Channel>,
+    endpoint: String,
+    pool: Pool,
+}
+
+/// Why there is no connection.
+#[derive(Debug)]
+pub(crate) enum Error {
+    /// The entry's part of the endpoint's connections is in use.
+    Full,
+    /// The endpoint could not be reached.
+    Connect(channel::Error),
+}
+
+/// Whether a kept connection may be used. The endpoint may drop one without
+/// notice, and what is sent on it then is in doubt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Reuse {
+    /// It may.
+    Allowed,
+    /// Only a new connection leaves no doubt that the request was read.
+    Never,
+}
+
+impl Pool {
+    /// Takes a connection to `endpoint`, of which at most `most` are open.
+    pub(crate) async fn take(
+        &self,
+        endpoint: &Endpoint,
+        most: u32,
+        reuse: Reuse,
+        now: Instant,
+    ) -> Result<Lease, Error> {
+        let lease = |channel| Lease {
+            channel: Some(channel),
+            endpoint: endpoint.id.clone(),
+            pool: self.clone(),
+        };
+        if let Some(channel) = self.reserve(endpoint, most, reuse, now)? {
+            return Ok(lease(channel));
+        }
+        let reservation = Reservation {
+            pool: self,
+            endpoint: &endpoint.id,
+        };
+        let channel = Channel::open(endpoint.address, CONNECT_TIMEOUT)
+            .await
+            .map_err(Error::Connect)?;
+        std::mem::forget(reservation);
+        metrics::counter!(cactusnotch_telemetry::metric::GATEWAY_CONNECTIONS_OPENED).increment(1);
+        Ok(lease(channel))
+    }
+
+    /// Takes a kept connection, or counts one that is to be opened.
+    fn reserve(
+        &self,
+        endpoint: &Endpoint,
+        most: u32,
+        reuse: Reuse,
+        now: Instant,
+    ) -> Result<Option<Channel>, Error> {
+        let mut rows = self.rows.borrow_mut();
+        let row = rows.get_or_insert_with(endpoint.id.clone(), Row::default);
+        let before = row.idle.len();
+        row.idle
+            .retain(|idle| idle.until > now && idle.channel.is_ready());
+        let dropped = u32::try_from(before - row.idle.len()).unwrap_or(u32::MAX);
+        row.open = row.open.saturating_sub(dropped);
+        if reuse == Reuse::Allowed
+            && let Some(idle) = row.idle.pop()
+        {
+            return Ok(Some(idle.channel));
+        }
+        if row.open >= most.max(1) {
+            if row.idle.is_empty() {
+                return Err(Error::Full);
+            }
+            row.idle.remove(0);
+            row.open -= 1;
+        }
+        row.open += 1;
+        Ok(None)
+    }
+
+    /// Drops the kept connections of endpoints that `keep` doesn't name, and
+    /// those that are too old.
+    pub(crate) fn sweep(&self, now: Instant, keep: impl Fn(&str) -> bool) {
+        self.rows.borrow_mut().retain(|id, row| {
+            let before = row.idle.len();
+            let known = keep(id);
+            row.idle
+                .retain(|idle| known && idle.until > now && !idle.channel.is_closed());
+            let dropped = u32::try_from(before - row.idle.len()).unwrap_or(u32::MAX);
+            row.open = row.open.saturating_sub(dropped);
+            known || row.open > 0
+        });
+    }
+
+    fn release(&self, endpoint: &str) {
+        if let Some(row) = self.rows.borrow_mut().get_mut(endpoint) {
+            row.open = row.open.saturating_sub(1);
+        }
+    }
+}
+
+/// A connection that is being opened; it counts until it is given up.
+struct Reservation<'a> {
+    pool: &'a Pool,
+    endpoint: &'a str,
+}
+
+impl Drop for Reservation<'_> {
+    fn drop(&mut self) {
+        self.pool.release(self.endpoint);
+    }
+}
+
+impl Lease {
+    /// Returns the connection.
+    pub(crate) const fn channel(&mut self) -> Option<&mut Channel> {
+        self.channel.as_mut()
+    }
+
+    /// Gives the connection back after a whole answer, to be used again for as
+    /// long as the endpoint said it keeps it.
+    pub(crate) fn keep(mut self, stated: Option<Duration>, now: Instant) {
+        let idle = stated.map_or(IDLE_TIME, |time| time.mul_f64(IDLE_PART).min(IDLE_TIME));
+        let pool = self.pool.clone();
+        let mut rows = pool.rows.borrow_mut();
+        let Some(row) = rows.get_mut(&self.endpoint) else {
+            return;
+        };
+        if let Some(channel) = self.channel.take() {
+            row.idle.push(Idle {
+                channel,
+                until: now + idle,
+            });
+        }
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if self.channel.is_some() {
+            self.pool.release(&self.endpoint);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pump.rs
@@ -0,0 +1,184 @@
+//! Passes a long answer or a stream on, and continues a broken stream at
+//! another endpoint.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use cactusnotch_base::name;
+use http_body_util::BodyExt;
+use tokio::sync::mpsc::Sender;
+
+use crate::body::Broken;
+use crate::decide::{Course, Failure, Next};
+use crate::dialect::Dialect;
+use crate::events::Events;
+use crate::exchange::{self, Reply};
+use crate::knowledge::Knowledge;
+use crate::request::Call;
+use crate::route::Repeat;
+
+/// How an answer ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub(crate) enum End {
+    /// The caller got all of it.
+    #[display("whole")]
+    Whole,
+    /// The caller left.
+    #[display("caller left")]
+    Left,
+    /// The time was up.
+    #[display("time up")]
+    TimeUp,
+    /// It broke off.
+    #[display("broken off")]
+    Broken,
+}
+
+/// An answer that is being passed on.
+pub(crate) struct Pump {
+    pub(crate) knowledge: Rc<Knowledge>,
+    pub(crate) call: Call,
+    pub(crate) course: Course,
+    pub(crate) tried: Vec<name::Endpoint>,
+    pub(crate) sender: Sender<Result<Bytes, Broken>>,
+    /// How often a stream was continued at another endpoint.
+    pub(crate) resumed: u32,
+}
+
+/// What became of one endpoint's part of an answer.
+enum Part {
+    End(End),
+    Broken(String),
+}
+
+impl Pump {
+    /// Passes `reply` on, after the bytes `first` that were read already.
+    pub(crate) async fn run<D: Dialect>(mut self, mut reply: Reply, first: Bytes) -> (End, Self) {
+        let resumable =
+            self.call.judged.route.repeat == Repeat::Resume && reply.head.status.is_success();
+        let mut events = resumable.then(|| Events::new(self.call.head.last_event));
+        if !first.is_empty() && self.sender.send(Ok(first)).await.is_err() {
+            return (End::Left, self);
+        }
+        loop {
+            let cause = match self.part(reply, events.as_mut()).await {
+                Part::End(end) => return (self.close(end).await, self),
+                Part::Broken(cause) => cause,
+            };
+            let Some(events) = events.as_mut() else {
+                return (self.close(End::Broken).await, self);
+            };
+            events.drop_partial();
+            match self.resume::<D>(events.last(), cause).await {
+                Some(next) => reply = next,
+                None => return (self.close(End::Broken).await, self),
+            }
+        }
+    }
+
+    /// Tells the caller by a cut connection if the answer is not whole.
+    async fn close(&self, end: End) -> End {
+        if matches!(end, End::TimeUp | End::Broken) {
+            // A caller that has left meanwhile needs no sign.
+            let _: Result<(), _> = self.sender.send(Err(Broken)).await;
+        }
+        end
+    }
+
+    /// Passes on what one endpoint sends.
+    async fn part(&self, reply: Reply, mut events: Option<&mut Events>) -> Part {
+        let Reply {
+            mut body,
+            lease,
+            mut running,
+            kept,
+            ..
+        } = reply;
+        let until = tokio::time::Instant::from_std(self.call.until);
+        loop {
+            let frame = tokio::select! {
+                biased;
+                () = self.sender.closed() => return Part::End(End::Left),
+                frame = body.frame() => frame,
+                () = tokio::time::sleep_until(until) => return Part::End(End::TimeUp),
+            };
+            let data = match frame {
+                None => break,
+                Some(Err(error)) => {
+                    running.failed();
+                    return Part::Broken(error.to_string());
+                }
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            };
+            running.piece(Instant::now());
+            let data = match events.as_deref_mut() {
+                Some(events) => events.push(data),
+                None => data,
+            };
+            if !data.is_empty() && self.sender.send(Ok(data)).await.is_err() {
+                return Part::End(End::Left);
+            }
+        }
+        if events.is_some_and(|events| events.is_partial()) {
+            running.failed();
+            return Part::Broken("the stream ended within an event".to_owned());
+        }
+        running.whole();
+        if let Some(stated) = kept {
+            lease.keep(stated, Instant::now());
+        }
+        Part::End(End::Whole)
+    }
+
+    /// Continues a stream after the event `last` at another endpoint.
+    async fn resume<D: Dialect>(&mut self, last: Option<u64>, cause: String) -> Option<Reply> {
+        let mut failure = exchange::Failed {
+            failure: Failure::InDoubt,
+            cause,
+        };
+        loop {
+            let now = Instant::now();
+            let service = self.call.judged.service.clone();
+            let affordable = || self.knowledge.budgets.borrow_mut().spend(&service, now);
+            let next = self.course.fail(failure.failure, affordable);
+            let id = self.call.head.id.as_deref();
+            tracing::info!(id, after = last, cause = failure.cause, next = ?next, "stream broken at its endpoint");
+            if matches!(next, Next::Give(_)) || now >= self.call.until {
+                return None;
+            }
+            let (endpoint, running) =
+                exchange::choose(&self.knowledge, &self.call, &self.tried, now).ok()?;
+            self.tried.push(running.endpoint().clone());
+            let sending = exchange::send::<D>(
+                &self.knowledge,
+                &self.call,
+                &mut self.course,
+                &endpoint,
+                running,
+                last,
+            );
+            let until = tokio::time::Instant::from_std(self.call.until);
+            let sent = tokio::select! {
+                biased;
+                () = self.sender.closed() => return None,
+                sent = sending => sent,
+                () = tokio::time::sleep_until(until) => return None,
+            };
+            match sent {
+                Ok(reply) if reply.head.status.is_success() => {
+                    self.resumed += 1;
+                    return Some(reply);
+                }
+                Ok(reply) => {
+                    let cause = format!("the endpoint answered {}", reply.head.status);
+                    failure = exchange::Failed {
+                        failure: Failure::InDoubt,
+                        cause,
+                    };
+                }
+                Err(failed) => failure = failed,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/refusal.rs
@@ -0,0 +1,83 @@
+//! The answers that an entry gives itself.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Display;
+use http::{HeaderValue, Response, StatusCode, header};
+
+use crate::dialect::Dialect;
+
+/// Why an entry answers itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub(crate) enum Refusal {
+    /// The request's head can't be used.
+    #[display("the request has no usable host")]
+    Malformed,
+    /// The body is larger than the operators allow.
+    #[display("the body is too large")]
+    TooLarge,
+    /// The body didn't arrive in time. Nothing was sent on.
+    #[display("the body did not arrive in time")]
+    SlowBody,
+    /// No route takes the request.
+    #[display("no route")]
+    NoRoute,
+    /// The key is missing or unknown.
+    #[display("the key is missing or unknown")]
+    NoKey,
+    /// This entry doesn't know yet what is in force.
+    #[display("the configuration is not known well enough")]
+    NotFresh,
+    /// No endpoint took the request, which has not run.
+    #[display("no endpoint took the request")]
+    NotRun,
+    /// The endpoints are so busy that the request would be late.
+    #[display("the endpoints are busy")]
+    Busy,
+    /// The time is up; whether the request ran is open.
+    #[display("the time is up")]
+    TimeUp,
+    /// The answer was lost or spoilt; whether the request ran is open.
+    #[display("the answer was lost")]
+    Lost,
+}
+
+impl Refusal {
+    pub(crate) const fn status(self) -> StatusCode {
+        match self {
+            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoKey => StatusCode::UNAUTHORIZED,
+            Self::NotFresh | Self::NotRun | Self::Busy => StatusCode::SERVICE_UNAVAILABLE,
+            Self::TimeUp => StatusCode::GATEWAY_TIMEOUT,
+            Self::Lost => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// Tells whether the request has not run, so that the caller may send it
+    /// again after a pause.
+    pub(crate) const fn may_come_back(self) -> bool {
+        matches!(
+            self,
+            Self::SlowBody | Self::NotFresh | Self::NotRun | Self::Busy
+        )
+    }
+
+    /// Returns the answer.
+    pub(crate) fn response<D: Dialect>(self, after: Duration) -> Response<Bytes> {
+        let mut response = Response::new(D::explanation(&self.to_string()));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
+        if self.may_come_back() {
+            D::come_back(headers, after);
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/server.rs
@@ -0,0 +1,137 @@
+//! The addresses that an entry listens on.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cactusnotch_telemetry::Exporter;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::connection;
+use crate::dialect::Dialect;
+use crate::knowledge::Knowledge;
+use crate::tcp;
+
+/// How long callers keep a list of addresses: short, so that they leave a
+/// stopping entry soon, yet their questions stay few.
+const LIST_TIME: Duration = Duration::from_secs(2);
+/// The pause after a connection could not be accepted, for want of
+/// descriptors as a rule.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts connections for as long as the process lives.
+pub(crate) async fn accept<F>(listener: TcpListener, serve: impl Fn(TcpStream) -> F)
+where
+    F: Future<Output = ()> + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => match tcp::tune(&stream) {
+                Ok(()) => drop(tokio::task::spawn_local(serve(stream))),
+                Err(error) => tracing::debug!(%error, "connection closed at once"),
+            },
+            Err(error) => {
+                tracing::warn!(%error, "connection not accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves callers' requests.
+pub(crate) async fn callers<D: Dialect>(
+    knowledge: Rc<Knowledge>,
+    listener: TcpListener,
+    closing: watch::Receiver<bool>,
+) {
+    accept(listener, |stream| {
+        let limits = knowledge
+            .configuration()
+            .map(|configuration| configuration.limits);
+        connection::serve::<D>(Rc::clone(&knowledge), stream, limits, closing.clone())
+    })
+    .await;
+}
+
+/// Answers questions for readiness and for addresses.
+pub(crate) async fn questions<D: Dialect>(knowledge: Rc<Knowledge>, listener: TcpListener) {
+    accept(listener, |stream| {
+        let knowledge = Rc::clone(&knowledge);
+        answer(stream, move |request| question::<D>(&knowledge, request))
+    })
+    .await;
+}
+
+/// Serves the metrics.
+pub(crate) async fn metrics(exporter: Exporter, listener: TcpListener) {
+    accept(listener, |stream| {
+        let exporter = exporter.clone();
+        answer(stream, move |_| {
+            Response::new(Full::new(Bytes::from(exporter.render())))
+        })
+    })
+    .await;
+}
+
+/// Answers the requests of one connection from memory.
+async fn answer(stream: TcpStream, respond: impl Fn(&Request<Incoming>) -> Response<Full<Bytes>>) {
+    let service = service_fn(|request| {
+        let response = respond(&request);
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = connection.await {
+        tracing::debug!(%error, "connection ended");
+    }
+}
+
+fn question<D: Dialect>(
+    knowledge: &Knowledge,
+    request: &Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let now = Instant::now();
+    let status = |status| {
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = status;
+        response
+    };
+    if D::asks_ready(request.uri()) {
+        return status(if knowledge.ready(now) {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        });
+    }
+    let Some(question) = D::question(request.uri()) else {
+        return status(StatusCode::NOT_FOUND);
+    };
+    let options = knowledge.options();
+    let serving = knowledge.stopping.get().is_none() && knowledge.configuration().is_some();
+    let ready = knowledge.ready(now).then_some(options.listen);
+    let peers = knowledge.peers.borrow();
+    let mut list = peers.list(question.data_centre.as_deref(), ready, now);
+    if list.is_empty() && serving {
+        // While the store is away no entry is ready, and each still serves
+        // what needs no fresh proof.
+        list.push(options.listen);
+    }
+    if list.is_empty() {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let body = D::addresses(&list, LIST_TIME.min(options.list_time_max));
+    let mut response = Response::new(Full::new(body));
+    response.headers_mut().insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/stop.rs
@@ -0,0 +1,60 @@
+//! A planned stop, and the reload of settings.
+
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tokio::net::UdpSocket;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use crate::knowledge::Knowledge;
+use crate::listing;
+use crate::store::{Codec, Store};
+
+/// How long callers may still come after a stop was asked for: some keep a
+/// list of addresses three times as long as it says.
+const FAREWELL: Duration = Duration::from_millis(3_500);
+/// What is kept free at the end of the time for a stop.
+const END_MARGIN: Duration = Duration::from_millis(500);
+/// How often a stopping entry looks whether its last request has ended.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// Waits for the signal to stop, and then until the process may end.
+///
+/// # Errors
+///
+/// Returns an error if signals can't be received.
+pub(crate) async fn run<C: Codec>(
+    knowledge: Rc<Knowledge>,
+    socket: Rc<UdpSocket>,
+    closing: watch::Sender<bool>,
+) -> io::Result<()> {
+    let mut stop = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = stop.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let began = Instant::now();
+    let options = knowledge.options();
+    knowledge.stopping.set(Some(began));
+    tracing::info!(in_flight = knowledge.in_flight.get(), "stop asked for");
+    listing::announce_stop(&knowledge, &socket);
+    let host = options.host.clone();
+    let mut store = Store::<C>::new(options.store);
+    tokio::task::spawn_local(async move {
+        if let Err(error) = store.withdraw(&host).await {
+            tracing::warn!(%error, "entry not withdrawn");
+        }
+    });
+    tokio::time::sleep(FAREWELL.min(options.grace / 2)).await;
+    closing.send_replace(true);
+    let last = began + options.grace.saturating_sub(END_MARGIN);
+    tokio::time::sleep(LOOK_EVERY).await;
+    while knowledge.in_flight.get() > 0 && Instant::now() < last {
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+    tracing::info!(in_flight = knowledge.in_flight.get(), "stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/store.rs
@@ -0,0 +1,258 @@
+//! The platform's store as an entry or an agent uses it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cactusnotch_derive::{number, record};
+use derive_more::{Display, Error};
+use http::header::HOST;
+use http::{HeaderValue, Request, StatusCode};
+use http_body_util::Full;
+
+use crate::channel::{self, Channel};
+use crate::{Configuration, Endpoint};
+
+/// The longest time to connect to the store; it stands in the same region.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// The longest time for a call that does not wait for changes. The store
+/// answers in milliseconds; sixty times as slow is within this.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The longest answer that is read: an object has at most a megabyte, and a
+/// page about as much again.
+const ANSWER_MAX: usize = 4 << 20;
+
+/// A number of the store's order of all changes.
+#[number]
+pub struct Revision(pub u64);
+
+/// A kind of objects.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Kind {
+    /// The operators' configuration.
+    #[display("configuration")]
+    Configuration,
+    /// Endpoints, which register themselves.
+    #[display("endpoints")]
+    Endpoints,
+    /// Entries, which register themselves.
+    #[display("entries")]
+    Entries,
+}
+
+/// An entry as it registered itself.
+#[record]
+pub struct Entry {
+    /// The name of its host.
+    pub host: String,
+    /// The data centre of its host.
+    pub data_centre: String,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where it takes datagrams.
+    pub peers: SocketAddr,
+}
+
+/// The content of an object.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Item {
+    /// The operators' configuration.
+    Configuration(Box<Configuration>),
+    /// An endpoint.
+    Endpoint(Endpoint),
+    /// An entry.
+    Entry(Entry),
+}
+
+/// A change of an object.
+#[derive(Debug)]
+pub struct Change {
+    /// The object's name.
+    pub name: String,
+    /// Its content, `None` if it is gone, or why it can't be read.
+    pub item: Result<Option<Item>, Unreadable>,
+}
+
+/// Why an object or an answer can't be read.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+#[display("{kind}: {detail}")]
+pub struct Unreadable {
+    /// What was to be read.
+    pub kind: Kind,
+    /// What is wrong with it.
+    pub detail: String,
+}
+
+/// What the store answered to a listing or a watch.
+#[derive(Debug)]
+pub struct Answer {
+    /// The objects or changes in order.
+    pub changes: Vec<Change>,
+    /// The store's revision up to which they are complete.
+    pub revision: Revision,
+    /// Whether more objects follow the last of these.
+    pub more: bool,
+}
+
+/// How calls to the store are written and its answers read.
+pub trait Codec: 'static {
+    /// Writes the call that lists objects after the name `after`. A `stale`
+    /// listing may be seconds old.
+    fn list(kind: Kind, after: Option<&str>, stale: bool) -> Request<Bytes>;
+
+    /// Writes the call that waits for changes after `from`.
+    fn watch(kind: Kind, from: Revision, wait: Duration) -> Request<Bytes>;
+
+    /// Writes the call that creates an entry's object.
+    fn create(entry: &Entry) -> Request<Bytes>;
+
+    /// Writes the call that replaces an entry's object.
+    fn replace(entry: &Entry) -> Request<Bytes>;
+
+    /// Writes the call that removes an entry's object.
+    fn remove(host: &str) -> Request<Bytes>;
+
+    /// Reads the answer to a listing.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the whole answer can't be read.
+    fn listed(kind: Kind, body: &[u8]) -> Result<Answer, Unreadable>;
+
+    /// Reads the answer to a watch.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the whole answer can't be read.
+    fn watched(kind: Kind, body: &[u8]) -> Result<Answer, Unreadable>;
+}
+
+/// Why a call to the store failed.
+#[derive(Debug, Display, Error)]
+pub enum Error {
+    /// There was no answer; the call may have been done.
+    #[display("{_0}")]
+    Channel(channel::Error),
+    /// The store refused the call.
+    #[display("the store refused the call with {_0}")]
+    Refused(#[error(not(source))] StatusCode),
+    /// The changes since the revision are no longer there.
+    #[display("the store no longer has the changes since then")]
+    HistoryGone,
+    /// The answer can't be read.
+    #[display("unreadable answer: {_0}")]
+    Unreadable(Unreadable),
+}
+
+/// A connection to the store, opened when it is needed.
+#[derive(Debug)]
+pub struct Store<C> {
+    address: SocketAddr,
+    channel: Option<Channel>,
+    codec: std::marker::PhantomData<C>,
+}
+
+impl<C: Codec> Store<C> {
+    /// Creates a client of the store at `address`.
+    #[must_use]
+    pub const fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            channel: None,
+            codec: std::marker::PhantomData,
+        }
+    }
+
+    /// Lists all objects of a kind, with the revision that the list shows.
+    ///
+    /// # Errors
+    ///
+    /// Returns why a call failed.
+    pub async fn list(&mut self, kind: Kind, stale: bool) -> Result<Answer, Error> {
+        let mut whole = self.page(kind, None, stale).await?;
+        while whole.more {
+            let after = whole.changes.last().map(|change| change.name.clone());
+            let page = self.page(kind, after.as_deref(), stale).await?;
+            // Changes between two pages are seen by a watch from the first.
+            whole.more = page.more && !page.changes.is_empty();
+            whole.changes.extend(page.changes);
+        }
+        Ok(whole)
+    }
+
+    async fn page(
+        &mut self,
+        kind: Kind,
+        after: Option<&str>,
+        stale: bool,
+    ) -> Result<Answer, Error> {
+        let body = self.call(C::list(kind, after, stale), CALL_TIMEOUT).await?;
+        C::listed(kind, &body).map_err(Error::Unreadable)
+    }
+
+    /// Waits at most `wait` for changes after `from`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call failed; [`Error::HistoryGone`] asks for a new
+    /// listing.
+    pub async fn watch(
+        &mut self,
+        kind: Kind,
+        from: Revision,
+        wait: Duration,
+    ) -> Result<Answer, Error> {
+        let body = self
+            .call(C::watch(kind, from, wait), wait + CALL_TIMEOUT)
+            .await?;
+        C::watched(kind, &body).map_err(Error::Unreadable)
+    }
+
+    /// Makes an entry known, also if a former one stands there.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it could not be made known; it may be known all the same.
+    pub async fn register(&mut self, entry: &Entry) -> Result<(), Error> {
+        match self.call(C::create(entry), CALL_TIMEOUT).await {
+            Err(Error::Refused(StatusCode::CONFLICT)) => {
+                self.call(C::replace(entry), CALL_TIMEOUT).await.map(drop)
+            }
+            result => result.map(drop),
+        }
+    }
+
+    /// Removes an entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it could not be removed; it may be removed all the same.
+    pub async fn withdraw(&mut self, host: &str) -> Result<(), Error> {
+        self.call(C::remove(host), CALL_TIMEOUT).await.map(drop)
+    }
+
+    async fn call(&mut self, request: Request<Bytes>, limit: Duration) -> Result<Bytes, Error> {
+        let mut channel = match self.channel.take() {
+            Some(channel) if channel.is_ready() => channel,
+            _ => Channel::open(self.address, CONNECT_TIMEOUT)
+                .await
+                .map_err(Error::Channel)?,
+        };
+        let mut request = request.map(Full::new);
+        if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
+            request.headers_mut().insert(HOST, host);
+        }
+        let response = channel
+            .call(request, ANSWER_MAX, limit)
+            .await
+            .map_err(Error::Channel)?;
+        // A connection on which an answer was lost returns nothing more; it is
+        // kept only after a whole answer.
+        self.channel = Some(channel);
+        match response.status() {
+            status if status.is_success() => Ok(response.into_body()),
+            StatusCode::GONE => Err(Error::HistoryGone),
+            status => Err(Error::Refused(status)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/watcher.rs
@@ -0,0 +1,127 @@
+//! Follows the store's objects of one kind.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+
+use crate::freshness::WATCH_MAX;
+use crate::knowledge::Knowledge;
+use crate::store::{Codec, Error, Kind, Store};
+
+/// The pause after the first failed call, doubled with each further one. Each
+/// call is counted and paid for, refused ones too.
+const PAUSE: Duration = Duration::from_millis(60);
+/// The longest pause, so that an entry is back soon after the store is.
+const PAUSE_MAX: Duration = Duration::from_millis(500);
+
+/// The health of the connection to the store, for the log.
+#[derive(Debug, Default)]
+struct Link {
+    lost: Option<Instant>,
+    failures: u32,
+}
+
+impl Link {
+    /// Notes a failure and returns how long to pause.
+    fn fail(&mut self, kind: Kind, error: &Error, now: Instant, jitter: f64) -> Duration {
+        if self.lost.is_none() {
+            self.lost = Some(now);
+            tracing::warn!(%kind, %error, "store lost");
+        }
+        self.failures = self.failures.saturating_add(1);
+        let factor = 1_u32.checked_shl(self.failures - 1).unwrap_or(u32::MAX);
+        PAUSE
+            .saturating_mul(factor)
+            .min(PAUSE_MAX)
+            .mul_f64(0.5 + jitter / 2.0)
+    }
+
+    /// Notes an answer; returns whether an outage has ended with it.
+    fn answer(&mut self, kind: Kind, now: Instant) -> bool {
+        self.failures = 0;
+        let Some(lost) = self.lost.take() else {
+            return false;
+        };
+        let ms = u64::try_from(now.saturating_duration_since(lost).as_millis()).unwrap_or(u64::MAX);
+        tracing::info!(%kind, ms, "store regained");
+        true
+    }
+}
+
+/// Follows the objects of `kind` for as long as the process lives.
+pub(crate) async fn run<C: Codec>(knowledge: Rc<Knowledge>, kind: Kind) {
+    let mut link = Link::default();
+    loop {
+        let Err(error) = follow::<C>(&knowledge, kind, &mut link).await;
+        if matches!(error, Error::HistoryGone) {
+            tracing::info!(%kind, "changes are gone from the store, listing anew");
+            continue;
+        }
+        let jitter = knowledge.rng.borrow_mut().random();
+        let pause = link.fail(kind, &error, Instant::now(), jitter);
+        tokio::time::sleep(pause).await;
+    }
+}
+
+async fn follow<C: Codec>(
+    knowledge: &Rc<Knowledge>,
+    kind: Kind,
+    link: &mut Link,
+) -> Result<std::convert::Infallible, Error> {
+    let mut store = Store::<C>::new(knowledge.options().store);
+    let asked = Instant::now();
+    let listing = store.list(kind, false).await?;
+    let now = Instant::now();
+    if link.answer(kind, now) {
+        knowledge.store_returned(now);
+    }
+    let mut revision = listing.revision;
+    knowledge.replace(kind, listing.changes, revision, now);
+    prove(knowledge, kind, asked);
+    loop {
+        let asked = Instant::now();
+        let answer = store
+            .watch(kind, revision, watch_time(knowledge, kind))
+            .await?;
+        let now = Instant::now();
+        revision = revision.max(answer.revision);
+        for change in answer.changes {
+            knowledge.apply(kind, change, revision, now);
+        }
+        prove(knowledge, kind, asked);
+    }
+}
+
+/// Notes that the configuration is as the store had it at `asked` or later.
+fn prove(knowledge: &Knowledge, kind: Kind, asked: Instant) {
+    if kind == Kind::Configuration {
+        knowledge.freshness.borrow_mut().renew(asked);
+    }
+}
+
+fn watch_time(knowledge: &Knowledge, kind: Kind) -> Duration {
+    match kind {
+        Kind::Configuration => knowledge.freshness.borrow().watch_time(),
+        Kind::Endpoints | Kind::Entries => WATCH_MAX,
+    }
+}
+
+/// Makes this entry known to the others.
+pub(crate) async fn register<C: Codec>(knowledge: Rc<Knowledge>) {
+    let options = knowledge.options();
+    let entry = crate::store::Entry {
+        host: options.host.clone(),
+        data_centre: options.data_centre.clone(),
+        listen: options.listen,
+        peers: options.peers,
+    };
+    let mut store = Store::<C>::new(options.store);
+    let mut pause = PAUSE;
+    while let Err(error) = store.register(&entry).await {
+        tracing::warn!(%error, "entry not registered yet");
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(PAUSE_MAX);
+    }
+    tracing::info!(host = entry.host, "entry registered");
+}
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -75,6 +75,16 @@
         "Requests refused before an endpoint was asked, by outcome.";
     ENTRY_REQUESTS = "cactusnotch_entry_requests_total", Counter, Count, ["outcome"],
         "Requests that were let in, by outcome: ok, not-run, unknown or caller-gone.";
+    GATEWAY_CONNECTIONS_OPENED = "cactusnotch_gateway_connections_opened_total", Counter, Count, [],
+        "Connections that an entry opened to endpoints it calls directly.";
+    GATEWAY_REFUSALS = "cactusnotch_gateway_refusals_total", Counter, Count, [],
+        "Requests refused before an endpoint was chosen.";
+    GATEWAY_REPEATS = "cactusnotch_gateway_repeats_total", Counter, Count, [],
+        "Requests sent to a further endpoint after one that did not answer.";
+    GATEWAY_SECONDS = "cactusnotch_gateway_request_seconds", Histogram, Seconds, [],
+        "Time from a request's arrival to the end of its answer.";
+    GATEWAY_REQUESTS = "cactusnotch_gateway_requests_total", Counter, Count, [],
+        "Requests that were let in and have ended.";
     GROUP_REPORTS_UNCOUNTED = "cactusnotch_group_reports_uncounted_total", Counter, Count, [],
         "Reports of ranks that were repeated, too old or invalid.";
     GROUP_SWITCHES = "cactusnotch_group_switches_total", Counter, Count, [],
@@ -90,6 +100,8 @@
         "Messages on the links between processes.";
     LINK_OPENED = "cactusnotch_link_opened_total", Counter, Count, [],
         "Links that have been opened.";
+    LOG_LINES_DROPPED = "cactusnotch_log_lines_dropped_total", Counter, Count, [],
+        "Log lines that were dropped since standard output was not read fast enough.";
     NODE_PLATFORM_FAILURES = "cactusnotch_node_platform_failures_total", Counter, Count, [],
         "Calls to the platform for settings and roster that brought no answer.";
     NODE_REVISION = "cactusnotch_node_revision", Gauge, Count, [],
