feat: keep expert load even by small, frequent map switches

Change: agents in the side slots read their own server and report to the agent of rank 0, which alone starts rounds; from the hold on a round only goes forward. Ruled out: waiting for an order's number to grow.

--- a/crates/cactusnotch/src/command/platform.rs
+++ b/crates/cactusnotch/src/command/platform.rs
@@ -6,6 +6,7 @@
 use cactusnotch_gateway::Entry;
 use cactusnotch_gateway::journal::Journal;
 use cactusnotch_platform::{Settings, Wire};
+use cactusnotch_rebalance::Agent;
 use cactusnotch_telemetry::Exporter;
 use tracing::level_filters::LevelFilter;
 
@@ -55,3 +56,19 @@
     journal.flush();
     ended.map_err(|error| Error::new("entry", error))
 }
+
+/// Runs the agent beside a model server.
+pub(crate) fn rebalance(options: &Options) -> Result<(), Error> {
+    let settings = options
+        .settings()?
+        .agent()
+        .map_err(|error| Error::new("settings", error))?;
+    if options.check {
+        println!("settings of {} are in order", settings.host);
+        return Ok(());
+    }
+    let (journal, _exporter) = options.observe()?;
+    let ended = Agent::<Wire, Wire>::new(settings).run();
+    journal.flush();
+    ended.map_err(|error| Error::new("agent", error))
+}
--- a/crates/cactusnotch/src/main.rs
+++ b/crates/cactusnotch/src/main.rs
@@ -26,6 +26,7 @@
     match command {
         Command::Entry(options) => command::entry::run(options),
         Command::Gateway(options) => command::platform::gateway(&options),
+        Command::Rebalance(options) => command::platform::rebalance(&options),
         Command::Status(options) => command::status::run(&options),
         Command::Addresses(options) => command::addresses::run(&options),
         Command::Check { paths } => command::settings::check(&paths),
--- a/crates/cactusnotch/src/options.rs
+++ b/crates/cactusnotch/src/options.rs
@@ -25,6 +25,9 @@
     /// Run an entry on the users' platform, which calls endpoints directly
     #[bpaf(command)]
     Gateway(#[bpaf(external(platform_options))] platform::Options),
+    /// Run the agent beside a model server on the users' platform
+    #[bpaf(command)]
+    Rebalance(#[bpaf(external(platform_options))] platform::Options),
     /// Show the settings in force, endpoints, groups and drains
     #[bpaf(command)]
     Status(#[bpaf(external(query))] Query),
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -29,6 +29,22 @@
     pub priority: Option<u32>,
 }
 
+/// The size of a group's expert maps and what a move costs.
+#[record]
+#[derive(Copy)]
+pub struct Shape {
+    /// The sets of layers that share a map.
+    pub sets: usize,
+    /// The experts of a set.
+    pub experts: usize,
+    /// The experts of a set that a rank can hold.
+    pub places: usize,
+    /// The experts of a set that one order may bring to a rank.
+    pub spare: usize,
+    /// The time to copy one expert to a rank.
+    pub copy: Duration,
+}
+
 /// How the model servers of a service work, in the model of a pass.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Engine {
@@ -42,6 +58,8 @@
     pub read_rate: f64,
     /// The steps of a pass that writes.
     pub stride: u32,
+    /// The expert maps of its groups, if it has any.
+    pub shape: Option<Shape>,
 }
 
 /// A service that routes lead to.
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -57,31 +57,34 @@
             }
         }
         Ok(Datagram::Load(load)) => {
-            let report = report(&load, knowledge.peers.borrow().count());
-            knowledge
-                .fleet
-                .borrow_mut()
-                .report(load.endpoint, &report, now);
+            let sharers = knowledge.peers.borrow().count();
+            let mut fleet = knowledge.fleet.borrow_mut();
+            let found = fleet
+                .iter()
+                .find(|endpoint| endpoint.address == load.endpoint);
+            if let Some(slots) = found.map(|endpoint| endpoint.slots) {
+                fleet.report(load.endpoint, &report(&load, slots, sharers), now);
+            }
         }
         Err(error) => tracing::debug!(%from, %error, "datagram dropped"),
     }
 }
 
-fn report(load: &peer::Load, sharers: u32) -> Report {
+fn report(load: &peer::Load, slots: u32, sharers: u32) -> Report {
     Report {
         state: if load.open {
             State::Serving
         } else {
             State::Unreachable
         },
-        slots: load.slots,
+        slots,
         total: Load {
             requests: load.requests,
             backlog: 0,
         },
         mine: None,
         sharers,
-        age: Duration::from_millis(u64::from(load.age)),
+        age: Duration::ZERO,
     }
 }
 
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -10,16 +10,12 @@
 pub struct Load {
     /// Where the endpoint takes requests.
     pub endpoint: SocketAddr,
-    /// The requests that it runs at once.
-    pub slots: u32,
     /// The requests that run or wait there.
     pub requests: u32,
     /// Whether its group of ranks can take requests.
     pub open: bool,
     /// The part of the memory for prompts that is in use, in thousandths.
     pub memory: u16,
-    /// The age of the figures when they were sent, in milliseconds.
-    pub age: u16,
 }
 
 /// A datagram.
--- /dev/null
+++ b/crates/rebalance/src/coordinator.rs
@@ -0,0 +1,340 @@
+//! How the agent of rank 0 leads a round.
+
+use std::time::{Duration, Instant};
+
+use crate::Shape;
+use crate::codec::Order;
+use crate::estimate::Estimate;
+use crate::map::Map;
+use crate::message::{Phase, Round, Standing};
+use crate::plan::{self, Plan};
+use crate::state::{Maps, Place};
+
+/// How long a rank's word counts. Ranks repeat it several times a second.
+const STANDING_TIME: Duration = Duration::from_millis(1_500);
+/// After this time ranks that can't load a map are given another one: far
+/// above the time to copy what a round moves.
+const PREPARE_TIME: Duration = Duration::from_secs(3);
+/// How many passes ahead the group is held: enough for the order to arrive
+/// before the pass begins, and little enough that none is waited for long.
+const PASSES_AHEAD: u64 = 2;
+/// The choices that must be known before a first plan; below it the counts
+/// are noise.
+const CHOICES_MIN: f64 = 2_000.0;
+
+/// What a coordinator knows of one rank.
+#[derive(Debug, Clone)]
+struct Row {
+    standing: Standing,
+    at: Instant,
+}
+
+/// How far the coordinator's round is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// None is under way.
+    Rest,
+    /// The ranks load the map of this version.
+    Prepare { since: Instant },
+    /// The group is to be held; all ranks have loaded the map.
+    Hold,
+    /// The group is held, and the ranks get armed.
+    Arm,
+    /// The group is to be let go; either all ranks are armed, or none is.
+    Go { armed: bool },
+    /// The group goes on; the ranks switch as the pass begins.
+    Switch,
+}
+
+/// What the coordinator has to say after a step.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// A round has begun.
+    Began(Plan),
+    /// The group is held and ranks may be armed.
+    Held(u64),
+    /// All ranks use the new map.
+    Switched(u64),
+    /// A round was given up before any rank was armed.
+    GivenUp(u64),
+    /// A hold of a former coordinator was found, and is being resolved.
+    Found(u64),
+}
+
+/// The part of rank 0's agent that leads rounds.
+#[derive(Debug)]
+pub struct Coordinator {
+    place: Place,
+    shape: Shape,
+    options: plan::Options,
+    rows: Vec<Option<Row>>,
+    estimate: Estimate,
+    map: Option<(u64, Map)>,
+    next: Option<Map>,
+    round: Round,
+    stage: Stage,
+    /// The last pass that the group was let go into. A late order to let it
+    /// go must never meet another hold of the same pass.
+    let_go: Option<u64>,
+}
+
+impl Coordinator {
+    /// Creates the coordinator of a group of which nothing is known yet.
+    #[must_use]
+    pub fn new(place: Place, shape: Shape, options: plan::Options) -> Self {
+        let round = Round {
+            group: place.group.clone(),
+            epoch: place.epoch,
+            version: 0,
+            base: 0,
+            moves: Vec::new(),
+            phase: Phase::Rest,
+        };
+        Self {
+            rows: vec![None; usize::from(place.size)],
+            estimate: Estimate::new(shape.sets, shape.experts),
+            place,
+            shape,
+            options,
+            map: None,
+            next: None,
+            round,
+            stage: Stage::Rest,
+            let_go: None,
+        }
+    }
+
+    /// Returns the rank that it leads from.
+    #[must_use]
+    pub const fn place(&self) -> &Place {
+        &self.place
+    }
+
+    /// Returns the round as the ranks should know it.
+    #[must_use]
+    pub const fn round(&self) -> &Round {
+        &self.round
+    }
+
+    /// Returns the whole map in force with its version, if it is known.
+    #[must_use]
+    pub fn map(&self) -> Option<(u64, &Map)> {
+        self.map.as_ref().map(|(version, map)| (*version, map))
+    }
+
+    /// Tells whether a rank has to be told the round again, since its word
+    /// shows that it hasn't followed.
+    #[must_use]
+    pub fn lacks(&self, standing: &Standing) -> bool {
+        let version = self.round.version;
+        let maps = &standing.maps;
+        match self.round.phase {
+            Phase::Rest => false,
+            Phase::Prepare => maps.current < version && maps.prepared != Some(version),
+            Phase::Arm { .. } => maps.current < version && maps.armed.is_none(),
+        }
+    }
+
+    /// Takes a rank's word.
+    pub fn hear(&mut self, standing: Standing, now: Instant) {
+        let place = &standing.place;
+        if place.group != self.place.group || place.epoch != self.place.epoch {
+            return;
+        }
+        if let Some(row) = self.rows.get_mut(usize::from(place.rank)) {
+            *row = Some(Row { standing, at: now });
+        }
+    }
+
+    /// Adds what a rank's requests chose.
+    pub fn count(&mut self, place: &Place, units: &[f32], counts: &[u8], now: Instant) {
+        if place.group == self.place.group && place.epoch == self.place.epoch {
+            self.estimate.add(units, counts, now);
+        }
+    }
+
+    /// Goes on as far as the ranks' words allow; returns the order for the
+    /// own endpoint, and what happened. `own` is the fresh state of the own
+    /// endpoint.
+    pub fn step(&mut self, own: &Maps, now: Instant) -> (Option<Order>, Option<Event>) {
+        let mut event = None;
+        if let Some(maps) = self.words(now) {
+            self.assemble(&maps);
+            event = self.advance(&maps, own, now);
+        }
+        let order = self.order(own);
+        if let Some(Order::Go { step }) = order {
+            self.let_go = self.let_go.max(Some(step));
+        }
+        (order, event)
+    }
+
+    /// Returns all ranks' maps if all have been heard lately.
+    fn words(&self, now: Instant) -> Option<Vec<Maps>> {
+        let fresh = |row: &Row| now.saturating_duration_since(row.at) < STANDING_TIME;
+        let word = |row: &Option<Row>| {
+            row.as_ref()
+                .filter(|row| fresh(row))
+                .map(|row| row.standing.maps)
+        };
+        self.rows.iter().map(word).collect()
+    }
+
+    /// Puts the map in force together from what each rank holds.
+    fn assemble(&mut self, maps: &[Maps]) {
+        let version = maps[0].current;
+        if self
+            .map
+            .as_ref()
+            .is_some_and(|(known, _)| *known == version)
+        {
+            return;
+        }
+        if maps.iter().any(|maps| maps.current != version) {
+            return;
+        }
+        let held: Option<Vec<_>> = self
+            .rows
+            .iter()
+            .map(|row| row.as_ref()?.standing.held.clone())
+            .collect();
+        let Some(held) = held else {
+            return;
+        };
+        let sets = (0..self.shape.sets)
+            .map(|set| {
+                held.iter()
+                    .map(|rank| rank.get(set).cloned().unwrap_or_default())
+                    .collect()
+            })
+            .collect();
+        let map = Map { sets };
+        if map.is_complete(self.shape.experts, self.shape.places) {
+            self.map = Some((version, map));
+        }
+    }
+
+    fn advance(&mut self, maps: &[Maps], own: &Maps, now: Instant) -> Option<Event> {
+        let version = self.round.version;
+        match self.stage {
+            Stage::Rest => self.rest(maps, own, now),
+            Stage::Prepare { since } => {
+                if maps.iter().all(|maps| maps.prepared == Some(version)) {
+                    self.stage = Stage::Hold;
+                } else if now.saturating_duration_since(since) > PREPARE_TIME {
+                    self.stage = Stage::Rest;
+                    self.round.phase = Phase::Rest;
+                    return Some(Event::GivenUp(version));
+                }
+                None
+            }
+            Stage::Hold => {
+                let step = own.held?;
+                self.stage = Stage::Arm;
+                self.round.phase = Phase::Arm { step };
+                Some(Event::Held(step))
+            }
+            Stage::Arm => {
+                if maps.iter().all(|maps| maps.armed == Some(version)) {
+                    self.stage = Stage::Go { armed: true };
+                }
+                None
+            }
+            Stage::Go { armed } => {
+                if own.held.is_none() {
+                    self.stage = if armed { Stage::Switch } else { Stage::Rest };
+                }
+                None
+            }
+            Stage::Switch => {
+                if maps.iter().any(|maps| maps.current != version) {
+                    return None;
+                }
+                self.map = self.next.take().map(|map| (version, map));
+                self.stage = Stage::Rest;
+                self.round.phase = Phase::Rest;
+                Some(Event::Switched(version))
+            }
+        }
+    }
+
+    /// Resolves what a former coordinator left, or begins a round.
+    fn rest(&mut self, maps: &[Maps], own: &Maps, now: Instant) -> Option<Event> {
+        if let Some(step) = own.held {
+            return Some(self.resolve(maps, step));
+        }
+        let settled = maps
+            .iter()
+            .all(|rank| rank.armed.is_none() && rank.current == maps[0].current);
+        if !settled || self.estimate.heard() < CHOICES_MIN {
+            return None;
+        }
+        let (base, map) = self
+            .map
+            .as_ref()
+            .filter(|(version, _)| *version == maps[0].current)?;
+        let base = *base;
+        let plan = plan::plan(map, &self.estimate, &self.shape, &self.options);
+        if plan.moves.is_empty() {
+            return None;
+        }
+        let mut next = map.clone();
+        if !plan.moves.iter().all(|step| next.apply(step)) {
+            return None;
+        }
+        let seen = maps
+            .iter()
+            .map(|rank| rank.current.max(rank.prepared.unwrap_or(0)));
+        self.round.version = seen.fold(self.round.version, u64::max) + 1;
+        self.round.base = base;
+        self.round.moves.clone_from(&plan.moves);
+        self.round.phase = Phase::Prepare;
+        self.next = Some(next);
+        self.stage = Stage::Prepare { since: now };
+        Some(Event::Began(plan))
+    }
+
+    /// Ends a round that a former coordinator left held. Ranks are armed only
+    /// after all have loaded the same map; if all have, arming is completed,
+    /// and otherwise none is armed and the group is let go.
+    fn resolve(&mut self, maps: &[Maps], step: u64) -> Event {
+        let loaded = |rank: &Maps| {
+            rank.armed
+                .or(rank.prepared)
+                .filter(|&version| version > rank.current)
+        };
+        let version = maps.first().and_then(loaded);
+        let same = version.is_some() && maps.iter().all(|rank| loaded(rank) == version);
+        match version {
+            Some(version) if same => {
+                self.round.version = version;
+                self.round.moves.clear();
+                self.round.phase = Phase::Arm { step };
+                self.next = None;
+                self.stage = Stage::Arm;
+            }
+            _ => self.stage = Stage::Go { armed: false },
+        }
+        Event::Found(step)
+    }
+
+    /// Returns the order that the own endpoint needs for the hold.
+    ///
+    /// A hold that shows up while ranks load, or after they were let go, is
+    /// one that was carried out late. No rank is armed then or all are, so
+    /// that the group may go on.
+    fn order(&self, own: &Maps) -> Option<Order> {
+        match (self.stage, own.held) {
+            (Stage::Hold, None) => {
+                let after = self.let_go.map_or(0, |step| step + 1);
+                Some(Order::Hold {
+                    step: (own.step + PASSES_AHEAD).max(after),
+                })
+            }
+            (Stage::Go { .. } | Stage::Prepare { .. } | Stage::Switch, Some(step)) => {
+                Some(Order::Go { step })
+            }
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/rebalance/src/endpoint.rs
@@ -0,0 +1,107 @@
+//! The agent's own endpoint.
+
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cactusnotch_gateway::channel::{self, Channel};
+use derive_more::{Display, Error};
+use http::header::HOST;
+use http::{HeaderValue, Request, StatusCode};
+use http_body_util::Full;
+
+use crate::codec::{Codec, Order, Unreadable};
+use crate::state::{Counts, State};
+
+/// The longest time to connect: the endpoint is on the same host.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// The longest time for an answer to a question.
+const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+/// The longest time for an answer to an order. One without an answer may be
+/// carried out seconds later; the endpoint is asked for its state then and
+/// the order is given again if that doesn't show it, since the group may
+/// stand still meanwhile. Answers on the same host take a few milliseconds.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(80);
+/// The longest answer: counts of some thousand experts.
+const ANSWER_MAX: usize = 1 << 20;
+
+/// Why the endpoint gave no answer that can be used.
+#[derive(Debug, Display, Error)]
+pub(crate) enum Error {
+    /// There was none.
+    #[display("{_0}")]
+    Channel(channel::Error),
+    /// It refused.
+    #[display("refused with {_0}")]
+    Refused(#[error(not(source))] StatusCode),
+    /// It can't be read.
+    #[display("{_0}")]
+    Unreadable(Unreadable),
+}
+
+/// The agent's own endpoint.
+#[derive(Debug)]
+pub(crate) struct Endpoint<C> {
+    address: SocketAddr,
+    channel: Option<Channel>,
+    codec: PhantomData<C>,
+}
+
+impl<C: Codec> Endpoint<C> {
+    pub(crate) const fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            channel: None,
+            codec: PhantomData,
+        }
+    }
+
+    pub(crate) async fn state(&mut self) -> Result<State, Error> {
+        let body = self.call(C::ask_state(), CALL_TIMEOUT).await?;
+        C::state(&body).map_err(Error::Unreadable)
+    }
+
+    pub(crate) async fn counts(&mut self) -> Result<Counts, Error> {
+        let body = self.call(C::ask_counts(), CALL_TIMEOUT).await?;
+        C::counts(&body).map_err(Error::Unreadable)
+    }
+
+    pub(crate) async fn held(&mut self) -> Result<(u64, Vec<Vec<u16>>), Error> {
+        let body = self.call(C::ask_held(), CALL_TIMEOUT).await?;
+        C::held(&body).map_err(Error::Unreadable)
+    }
+
+    pub(crate) async fn order(
+        &mut self,
+        order: &Order,
+        sequence: u64,
+        epoch: u64,
+    ) -> Result<(), Error> {
+        self.call(C::order(order, sequence, epoch), ORDER_TIMEOUT)
+            .await
+            .map(drop)
+    }
+
+    async fn call(&mut self, request: Request<Bytes>, limit: Duration) -> Result<Bytes, Error> {
+        let mut channel = match self.channel.take() {
+            Some(channel) if channel.is_ready() => channel,
+            _ => Channel::open(self.address, CONNECT_TIMEOUT)
+                .await
+                .map_err(Error::Channel)?,
+        };
+        let mut request = request.map(Full::new);
+        if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
+            request.headers_mut().insert(HOST, host);
+        }
+        let response = channel
+            .call(request, ANSWER_MAX, limit)
+            .await
+            .map_err(Error::Channel)?;
+        self.channel = Some(channel);
+        match response.status() {
+            status if status.is_success() => Ok(response.into_body()),
+            status => Err(Error::Refused(status)),
+        }
+    }
+}
--- a/crates/rebalance/src/lib.rs
+++ b/crates/rebalance/src/lib.rs
@@ -1,1 +1,29 @@
-//! x
+//! Keeps the load of a group's ranks even while experts come into fashion.
+//!
+//! An agent beside each rank reads its own endpoint, reports to the agent of
+//! rank 0, and gives its own endpoint orders. The agent of rank 0 alone starts
+//! a round: it plans a few moves, has all ranks load them, holds the group
+//! before a step, has all ranks armed for that step, and lets the group go on.
+//! Once a rank may be armed a round only goes forward, so that an order which
+//! is carried out late can do no harm; `docs/design/platform.md` has the
+//! argument, and [`coordinator::Coordinator`] and [`member::Member`] decide
+//! without input or output.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod agent;
+pub mod codec;
+pub mod coordinator;
+pub mod estimate;
+pub mod map;
+pub mod member;
+pub mod message;
+pub mod plan;
+pub mod state;
+
+mod endpoint;
+mod neighbours;
+
+pub use agent::Agent;
+pub use cactusnotch_gateway::configuration::Shape;
+pub use map::Map;
--- /dev/null
+++ b/crates/rebalance/src/map.rs
@@ -0,0 +1,59 @@
+//! An expert map: which ranks hold each expert.
+
+use cactusnotch_derive::{message, record};
+
+/// The experts that each rank holds, by set and rank. The ranks that hold an
+/// expert share its work evenly.
+#[record]
+#[derive(Default)]
+pub struct Map {
+    /// For each set, for each rank, the experts in rising order.
+    pub sets: Vec<Vec<Vec<u16>>>,
+}
+
+/// One expert that a rank gets, in the place of another or in a free one.
+#[message]
+#[derive(Copy, Eq)]
+pub struct Move {
+    /// The set of layers.
+    pub set: u16,
+    /// The rank.
+    pub rank: u16,
+    /// The expert that the rank gives up, if its places are all in use.
+    pub out: Option<u16>,
+    /// The expert that the rank gets.
+    pub new: u16,
+}
+
+impl Map {
+    /// Carries a move out; returns whether it fits the map.
+    pub fn apply(&mut self, step: &Move) -> bool {
+        let rank = self.sets.get_mut(usize::from(step.set));
+        let Some(held) = rank.and_then(|set| set.get_mut(usize::from(step.rank))) else {
+            return false;
+        };
+        let Err(at) = held.binary_search(&step.new) else {
+            return false;
+        };
+        held.insert(at, step.new);
+        let Some(out) = step.out else {
+            return true;
+        };
+        held.binary_search(&out).map(|at| held.remove(at)).is_ok()
+    }
+
+    /// Tells whether every expert of each set is held by a rank, and no rank
+    /// holds more than `places` of a set.
+    #[must_use]
+    pub fn is_complete(&self, experts: usize, places: usize) -> bool {
+        self.sets.iter().all(|ranks| {
+            let mut held = vec![false; experts];
+            for &expert in ranks.iter().flatten() {
+                if let Some(held) = held.get_mut(usize::from(expert)) {
+                    *held = true;
+                }
+            }
+            held.iter().all(|&held| held) && ranks.iter().all(|rank| rank.len() <= places)
+        })
+    }
+}
--- /dev/null
+++ b/crates/rebalance/src/member.rs
@@ -0,0 +1,159 @@
+//! What one rank's agent orders its own endpoint.
+
+use crate::codec::Order;
+use crate::map::Map;
+use crate::message::{Part, Phase, Round};
+use crate::state::{Maps, Place};
+
+/// What one rank's agent knows of its group's maps, and what it orders its
+/// own endpoint.
+#[derive(Debug, Default)]
+pub struct Member {
+    place: Option<Place>,
+    /// The whole map in force, with its version.
+    current: Option<(u64, Map)>,
+    /// The whole map that the round is to bring, with its version.
+    next: Option<(u64, Map)>,
+    round: Option<Round>,
+    parts: Vec<Part>,
+}
+
+impl Member {
+    /// Creates a member that knows nothing.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes what the endpoint says of its rank and maps. In another epoch or
+    /// group everything starts anew.
+    pub fn observe(&mut self, place: &Place, maps: &Maps) {
+        if self.place.as_ref() != Some(place) {
+            *self = Self {
+                place: Some(place.clone()),
+                ..Self::default()
+            };
+        }
+        if self
+            .next
+            .as_ref()
+            .is_some_and(|(version, _)| *version == maps.current)
+        {
+            self.current = self.next.take();
+        }
+        if self
+            .current
+            .as_ref()
+            .is_some_and(|(version, _)| *version != maps.current)
+        {
+            self.current = None;
+        }
+    }
+
+    /// Returns the version of the whole map that is known to be in force.
+    #[must_use]
+    pub fn known(&self) -> Option<u64> {
+        self.current.as_ref().map(|(version, _)| *version)
+    }
+
+    /// Tells whether a round is under way.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        self.round
+            .as_ref()
+            .is_some_and(|round| round.phase != Phase::Rest)
+    }
+
+    /// Takes a part of the map in force; returns whether it is complete now.
+    pub fn learn(&mut self, part: Part) -> bool {
+        if !self.is_mine(&part.group, part.epoch) {
+            return false;
+        }
+        self.parts
+            .retain(|known| known.version == part.version && known.set != part.set);
+        let (version, sets) = (part.version, usize::from(part.sets));
+        self.parts.push(part);
+        if self.parts.len() < sets {
+            return false;
+        }
+        self.parts.sort_by_key(|part| part.set);
+        let sets = self.parts.drain(..).map(|part| part.ranks).collect();
+        self.current = Some((version, Map { sets }));
+        true
+    }
+
+    /// Takes the whole map in force.
+    pub fn know(&mut self, version: u64, map: Map) {
+        self.current = Some((version, map));
+    }
+
+    /// Takes how far the round is.
+    pub fn take(&mut self, round: Round) {
+        if !self.is_mine(&round.group, round.epoch) {
+            return;
+        }
+        let older = self.round.as_ref().is_some_and(|known| {
+            round.version < known.version
+                || (round.version == known.version && rank_of(round.phase) < rank_of(known.phase))
+        });
+        if !older {
+            self.round = Some(round);
+        }
+    }
+
+    fn is_mine(&self, group: &str, epoch: u64) -> bool {
+        self.place
+            .as_ref()
+            .is_some_and(|place| place.group == group && place.epoch == epoch)
+    }
+
+    /// Returns the order that the endpoint needs for the round, if any.
+    pub fn order(&mut self, maps: &Maps) -> Option<Order> {
+        let round = self.round.as_ref()?;
+        let version = round.version;
+        if maps.current >= version || maps.armed.is_some() {
+            return None;
+        }
+        match round.phase {
+            Phase::Rest => None,
+            Phase::Prepare if maps.prepared == Some(version) => None,
+            Phase::Prepare => {
+                let map = self.target()?;
+                Some(Order::Prepare { version, map })
+            }
+            // Only a loaded map is armed, and the round waits for that.
+            Phase::Arm { step } => {
+                (maps.prepared == Some(version)).then_some(Order::Arm { version, step })
+            }
+        }
+    }
+
+    /// Returns the map that the round is to bring.
+    fn target(&mut self) -> Option<Map> {
+        let round = self.round.as_ref()?;
+        if let Some((version, map)) = &self.next
+            && *version == round.version
+        {
+            return Some(map.clone());
+        }
+        let (version, current) = self.current.as_ref()?;
+        if *version != round.base {
+            return None;
+        }
+        let mut map = current.clone();
+        if !round.moves.iter().all(|step| map.apply(step)) {
+            return None;
+        }
+        self.next = Some((round.version, map.clone()));
+        Some(map)
+    }
+}
+
+/// The order in which the phases of a round follow each other.
+const fn rank_of(phase: Phase) -> u8 {
+    match phase {
+        Phase::Prepare => 0,
+        Phase::Arm { .. } => 1,
+        Phase::Rest => 2,
+    }
+}
--- /dev/null
+++ b/crates/rebalance/src/message.rs
@@ -0,0 +1,130 @@
+//! The datagrams between the agents of a group.
+
+use cactusnotch_derive::message;
+use derive_more::{Display, Error};
+
+use crate::map::Move;
+use crate::state::{Maps, Place};
+
+/// What an agent tells the agent of rank 0.
+#[message]
+pub struct Standing {
+    /// The rank.
+    pub place: Place,
+    /// Whether the group takes requests.
+    pub open: bool,
+    /// The maps of the rank.
+    pub maps: Maps,
+    /// The version of the whole map that the agent knows.
+    pub known: Option<u64>,
+    /// The experts that the rank holds in the map in force, by set, while the
+    /// agent does not know the whole map.
+    pub held: Option<Vec<Vec<u16>>>,
+}
+
+/// How often a rank's requests chose each expert since its last message.
+#[message]
+pub struct Choices {
+    /// The rank.
+    pub place: Place,
+    /// For each set, what one unit of a count stands for.
+    pub units: Vec<f32>,
+    /// The counts of all sets, in units.
+    pub counts: serde_bytes::ByteBuf,
+}
+
+/// How far a round has come.
+#[message]
+#[derive(Copy, Eq)]
+pub enum Phase {
+    /// No round is under way.
+    Rest,
+    /// The ranks load the map.
+    Prepare,
+    /// The group is held and the ranks get armed for this pass.
+    Arm {
+        /// The pass.
+        step: u64,
+    },
+}
+
+/// What the agent of rank 0 asks of the others.
+#[message]
+pub struct Round {
+    /// The group.
+    pub group: String,
+    /// The group's life.
+    pub epoch: u64,
+    /// The version that the round is to bring.
+    pub version: u64,
+    /// The version that it starts from.
+    pub base: u64,
+    /// What differs between the two.
+    pub moves: Vec<Move>,
+    /// How far it has come.
+    pub phase: Phase,
+}
+
+/// One set of the whole map, for agents that don't know it.
+#[message]
+pub struct Part {
+    /// The group.
+    pub group: String,
+    /// The group's life.
+    pub epoch: u64,
+    /// The version of the map.
+    pub version: u64,
+    /// The number of the set.
+    pub set: u16,
+    /// The sets of the map.
+    pub sets: u16,
+    /// The experts that each rank holds.
+    pub ranks: Vec<Vec<u16>>,
+}
+
+/// A datagram between agents.
+#[message]
+pub enum Datagram {
+    /// A rank looks for the agent of rank 0 of its group.
+    Seek(Place),
+    /// A rank tells how it stands.
+    Standing(Standing),
+    /// A rank tells what its requests chose.
+    Choices(Choices),
+    /// Rank 0 tells how far the round is.
+    Round(Round),
+    /// Rank 0 tells a part of the map.
+    Part(Part),
+}
+
+/// Why a datagram can't be read.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+#[display("unreadable datagram: {detail}")]
+pub struct Unreadable {
+    detail: String,
+}
+
+impl Datagram {
+    /// Returns the bytes to send.
+    ///
+    /// # Panics
+    ///
+    /// Never: writing to memory does not fail.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(256);
+        ciborium::into_writer(self, &mut bytes).expect("memory takes every write");
+        bytes
+    }
+
+    /// Reads a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the bytes.
+    pub fn decode(bytes: &[u8]) -> Result<Self, Unreadable> {
+        ciborium::from_reader(bytes).map_err(|error| Unreadable {
+            detail: error.to_string(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/rebalance/src/neighbours.rs
@@ -0,0 +1,70 @@
+//! Where the other agents of a service are.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use cactusnotch_gateway::store::{Codec, Error, Item, Kind, Store};
+
+use crate::Shape;
+
+/// The least time between two looks into the store. A stale listing is a tenth
+/// of the price and good enough to find a neighbour.
+const LOOK_EVERY: Duration = Duration::from_secs(2);
+
+/// Where the other agents of a service are, and the shape of its maps.
+#[derive(Debug)]
+pub(crate) struct Neighbours<C> {
+    store: Store<C>,
+    service: String,
+    port: u16,
+    own: SocketAddr,
+    looked: Option<Instant>,
+    pub(crate) agents: Vec<SocketAddr>,
+    pub(crate) shape: Option<Shape>,
+}
+
+impl<C: Codec> Neighbours<C> {
+    pub(crate) const fn new(store: SocketAddr, service: String, own: SocketAddr) -> Self {
+        Self {
+            store: Store::new(store),
+            service,
+            port: own.port(),
+            own,
+            looked: None,
+            agents: Vec::new(),
+            shape: None,
+        }
+    }
+
+    /// Tells whether the store may be asked again.
+    pub(crate) fn is_due(&self, now: Instant) -> bool {
+        self.looked
+            .is_none_or(|at| now.saturating_duration_since(at) >= LOOK_EVERY)
+    }
+
+    /// Asks the store.
+    pub(crate) async fn look(&mut self, now: Instant) -> Result<(), Error> {
+        self.looked = Some(now);
+        if self.shape.is_none() {
+            for change in self.store.list(Kind::Configuration, true).await?.changes {
+                if let Ok(Some(Item::Configuration(configuration))) = change.item {
+                    let service = configuration.service(&self.service);
+                    self.shape = service.and_then(|service| service.engine.as_ref()?.shape);
+                }
+            }
+        }
+        let mut agents = Vec::new();
+        for change in self.store.list(Kind::Endpoints, true).await?.changes {
+            if let Ok(Some(Item::Endpoint(endpoint))) = change.item
+                && endpoint.service == self.service
+            {
+                agents.push(SocketAddr::new(endpoint.address.ip(), self.port));
+            }
+        }
+        agents.retain(|agent| *agent != self.own);
+        agents.sort_unstable();
+        agents.dedup();
+        self.agents = agents;
+        Ok(())
+    }
+}
