--- a/crates/cactusnotch/src/command/platform.rs
+++ b/crates/cactusnotch/src/command/platform.rs
@@ -52,7 +52,14 @@
         return Ok(());
     }
     let (journal, exporter) = options.observe()?;
-    let ended = Entry::<Wire, Wire>::new(settings, exporter).run();
+    let reread = options.clone();
+    let read = move || {
+        reread
+            .settings()?
+            .entry()
+            .map_err(|error| Error::new("settings", error))
+    };
+    let ended = Entry::<Wire, Wire>::new(settings, exporter).run(read);
     journal.flush();
     ended.map_err(|error| Error::new("entry", error))
 }
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -62,6 +62,12 @@
         }
     }
 
+    /// Takes another bound.
+    pub(crate) const fn set(&mut self, ratio: f64, window: Duration) {
+        self.ratio = ratio;
+        self.window = window;
+    }
+
     /// Counts a request.
     pub(crate) fn earn(&mut self, service: &str, now: Instant) {
         let row = self.row(service, now);
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -15,7 +15,7 @@
 use crate::knowledge::Knowledge;
 use crate::options::Options;
 use crate::store::{Codec, Kind};
-use crate::{listing, server, stop, tcp, watcher};
+use crate::{listing, reload, server, stop, tcp, watcher};
 
 /// Why an entry can't start or go on.
 #[derive(Debug, Display, Error)]
@@ -57,12 +57,16 @@
         }
     }
 
-    /// Serves until a stop is asked for and has been carried out.
+    /// Serves until a stop is asked for and has been carried out. `read` is
+    /// called for the settings while it serves.
     ///
     /// # Errors
     ///
     /// Returns why the entry can't start.
-    pub fn run(self) -> Result<(), Error> {
+    pub fn run<E>(self, read: impl Fn() -> Result<Options, E> + 'static) -> Result<(), Error>
+    where
+        E: std::fmt::Display + 'static,
+    {
         let setup = |step| move |error| Error::Setup { step, error };
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
@@ -71,6 +75,12 @@
         let local = LocalSet::new();
         local.block_on(&runtime, async {
             let (knowledge, socket, closing) = self.start().await?;
+            let reloading = reload::run(Rc::clone(&knowledge), read);
+            tokio::task::spawn_local(async move {
+                if let Err(error) = reloading.await {
+                    tracing::error!(%error, "settings are not reloaded");
+                }
+            });
             stop::run::<C>(knowledge, socket, closing)
                 .await
                 .map_err(setup("signals"))
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -20,6 +20,11 @@
         Self { bound, asked: None }
     }
 
+    /// Takes another bound.
+    pub(crate) const fn set_bound(&mut self, bound: Option<Duration>) {
+        self.bound = bound;
+    }
+
     /// Notes an answer to a question that was sent at `asked`.
     pub(crate) fn renew(&mut self, asked: Instant) {
         self.asked = self.asked.max(Some(asked));
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -57,6 +57,15 @@
         Rc::clone(&self.options.borrow())
     }
 
+    /// Takes other settings.
+    pub(crate) fn set_options(&self, options: Options) {
+        self.freshness.borrow_mut().set_bound(options.revocation);
+        self.budgets
+            .borrow_mut()
+            .set(options.retry_ratio, options.retry_window);
+        *self.options.borrow_mut() = Rc::new(options);
+    }
+
     pub(crate) fn configuration(&self) -> Option<Rc<Configuration>> {
         self.configuration.borrow().clone()
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod journal;
 pub mod options;
 pub mod peer;
+pub mod reload;
 pub mod route;
 pub mod store;
 pub mod tcp;
--- /dev/null
+++ b/crates/gateway/src/reload.rs
@@ -0,0 +1,70 @@
+//! Settings that change while a process runs.
+
+use std::fmt::Display;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::knowledge::Knowledge;
+use crate::options::Options;
+
+/// How often settings are read without a signal; they may change silently, and
+/// reading two kilobytes costs some microseconds.
+const READ_EVERY: Duration = Duration::from_secs(2);
+
+/// Calls `changed` at each signal to reload (`true`) and in between.
+///
+/// # Errors
+///
+/// Returns an error if signals can't be received.
+pub async fn watch(mut changed: impl FnMut(bool)) -> io::Result<()> {
+    let mut hangup = signal(SignalKind::hangup())?;
+    loop {
+        let signalled = tokio::select! {
+            _ = hangup.recv() => true,
+            () = tokio::time::sleep(READ_EVERY) => false,
+        };
+        changed(signalled);
+    }
+}
+
+/// Takes new settings in whenever `read` returns other ones.
+pub(crate) async fn run<E: Display>(
+    knowledge: Rc<Knowledge>,
+    read: impl Fn() -> Result<Options, E>,
+) -> io::Result<()> {
+    let mut failing = false;
+    watch(|signalled| {
+        let read = read();
+        match &read {
+            Ok(new) if *new == *knowledge.options() => {
+                if signalled {
+                    tracing::info!("reload asked for, settings are the same");
+                }
+            }
+            Ok(new) => take(&knowledge, new.clone()),
+            Err(error) if signalled || !failing => {
+                tracing::error!(%error, "settings not taken, the last good ones stay");
+            }
+            Err(_) => {}
+        }
+        failing = read.is_err();
+    })
+    .await
+}
+
+fn take(knowledge: &Knowledge, new: Options) {
+    let old = knowledge.options();
+    let moved = old.listen != new.listen
+        || old.readiness != new.readiness
+        || old.directory != new.directory
+        || old.peers != new.peers
+        || old.metrics != new.metrics;
+    if moved {
+        tracing::warn!("new addresses are used from the next start on");
+    }
+    tracing::info!(grace = ?new.grace, revocation = ?new.revocation, retry_ratio = new.retry_ratio, "settings reloaded");
+    knowledge.set_options(new);
+}
--- a/crates/rebalance/src/agent.rs
+++ b/crates/rebalance/src/agent.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use cactusnotch_gateway::{peer, store};
+use cactusnotch_gateway::{peer, reload, store};
 use cactusnotch_telemetry::metric;
 use derive_more::{Display, Error};
 use tokio::net::UdpSocket;
@@ -171,9 +171,16 @@
             let agents = bind(self.options.agents).await?;
             let mut stop = signal(SignalKind::terminate()).map_err(failed("signals"))?;
             tracing::info!(host = self.options.host, endpoint = %self.options.endpoint, "agent started");
+            // An agent has no setting that may change while it runs.
+            let reloads = reload::watch(|signalled| {
+                if signalled {
+                    tracing::info!("reload asked for, an agent has nothing to reload");
+                }
+            });
             tokio::select! {
                 () = self.work(Sockets { entries, agents }) => {}
                 _ = stop.recv() => {}
+                ended = reloads => ended.map_err(failed("signals"))?,
             }
             tracing::info!("agent stopped");
             Ok(())
