--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -115,9 +115,10 @@
         tracing::info!(host = self.options.host, data_centre = self.options.data_centre, listen = %front, "entry started");
         let knowledge = Rc::new(Knowledge::new(self.options));
         let (closing, closed) = watch::channel(false);
-        for kind in [Kind::Configuration, Kind::Endpoints, Kind::Entries] {
+        for kind in [Kind::Configuration, Kind::Endpoints] {
             tokio::task::spawn_local(watcher::run::<C>(Rc::clone(&knowledge), kind));
         }
+        tokio::task::spawn_local(watcher::entries::<C>(Rc::clone(&knowledge)));
         tokio::task::spawn_local(watcher::register::<C>(Rc::clone(&knowledge)));
         tokio::task::spawn_local(server::callers::<D>(Rc::clone(&knowledge), callers, closed));
         tokio::task::spawn_local(server::questions::<D>(Rc::clone(&knowledge), readiness));
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -12,6 +12,7 @@
 use crate::fleet::Fleet;
 use crate::freshness::Freshness;
 use crate::options::Options;
+use crate::peer::Entry;
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::store::{Change, Item, Kind, Revision};
@@ -66,6 +67,17 @@
         *self.options.borrow_mut() = Rc::new(options);
     }
 
+    /// Returns this entry as others know it.
+    pub(crate) fn entry(&self) -> Entry {
+        let options = self.options.borrow();
+        Entry {
+            host: options.host.clone(),
+            data_centre: options.data_centre.clone(),
+            listen: options.listen,
+            peers: options.peers,
+        }
+    }
+
     pub(crate) fn configuration(&self) -> Option<Rc<Configuration>> {
         self.configuration.borrow().clone()
     }
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -44,13 +44,12 @@
 fn take(knowledge: &Knowledge, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
     let now = Instant::now();
     match Datagram::decode(bytes) {
-        Ok(Datagram::Ask) => send(
-            socket,
-            &Datagram::State {
-                ready: knowledge.ready(now),
-            },
-            from,
-        ),
+        Ok(Datagram::Subscribe) => tracing::debug!(%from, "subscription to loads at an entry"),
+        Ok(Datagram::Ask(entry)) => {
+            let ready = knowledge.ready(now);
+            knowledge.peers.borrow_mut().insert(entry);
+            send(socket, &Datagram::State { ready }, from);
+        }
         Ok(Datagram::State { ready }) => {
             if let Some(host) = knowledge.peers.borrow_mut().hear(from, ready, now) {
                 tracing::info!(host, ready, "entry changed");
@@ -90,9 +89,10 @@
 
 fn ask(knowledge: &Knowledge, socket: &UdpSocket, subscribe: bool) {
     let asked = knowledge.peers.borrow().asked();
+    let question = Datagram::Ask(knowledge.entry());
     asked
         .into_iter()
-        .for_each(|peer| send(socket, &Datagram::Ask, peer));
+        .for_each(|peer| send(socket, &question, peer));
     if !subscribe || knowledge.stopping.get().is_some() {
         return;
     }
@@ -108,7 +108,7 @@
     for endpoint in engines {
         send(
             socket,
-            &Datagram::Ask,
+            &Datagram::Subscribe,
             SocketAddr::new(endpoint.address.ip(), port),
         );
     }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -18,11 +18,27 @@
     pub memory: u16,
 }
 
+/// An entry as it makes itself known to others.
+#[message]
+#[derive(Eq)]
+pub struct Entry {
+    /// The name of its host.
+    pub host: String,
+    /// The data centre of its host.
+    pub data_centre: String,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where it takes datagrams.
+    pub peers: SocketAddr,
+}
+
 /// A datagram.
 #[message]
 pub enum Datagram {
-    /// An entry asks another whether it is ready, or subscribes to an agent.
-    Ask,
+    /// An entry subscribes to an agent's loads.
+    Subscribe,
+    /// An entry asks another whether it is ready, and makes itself known.
+    Ask(Entry),
     /// An entry states whether it is ready.
     State {
         /// Whether it takes callers' requests.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,7 +5,7 @@
 
 use cactusnotch_base::Table;
 
-use crate::store::Entry;
+use crate::peer::Entry;
 
 /// How long a statement of readiness counts: two lost datagrams are borne, and
 /// a dead entry is off the lists before callers' next question.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cactusnotch_derive::{number, record};
+use cactusnotch_derive::number;
 use derive_more::{Display, Error};
 use http::header::HOST;
 use http::{HeaderValue, Request, StatusCode};
 use http_body_util::Full;
 
 use crate::channel::{self, Channel};
+use crate::peer::Entry;
 use crate::{Configuration, Endpoint};
 
 /// The longest time to connect to the store; it stands in the same region.
@@ -40,19 +41,6 @@
     Entries,
 }
 
-/// An entry as it registered itself.
-#[record]
-pub struct Entry {
-    /// The name of its host.
-    pub host: String,
-    /// The data centre of its host.
-    pub data_centre: String,
-    /// Where callers connect.
-    pub listen: SocketAddr,
-    /// Where it takes datagrams.
-    pub peers: SocketAddr,
-}
-
 /// The content of an object.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Item {
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -15,6 +15,17 @@
 /// The longest pause, so that an entry is back soon after the store is.
 const PAUSE_MAX: Duration = Duration::from_millis(500);
 
+/// The least time between two watches of a kind. A watch returns with the
+/// first change, and when many endpoints come at once each would be a call of
+/// its own; within this time they come together. It is far below the time
+/// within which a change has to be in force.
+const WATCH_EVERY: Duration = Duration::from_millis(250);
+/// When entries are listed: soon after the start, when all have registered,
+/// and then rarely, since entries also make themselves known to each other. A
+/// stale listing costs a tenth of a call.
+const ENTRIES_FIRST: Duration = Duration::from_millis(1_500);
+const ENTRIES_EVERY: Duration = Duration::from_secs(12);
+
 /// The health of the connection to the store, for the log.
 #[derive(Debug, Default)]
 struct Link {
@@ -86,10 +97,33 @@
             .await?;
         let now = Instant::now();
         revision = revision.max(answer.revision);
+        let changed = !answer.changes.is_empty();
         for change in answer.changes {
             knowledge.apply(kind, change, revision, now);
         }
         prove(knowledge, kind, asked);
+        if changed {
+            tokio::time::sleep(WATCH_EVERY.saturating_sub(now.saturating_duration_since(asked)))
+                .await;
+        }
+    }
+}
+
+/// Lists the other entries now and then.
+pub(crate) async fn entries<C: Codec>(knowledge: Rc<Knowledge>) {
+    let mut store = Store::<C>::new(knowledge.options().store);
+    tokio::time::sleep(ENTRIES_FIRST).await;
+    loop {
+        match store.list(Kind::Entries, true).await {
+            Ok(listing) => knowledge.replace(
+                Kind::Entries,
+                listing.changes,
+                listing.revision,
+                Instant::now(),
+            ),
+            Err(error) => tracing::warn!(%error, "entries not listed"),
+        }
+        tokio::time::sleep(ENTRIES_EVERY).await;
     }
 }
 
@@ -109,14 +143,8 @@
 
 /// Makes this entry known to the others.
 pub(crate) async fn register<C: Codec>(knowledge: Rc<Knowledge>) {
-    let options = knowledge.options();
-    let entry = crate::store::Entry {
-        host: options.host.clone(),
-        data_centre: options.data_centre.clone(),
-        listen: options.listen,
-        peers: options.peers,
-    };
-    let mut store = Store::<C>::new(options.store);
+    let entry = knowledge.entry();
+    let mut store = Store::<C>::new(knowledge.options().store);
     let mut pause = PAUSE;
     while let Err(error) = store.register(&entry).await {
         tracing::warn!(%error, "entry not registered yet");
--- a/crates/rebalance/src/agent.rs
+++ b/crates/rebalance/src/agent.rs
@@ -218,7 +218,7 @@
     }
 
     fn subscribe(&mut self, bytes: &[u8], from: SocketAddr, now: Instant) {
-        if !matches!(peer::Datagram::decode(bytes), Ok(peer::Datagram::Ask)) {
+        if !matches!(peer::Datagram::decode(bytes), Ok(peer::Datagram::Subscribe)) {
             return;
         }
         self.subscribers
