--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -38,13 +38,13 @@
     }
 
     /// Takes bytes and returns all whole events that are there now.
-    pub(crate) fn push(&mut self, data: Bytes) -> Bytes {
+    pub(crate) fn push(&mut self, data: &Bytes) -> Bytes {
         let whole = if self.partial.is_empty() {
-            let end = boundary(&data);
+            let end = boundary(data);
             self.partial.extend_from_slice(&data[end..]);
             data.slice(..end)
         } else {
-            self.partial.extend_from_slice(&data);
+            self.partial.extend_from_slice(data);
             let end = boundary(&self.partial);
             self.partial.split_to(end).freeze()
         };
@@ -58,8 +58,8 @@
     fn number(&mut self, events: &[u8]) {
         let lines = events.split(|&byte| byte == b'\n');
         let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-        let numbers = ids.filter_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok());
-        if let Some(last) = numbers.last() {
+        let mut numbers = ids.filter_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok());
+        if let Some(last) = numbers.next_back() {
             self.last = Some(last);
         }
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -14,7 +14,7 @@
 use crate::dialect::Dialect;
 use crate::endpoint::Endpoint;
 use crate::knowledge::Knowledge;
-use crate::pool::{self, Lease, Reuse};
+use crate::pool::{self, Kept, Lease, Reuse};
 use crate::request::Call;
 use crate::route::Repeat;
 
@@ -73,9 +73,8 @@
     pub(crate) body: Incoming,
     pub(crate) lease: Lease,
     pub(crate) running: Running,
-    /// How long the endpoint keeps the connection; `None` within `Some` if it
-    /// doesn't say, `None` if it closes it.
-    pub(crate) kept: Option<Option<Duration>>,
+    /// What the endpoint does with the connection after its answer.
+    pub(crate) kept: Kept,
 }
 
 /// How a send ended without an answer.
@@ -222,11 +221,11 @@
 }
 
 /// Reads how long the endpoint keeps the connection.
-fn kept(head: &Parts) -> Option<Option<Duration>> {
+fn kept(head: &Parts) -> Kept {
     let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
     let closes = text("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
     if closes || head.version == http::Version::HTTP_10 {
-        return None;
+        return Kept::Closed;
     }
     let stated = text("keep-alive").and_then(|value| {
         let seconds = value
@@ -234,7 +233,7 @@
             .find_map(|part| part.trim().strip_prefix("timeout="))?;
         seconds.trim().parse().ok().map(Duration::from_secs)
     });
-    Some(stated)
+    stated.map_or(Kept::Open, Kept::For)
 }
 
 impl Failed {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -66,7 +66,9 @@
             .iter()
             .map(|service| service.name.clone())
             .collect();
-        names.iter().for_each(|service| self.refresh(service));
+        for service in &names {
+            self.refresh(service);
+        }
     }
 
     fn options(&self, service: &Service) -> route::Options {
@@ -78,12 +80,11 @@
             ejection_max: EJECTION_MAX,
             ..route::Options::default()
         };
-        match &service.engine {
-            Some(engine) => pace(&mut options, engine),
-            None => {
-                options.nearest = vec![self.data_centre.clone()];
-                options.hop_time = HOP_TIME;
-            }
+        if let Some(engine) = &service.engine {
+            pace(&mut options, engine);
+        } else {
+            options.nearest = vec![self.data_centre.clone()];
+            options.hop_time = HOP_TIME;
         }
         options
     }
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use cactusnotch_base::name::Endpoint;
 use cactusnotch_telemetry::metric;
 use http::{Request, Response, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -18,7 +19,7 @@
 use crate::exchange::{self, Failed, Reply, Unserved};
 use crate::knowledge::Knowledge;
 use crate::pump::Pump;
-use crate::refusal::Refusal;
+use crate::refusal::{COME_BACK, Refusal};
 use crate::request::{self, Call};
 
 /// The pieces of an answer that wait for a slow caller before the endpoint is
@@ -75,7 +76,7 @@
             flight.log(head.status.as_u16(), "whole");
             passed_on(&knowledge, head, Outgoing::Whole(Some(body)))
         }
-        Ok(Answered::Pieces(reply, first)) => flight.pass_on::<D>(reply, first, guard),
+        Ok(Answered::Pieces(reply, first)) => flight.pass_on::<D>(*reply, first, guard),
         Err(refusal) => {
             flight.log(refusal.status().as_u16(), &refusal.to_string());
             own::<D>(&knowledge, refusal)
@@ -161,7 +162,7 @@
 /// An endpoint's answer that is to be passed on.
 enum Answered {
     Whole(http::response::Parts, Bytes),
-    Pieces(Reply, Bytes),
+    Pieces(Box<Reply>, Bytes),
 }
 
 /// A request on its way.
@@ -169,7 +170,7 @@
     knowledge: Rc<Knowledge>,
     call: Call,
     course: Course,
-    tried: Vec<cactusnotch_base::name::Endpoint>,
+    tried: Vec<Endpoint>,
     /// Whether an endpoint may be at work.
     sending: bool,
 }
@@ -216,14 +217,14 @@
     async fn take(&mut self, mut reply: Reply) -> Result<Answered, Failed> {
         let repeat = self.call.judged.route.repeat;
         if self.call.judged.route.streaming && reply.head.status.is_success() {
-            return Ok(Answered::Pieces(reply, Bytes::new()));
+            return Ok(Answered::Pieces(Box::new(reply), Bytes::new()));
         }
         self.sending = true;
         let read = answer::read(&mut reply.body).await;
         self.sending = false;
         let bytes = match read {
             Read::Whole(bytes) => bytes,
-            Read::Beginning(bytes) => return Ok(Answered::Pieces(reply, bytes)),
+            Read::Beginning(bytes) => return Ok(Answered::Pieces(Box::new(reply), bytes)),
             Read::Broken(error) => {
                 reply.running.failed();
                 return Err(Failed::new(Failure::InDoubt, &error.to_string()));
@@ -243,9 +244,7 @@
         if !status.is_server_error() {
             reply.running.whole();
         }
-        if let Some(stated) = reply.kept {
-            reply.lease.keep(stated, Instant::now());
-        }
+        reply.lease.keep(reply.kept, Instant::now());
         Ok(Answered::Whole(reply.head, bytes))
     }
 
@@ -260,7 +259,7 @@
         let next = course.fail(failed.failure, || self.affordable());
         self.course = course;
         let id = self.call.head.id.as_deref();
-        let endpoint = self.tried.last().map(|name| name.as_str());
+        let endpoint = self.tried.last().map(Endpoint::as_str);
         tracing::info!(id, endpoint, cause = failed.cause, next = ?next, "endpoint gave no answer");
         match next {
             Next::Repeat => {
@@ -324,7 +323,7 @@
 fn log(
     knowledge: &Knowledge,
     call: &Call,
-    tried: &[cactusnotch_base::name::Endpoint],
+    tried: &[Endpoint],
     status: u16,
     outcome: &str,
     resumed: u32,
@@ -337,7 +336,7 @@
         organisation = call.judged.organisation.as_ref().map(|o| o.name.as_str()),
         version = call.version,
         key_age_ms = knowledge.freshness.borrow().age(now).map(millis),
-        endpoint = tried.last().map(|name| name.as_str()),
+        endpoint = tried.last().map(Endpoint::as_str),
         sends = tried.len(),
         resumed,
         status,
@@ -368,7 +367,7 @@
 
 fn own<D: Dialect>(knowledge: &Knowledge, refusal: Refusal) -> Response<Outgoing> {
     let mut response = refusal
-        .response::<D>(knowledge.come_back())
+        .response::<D>(COME_BACK)
         .map(|body| Outgoing::Whole(Some(body)));
     close_if_stopping(knowledge, &mut response);
     response
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -223,14 +223,4 @@
             .and_then(|c| c.service(service).map(|s| s.connections));
         all.map_or(1, |all| (all / self.peers.borrow().count()).max(1))
     }
-
-    /// Returns the time until a caller whose request was refused should come
-    /// back.
-    pub(crate) fn come_back(&self) -> Duration {
-        COME_BACK
-    }
 }
-
-/// When a refused caller is told to come back: a few passes of a model server,
-/// after which some requests have ended.
-const COME_BACK: Duration = Duration::from_millis(300);
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -90,9 +90,9 @@
 fn ask(knowledge: &Knowledge, socket: &UdpSocket, subscribe: bool) {
     let asked = knowledge.peers.borrow().asked();
     let question = Datagram::Ask(knowledge.entry());
-    asked
-        .into_iter()
-        .for_each(|peer| send(socket, &question, peer));
+    for peer in asked {
+        send(socket, &question, peer);
+    }
     if !subscribe || knowledge.stopping.get().is_some() {
         return;
     }
@@ -117,9 +117,9 @@
 /// Tells the entries near that this one takes no callers any more.
 pub(crate) fn announce_stop(knowledge: &Knowledge, socket: &UdpSocket) {
     let asked = knowledge.peers.borrow().asked();
-    asked
-        .into_iter()
-        .for_each(|peer| send(socket, &Datagram::State { ready: false }, peer));
+    for peer in asked {
+        send(socket, &Datagram::State { ready: false }, peer);
+    }
 }
 
 /// Sends a datagram; one that can't be sent now is as good as lost on its way.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -66,6 +66,17 @@
     Never,
 }
 
+/// What an endpoint does with a connection after its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Kept {
+    /// It closes it.
+    Closed,
+    /// It keeps it, and doesn't say for how long.
+    Open,
+    /// It keeps it for this time.
+    For(Duration),
+}
+
 impl Pool {
     /// Takes a connection to `endpoint`, of which at most `most` are open.
     pub(crate) async fn take(
@@ -167,8 +178,12 @@
 
     /// Gives the connection back after a whole answer, to be used again for as
     /// long as the endpoint said it keeps it.
-    pub(crate) fn keep(mut self, stated: Option<Duration>, now: Instant) {
-        let idle = stated.map_or(IDLE_TIME, |time| time.mul_f64(IDLE_PART).min(IDLE_TIME));
+    pub(crate) fn keep(mut self, kept: Kept, now: Instant) {
+        let idle = match kept {
+            Kept::Closed => return,
+            Kept::Open => IDLE_TIME,
+            Kept::For(time) => time.mul_f64(IDLE_PART).min(IDLE_TIME),
+        };
         let pool = self.pool.clone();
         let mut rows = pool.rows.borrow_mut();
         let Some(row) = rows.get_mut(&self.endpoint) else {
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -113,7 +113,7 @@
             };
             running.piece(Instant::now());
             let data = match events.as_deref_mut() {
-                Some(events) => events.push(data),
+                Some(events) => events.push(&data),
                 None => data,
             };
             if !data.is_empty() && self.sender.send(Ok(data)).await.is_err() {
@@ -125,9 +125,7 @@
             return Part::Broken("the stream ended within an event".to_owned());
         }
         running.whole();
-        if let Some(stated) = kept {
-            lease.keep(stated, Instant::now());
-        }
+        lease.keep(kept, Instant::now());
         Part::End(End::Whole)
     }
 
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -8,6 +8,10 @@
 
 use crate::dialect::Dialect;
 
+/// When a refused caller is told to come back: a few passes of a model server,
+/// after which some requests have ended.
+pub(crate) const COME_BACK: Duration = Duration::from_millis(300);
+
 /// Why an entry answers itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub(crate) enum Refusal {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -16,7 +16,7 @@
 use crate::route::Route;
 
 /// The time that a caller waits who doesn't say, unless the route is shorter.
-const PATIENCE: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_mins(1);
 /// The least urgent value that endpoints take.
 const URGENCY_MAX: u32 = 9;
 /// How many ranks of routes fit into one rank of an organisation.
--- /dev/null
+++ b/crates/rebalance/src/agent/orders.rs
@@ -0,0 +1,200 @@
+//! The agent's part in a round: what it orders its own endpoint.
+
+use std::time::{Duration, Instant};
+
+use cactusnotch_gateway::store;
+use cactusnotch_telemetry::metric;
+
+use super::sockets::{Sockets, send_bytes};
+use super::{Agent, Given};
+use crate::codec::{Codec, Order};
+use crate::coordinator::{Coordinator, Event};
+use crate::message::Datagram;
+use crate::plan;
+use crate::state::{Place, State};
+
+/// The time within which a round's experts are to be copied.
+const ROUND_COPY: Duration = Duration::from_millis(300);
+/// How long an order that was begun is waited for before it is given again.
+const ORDER_TIME: Duration = Duration::from_millis(1_500);
+/// The pause before an order that was refused is given again.
+const ORDER_PAUSE: Duration = Duration::from_millis(25);
+/// What a copied expert has to take off the peak, as a part of the mean load.
+const GAIN: f64 = 0.03;
+
+/// The orders that may follow one another within one look.
+const STEPS_MAX: usize = 4;
+
+impl<C: Codec, S: store::Codec> Agent<C, S> {
+    pub(super) async fn take_part(
+        &mut self,
+        sockets: &Sockets,
+        place: &Place,
+        state: State,
+        now: Instant,
+    ) {
+        self.member.observe(place, &state.maps);
+        self.lead(place);
+        self.read_held(place, &state).await;
+        self.count(sockets, place, now).await;
+        let mut state = state;
+        // Each order changes the state, and the next phase may follow at once.
+        for _ in 0..STEPS_MAX {
+            let Some(order) = self.next_order(sockets, place, &state, now) else {
+                break;
+            };
+            if !self.give(&order, &state, place).await {
+                break;
+            }
+            match self.endpoint.state().await {
+                Ok(new) if new.place.as_ref() == Some(place) => state = new,
+                _ => break,
+            }
+            self.member.observe(place, &state.maps);
+        }
+        self.tell_standing(sockets, place, &state, Instant::now());
+    }
+
+    /// Becomes or ceases to be the leader.
+    fn lead(&mut self, place: &Place) {
+        if place.rank != 0 {
+            self.coordinator = None;
+            return;
+        }
+        let leads = self
+            .coordinator
+            .as_ref()
+            .is_some_and(|coordinator| coordinator.place() == place);
+        let Some(shape) = self.neighbours.shape.filter(|_| !leads) else {
+            return;
+        };
+        let per_rank = ROUND_COPY.as_secs_f64() / shape.copy.as_secs_f64().max(0.001);
+        let options = plan::Options {
+            per_rank: whole(per_rank).max(1),
+            gain: GAIN,
+        };
+        tracing::info!(
+            group = place.group,
+            epoch = place.epoch,
+            ranks = place.size,
+            "leading the group"
+        );
+        self.coordinator = Some(Coordinator::new(place.clone(), shape, options));
+        self.ranks = vec![None; usize::from(place.size)];
+    }
+
+    /// Returns the next order for the own endpoint.
+    fn next_order(
+        &mut self,
+        sockets: &Sockets,
+        place: &Place,
+        state: &State,
+        now: Instant,
+    ) -> Option<Order> {
+        let standing = self.standing(place, state);
+        let mut order = None;
+        if let Some(coordinator) = &mut self.coordinator {
+            coordinator.hear(standing, now);
+            let before = (coordinator.round().version, coordinator.round().phase);
+            let (wanted, event) = coordinator.step(&state.maps, now);
+            order = wanted;
+            if let Some(event) = &event {
+                log(place, event);
+            }
+            let round = coordinator.round();
+            if before != (round.version, round.phase) {
+                let bytes = Datagram::Round(round.clone()).encode();
+                self.ranks
+                    .iter()
+                    .flatten()
+                    .for_each(|&rank| send_bytes(&sockets.agents, &bytes, rank));
+            }
+            if let Some((version, map)) = coordinator.map()
+                && self.member.known() != Some(version)
+                && state.maps.current == version
+            {
+                self.member.know(version, map.clone());
+            }
+            self.member.take(coordinator.round().clone());
+        }
+        order.or_else(|| self.member.order(&state.maps))
+    }
+
+    /// Gives an order unless it is under way; returns whether the endpoint's
+    /// state is worth another look now.
+    async fn give(&mut self, order: &Order, state: &State, place: &Place) -> bool {
+        let now = Instant::now();
+        if let Some(given) = &self.given
+            && given.order == *order
+        {
+            let age = now.saturating_duration_since(given.at);
+            if age < if given.begun { ORDER_TIME } else { ORDER_PAUSE } {
+                return false;
+            }
+        }
+        let result = self
+            .endpoint
+            .order(order, state.sequence, place.epoch)
+            .await;
+        self.given = Some(Given {
+            order: order.clone(),
+            begun: result.is_ok(),
+            at: now,
+        });
+        match &result {
+            Ok(()) => tracing::info!(
+                group = place.group,
+                order = name(order),
+                step = state.maps.step,
+                sequence = state.sequence,
+                "order begun"
+            ),
+            Err(error) => {
+                tracing::info!(group = place.group, order = name(order), sequence = state.sequence, %error, "order not confirmed");
+            }
+        }
+        result.is_ok()
+    }
+}
+
+fn log(place: &Place, event: &Event) {
+    let group = place.group.as_str();
+    match event {
+        Event::Began(plan) => {
+            tracing::info!(
+                group,
+                moves = plan.moves.len(),
+                skew = plan.before,
+                expected = plan.after,
+                "round begun"
+            );
+        }
+        Event::Held(step) => tracing::info!(group, step, "group held"),
+        Event::Switched(version) => {
+            metrics::counter!(metric::GROUP_SWITCHES).increment(1);
+            tracing::info!(group, version, "map in force");
+        }
+        Event::GivenUp(version) => {
+            tracing::warn!(group, version, "round given up, some rank did not load");
+        }
+        Event::Found(step) => tracing::warn!(group, step, "group found held, resolving it"),
+    }
+}
+
+const fn name(order: &Order) -> &'static str {
+    match order {
+        Order::Prepare { .. } => "prepare",
+        Order::Arm { .. } => "arm",
+        Order::Hold { .. } => "hold",
+        Order::Go { .. } => "go",
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a small number of copies"
+)]
+const fn whole(number: f64) -> usize {
+    number as usize
+}
--- /dev/null
+++ b/crates/rebalance/src/agent/tell.rs
@@ -0,0 +1,176 @@
+//! What an agent reads of its endpoint and tells entries and other agents.
+
+use std::time::{Duration, Instant};
+
+use cactusnotch_gateway::{peer, store};
+
+use super::Agent;
+use super::due::due;
+use super::sockets::{Sockets, send, send_bytes};
+use crate::codec::Codec;
+use crate::estimate;
+use crate::message::{Choices, Datagram, Standing};
+use crate::state::{Place, State};
+
+/// How often counts are read and sent.
+const COUNT_EVERY: Duration = Duration::from_millis(200);
+/// How often a rank repeats how it stands though nothing has changed.
+const REPEAT_EVERY: Duration = Duration::from_millis(300);
+/// How often loads are sent to entries.
+const LOAD_EVERY: Duration = Duration::from_millis(250);
+/// After this time without a word from rank 0 its agent is looked for again.
+const SILENCE: Duration = Duration::from_millis(1_200);
+/// How often it is looked for.
+const SEEK_EVERY: Duration = Duration::from_millis(400);
+
+impl<C: Codec, S: store::Codec> Agent<C, S> {
+    pub(super) fn tell_load(&mut self, sockets: &Sockets, state: &State, now: Instant) {
+        if !due(&mut self.due.load, LOAD_EVERY, now) {
+            return;
+        }
+        self.subscribers.retain(|&(_, until)| until > now);
+        let load = peer::Load {
+            endpoint: self.options.endpoint,
+            requests: state.running + state.waiting,
+            open: state.open,
+            memory: state.memory,
+        };
+        for &(entry, _) in &self.subscribers {
+            send_bytes(
+                &sockets.entries,
+                &peer::Datagram::Load(load.clone()).encode(),
+                entry,
+            );
+        }
+    }
+
+    /// Looks for rank 0's agent if it has not been heard lately, and for the
+    /// shape of the maps.
+    pub(super) async fn find_neighbours(&mut self, sockets: &Sockets, place: &Place, now: Instant) {
+        let heard = self
+            .leader
+            .is_some_and(|(_, at)| now.saturating_duration_since(at) < SILENCE);
+        let alone = place.rank != 0 && !heard;
+        let missing =
+            self.neighbours.shape.is_none() || (alone && self.neighbours.agents.is_empty());
+        if (missing || alone)
+            && self.neighbours.is_due(now)
+            && let Err(error) = self.neighbours.look(now).await
+        {
+            tracing::warn!(%error, "neighbours not found in the store");
+        }
+        if alone && due(&mut self.due.seek, SEEK_EVERY, now) {
+            let seek = Datagram::Seek(place.clone()).encode();
+            self.neighbours
+                .agents
+                .iter()
+                .for_each(|&agent| send_bytes(&sockets.agents, &seek, agent));
+        }
+    }
+
+    /// Reads which experts the rank holds while the whole map is unknown.
+    pub(super) async fn read_held(&mut self, place: &Place, state: &State) {
+        let current = (place.epoch, state.maps.current);
+        let known = self
+            .held
+            .as_ref()
+            .is_some_and(|(epoch, version, _)| (*epoch, *version) == current);
+        if self.member.known().is_some() || known {
+            return;
+        }
+        match self.endpoint.held().await {
+            Ok((version, held)) => self.held = Some((place.epoch, version, held)),
+            Err(error) => tracing::warn!(%error, "held experts not read"),
+        }
+    }
+
+    /// Reads the counts and passes on what has come since the last time.
+    pub(super) async fn count(&mut self, sockets: &Sockets, place: &Place, now: Instant) {
+        let Some(shape) = self.neighbours.shape else {
+            return;
+        };
+        if !due(&mut self.due.count, COUNT_EVERY, now) {
+            return;
+        }
+        let counts = match self.endpoint.counts().await {
+            Ok(counts) => counts,
+            Err(error) => {
+                tracing::warn!(%error, "counts not read");
+                return;
+            }
+        };
+        let before = self.counted.replace((counts.epoch, counts.counts.clone()));
+        let Some((epoch, before)) = before.filter(|(epoch, _)| *epoch == counts.epoch) else {
+            return;
+        };
+        if epoch != place.epoch || before.len() != counts.counts.len() {
+            return;
+        }
+        let new: Vec<_> = counts
+            .counts
+            .iter()
+            .zip(&before)
+            .map(|(new, old)| new.saturating_sub(*old))
+            .collect();
+        if new.iter().all(|&count| count == 0) {
+            return;
+        }
+        let (units, bytes) = estimate::pack(&new, shape.experts);
+        match (&mut self.coordinator, self.leader) {
+            (Some(coordinator), _) => coordinator.count(place, &units, &bytes, now),
+            (None, Some((leader, _))) => {
+                let choices = Choices {
+                    place: place.clone(),
+                    units,
+                    counts: bytes.into(),
+                };
+                send(&sockets.agents, &Datagram::Choices(choices), leader);
+            }
+            (None, None) => {}
+        }
+    }
+
+    pub(super) fn standing(&self, place: &Place, state: &State) -> Standing {
+        let known = self.member.known();
+        let held = self.held.as_ref().filter(|(epoch, version, _)| {
+            known.is_none() && (*epoch, *version) == (place.epoch, state.maps.current)
+        });
+        Standing {
+            place: place.clone(),
+            open: state.open,
+            maps: state.maps,
+            known,
+            held: held.map(|(_, _, held)| held.clone()),
+        }
+    }
+
+    /// Tells rank 0 how this rank stands, if that is new or due.
+    pub(super) fn tell_standing(
+        &mut self,
+        sockets: &Sockets,
+        place: &Place,
+        state: &State,
+        now: Instant,
+    ) {
+        let Some((leader, _)) = self.leader.filter(|_| self.coordinator.is_none()) else {
+            return;
+        };
+        let standing = self.standing(place, state);
+        let same = |told: &Standing| {
+            let step = standing.maps.step;
+            let mut told = told.clone();
+            told.maps.step = step;
+            told == standing
+        };
+        let news = !self.told.as_ref().is_some_and(same);
+        if news || due(&mut self.due.tell, REPEAT_EVERY, now) {
+            self.due.tell = Some(now);
+            send(
+                &sockets.agents,
+                &Datagram::Standing(standing.clone()),
+                leader,
+            );
+            self.told = Some(standing);
+        }
+    }
+}
