fix: trust only words of this life, and give each life versions of its own

Cause: a simulation of a group with late orders, lost messages and killed agents broke the agreement twice. A leader that was started anew let a held group go on a word from before its life, which hid that a rank had been armed; and it gave another map the number that its former life had sent out already. Change: words carry the leader's term, and a life's versions begin at a random number above all that ranks show. A leader without the map asks for it.

--- a/crates/rebalance/src/agent.rs
+++ b/crates/rebalance/src/agent.rs
@@ -20,11 +20,10 @@
 use self::due::Due;
 use self::sockets::Sockets;
 use crate::codec::{Codec, Order};
-use crate::coordinator::Coordinator;
 use crate::endpoint::Endpoint;
-use crate::member::Member;
 use crate::message::Standing;
 use crate::neighbours::Neighbours;
+use crate::rank::Rank;
 
 /// How often the endpoint's state is read while no round is under way.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
@@ -76,8 +75,9 @@
     options: Options,
     endpoint: Endpoint<C>,
     neighbours: Neighbours<S>,
-    member: Member,
-    coordinator: Option<Coordinator>,
+    rank: Rank,
+    /// A number that no other life of this process has.
+    term: u64,
     /// The addresses of the ranks' agents, as far as this agent leads.
     ranks: Vec<Option<SocketAddr>>,
     /// Where rank 0's agent is, and when it was heard last.
@@ -99,8 +99,8 @@
         Self {
             endpoint: Endpoint::new(options.endpoint),
             neighbours: Neighbours::new(options.store, options.service.clone(), options.agents),
-            member: Member::new(),
-            coordinator: None,
+            rank: Rank::default(),
+            term: rand::random(),
             ranks: Vec::new(),
             leader: None,
             subscribers: Vec::new(),
@@ -173,7 +173,7 @@
                 () = tokio::time::sleep_until(next) => Instant::now(),
             };
             self.look(&sockets, now).await;
-            let busy = self.member.is_busy();
+            let busy = self.rank.member.is_busy();
             next = tokio::time::Instant::now() + if busy { LOOK_EVERY_BUSY } else { LOOK_EVERY };
         }
     }
--- a/crates/rebalance/src/agent/hear.rs
+++ b/crates/rebalance/src/agent/hear.rs
@@ -35,7 +35,7 @@
             }
             Datagram::Standing(standing) => self.hear_standing(sockets, standing, from, now),
             Datagram::Choices(choices) => {
-                if let Some(coordinator) = &mut self.coordinator {
+                if let Some(coordinator) = &mut self.rank.coordinator {
                     coordinator.count(&choices.place, &choices.units, &choices.counts, now);
                 }
                 false
@@ -43,16 +43,16 @@
             Datagram::Round(round) => {
                 self.leader = Some((from, now));
                 let urgent = round.phase != Phase::Rest;
-                self.member.take(round);
+                self.rank.member.take(round);
                 urgent
             }
-            Datagram::Part(part) => self.member.learn(part),
+            Datagram::Part(part) => self.rank.member.learn(part),
         }
     }
 
     /// Notes where a rank's agent is, and tells it the round.
     fn answer(&mut self, sockets: &Sockets, place: &Place, from: SocketAddr) {
-        let Some(coordinator) = &self.coordinator else {
+        let Some(coordinator) = &self.rank.coordinator else {
             return;
         };
         let own = coordinator.place();
@@ -77,10 +77,12 @@
         now: Instant,
     ) -> bool {
         let place = standing.place.clone();
-        let Some(coordinator) = &mut self.coordinator else {
+        let Some(coordinator) = &mut self.rank.coordinator else {
             return false;
         };
-        let lacks = coordinator.lacks(&standing) || coordinator.round().phase == Phase::Rest;
+        let lacks = coordinator.lacks(&standing)
+            || coordinator.round().phase == Phase::Rest
+            || coordinator.map().is_none();
         let parts = match coordinator.map() {
             Some((version, map))
                 if standing.maps.current == version && standing.known != Some(version) =>
--- a/crates/rebalance/src/agent/orders.rs
+++ b/crates/rebalance/src/agent/orders.rs
@@ -8,7 +8,7 @@
 use super::sockets::{Sockets, send_bytes};
 use super::{Agent, Given};
 use crate::codec::{Codec, Order};
-use crate::coordinator::{Coordinator, Event};
+use crate::coordinator::Event;
 use crate::message::Datagram;
 use crate::plan;
 use crate::state::{Place, State};
@@ -33,7 +33,7 @@
         state: State,
         now: Instant,
     ) {
-        self.member.observe(place, &state.maps);
+        self.rank.observe(place, &state.maps);
         self.lead(place);
         self.read_held(place, &state).await;
         self.count(sockets, place, now).await;
@@ -50,22 +50,14 @@
                 Ok(new) if new.place.as_ref() == Some(place) => state = new,
                 _ => break,
             }
-            self.member.observe(place, &state.maps);
+            self.rank.observe(place, &state.maps);
         }
         self.tell_standing(sockets, place, &state, Instant::now());
     }
 
-    /// Becomes or ceases to be the leader.
+    /// Takes the lead if this is rank 0.
     fn lead(&mut self, place: &Place) {
-        if place.rank != 0 {
-            self.coordinator = None;
-            return;
-        }
-        let leads = self
-            .coordinator
-            .as_ref()
-            .is_some_and(|coordinator| coordinator.place() == place);
-        let Some(shape) = self.neighbours.shape.filter(|_| !leads) else {
+        let Some(shape) = self.neighbours.shape else {
             return;
         };
         let per_rank = ROUND_COPY.as_secs_f64() / shape.copy.as_secs_f64().max(0.001);
@@ -73,14 +65,15 @@
             per_rank: whole(per_rank).max(1),
             gain: GAIN,
         };
-        tracing::info!(
-            group = place.group,
-            epoch = place.epoch,
-            ranks = place.size,
-            "leading the group"
-        );
-        self.coordinator = Some(Coordinator::new(place.clone(), shape, options));
-        self.ranks = vec![None; usize::from(place.size)];
+        if self.rank.lead(place, shape, options, self.term) {
+            self.ranks = vec![None; usize::from(place.size)];
+            tracing::info!(
+                group = place.group,
+                epoch = place.epoch,
+                ranks = place.size,
+                "leading the group"
+            );
+        }
     }
 
     /// Returns the next order for the own endpoint.
@@ -92,32 +85,17 @@
         now: Instant,
     ) -> Option<Order> {
         let standing = self.standing(place, state);
-        let mut order = None;
-        if let Some(coordinator) = &mut self.coordinator {
-            coordinator.hear(standing, now);
-            let before = (coordinator.round().version, coordinator.round().phase);
-            let (wanted, event) = coordinator.step(&state.maps, now);
-            order = wanted;
-            if let Some(event) = &event {
-                log(place, event);
-            }
-            let round = coordinator.round();
-            if before != (round.version, round.phase) {
-                let bytes = Datagram::Round(round.clone()).encode();
-                self.ranks
-                    .iter()
-                    .flatten()
-                    .for_each(|&rank| send_bytes(&sockets.agents, &bytes, rank));
-            }
-            if let Some((version, map)) = coordinator.map()
-                && self.member.known() != Some(version)
-                && state.maps.current == version
-            {
-                self.member.know(version, map.clone());
+        let step = self.rank.step(standing, now);
+        if let Some(event) = &step.event {
+            log(place, event);
+        }
+        if let Some(coordinator) = self.rank.coordinator.as_ref().filter(|_| step.announce) {
+            let bytes = Datagram::Round(coordinator.round().clone()).encode();
+            for &rank in self.ranks.iter().flatten() {
+                send_bytes(&sockets.agents, &bytes, rank);
             }
-            self.member.take(coordinator.round().clone());
         }
-        order.or_else(|| self.member.order(&state.maps))
+        step.order
     }
 
     /// Gives an order unless it is under way; returns whether the endpoint's
--- a/crates/rebalance/src/agent/tell.rs
+++ b/crates/rebalance/src/agent/tell.rs
@@ -75,7 +75,7 @@
             .held
             .as_ref()
             .is_some_and(|(epoch, version, _)| (*epoch, *version) == current);
-        if self.member.known().is_some() || known {
+        if !self.rank.tells_held() || known {
             return;
         }
         match self.endpoint.held().await {
@@ -116,7 +116,7 @@
             return;
         }
         let (units, bytes) = estimate::pack(&new, shape.experts);
-        match (&mut self.coordinator, self.leader) {
+        match (&mut self.rank.coordinator, self.leader) {
             (Some(coordinator), _) => coordinator.count(place, &units, &bytes, now),
             (None, Some((leader, _))) => {
                 let choices = Choices {
@@ -131,14 +131,15 @@
     }
 
     pub(super) fn standing(&self, place: &Place, state: &State) -> Standing {
-        let known = self.member.known();
+        let known = self.rank.member.known();
         let held = self.held.as_ref().filter(|(epoch, version, _)| {
-            known.is_none() && (*epoch, *version) == (place.epoch, state.maps.current)
+            self.rank.tells_held() && (*epoch, *version) == (place.epoch, state.maps.current)
         });
         Standing {
             place: place.clone(),
             open: state.open,
             maps: state.maps,
+            term: self.rank.member.term(),
             known,
             held: held.map(|(_, _, held)| held.clone()),
         }
@@ -152,7 +153,7 @@
         state: &State,
         now: Instant,
     ) {
-        let Some((leader, _)) = self.leader.filter(|_| self.coordinator.is_none()) else {
+        let Some((leader, _)) = self.leader.filter(|_| self.rank.coordinator.is_none()) else {
             return;
         };
         let standing = self.standing(place, state);
--- a/crates/rebalance/src/coordinator.rs
+++ b/crates/rebalance/src/coordinator.rs
@@ -18,6 +18,11 @@
 /// How many passes ahead the group is held: enough for the order to arrive
 /// before the pass begins, and little enough that none is waited for long.
 const PASSES_AHEAD: u64 = 2;
+/// The span of numbers that a life's versions begin in, above all versions
+/// that ranks show. A former life's last version may still be on its way to
+/// some ranks and must not be given to another map: two lives meet in about
+/// one of a billion cases.
+const VERSION_SPAN: u64 = 1 << 32;
 /// The choices that must be known before a first plan; below it the counts
 /// are noise.
 const CHOICES_MIN: f64 = 2_000.0;
@@ -76,19 +81,24 @@
     /// The last pass that the group was let go into. A late order to let it
     /// go must never meet another hold of the same pass.
     let_go: Option<u64>,
+    /// How far the next version is above all that were seen.
+    gap: u64,
 }
 
 impl Coordinator {
     /// Creates the coordinator of a group of which nothing is known yet.
+    /// `term` is a number that no other life of this process has.
     #[must_use]
-    pub fn new(place: Place, shape: Shape, options: plan::Options) -> Self {
+    pub fn new(place: Place, shape: Shape, options: plan::Options, term: u64) -> Self {
         let round = Round {
             group: place.group.clone(),
             epoch: place.epoch,
+            term,
             version: 0,
             base: 0,
             moves: Vec::new(),
             phase: Phase::Rest,
+            asks_held: true,
         };
         Self {
             rows: vec![None; usize::from(place.size)],
@@ -101,6 +111,7 @@
             round,
             stage: Stage::Rest,
             let_go: None,
+            gap: 1 + term % VERSION_SPAN,
         }
     }
 
@@ -135,10 +146,12 @@
         }
     }
 
-    /// Takes a rank's word.
+    /// Takes a rank's word, if it was given after this life began: an older
+    /// one could hide that the rank has been armed since.
     pub fn hear(&mut self, standing: Standing, now: Instant) {
         let place = &standing.place;
-        if place.group != self.place.group || place.epoch != self.place.epoch {
+        let other_group = place.group != self.place.group || place.epoch != self.place.epoch;
+        if other_group || standing.term != Some(self.round.term) {
             return;
         }
         if let Some(row) = self.rows.get_mut(usize::from(place.rank)) {
@@ -160,6 +173,7 @@
         let mut event = None;
         if let Some(maps) = self.words(now) {
             self.assemble(&maps);
+            self.round.asks_held = self.map.is_none();
             event = self.advance(&maps, own, now);
         }
         let order = self.order(own);
@@ -224,6 +238,8 @@
                 } else if now.saturating_duration_since(since) > PREPARE_TIME {
                     self.stage = Stage::Rest;
                     self.round.phase = Phase::Rest;
+                    // Some rank may have had a higher version of a former life.
+                    self.gap = VERSION_SPAN;
                     return Some(Event::GivenUp(version));
                 }
                 None
@@ -285,7 +301,8 @@
         let seen = maps
             .iter()
             .map(|rank| rank.current.max(rank.prepared.unwrap_or(0)));
-        self.round.version = seen.fold(self.round.version, u64::max) + 1;
+        let seen = seen.fold(self.round.version, u64::max);
+        self.round.version = seen + std::mem::replace(&mut self.gap, 1);
         self.round.base = base;
         self.round.moves.clone_from(&plan.moves);
         self.round.phase = Phase::Prepare;
--- a/crates/rebalance/src/lib.rs
+++ b/crates/rebalance/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod member;
 pub mod message;
 pub mod plan;
+pub mod rank;
 pub mod state;
 
 mod endpoint;
@@ -28,3 +29,4 @@
 pub use agent::Agent;
 pub use cactusnotch_gateway::configuration::Shape;
 pub use map::Map;
+pub use rank::Rank;
--- a/crates/rebalance/src/member.rs
+++ b/crates/rebalance/src/member.rs
@@ -15,6 +15,9 @@
     /// The whole map that the round is to bring, with its version.
     next: Option<(u64, Map)>,
     round: Option<Round>,
+    /// Whether rank 0 lacks the map in force.
+    asked: bool,
+    term: Option<u64>,
     parts: Vec<Part>,
 }
 
@@ -56,6 +59,18 @@
         self.current.as_ref().map(|(version, _)| *version)
     }
 
+    /// Returns the term of the leader that was heard last.
+    #[must_use]
+    pub const fn term(&self) -> Option<u64> {
+        self.term
+    }
+
+    /// Tells whether rank 0 asks which experts this rank holds.
+    #[must_use]
+    pub const fn is_asked(&self) -> bool {
+        self.asked
+    }
+
     /// Tells whether a round is under way.
     #[must_use]
     pub fn is_busy(&self) -> bool {
@@ -92,6 +107,8 @@
         if !self.is_mine(&round.group, round.epoch) {
             return;
         }
+        self.asked = round.asks_held;
+        self.term = Some(round.term);
         let older = self.round.as_ref().is_some_and(|known| {
             round.version < known.version
                 || (round.version == known.version && rank_of(round.phase) < rank_of(known.phase))
--- a/crates/rebalance/src/message.rs
+++ b/crates/rebalance/src/message.rs
@@ -15,6 +15,8 @@
     pub open: bool,
     /// The maps of the rank.
     pub maps: Maps,
+    /// The term of the leader that the agent has heard last.
+    pub term: Option<u64>,
     /// The version of the whole map that the agent knows.
     pub known: Option<u64>,
     /// The experts that the rank holds in the map in force, by set, while the
@@ -55,6 +57,8 @@
     pub group: String,
     /// The group's life.
     pub epoch: u64,
+    /// The number of the leading process's life, which no other life has.
+    pub term: u64,
     /// The version that the round is to bring.
     pub version: u64,
     /// The version that it starts from.
@@ -63,6 +67,9 @@
     pub moves: Vec<Move>,
     /// How far it has come.
     pub phase: Phase,
+    /// Whether rank 0 lacks the map in force and asks which experts each rank
+    /// holds.
+    pub asks_held: bool,
 }
 
 /// One set of the whole map, for agents that don't know it.
--- /dev/null
+++ b/crates/rebalance/tests/agreement.rs
@@ -0,0 +1,84 @@
+//! In every pass all ranks use one map, whatever happens to orders, messages,
+//! agents and ranks.
+
+mod world;
+
+use world::{Faults, World};
+
+const NONE: Faults = Faults {
+    lost: 0,
+    late: 0,
+    kills: 0,
+    freezes: 0,
+    crashes: 0,
+};
+/// Ticks of a run with faults, and of the calm after it.
+const RUN: u64 = 3_000;
+const CALM: u64 = 2_000;
+
+fn run(name: &str, seeds: std::ops::Range<u64>, faults: Faults, held_max: u64) {
+    let mut longest = 0;
+    for seed in seeds {
+        println!("{name}: seed {seed}");
+        let outcome = World::new(seed, faults).run(RUN, CALM);
+        longest = longest.max(outcome.held_max);
+    }
+    assert!(
+        longest <= held_max,
+        "{name}: passes were held back for {longest} ticks"
+    );
+}
+
+#[test]
+fn maps_agree_without_faults() {
+    run("no faults", 0..20, NONE, 0);
+}
+
+#[test]
+fn maps_agree_when_messages_are_lost_late_and_doubled() {
+    run("messages", 0..150, Faults { lost: 150, ..NONE }, 60);
+}
+
+#[test]
+fn maps_agree_when_orders_are_carried_out_late() {
+    run("late orders", 0..150, Faults { late: 400, ..NONE }, 200);
+}
+
+#[test]
+fn maps_agree_when_agents_are_killed_and_stand_still() {
+    run(
+        "agents",
+        0..150,
+        Faults {
+            kills: 60,
+            freezes: 60,
+            ..NONE
+        },
+        60,
+    );
+}
+
+#[test]
+fn maps_agree_when_ranks_crash() {
+    run(
+        "ranks",
+        0..100,
+        Faults {
+            crashes: 40,
+            ..NONE
+        },
+        60,
+    );
+}
+
+#[test]
+fn maps_agree_under_all_faults_together() {
+    let faults = Faults {
+        lost: 100,
+        late: 300,
+        kills: 40,
+        freezes: 40,
+        crashes: 15,
+    };
+    run("all", 0..400, faults, 400);
+}
--- /dev/null
+++ b/crates/rebalance/tests/world/endpoint.rs
@@ -0,0 +1,154 @@
+//! An endpoint as a rank, with the orders on maps.
+
+use cactusnotch_rebalance::codec::Order;
+use cactusnotch_rebalance::state::Maps;
+use cactusnotch_rebalance::{Map, Shape};
+
+/// The ticks that it takes to load a map's experts.
+const LOADING: u64 = 12;
+
+pub struct Endpoint {
+    rank: usize,
+    spare: usize,
+    start: Map,
+    pub maps: Maps,
+    /// The whole map in force, as this rank was told it.
+    pub map: Map,
+    /// The experts that this rank holds in the map in force.
+    pub held: Vec<Vec<u16>>,
+    loading: Option<(u64, u64, Map)>,
+    loaded: Option<Map>,
+    pass: Option<u64>,
+    highest: u64,
+}
+
+impl Endpoint {
+    pub fn new(rank: usize, shape: &Shape, ranks: usize) -> Self {
+        let set = || {
+            let of = |rank: usize| {
+                let experts = (0..shape.experts).filter(|expert| expert % ranks == rank);
+                experts
+                    .map(|expert| u16::try_from(expert).expect("a set is small"))
+                    .collect()
+            };
+            (0..ranks).map(of).collect()
+        };
+        let start = Map {
+            sets: (0..shape.sets).map(|_| set()).collect(),
+        };
+        let mut endpoint = Self {
+            rank,
+            spare: shape.spare,
+            map: start.clone(),
+            start,
+            maps: Maps::default(),
+            held: Vec::new(),
+            loading: None,
+            loaded: None,
+            pass: None,
+            highest: 0,
+        };
+        endpoint.restart();
+        endpoint
+    }
+
+    pub fn restart(&mut self) {
+        self.maps = Maps::default();
+        self.map = self.start.clone();
+        self.hold_experts();
+        self.loading = None;
+        self.loaded = None;
+        self.pass = None;
+        self.highest = 0;
+    }
+
+    fn hold_experts(&mut self) {
+        self.held = self
+            .map
+            .sets
+            .iter()
+            .map(|ranks| ranks[self.rank].clone())
+            .collect();
+    }
+
+    pub fn report(&self, step: u64) -> Maps {
+        Maps { step, ..self.maps }
+    }
+
+    /// Completes a copy that is due.
+    pub fn load(&mut self, tick: u64) {
+        if let Some((_, version, map)) = self.loading.take_if(|(at, ..)| *at <= tick) {
+            self.maps.prepared = Some(version);
+            self.loaded = Some(map);
+        }
+    }
+
+    /// Begins a pass; returns whether the map changes with it.
+    pub fn begin(&mut self, step: u64) -> bool {
+        if self.pass != Some(step) {
+            return false;
+        }
+        self.pass = None;
+        self.maps.current = self
+            .maps
+            .armed
+            .take()
+            .expect("a pass is noted with its version");
+        self.maps.prepared = None;
+        self.map = self.loaded.take().expect("only a loaded map is armed");
+        self.hold_experts();
+        true
+    }
+
+    /// Carries an order out if it fits, as the endpoint's protocol says.
+    pub fn order(&mut self, order: &Order, step: u64, tick: u64) -> bool {
+        match order {
+            Order::Prepare { version, map } => self.prepare(*version, map, tick),
+            Order::Arm {
+                version,
+                step: pass,
+            } => {
+                let fits = self.maps.prepared == Some(*version) && *pass > step;
+                if fits {
+                    self.maps.armed = Some(*version);
+                    self.pass = Some(*pass);
+                }
+                fits
+            }
+            Order::Hold { step: pass } => {
+                let fits = *pass > step && self.maps.held.is_none();
+                if fits {
+                    self.maps.held = Some(*pass);
+                }
+                fits
+            }
+            Order::Go { step: pass } => {
+                let fits = self.maps.held == Some(*pass);
+                if fits {
+                    self.maps.held = None;
+                }
+                fits
+            }
+        }
+    }
+
+    fn prepare(&mut self, version: u64, map: &Map, tick: u64) -> bool {
+        let new = |set: usize| {
+            let wanted = &map.sets[set][self.rank];
+            wanted
+                .iter()
+                .filter(|expert| !self.held[set].contains(expert))
+                .count()
+        };
+        let fits = version > self.highest
+            && self.maps.armed.is_none()
+            && (0..map.sets.len()).all(|set| new(set) <= self.spare);
+        if fits {
+            self.highest = version;
+            self.maps.prepared = None;
+            self.loaded = None;
+            self.loading = Some((tick + LOADING, version, map.clone()));
+        }
+        fits
+    }
+}
--- /dev/null
+++ b/crates/rebalance/tests/world/mod.rs
@@ -0,0 +1,414 @@
+//! A small group of ranks with its agents, in virtual time, with faults.
+
+mod endpoint;
+
+use std::time::{Duration, Instant};
+
+use cactusnotch_rebalance::codec::Order;
+use cactusnotch_rebalance::coordinator::Event;
+use cactusnotch_rebalance::message::{Datagram, Part, Round, Standing};
+use cactusnotch_rebalance::plan;
+use cactusnotch_rebalance::state::Place;
+use cactusnotch_rebalance::{Map, Rank, Shape};
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+
+use endpoint::Endpoint;
+
+/// The ranks of the group.
+const RANKS: usize = 3;
+/// One tick stands for ten milliseconds.
+const TICK: Duration = Duration::from_millis(10);
+/// The ticks of a pass.
+const PASS: u64 = 6;
+const SHAPE: Shape = Shape {
+    sets: 2,
+    experts: 6,
+    places: 3,
+    spare: 2,
+    copy: Duration::from_millis(50),
+};
+
+/// How often things go wrong.
+#[derive(Debug, Clone, Copy)]
+pub struct Faults {
+    /// Messages that are lost, out of a thousand.
+    pub lost: u32,
+    /// Orders that are carried out late and not answered, out of a thousand.
+    pub late: u32,
+    /// Ticks in which an agent is killed, out of ten thousand.
+    pub kills: u32,
+    /// Ticks in which an agent stands still, out of ten thousand.
+    pub freezes: u32,
+    /// Ticks in which a rank crashes, out of ten thousand.
+    pub crashes: u32,
+}
+
+/// What a run has shown.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Outcome {
+    /// Maps that came in force.
+    pub switches: u32,
+    /// The longest time that passes were kept back, in ticks, while no agent
+    /// was down or stood still.
+    pub held_max: u64,
+}
+
+struct Agent {
+    rank: Rank,
+    /// Until when it is down or stands still.
+    away: u64,
+    look: u64,
+    leader: bool,
+}
+
+pub struct World {
+    rng: SmallRng,
+    faults: Faults,
+    base: Instant,
+    tick: u64,
+    epoch: u64,
+    step: u64,
+    /// Until when the group forms anew.
+    forming: u64,
+    endpoints: Vec<Endpoint>,
+    agents: Vec<Agent>,
+    messages: Vec<(u64, usize, Datagram)>,
+    late: Vec<(u64, usize, Order, u64)>,
+    held_since: Option<u64>,
+    quiet_since: u64,
+    outcome: Outcome,
+}
+
+impl World {
+    pub fn new(seed: u64, faults: Faults) -> Self {
+        let endpoints = (0..RANKS)
+            .map(|rank| Endpoint::new(rank, &SHAPE, RANKS))
+            .collect();
+        let agent = |_| Agent {
+            rank: Rank::default(),
+            away: 0,
+            look: 0,
+            leader: false,
+        };
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            faults,
+            base: Instant::now(),
+            tick: 0,
+            epoch: 1,
+            step: 0,
+            forming: 0,
+            endpoints,
+            agents: (0..RANKS).map(agent).collect(),
+            messages: Vec::new(),
+            late: Vec::new(),
+            held_since: None,
+            quiet_since: 0,
+            outcome: Outcome::default(),
+        }
+    }
+
+    /// Runs `ticks` with faults and then `calm` without.
+    pub fn run(mut self, ticks: u64, calm: u64) -> Outcome {
+        for _ in 0..ticks {
+            self.disturb();
+            self.advance();
+        }
+        let before = self.outcome.switches;
+        for _ in 0..calm {
+            self.advance();
+        }
+        assert!(
+            self.outcome.switches > before,
+            "no map came in force after the faults"
+        );
+        self.outcome
+    }
+
+    fn now(&self) -> Instant {
+        self.base + TICK * u32::try_from(self.tick).expect("a run is short")
+    }
+
+    fn one_in(&mut self, times: u32, of: u32) -> bool {
+        self.rng.random_range(0..of) < times
+    }
+
+    fn disturb(&mut self) {
+        if self.one_in(self.faults.kills, 10_000) {
+            let at = self.rng.random_range(0..RANKS);
+            let away = self.tick + self.rng.random_range(5..200);
+            self.agents[at] = Agent {
+                rank: Rank::default(),
+                away,
+                look: 0,
+                leader: false,
+            };
+            self.quiet_since = self.quiet_since.max(away);
+        }
+        if self.one_in(self.faults.freezes, 10_000) {
+            let at = self.rng.random_range(0..RANKS);
+            let away = self.tick + self.rng.random_range(5..400);
+            self.agents[at].away = away;
+            self.quiet_since = self.quiet_since.max(away);
+        }
+        if self.one_in(self.faults.crashes, 10_000) {
+            self.epoch += 1;
+            self.forming = self.tick + self.rng.random_range(20..100);
+            self.endpoints.iter_mut().for_each(Endpoint::restart);
+            self.held_since = None;
+        }
+    }
+
+    fn advance(&mut self) {
+        self.tick += 1;
+        self.carry_out_late();
+        self.deliver();
+        let tick = self.tick;
+        self.endpoints
+            .iter_mut()
+            .for_each(|endpoint| endpoint.load(tick));
+        if tick % PASS == 0 && tick >= self.forming {
+            self.begin_pass();
+        }
+        for at in 0..RANKS {
+            if self.agents[at].away <= tick && self.agents[at].look <= tick {
+                self.look(at);
+                self.agents[at].look = tick + self.rng.random_range(1..10);
+            }
+        }
+    }
+
+    /// Begins the next pass unless a rank holds it; all ranks must then use
+    /// one map.
+    fn begin_pass(&mut self) {
+        let next = self.step + 1;
+        if self
+            .endpoints
+            .iter()
+            .any(|endpoint| endpoint.maps.held == Some(next))
+        {
+            let since = *self.held_since.get_or_insert(self.tick);
+            let quiet = self.quiet_since.max(since);
+            let held = self.tick.saturating_sub(quiet);
+            self.outcome.held_max = self.outcome.held_max.max(held);
+            return;
+        }
+        self.held_since = None;
+        self.step = next;
+        for endpoint in &mut self.endpoints {
+            if endpoint.begin(next) {
+                self.outcome.switches += 1;
+            }
+        }
+        let first = &self.endpoints[0];
+        for endpoint in &self.endpoints {
+            assert_eq!(
+                endpoint.maps.current, first.maps.current,
+                "versions differ in pass {next}"
+            );
+            assert_eq!(endpoint.map, first.map, "contents differ in pass {next}");
+        }
+    }
+
+    fn carry_out_late(&mut self) {
+        let tick = self.tick;
+        let due: Vec<_> = self.late.extract_if(.., |(at, ..)| *at <= tick).collect();
+        for (_, rank, order, epoch) in due {
+            let _: bool = self.carry_out(rank, &order, epoch);
+        }
+    }
+
+    fn carry_out(&mut self, rank: usize, order: &Order, epoch: u64) -> bool {
+        epoch == self.epoch
+            && self.tick >= self.forming
+            && self.endpoints[rank].order(order, self.step, self.tick)
+    }
+
+    fn send(&mut self, to: usize, datagram: Datagram) {
+        if self.one_in(self.faults.lost, 1000) {
+            return;
+        }
+        let delay = if self.one_in(self.faults.lost, 2000) {
+            self.rng.random_range(20..300)
+        } else {
+            1
+        };
+        if self.one_in(self.faults.lost, 1000) {
+            self.messages
+                .push((self.tick + delay + 3, to, datagram.clone()));
+        }
+        self.messages.push((self.tick + delay, to, datagram));
+    }
+
+    fn deliver(&mut self) {
+        let tick = self.tick;
+        let due: Vec<_> = self
+            .messages
+            .extract_if(.., |(at, ..)| *at <= tick)
+            .collect();
+        for (_, to, datagram) in due {
+            // A process that is down gets nothing; one that stands still gets
+            // it late.
+            if self.agents[to].away > tick {
+                if self.agents[to].leader {
+                    self.messages.push((self.agents[to].away + 1, to, datagram));
+                }
+                continue;
+            }
+            self.hear(to, datagram);
+        }
+    }
+
+    fn hear(&mut self, to: usize, datagram: Datagram) {
+        let now = self.now();
+        let agent = &mut self.agents[to].rank;
+        let mut answers = Vec::new();
+        match datagram {
+            Datagram::Standing(standing) => {
+                let Some(lead) = &mut agent.coordinator else {
+                    return;
+                };
+                let rank = usize::from(standing.place.rank);
+                answers.push((rank, Datagram::Round(lead.round().clone())));
+                if let Some((version, map)) = lead.map()
+                    && standing.maps.current == version
+                    && standing.known != Some(version)
+                {
+                    answers.extend(
+                        parts(lead.place(), version, map).map(|part| (rank, Datagram::Part(part))),
+                    );
+                }
+                lead.hear(standing, now);
+            }
+            Datagram::Round(round) => agent.member.take(round),
+            Datagram::Part(part) => {
+                let _: bool = agent.member.learn(part);
+            }
+            Datagram::Seek(_) | Datagram::Choices(_) => {}
+        }
+        for (rank, answer) in answers {
+            self.send(rank, answer);
+        }
+        self.agents[to].look = self.tick;
+    }
+
+    fn look(&mut self, at: usize) {
+        if self.tick < self.forming {
+            return;
+        }
+        for _ in 0..4 {
+            let maps = self.endpoints[at].report(self.step);
+            let place = self.place(at);
+            let now = self.now();
+            let agent = &mut self.agents[at];
+            agent.leader = true;
+            agent.rank.observe(&place, &maps);
+            let options = plan::Options {
+                per_rank: 2,
+                gain: 0.01,
+            };
+            let term = self.rng.random();
+            agent.rank.lead(&place, SHAPE, options, term);
+            self.choose(at);
+            let agent = &mut self.agents[at];
+            let standing = Standing {
+                place: place.clone(),
+                open: true,
+                maps,
+                term: agent.rank.member.term(),
+                known: agent.rank.member.known(),
+                held: agent
+                    .rank
+                    .tells_held()
+                    .then(|| self.endpoints[at].held.clone()),
+            };
+            let step = agent.rank.step(standing.clone(), now);
+            let round = agent
+                .rank
+                .coordinator
+                .as_ref()
+                .map(|lead| lead.round().clone());
+            if at != 0 {
+                self.send(0, Datagram::Standing(standing));
+            }
+            self.announce(step.announce, round);
+            if let Some(Event::Switched(_)) = step.event {
+                self.held_since = None;
+            }
+            let Some(order) = step.order else { return };
+            if !self.give(at, order) {
+                return;
+            }
+        }
+    }
+
+    fn announce(&mut self, announce: bool, round: Option<Round>) {
+        let Some(round) = round.filter(|_| announce) else {
+            return;
+        };
+        for rank in 1..RANKS {
+            self.send(rank, Datagram::Round(round.clone()));
+        }
+    }
+
+    /// Gives an order; returns whether it was answered well.
+    fn give(&mut self, at: usize, order: Order) -> bool {
+        let epoch = self.epoch;
+        if self.one_in(self.faults.late, 1000) {
+            let when = self.tick + self.rng.random_range(1..600);
+            self.late.push((when, at, order, epoch));
+            return false;
+        }
+        let done = self.carry_out(at, &order, epoch);
+        // The answer may be lost though the order was carried out.
+        done && !self.one_in(self.faults.late, 2000)
+    }
+
+    /// Lets the ranks' requests choose experts, the hot ones changing.
+    fn choose(&mut self, at: usize) {
+        let Some(lead) = &mut self.agents[at].rank.coordinator else {
+            return;
+        };
+        let hot = usize::try_from(self.tick / 150).expect("a run is short") % SHAPE.experts;
+        let count = |expert| if expert == hot { 255 } else { 20 };
+        let counts: Vec<u8> = (0..SHAPE.sets)
+            .flat_map(|_| (0..SHAPE.experts).map(count))
+            .collect();
+        let place = Place {
+            group: "g".to_owned(),
+            epoch: self.epoch,
+            rank: 0,
+            size: 3,
+        };
+        let now = self.base + TICK * u32::try_from(self.tick).expect("a run is short");
+        let units = [*[8.0, 10.0, 12.0]
+            .choose(&mut self.rng)
+            .expect("it is not empty"); SHAPE.sets];
+        lead.count(&place, &units, &counts, now);
+    }
+
+    fn place(&self, at: usize) -> Place {
+        let number = |value: usize| u16::try_from(value).expect("a group is small");
+        Place {
+            group: "g".to_owned(),
+            epoch: self.epoch,
+            rank: number(at),
+            size: number(RANKS),
+        }
+    }
+}
+
+fn parts(place: &Place, version: u64, map: &Map) -> impl Iterator<Item = Part> {
+    let sets = u16::try_from(map.sets.len()).expect("a map is small");
+    let part = move |(set, ranks): (u16, &Vec<Vec<u16>>)| Part {
+        group: place.group.clone(),
+        epoch: place.epoch,
+        version,
+        set,
+        sets,
+        ranks: ranks.clone(),
+    };
+    (0..sets).zip(&map.sets).map(part)
+}
