test: the entry's decisions; fix: count repeats at the window's edge

Cause: a property test found 6 repeats of 28 requests in one window under a ratio of 0.2: a part of the window was dropped while its last repeats still counted. Ruled out: the test's own reach, which is a tenth of the window longer.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -18,26 +18,29 @@
 impl Window {
     /// Drops the parts that are too old and opens a new one if it is time.
     fn turn(&mut self, now: Instant, window: Duration) {
+        let length = window / PARTS;
+        let age = |at: Instant| now.saturating_duration_since(at);
         while self
             .parts
             .front()
-            .is_some_and(|&(at, ..)| now.saturating_duration_since(at) > window)
+            .is_some_and(|&(at, ..)| age(at) > window + length)
         {
             self.parts.pop_front();
         }
-        let length = window / PARTS;
-        let open = self
-            .parts
-            .back()
-            .is_some_and(|&(at, ..)| now.saturating_duration_since(at) < length);
-        if !open {
+        if self.parts.back().is_none_or(|&(at, ..)| age(at) >= length) {
             self.parts.push_back((now, 0, 0));
         }
     }
 
-    fn sums(&self) -> (u32, u32) {
-        let add = |(a, b), &(_, first, again): &(Instant, u32, u32)| (a + first, b + again);
-        self.parts.iter().fold((0, 0), add)
+    /// Returns the first sends that were surely within the window, and the
+    /// repeated ones that may have been.
+    fn sums(&self, now: Instant, window: Duration) -> (u32, u32) {
+        let within = |at: Instant| now.saturating_duration_since(at) <= window;
+        self.parts
+            .iter()
+            .fold((0, 0), |(first, again), &(at, new, repeated)| {
+                (first + if within(at) { new } else { 0 }, again + repeated)
+            })
     }
 }
 
@@ -47,14 +50,16 @@
 /// took itself in that window, so that the bound holds over all entries
 /// together however many there are and whatever they know of each other.
 #[derive(Debug)]
-pub(crate) struct Budgets {
+pub struct Budgets {
     ratio: f64,
     window: Duration,
     rows: Table<String, Window>,
 }
 
 impl Budgets {
-    pub(crate) const fn new(ratio: f64, window: Duration) -> Self {
+    /// Creates a budget of `ratio` repeated sends for each request in `window`.
+    #[must_use]
+    pub const fn new(ratio: f64, window: Duration) -> Self {
         Self {
             ratio,
             window,
@@ -63,13 +68,13 @@
     }
 
     /// Takes another bound.
-    pub(crate) const fn set(&mut self, ratio: f64, window: Duration) {
+    pub const fn set(&mut self, ratio: f64, window: Duration) {
         self.ratio = ratio;
         self.window = window;
     }
 
     /// Counts a request.
-    pub(crate) fn earn(&mut self, service: &str, now: Instant) {
+    pub fn earn(&mut self, service: &str, now: Instant) {
         let row = self.row(service, now);
         if let Some((_, first, _)) = row.parts.back_mut() {
             *first += 1;
@@ -77,10 +82,10 @@
     }
 
     /// Pays for a repeated send; returns whether there was enough.
-    pub(crate) fn spend(&mut self, service: &str, now: Instant) -> bool {
-        let ratio = self.ratio;
+    pub fn spend(&mut self, service: &str, now: Instant) -> bool {
+        let (ratio, window) = (self.ratio, self.window);
         let row = self.row(service, now);
-        let (first, again) = row.sums();
+        let (first, again) = row.sums(now, window);
         if f64::from(again + 1) > ratio * f64::from(first) {
             return false;
         }
--- a/crates/gateway/src/decide.rs
+++ b/crates/gateway/src/decide.rs
@@ -9,7 +9,7 @@
 
 /// Why an endpoint did not answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Failure {
+pub enum Failure {
     /// The request was never written to a connection.
     Unsent,
     /// The endpoint states that it did not run the request.
@@ -20,7 +20,7 @@
 
 /// What to do next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Next {
+pub enum Next {
     /// Send it to another endpoint; this is a repeated send.
     Repeat,
     /// Send it to another endpoint; the first has not seen it.
@@ -31,7 +31,7 @@
 
 /// The course of one request over endpoints.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Course {
+pub struct Course {
     repeat: Repeat,
     attempts: u32,
     sent: u32,
@@ -40,7 +40,9 @@
 }
 
 impl Course {
-    pub(crate) const fn new(repeat: Repeat, attempts: u32) -> Self {
+    /// Creates the course of a request that may be sent to `attempts` endpoints.
+    #[must_use]
+    pub const fn new(repeat: Repeat, attempts: u32) -> Self {
         Self {
             repeat,
             attempts,
@@ -51,18 +53,19 @@
     }
 
     /// Returns how many endpoints the request was sent to.
-    pub(crate) const fn sent(&self) -> u32 {
+    #[must_use]
+    pub const fn sent(&self) -> u32 {
         self.sent
     }
 
     /// Notes that the request is being written to an endpoint.
-    pub(crate) const fn send(&mut self) {
+    pub const fn send(&mut self) {
         self.sent += 1;
     }
 
     /// Returns what follows a failure. `affordable` tells whether the budget
     /// allows another send; it is asked only if one is due.
-    pub(crate) fn fail(&mut self, failure: Failure, affordable: impl FnOnce() -> bool) -> Next {
+    pub fn fail(&mut self, failure: Failure, affordable: impl FnOnce() -> bool) -> Next {
         match failure {
             Failure::Unsent => {
                 self.sent = self.sent.saturating_sub(1);
@@ -82,7 +85,8 @@
     }
 
     /// Returns the answer when no endpoint is left to try.
-    pub(crate) const fn given_up(&self) -> Refusal {
+    #[must_use]
+    pub const fn given_up(&self) -> Refusal {
         if self.in_doubt {
             Refusal::Lost
         } else {
@@ -92,7 +96,8 @@
 
     /// Returns the answer when the time is up while an endpoint may be at
     /// work (`sending`) or not.
-    pub(crate) const fn time_up(&self, sending: bool) -> Refusal {
+    #[must_use]
+    pub const fn time_up(&self, sending: bool) -> Refusal {
         if sending || self.in_doubt {
             Refusal::TimeUp
         } else {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -9,13 +9,15 @@
 /// Splits a stream after whole events, so that what a caller has got can be
 /// continued by another endpoint.
 #[derive(Debug, Default)]
-pub(crate) struct Events {
+pub struct Events {
     partial: BytesMut,
     last: Option<u64>,
 }
 
 impl Events {
-    pub(crate) fn new(last: Option<u64>) -> Self {
+    /// Creates the boundaries of a stream that goes on after the event `last`.
+    #[must_use]
+    pub fn new(last: Option<u64>) -> Self {
         Self {
             partial: BytesMut::new(),
             last,
@@ -23,22 +25,24 @@
     }
 
     /// Returns the number of the last whole event.
-    pub(crate) const fn last(&self) -> Option<u64> {
+    #[must_use]
+    pub const fn last(&self) -> Option<u64> {
         self.last
     }
 
     /// Tells whether an event is incomplete.
-    pub(crate) fn is_partial(&self) -> bool {
+    #[must_use]
+    pub fn is_partial(&self) -> bool {
         !self.partial.is_empty()
     }
 
     /// Drops an incomplete event, which another endpoint will send whole.
-    pub(crate) fn drop_partial(&mut self) {
+    pub fn drop_partial(&mut self) {
         self.partial.clear();
     }
 
     /// Takes bytes and returns all whole events that are there now.
-    pub(crate) fn push(&mut self, data: &Bytes) -> Bytes {
+    pub fn push(&mut self, data: &Bytes) -> Bytes {
         let whole = if self.partial.is_empty() {
             let end = boundary(data);
             self.partial.extend_from_slice(&data[end..]);
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -10,33 +10,37 @@
 /// from the moment at which the question was sent: any change acknowledged
 /// before that is in the answer.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Freshness {
+pub struct Freshness {
     bound: Option<Duration>,
     asked: Option<Instant>,
 }
 
 impl Freshness {
-    pub(crate) const fn new(bound: Option<Duration>) -> Self {
+    /// Creates the lease of an entry that has proved nothing yet.
+    #[must_use]
+    pub const fn new(bound: Option<Duration>) -> Self {
         Self { bound, asked: None }
     }
 
     /// Takes another bound.
-    pub(crate) const fn set_bound(&mut self, bound: Option<Duration>) {
+    pub const fn set_bound(&mut self, bound: Option<Duration>) {
         self.bound = bound;
     }
 
     /// Notes an answer to a question that was sent at `asked`.
-    pub(crate) fn renew(&mut self, asked: Instant) {
+    pub fn renew(&mut self, asked: Instant) {
         self.asked = self.asked.max(Some(asked));
     }
 
     /// Returns how old the knowledge is.
-    pub(crate) fn age(&self, now: Instant) -> Option<Duration> {
+    #[must_use]
+    pub fn age(&self, now: Instant) -> Option<Duration> {
         Some(now.saturating_duration_since(self.asked?))
     }
 
     /// Tells whether a request that is here at `now` may be judged.
-    pub(crate) fn holds(&self, now: Instant) -> bool {
+    #[must_use]
+    pub fn holds(&self, now: Instant) -> bool {
         match (self.bound, self.age(now)) {
             (_, None) => false,
             (None, Some(_)) => true,
@@ -46,11 +50,12 @@
 
     /// Returns how long a watch may wait, so that one lost answer and the
     /// next one together fit into the bound.
-    pub(crate) fn watch_time(&self) -> Duration {
+    #[must_use]
+    pub fn watch_time(&self) -> Duration {
         self.bound
             .map_or(WATCH_MAX, |bound| (bound * 2 / 5).min(WATCH_MAX))
     }
 }
 
 /// The longest wait of one watch; the store takes up to 30 s.
-pub(crate) const WATCH_MAX: Duration = Duration::from_secs(20);
+pub const WATCH_MAX: Duration = Duration::from_secs(20);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -37,14 +37,16 @@
 
 /// The other entries, by host.
 #[derive(Debug)]
-pub(crate) struct Peers {
+pub struct Peers {
     data_centre: String,
     host: String,
     rows: Table<String, Row>,
 }
 
 impl Peers {
-    pub(crate) fn new(host: &str, data_centre: &str) -> Self {
+    /// Creates the list of an entry that knows no others.
+    #[must_use]
+    pub fn new(host: &str, data_centre: &str) -> Self {
         Self {
             data_centre: data_centre.to_owned(),
             host: host.to_owned(),
@@ -53,7 +55,7 @@
     }
 
     /// Takes an entry's registration.
-    pub(crate) fn insert(&mut self, entry: Entry) {
+    pub fn insert(&mut self, entry: Entry) {
         if entry.host == self.host {
             return;
         }
@@ -72,18 +74,20 @@
     }
 
     /// Takes that an entry withdrew.
-    pub(crate) fn remove(&mut self, host: &str) {
+    pub fn remove(&mut self, host: &str) {
         self.rows.remove(host);
     }
 
     /// Returns how many entries there may be, this one included.
-    pub(crate) fn count(&self) -> u32 {
+    #[must_use]
+    pub fn count(&self) -> u32 {
         u32::try_from(self.rows.len() + 1).unwrap_or(u32::MAX)
     }
 
     /// Returns where to ask for statements: the entries of this data centre,
     /// and a few others if there are not enough.
-    pub(crate) fn asked(&self) -> Vec<SocketAddr> {
+    #[must_use]
+    pub fn asked(&self) -> Vec<SocketAddr> {
         let near = |row: &&Row| row.entry.data_centre == self.data_centre;
         let rows = || self.rows.values();
         let mut asked: Vec<_> = rows().filter(near).map(|row| row.entry.peers).collect();
@@ -95,7 +99,7 @@
     }
 
     /// Takes a statement; returns the entry's host if it changed.
-    pub(crate) fn hear(&mut self, from: SocketAddr, ready: bool, now: Instant) -> Option<&str> {
+    pub fn hear(&mut self, from: SocketAddr, ready: bool, now: Instant) -> Option<&str> {
         let found = self
             .rows
             .iter_mut()
@@ -110,7 +114,8 @@
 
     /// Returns where callers of `data_centre` should connect: this entry, if
     /// `own` is given, and ready ones near it.
-    pub(crate) fn list(
+    #[must_use]
+    pub fn list(
         &self,
         data_centre: Option<&str>,
         own: Option<SocketAddr>,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -10,11 +10,11 @@
 
 /// When a refused caller is told to come back: a few passes of a model server,
 /// after which some requests have ended.
-pub(crate) const COME_BACK: Duration = Duration::from_millis(300);
+pub const COME_BACK: Duration = Duration::from_millis(300);
 
 /// Why an entry answers itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub(crate) enum Refusal {
+pub enum Refusal {
     /// The request's head can't be used.
     #[display("the request has no usable host")]
     Malformed,
@@ -48,7 +48,9 @@
 }
 
 impl Refusal {
-    pub(crate) const fn status(self) -> StatusCode {
+    /// Returns the status that callers get.
+    #[must_use]
+    pub const fn status(self) -> StatusCode {
         match self {
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -63,7 +65,8 @@
 
     /// Tells whether the request has not run, so that the caller may send it
     /// again after a pause.
-    pub(crate) const fn may_come_back(self) -> bool {
+    #[must_use]
+    pub const fn may_come_back(self) -> bool {
         matches!(
             self,
             Self::SlowBody | Self::NotFresh | Self::NotRun | Self::Busy
@@ -71,7 +74,7 @@
     }
 
     /// Returns the answer.
-    pub(crate) fn response<D: Dialect>(self, after: Duration) -> Response<Bytes> {
+    pub fn response<D: Dialect>(self, after: Duration) -> Response<Bytes> {
         let mut response = Response::new(D::explanation(&self.to_string()));
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
--- /dev/null
+++ b/crates/gateway/tests/bounds.rs
@@ -0,0 +1,131 @@
+//! The bounds that hold over all entries: repeated sends, age of keys, lists.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use cactusnotch_gateway::budget::Budgets;
+use cactusnotch_gateway::freshness::Freshness;
+use cactusnotch_gateway::peer::Entry;
+use cactusnotch_gateway::peers::Peers;
+use proptest::prelude::*;
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+proptest! {
+    /// In any span of a window an entry repeats at most the ratio of what it
+    /// took in that window and a part of it before, whatever the pattern.
+    #[test]
+    fn repeats_stay_within_the_ratio_in_every_window(
+        steps in proptest::collection::vec((0_u64..400, any::<bool>()), 1..600),
+    ) {
+        let start = Instant::now();
+        let mut budgets = Budgets::new(0.2, WINDOW);
+        let mut now = start;
+        let mut requests = Vec::new();
+        let mut repeats = Vec::new();
+        for (pause, repeat) in steps {
+            now += Duration::from_millis(pause);
+            if repeat {
+                if budgets.spend("s", now) {
+                    repeats.push(now);
+                }
+            } else {
+                budgets.earn("s", now);
+                requests.push(now);
+            }
+        }
+        let reach = WINDOW + WINDOW / 10;
+        for &end in &repeats {
+            let within = |times: &[Instant], span| {
+                let counted = times.iter().filter(|&&at| at <= end && end.duration_since(at) <= span);
+                u32::try_from(counted.count()).expect("few")
+            };
+            let (again, first) = (within(&repeats, WINDOW), within(&requests, reach));
+            prop_assert!(f64::from(again) <= 0.2 * f64::from(first), "{again} repeats of {first}");
+        }
+    }
+}
+
+#[test]
+fn keys_are_trusted_for_less_than_the_bound_from_the_question_on() {
+    let earlier = Instant::now();
+    let asked = earlier + Duration::from_secs(1);
+    let mut freshness = Freshness::new(Some(Duration::from_secs(5)));
+    assert!(!freshness.holds(asked), "nothing is proved yet");
+    freshness.renew(asked);
+    assert!(freshness.holds(asked + Duration::from_millis(4_700)));
+    assert!(!freshness.holds(asked + Duration::from_millis(4_900)));
+    freshness.renew(earlier);
+    assert!(
+        freshness.holds(asked + Duration::from_millis(4_700)),
+        "an older proof takes nothing away"
+    );
+}
+
+#[test]
+fn two_watches_in_a_row_fit_into_the_bound() {
+    let bound = Duration::from_secs(5);
+    assert!(Freshness::new(Some(bound)).watch_time() * 2 + Duration::from_millis(500) < bound);
+}
+
+fn entry(host: &str, data_centre: &str, port: u16) -> Entry {
+    Entry {
+        host: host.to_owned(),
+        data_centre: data_centre.to_owned(),
+        listen: SocketAddr::from(([10, 0, 0, 1], port)),
+        peers: SocketAddr::from(([10, 0, 0, 1], port + 1000)),
+    }
+}
+
+fn peers() -> Peers {
+    let mut peers = Peers::new("a-1", "a");
+    for (host, data_centre, port) in [("a-2", "a", 2), ("a-3", "a", 3), ("b-1", "b", 4)] {
+        peers.insert(entry(host, data_centre, port));
+    }
+    peers
+}
+
+const OWN: u16 = 1;
+
+fn own() -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], OWN))
+}
+
+fn ports(list: &[SocketAddr]) -> Vec<u16> {
+    list.iter().map(SocketAddr::port).collect()
+}
+
+#[test]
+fn lists_hold_ready_entries_of_the_callers_data_centre() {
+    let now = Instant::now();
+    let mut peers = peers();
+    assert_eq!(
+        ports(&peers.list(Some("a"), Some(own()), now)),
+        [OWN],
+        "nothing was heard of others"
+    );
+    for port in [2, 3, 4] {
+        peers.hear(SocketAddr::from(([10, 0, 0, 1], port + 1000)), true, now);
+    }
+    assert_eq!(ports(&peers.list(Some("a"), Some(own()), now)), [OWN, 2, 3]);
+    peers.hear(SocketAddr::from(([10, 0, 0, 1], 1002)), false, now);
+    assert_eq!(
+        ports(&peers.list(Some("a"), Some(own()), now)),
+        [OWN, 3],
+        "a stopping entry is off at once"
+    );
+    let later = now + Duration::from_secs(2);
+    assert_eq!(
+        ports(&peers.list(Some("a"), Some(own()), later)),
+        [OWN],
+        "a silent entry is off soon"
+    );
+}
+
+#[test]
+fn an_entry_that_stops_lists_the_others() {
+    let now = Instant::now();
+    let mut peers = peers();
+    peers.hear(SocketAddr::from(([10, 0, 0, 1], 1003)), true, now);
+    assert_eq!(ports(&peers.list(Some("a"), None, now)), [3]);
+}
