--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -48,10 +48,13 @@
 ///
 /// In any window an entry repeats at most `ratio` times the requests that it
 /// took itself in that window, so that the bound holds over all entries
-/// together however many there are and whatever they know of each other.
+/// together however many there are and whatever they know of each other. The
+/// fixed allowance beyond that is divided by twice the entries that are known.
 #[derive(Debug)]
 pub struct Budgets {
     ratio: f64,
+    /// What may be repeated in a window beyond the ratio.
+    allowance: u32,
     window: Duration,
     rows: Table<String, Window>,
 }
@@ -62,6 +65,7 @@
     pub const fn new(ratio: f64, window: Duration) -> Self {
         Self {
             ratio,
+            allowance: 0,
             window,
             rows: Table::new(),
         }
@@ -73,6 +77,11 @@
         self.window = window;
     }
 
+    /// Takes the part of the allowance of all entries that is this entry's.
+    pub const fn allow(&mut self, allowance: u32) {
+        self.allowance = allowance;
+    }
+
     /// Counts a request.
     pub fn earn(&mut self, service: &str, now: Instant) {
         let row = self.row(service, now);
@@ -84,9 +93,10 @@
     /// Pays for a repeated send; returns whether there was enough.
     pub fn spend(&mut self, service: &str, now: Instant) -> bool {
         let (ratio, window) = (self.ratio, self.window);
+        let allowance = f64::from(self.allowance);
         let row = self.row(service, now);
         let (first, again) = row.sums(now, window);
-        if f64::from(again + 1) > ratio * f64::from(first) {
+        if f64::from(again + 1) > ratio * f64::from(first) + allowance {
             return false;
         }
         if let Some((_, _, again)) = row.parts.back_mut() {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -134,7 +134,8 @@
     mut running: Running,
     last_event: Option<u64>,
 ) -> Result<Reply, Failed> {
-    let mut lease = connect(knowledge, call, endpoint, &mut running).await?;
+    let first = course.sent() == 0;
+    let mut lease = connect(knowledge, call, endpoint, first, &mut running).await?;
     let now = Instant::now();
     if !knowledge.fleet.borrow().takes_work(&endpoint.id) {
         return Err(Failed::new(Failure::Unsent, "the endpoint began to leave"));
@@ -161,11 +162,15 @@
     knowledge: &Rc<Knowledge>,
     call: &Call,
     endpoint: &Endpoint,
+    first: bool,
     running: &mut Running,
 ) -> Result<Lease, Failed> {
+    // A kept connection may be dropped already, or hold an extra answer. A
+    // request that can't be sent twice isn't risked on one, nor is the last
+    // chance of one that can.
     let reuse = match call.judged.route.repeat {
-        Repeat::Never => Reuse::Never,
-        Repeat::Idempotent | Repeat::Resume => Reuse::Allowed,
+        Repeat::Idempotent | Repeat::Resume if first => Reuse::Allowed,
+        Repeat::Never | Repeat::Idempotent | Repeat::Resume => Reuse::Never,
     };
     let most = knowledge.connections(&endpoint.service);
     let pool = knowledge.pool.clone();
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -210,6 +210,11 @@
         for endpoint in self.fleet.borrow_mut().expire(now) {
             tracing::info!(endpoint, "endpoint still missing after the store's return");
         }
+        let entries = self.peers.borrow().count();
+        let known = self.listed.get().1;
+        let slack = self.options.borrow().retry_slack;
+        let allowance = if known { slack / (2 * entries) } else { 0 };
+        self.budgets.borrow_mut().allow(allowance);
         let fleet = self.fleet.borrow();
         self.pool.sweep(now, |id| fleet.takes_work(id));
     }
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -33,6 +33,9 @@
     pub grace: Duration,
     /// Repeated sends allowed for each request.
     pub retry_ratio: f64,
+    /// Repeated sends allowed for a service in a window beyond the ratio, over
+    /// all entries.
+    pub retry_slack: u32,
     /// The span over which repeated sends are counted.
     pub retry_window: Duration,
     /// The longest time that callers keep a list of addresses.
--- a/crates/rebalance/tests/world/mod.rs
+++ b/crates/rebalance/tests/world/mod.rs
@@ -169,7 +169,7 @@
         self.endpoints
             .iter_mut()
             .for_each(|endpoint| endpoint.load(tick));
-        if tick % PASS == 0 && tick >= self.forming {
+        if tick.is_multiple_of(PASS) && tick >= self.forming {
             self.begin_pass();
         }
         for at in 0..RANKS {
