fix: refuse what comes late in a stop, and let lists age in a second

Ruled out: the wait for requests in flight, which ended at its bound as meant. Change: from 3 s on requests are refused with when to come back; lists are kept for one second, so that callers who keep them three times as long are gone by then.

--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -102,6 +102,9 @@
         .as_ref()
         .map_or(BODY_TIME, |c| c.limits.idle_time);
     let body = read_body(body, limit, patience).await.map_err(fail)?;
+    if knowledge.closing.get() {
+        return Err(fail(Refusal::Stopping));
+    }
     let now = Instant::now();
     let fresh = knowledge.freshness.borrow().holds(now);
     let configuration = knowledge
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -30,6 +30,8 @@
     pub(crate) rng: RefCell<SmallRng>,
     pub(crate) in_flight: Cell<u32>,
     pub(crate) stopping: Cell<Option<Instant>>,
+    /// Whether a stop has come so far that no request is taken.
+    pub(crate) closing: Cell<bool>,
     /// Whether endpoints and entries have each been listed once.
     listed: Cell<(bool, bool)>,
     /// When the store last answered after an outage.
@@ -49,6 +51,7 @@
             rng: RefCell::new(SmallRng::from_os_rng()),
             in_flight: Cell::new(0),
             stopping: Cell::new(None),
+            closing: Cell::new(false),
             listed: Cell::new((false, false)),
             returned: Cell::new(None),
         }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -39,6 +39,9 @@
     /// The endpoints are so busy that the request would be late.
     #[display("the endpoints are busy")]
     Busy,
+    /// This entry stops.
+    #[display("the entry stops")]
+    Stopping,
     /// The time is up; whether the request ran is open.
     #[display("the time is up")]
     TimeUp,
@@ -57,7 +60,9 @@
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
-            Self::NotFresh | Self::NotRun | Self::Busy => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotFresh | Self::NotRun | Self::Busy | Self::Stopping => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::TimeUp => StatusCode::GATEWAY_TIMEOUT,
             Self::Lost => StatusCode::BAD_GATEWAY,
         }
@@ -69,7 +74,7 @@
     pub const fn may_come_back(self) -> bool {
         matches!(
             self,
-            Self::SlowBody | Self::NotFresh | Self::NotRun | Self::Busy
+            Self::SlowBody | Self::NotFresh | Self::NotRun | Self::Busy | Self::Stopping
         )
     }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -23,7 +23,7 @@
 
 /// How long callers keep a list of addresses: short, so that they leave a
 /// stopping entry soon, yet their questions stay few.
-const LIST_TIME: Duration = Duration::from_secs(2);
+const LIST_TIME: Duration = Duration::from_secs(1);
 /// The pause after a connection could not be accepted, for want of
 /// descriptors as a rule.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -12,9 +12,10 @@
 use crate::listing;
 use crate::store::{Codec, Store};
 
-/// How long callers may still come after a stop was asked for: some keep a
-/// list of addresses three times as long as it says.
-const FAREWELL: Duration = Duration::from_millis(3_500);
+/// How long requests are still taken after a stop was asked for: some callers
+/// keep a list of addresses three times as long as it says. Later ones are
+/// refused, since they might not end in time.
+const FAREWELL: Duration = Duration::from_secs(3);
 /// What is kept free at the end of the time for a stop.
 const END_MARGIN: Duration = Duration::from_millis(500);
 /// How often a stopping entry looks whether its last request has ended.
@@ -49,6 +50,7 @@
         }
     });
     tokio::time::sleep(FAREWELL.min(options.grace / 2)).await;
+    knowledge.closing.set(true);
     closing.send_replace(true);
     let last = began + options.grace.saturating_sub(END_MARGIN);
     tokio::time::sleep(LOOK_EVERY).await;
