--- a/crates/rebalance/src/agent/orders.rs
+++ b/crates/rebalance/src/agent/orders.rs
@@ -93,7 +93,7 @@
         let standing = self.standing(place, state);
         let step = self.rank.step(standing, now);
         if let Some(event) = &step.event {
-            log(place, event);
+            log(place, event, self.cadence.pass());
         }
         if let Some(coordinator) = self.rank.coordinator.as_ref().filter(|_| step.announce) {
             let bytes = Datagram::Round(coordinator.round().clone()).encode();
@@ -141,7 +141,7 @@
     }
 }
 
-fn log(place: &Place, event: &Event) {
+fn log(place: &Place, event: &Event, pass: u16) {
     let group = place.group.as_str();
     match event {
         Event::Began(plan) => {
@@ -153,7 +153,7 @@
                 "round begun"
             );
         }
-        Event::Held(step) => tracing::info!(group, step, "group held"),
+        Event::Held(step) => tracing::info!(group, step, pass_ms = pass, "group held"),
         Event::Switched(version) => {
             metrics::counter!(metric::GROUP_SWITCHES).increment(1);
             tracing::info!(group, version, "map in force");
--- a/crates/rebalance/src/coordinator.rs
+++ b/crates/rebalance/src/coordinator.rs
@@ -15,9 +15,17 @@
 /// After this time ranks that can't load a map are given another one: far
 /// above the time to copy what a round moves.
 const PREPARE_TIME: Duration = Duration::from_secs(3);
-/// How many passes ahead the group is held: enough for the order to arrive
-/// before the pass begins, and little enough that none is waited for long.
+/// How many passes ahead the group is held at least: enough for the order to
+/// arrive before the pass begins.
 const PASSES_AHEAD: u64 = 2;
+/// The same at most. Further ahead a round takes longer, and demand turns.
+const PASSES_AHEAD_MAX: u64 = 8;
+/// A short pass. For each that arming took lately the group is held one more
+/// pass ahead, so that it doesn't stand still until all are armed: a pause of
+/// 0.1 s makes most running streams late.
+const PASS: Duration = Duration::from_millis(60);
+/// What is kept of the longest time that arming took, from round to round.
+const ARMING_KEPT: f64 = 0.85;
 /// The span of numbers that a life's versions begin in, above all versions
 /// that ranks show. A former life's last version may still be on its way to
 /// some ranks and must not be given to another map: two lives meet in about
@@ -81,6 +89,10 @@
     /// The last pass that the group was let go into. A late order to let it
     /// go must never meet another hold of the same pass.
     let_go: Option<u64>,
+    /// When the group was held, while ranks get armed.
+    held_at: Option<Instant>,
+    /// The longest time that arming took lately.
+    arming: Duration,
     /// How far the next version is above all that were seen.
     gap: u64,
 }
@@ -111,6 +123,8 @@
             round,
             stage: Stage::Rest,
             let_go: None,
+            held_at: None,
+            arming: Duration::ZERO,
             gap: 1 + term % VERSION_SPAN,
         }
     }
@@ -248,12 +262,19 @@
                 let step = own.held?;
                 // All ranks have the map; its moves need not travel again.
                 self.round.moves.clear();
+                self.held_at = Some(now);
                 self.stage = Stage::Arm;
                 self.round.phase = Phase::Arm { step };
                 Some(Event::Held(step))
             }
             Stage::Arm => {
                 if maps.iter().all(|maps| maps.armed == Some(version)) {
+                    let took = self
+                        .held_at
+                        .take()
+                        .map(|at| now.saturating_duration_since(at));
+                    let kept = self.arming.mul_f64(ARMING_KEPT);
+                    self.arming = took.unwrap_or_default().max(kept);
                     self.stage = Stage::Go { armed: true };
                 }
                 None
@@ -337,6 +358,13 @@
         Event::Found(step)
     }
 
+    /// Returns how many passes ahead the group is held.
+    fn passes_ahead(&self) -> u64 {
+        let passes = self.arming.as_millis() / PASS.as_millis();
+        let more = u64::try_from(passes).unwrap_or(PASSES_AHEAD_MAX);
+        (PASSES_AHEAD + more).min(PASSES_AHEAD_MAX)
+    }
+
     /// Returns the order that the own endpoint needs for the hold.
     ///
     /// A hold that shows up while ranks load, or after they were let go, is
@@ -347,7 +375,7 @@
             (Stage::Hold, None) => {
                 let after = self.let_go.map_or(0, |step| step + 1);
                 Some(Order::Hold {
-                    step: (own.step + PASSES_AHEAD).max(after),
+                    step: (own.step + self.passes_ahead()).max(after),
                 })
             }
             (Stage::Go { .. } | Stage::Prepare { .. } | Stage::Switch, Some(step)) => {
--- a/crates/rebalance/src/endpoint.rs
+++ b/crates/rebalance/src/endpoint.rs
@@ -22,7 +22,7 @@
 /// carried out seconds later; the endpoint is asked for its state then and
 /// the order is given again if that doesn't show it, since the group may
 /// stand still meanwhile. Answers on the same host take a few milliseconds.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(80);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(60);
 /// The longest answer: counts of some thousand experts.
 const ANSWER_MAX: usize = 1 << 20;
 
