--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -133,8 +133,8 @@
 /// in no more, and the one from which they let none in. One pass in some takes
 /// a quarter longer than the usual, and one pause too long makes a whole stream
 /// late.
-const PASS_PRESSES: f64 = 0.6;
-const PASS_FULL: f64 = 0.9;
+const PASS_PRESSES: f64 = 0.7;
+const PASS_FULL: f64 = 1.1;
 
 /// Decides whether a stream is refused so that passes stay short for those
 /// that run: one more would make all of them late.
--- a/crates/rebalance/src/agent/tell.rs
+++ b/crates/rebalance/src/agent/tell.rs
@@ -13,7 +13,7 @@
 use crate::state::{Place, State};
 
 /// How often counts are read and sent.
-const COUNT_EVERY: Duration = Duration::from_millis(200);
+const COUNT_EVERY: Duration = Duration::from_millis(120);
 /// How often a rank repeats how it stands though nothing has changed.
 const REPEAT_EVERY: Duration = Duration::from_millis(300);
 /// How often loads are sent to entries.
--- a/crates/rebalance/src/estimate.rs
+++ b/crates/rebalance/src/estimate.rs
@@ -5,7 +5,7 @@
 /// The time after which half of a count is forgotten. Demand turns every two
 /// to three seconds, and a group makes tens of thousands of choices a second,
 /// so that noise stays small over half a second.
-const HALF_LIFE: Duration = Duration::from_millis(350);
+const HALF_LIFE: Duration = Duration::from_millis(250);
 
 /// Decayed counts of all experts of a group.
 #[derive(Debug, Clone)]
