--- a/crates/cactusnotch/src/command/platform.rs
+++ b/crates/cactusnotch/src/command/platform.rs
@@ -74,8 +74,8 @@
         println!("settings of {} are in order", settings.host);
         return Ok(());
     }
-    let (journal, _exporter) = options.observe()?;
-    let ended = Agent::<Wire, Wire>::new(settings).run();
+    let (journal, exporter) = options.observe()?;
+    let ended = Agent::<Wire, Wire>::new(settings, exporter).run();
     journal.flush();
     ended.map_err(|error| Error::new("agent", error))
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,3 +51,4 @@
 pub use entry::Entry;
 pub use options::Options;
 pub use route::Route;
+pub use server::metrics as serve_metrics;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -71,8 +71,8 @@
     .await;
 }
 
-/// Serves the metrics.
-pub(crate) async fn metrics(exporter: Exporter, listener: TcpListener) {
+/// Serves the metrics of a process on `listener` for as long as it lives.
+pub async fn metrics(exporter: Exporter, listener: TcpListener) {
     accept(listener, |stream| {
         let exporter = exporter.clone();
         answer(stream, move |_| {
--- a/crates/rebalance/src/agent.rs
+++ b/crates/rebalance/src/agent.rs
@@ -12,7 +12,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use cactusnotch_gateway::{peer, reload, store};
+use cactusnotch_gateway::{peer, reload, serve_metrics, store, tcp};
+use cactusnotch_telemetry::Exporter;
 use derive_more::{Display, Error};
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
@@ -76,6 +77,7 @@
 #[derive(Debug)]
 pub struct Agent<C, S> {
     options: Options,
+    exporter: Exporter,
     endpoint: Endpoint<C>,
     neighbours: Neighbours<S>,
     rank: Rank,
@@ -102,8 +104,9 @@
 impl<C: Codec, S: store::Codec> Agent<C, S> {
     /// Creates an agent.
     #[must_use]
-    pub fn new(options: Options) -> Self {
+    pub fn new(options: Options, exporter: Exporter) -> Self {
         Self {
+            exporter,
             endpoint: Endpoint::new(options.endpoint),
             neighbours: Neighbours::new(options.store, options.service.clone(), options.agents),
             rank: Rank::default(),
@@ -140,6 +143,8 @@
             let bind = |address| async move { UdpSocket::bind(address).await.map_err(failed("listen for datagrams")) };
             let entries = bind(self.options.entries).await?;
             let agents = bind(self.options.agents).await?;
+            let metrics = tcp::listen(self.options.metrics).map_err(failed("listen for metrics"))?;
+            tokio::task::spawn_local(serve_metrics(self.exporter.clone(), metrics));
             let mut stop = signal(SignalKind::terminate()).map_err(failed("signals"))?;
             tracing::info!(host = self.options.host, endpoint = %self.options.endpoint, "agent started");
             // An agent has no setting that may change while it runs.
