perf: tell callers to come back when endpoints may have recovered

Ruled out: the entries' own start, 0.1 s; refusals by pass times (6 in 5 s). Change: if endpoints have to recover, the time is 0.28 of what the caller has left, at most 2.4 s; callers wait up to a third.

--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -55,7 +55,7 @@
         Ok(call) => call,
         Err((refusal, id)) => {
             refused(&knowledge, id.as_deref(), refusal, arrived);
-            return own::<D>(&knowledge, refusal);
+            return own::<D>(&knowledge, refusal, Duration::ZERO);
         }
     };
     let service = call.judged.service.clone();
@@ -79,7 +79,8 @@
         Ok(Answered::Pieces(reply, first)) => flight.pass_on::<D>(*reply, first, guard),
         Err(refusal) => {
             flight.log(refusal.status().as_u16(), &refusal.to_string());
-            own::<D>(&knowledge, refusal)
+            let left = flight.call.until.saturating_duration_since(Instant::now());
+            own::<D>(&knowledge, refusal, left)
         }
     }
 }
@@ -368,9 +369,9 @@
     metrics::counter!(metric::GATEWAY_REFUSALS).increment(1);
 }
 
-fn own<D: Dialect>(knowledge: &Knowledge, refusal: Refusal) -> Response<Outgoing> {
+fn own<D: Dialect>(knowledge: &Knowledge, refusal: Refusal, left: Duration) -> Response<Outgoing> {
     let mut response = refusal
-        .response::<D>(refusal.pause(knowledge.rng.borrow_mut().random()))
+        .response::<D>(refusal.pause(left, knowledge.rng.borrow_mut().random()))
         .map(|body| Outgoing::Whole(Some(body)));
     close_if_stopping(knowledge, &mut response);
     response
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -8,12 +8,16 @@
 
 use crate::dialect::Dialect;
 
-/// When a refused caller is told to come back: a few passes of a model server,
-/// after which some requests have ended.
+/// When a refused caller is told to come back if it is another entry that will
+/// serve it, and at least: the time to find one.
 pub const COME_BACK: Duration = Duration::from_millis(300);
-/// The same for a stream that was refused since the endpoints are full: about
-/// the time that a stream takes, after which those that fill them have ended.
-pub const COME_BACK_BUSY: Duration = Duration::from_millis(1_500);
+/// The part of the time that a caller has left after which it comes back if
+/// endpoints have to recover first. Callers wait a third at most. A group of
+/// ranks is back two seconds after all hosts have lost their power, and a stream
+/// that fills an engine takes about as long.
+const RECOVERY_PART: f64 = 0.28;
+/// The longest time for that: it is worth less the later it is.
+const RECOVERY_MAX: Duration = Duration::from_millis(2_400);
 
 /// Why an entry answers itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -81,17 +85,19 @@
         )
     }
 
-    /// Returns when the caller should come back, spread by `draw` from 0 to 1
-    /// over half of the time to either side, so that those who were refused
-    /// together don't return together.
+    /// Returns when a caller that has `left` should come back, spread by `draw`
+    /// from 0 to 1, so that those who were refused together don't return
+    /// together.
     #[must_use]
-    pub fn pause(self, draw: f64) -> Duration {
-        let pause = if self == Self::Busy {
-            COME_BACK_BUSY
-        } else {
-            COME_BACK
-        };
-        pause.mul_f64(0.5 + draw.clamp(0.0, 1.0))
+    pub fn pause(self, left: Duration, draw: f64) -> Duration {
+        let spread = 0.5 + draw.clamp(0.0, 1.0) / 2.0;
+        match self {
+            Self::Busy | Self::NotRun => {
+                let recovery = left.mul_f64(RECOVERY_PART).min(RECOVERY_MAX);
+                recovery.mul_f64(0.5 + spread / 2.0).max(COME_BACK)
+            }
+            _ => COME_BACK.mul_f64(spread),
+        }
     }
 
     /// Returns the answer.
