refactor: one client for calls to a peer, one codec for datagrams; drop unused settings

The client of the store and that of an agent's endpoint were the same twenty lines, and both kinds of datagrams had their own reading and writing. Four settings were read and used by nothing.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,9 @@
 #![forbid(unsafe_code)]
 
 pub mod channel;
+pub mod client;
 pub mod configuration;
+pub mod datagram;
 pub mod dialect;
 pub mod endpoint;
 pub mod entry;
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -9,6 +9,7 @@
 use cactusnotch_route::{Load, Report, State};
 use tokio::net::UdpSocket;
 
+use crate::datagram;
 use crate::knowledge::Knowledge;
 use crate::peer::{self, Datagram};
 
@@ -43,7 +44,7 @@
 
 fn take(knowledge: &Knowledge, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
     let now = Instant::now();
-    match Datagram::decode(bytes) {
+    match datagram::decode(bytes) {
         Ok(Datagram::Subscribe) => tracing::debug!(%from, "subscription to loads at an entry"),
         Ok(Datagram::Ask { entry, round }) => {
             knowledge.peers.borrow_mut().insert(entry);
@@ -164,8 +165,8 @@
 }
 
 /// Sends a datagram; one that can't be sent now is as good as lost on its way.
-fn send(socket: &UdpSocket, datagram: &Datagram, to: SocketAddr) {
-    if let Err(error) = socket.try_send_to(&datagram.encode(), to)
+fn send(socket: &UdpSocket, message: &Datagram, to: SocketAddr) {
+    if let Err(error) = socket.try_send_to(&datagram::encode(message), to)
         && error.kind() != io::ErrorKind::WouldBlock
     {
         tracing::debug!(%to, %error, "datagram not sent");
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -10,8 +10,6 @@
     pub host: String,
     /// The data centre of the host.
     pub data_centre: String,
-    /// The region of the host.
-    pub region: String,
     /// Where callers connect.
     pub listen: SocketAddr,
     /// Where it is asked whether it is ready.
@@ -40,10 +38,4 @@
     pub retry_window: Duration,
     /// The longest time that callers keep a list of addresses.
     pub list_time_max: Duration,
-    /// The time from an endpoint's end until its address may be another's.
-    pub address_reuse: Duration,
-    /// The longest time from a leaving endpoint's notice to its last request.
-    pub drain: Duration,
-    /// The file descriptors that connections may use.
-    pub descriptors: usize,
 }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 
 use cactusnotch_derive::message;
-use derive_more::{Display, Error};
 
 /// What an agent measured of its own endpoint.
 #[message]
@@ -66,35 +65,3 @@
     /// How old its proof of that version is, in milliseconds, if it has one.
     pub proof_age: Option<u32>,
 }
-
-/// Why a datagram can't be read.
-#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
-#[display("unreadable datagram: {detail}")]
-pub struct Unreadable {
-    detail: String,
-}
-
-impl Datagram {
-    /// Returns the bytes to send.
-    ///
-    /// # Panics
-    ///
-    /// Never: writing to memory does not fail.
-    #[must_use]
-    pub fn encode(&self) -> Vec<u8> {
-        let mut bytes = Vec::with_capacity(64);
-        ciborium::into_writer(self, &mut bytes).expect("memory takes every write");
-        bytes
-    }
-
-    /// Reads a datagram.
-    ///
-    /// # Errors
-    ///
-    /// Returns what is wrong with the bytes.
-    pub fn decode(bytes: &[u8]) -> Result<Self, Unreadable> {
-        ciborium::from_reader(bytes).map_err(|error| Unreadable {
-            detail: error.to_string(),
-        })
-    }
-}
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -6,11 +6,10 @@
 use bytes::Bytes;
 use cactusnotch_derive::number;
 use derive_more::{Display, Error};
-use http::header::HOST;
-use http::{HeaderValue, Request, StatusCode};
-use http_body_util::Full;
+use http::{Request, StatusCode};
 
-use crate::channel::{self, Channel};
+use crate::channel;
+use crate::client::Client;
 use crate::peer::Entry;
 use crate::{Configuration, Endpoint};
 
@@ -135,8 +134,7 @@
 /// A connection to the store, opened when it is needed.
 #[derive(Debug)]
 pub struct Store<C> {
-    address: SocketAddr,
-    channel: Option<Channel>,
+    client: Client,
     codec: std::marker::PhantomData<C>,
 }
 
@@ -145,8 +143,7 @@
     #[must_use]
     pub const fn new(address: SocketAddr) -> Self {
         Self {
-            address,
-            channel: None,
+            client: Client::new(address, CONNECT_TIMEOUT, ANSWER_MAX),
             codec: std::marker::PhantomData,
         }
     }
@@ -220,23 +217,11 @@
     }
 
     async fn call(&mut self, request: Request<Bytes>, limit: Duration) -> Result<Bytes, Error> {
-        let mut channel = match self.channel.take() {
-            Some(channel) if channel.is_ready() => channel,
-            _ => Channel::open(self.address, CONNECT_TIMEOUT)
-                .await
-                .map_err(Error::Channel)?,
-        };
-        let mut request = request.map(Full::new);
-        if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
-            request.headers_mut().insert(HOST, host);
-        }
-        let response = channel
-            .call(request, ANSWER_MAX, limit)
+        let response = self
+            .client
+            .call(request, limit)
             .await
             .map_err(Error::Channel)?;
-        // A connection on which an answer was lost returns nothing more; it is
-        // kept only after a whole answer.
-        self.channel = Some(channel);
         match response.status() {
             status if status.is_success() => Ok(response.into_body()),
             StatusCode::GONE => Err(Error::HistoryGone),
--- a/crates/rebalance/src/agent.rs
+++ b/crates/rebalance/src/agent.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use cactusnotch_gateway::{peer, reload, serve_metrics, store, tcp};
+use cactusnotch_gateway::{datagram, peer, reload, serve_metrics, store, tcp};
 use cactusnotch_telemetry::Exporter;
 use derive_more::{Display, Error};
 use tokio::net::UdpSocket;
@@ -194,7 +194,7 @@
     }
 
     fn subscribe(&mut self, bytes: &[u8], from: SocketAddr, now: Instant) {
-        if !matches!(peer::Datagram::decode(bytes), Ok(peer::Datagram::Subscribe)) {
+        if !matches!(datagram::decode(bytes), Ok(peer::Datagram::Subscribe)) {
             return;
         }
         self.subscribers
--- a/crates/rebalance/src/agent/finish.rs
+++ b/crates/rebalance/src/agent/finish.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use cactusnotch_gateway::store;
+use cactusnotch_gateway::{datagram, store};
 
 use super::Agent;
 use super::due::due;
@@ -74,7 +74,7 @@
             "completing a silent leader's round"
         );
         self.rank.member.take(round.clone());
-        let ask = Datagram::Finish(round).encode();
+        let ask = datagram::encode(&Datagram::Finish(round));
         for &agent in &self.neighbours.agents {
             send_bytes(&sockets.agents, &ask, agent);
         }
--- a/crates/rebalance/src/agent/hear.rs
+++ b/crates/rebalance/src/agent/hear.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use cactusnotch_gateway::store;
+use cactusnotch_gateway::{datagram, store};
 
 use super::Agent;
 use super::sockets::{Sockets, send};
@@ -21,14 +21,14 @@
         from: SocketAddr,
         now: Instant,
     ) -> bool {
-        let datagram = match Datagram::decode(bytes) {
-            Ok(datagram) => datagram,
+        let message: Datagram = match datagram::decode(bytes) {
+            Ok(message) => message,
             Err(error) => {
                 tracing::debug!(%from, %error, "datagram dropped");
                 return false;
             }
         };
-        match datagram {
+        match message {
             Datagram::Seek(place) => {
                 self.answer(sockets, &place, from);
                 false
--- a/crates/rebalance/src/agent/orders.rs
+++ b/crates/rebalance/src/agent/orders.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use cactusnotch_gateway::store;
+use cactusnotch_gateway::{datagram, store};
 use cactusnotch_telemetry::metric;
 
 use super::sockets::{Sockets, send_bytes};
@@ -97,7 +97,7 @@
             log(place, event, self.cadence.pass());
         }
         if let Some(coordinator) = self.rank.coordinator.as_ref().filter(|_| step.announce) {
-            let bytes = Datagram::Round(coordinator.round().clone()).encode();
+            let bytes = datagram::encode(&Datagram::Round(coordinator.round().clone()));
             for &rank in self.ranks.iter().flatten() {
                 send_bytes(&sockets.agents, &bytes, rank);
             }
--- a/crates/rebalance/src/agent/sockets.rs
+++ b/crates/rebalance/src/agent/sockets.rs
@@ -4,6 +4,8 @@
 
 use tokio::net::UdpSocket;
 
+use cactusnotch_gateway::datagram;
+
 use crate::message::Datagram;
 
 /// The sockets of an agent.
@@ -15,8 +17,8 @@
     pub(crate) agents: UdpSocket,
 }
 
-pub(crate) fn send(socket: &UdpSocket, datagram: &Datagram, to: SocketAddr) {
-    send_bytes(socket, &datagram.encode(), to);
+pub(crate) fn send(socket: &UdpSocket, message: &Datagram, to: SocketAddr) {
+    send_bytes(socket, &datagram::encode(message), to);
 }
 
 /// Sends a datagram; one that can't be sent is as good as lost on its way,
--- a/crates/rebalance/src/agent/tell.rs
+++ b/crates/rebalance/src/agent/tell.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use cactusnotch_gateway::{peer, store};
+use cactusnotch_gateway::{datagram, peer, store};
 
 use super::Agent;
 use super::due::due;
@@ -41,7 +41,7 @@
         for &(entry, _) in &self.subscribers {
             send_bytes(
                 &sockets.entries,
-                &peer::Datagram::Load(load.clone()).encode(),
+                &datagram::encode(&peer::Datagram::Load(load.clone())),
                 entry,
             );
         }
@@ -63,7 +63,7 @@
             tracing::warn!(%error, "neighbours not found in the store");
         }
         if alone && due(&mut self.due.seek, SEEK_EVERY, now) {
-            let seek = Datagram::Seek(place.clone()).encode();
+            let seek = datagram::encode(&Datagram::Seek(place.clone()));
             self.neighbours
                 .agents
                 .iter()
--- a/crates/rebalance/src/endpoint.rs
+++ b/crates/rebalance/src/endpoint.rs
@@ -5,11 +5,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cactusnotch_gateway::channel::{self, Channel};
+use cactusnotch_gateway::channel;
+use cactusnotch_gateway::client::Client;
 use derive_more::{Display, Error};
-use http::header::HOST;
-use http::{HeaderValue, Request, StatusCode};
-use http_body_util::Full;
+use http::{Request, StatusCode};
 
 use crate::codec::{Codec, Order, Unreadable};
 use crate::state::{Counts, State};
@@ -43,16 +42,14 @@
 /// The agent's own endpoint.
 #[derive(Debug)]
 pub(crate) struct Endpoint<C> {
-    address: SocketAddr,
-    channel: Option<Channel>,
+    client: Client,
     codec: PhantomData<C>,
 }
 
 impl<C: Codec> Endpoint<C> {
     pub(crate) const fn new(address: SocketAddr) -> Self {
         Self {
-            address,
-            channel: None,
+            client: Client::new(address, CONNECT_TIMEOUT, ANSWER_MAX),
             codec: PhantomData,
         }
     }
@@ -84,21 +81,11 @@
     }
 
     async fn call(&mut self, request: Request<Bytes>, limit: Duration) -> Result<Bytes, Error> {
-        let mut channel = match self.channel.take() {
-            Some(channel) if channel.is_ready() => channel,
-            _ => Channel::open(self.address, CONNECT_TIMEOUT)
-                .await
-                .map_err(Error::Channel)?,
-        };
-        let mut request = request.map(Full::new);
-        if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
-            request.headers_mut().insert(HOST, host);
-        }
-        let response = channel
-            .call(request, ANSWER_MAX, limit)
+        let response = self
+            .client
+            .call(request, limit)
             .await
             .map_err(Error::Channel)?;
-        self.channel = Some(channel);
         match response.status() {
             status if status.is_success() => Ok(response.into_body()),
             status => Err(Error::Refused(status)),
--- a/crates/rebalance/src/message.rs
+++ b/crates/rebalance/src/message.rs
@@ -1,7 +1,6 @@
 //! The datagrams between the agents of a group.
 
 use cactusnotch_derive::message;
-use derive_more::{Display, Error};
 
 use crate::map::Move;
 use crate::state::{Maps, Place};
@@ -111,35 +110,3 @@
     /// Rank 0 tells a part of the map.
     Part(Part),
 }
-
-/// Why a datagram can't be read.
-#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
-#[display("unreadable datagram: {detail}")]
-pub struct Unreadable {
-    detail: String,
-}
-
-impl Datagram {
-    /// Returns the bytes to send.
-    ///
-    /// # Panics
-    ///
-    /// Never: writing to memory does not fail.
-    #[must_use]
-    pub fn encode(&self) -> Vec<u8> {
-        let mut bytes = Vec::with_capacity(256);
-        ciborium::into_writer(self, &mut bytes).expect("memory takes every write");
-        bytes
-    }
-
-    /// Reads a datagram.
-    ///
-    /// # Errors
-    ///
-    /// Returns what is wrong with the bytes.
-    pub fn decode(bytes: &[u8]) -> Result<Self, Unreadable> {
-        ciborium::from_reader(bytes).map_err(|error| Unreadable {
-            detail: error.to_string(),
-        })
-    }
-}
