--- a/crates/rebalance/src/agent/orders.rs
+++ b/crates/rebalance/src/agent/orders.rs
@@ -14,7 +14,7 @@
 use crate::state::{Place, State};
 
 /// The time within which a round's experts are to be copied.
-const ROUND_COPY: Duration = Duration::from_millis(300);
+const ROUND_COPY: Duration = Duration::from_millis(160);
 /// The most experts that a rank gets in a round, however fast they are copied:
 /// a round of 216 moves over 32 ranks took 1.5 s, of which the leader's link
 /// had the greatest part, and one of 100 took 0.7 s.
