test: wait for the entries' own records before asking for addresses

It waited for the endpoints' state; whether an entry is on the roster as serving is another record, written at its own time. Ruled out: the port; nothing of that path but a crate's name has changed.

--- a/crates/lab/tests/path.rs
+++ b/crates/lab/tests/path.rs
@@ -1,6 +1,7 @@
 //! A request's whole path through a system of real sockets.
 
-use std::time::Duration;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use cactusnotch_entry::Server;
 use cactusnotch_lab::caller::{Ask, Outcome, key};
@@ -10,6 +11,8 @@
 const MODEL: &str = "moe";
 const ORGANISATION: &str = "arrieta";
 const PATIENCE: Duration = Duration::from_secs(30);
+/// The pause between two looks at a state that is awaited.
+const GLANCE: Duration = Duration::from_millis(20);
 
 fn ask(prompt: &str) -> Ask {
     Ask {
@@ -23,6 +26,19 @@
     }
 }
 
+/// Waits until an entry lists as many entries as there are: its roster says of
+/// each when it serves, which is not settled by the status of the endpoints.
+fn listed(caller: &Caller, entry: SocketAddr, entries: usize) -> Vec<SocketAddr> {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        let addresses = caller.addresses(entry).unwrap();
+        if addresses.len() >= entries || Instant::now() > until {
+            return addresses;
+        }
+        std::thread::sleep(GLANCE);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_gets_its_own_whole_answer() {
     let cluster = Cluster::start(&Options::default()).await.unwrap();
@@ -42,8 +58,9 @@
                 .unwrap();
         }
         let caller = Caller::default();
-        let addresses = caller.addresses(callers[0]).unwrap();
+        let addresses = listed(&caller, callers[0], callers.len());
         assert!(addresses.iter().all(|address| callers.contains(address)));
+        assert_eq!(addresses.len(), callers.len());
         for number in 0..8 {
             let mut ask = ask(&format!("pattern note {number}"));
             ask.key = (number % 2 == 0).then(key);
