--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -236,8 +236,7 @@
         running.failed();
         return Err(Failed::new(Failure::InDoubt, cause));
     }
-    let again = head.status.is_server_error() && call.judged.route.repeat == Repeat::Idempotent;
-    if again {
+    if worth_repeating(head.status, call.judged.route.repeat) {
         running.failed();
     }
     let kept = kept(&head);
