feat: begin no small rounds, and replace one that loads when demand turns

Change: a round has to take 2.5 % off the skew; one that still loads is given up for a new plan once demand has turned and the new map would be better by 15 %.

Ruled out: replacing at every turn that is seen; one seen twice, in a window that straddles it, would begin the loading anew for nothing.

--- a/crates/rebalance/src/coordinator.rs
+++ b/crates/rebalance/src/coordinator.rs
@@ -34,6 +34,17 @@
 /// The choices that must be known before a first plan; below it the counts
 /// are noise.
 const CHOICES_MIN: f64 = 2_000.0;
+/// What a round has to take off the skew, as a part of it. While a round is
+/// under way no other can begin, so that a small one keeps the group uneven for
+/// its 0.3 to 0.5 s if demand turns then.
+const ROUND_GAIN: f64 = 0.025;
+/// A round that still loads is replaced if the map of a new plan would have a
+/// skew that is lower by this part: loading takes 0.1 to 0.2 s, and all of it
+/// is lost.
+const REPLACE_GAIN: f64 = 0.15;
+/// How long a plan that was not worth a round is not made again, unless demand
+/// turns. A plan costs the leader some milliseconds of a small part of a core.
+const PLAN_EVERY: Duration = Duration::from_millis(100);
 
 /// What a coordinator knows of one rank.
 #[derive(Debug, Clone)]
@@ -95,6 +106,10 @@
     arming: Duration,
     /// How far the next version is above all that were seen.
     gap: u64,
+    /// Whether demand has turned since the last plan.
+    turned: bool,
+    /// When a plan was last made that was not worth a round.
+    planned: Option<Instant>,
 }
 
 impl Coordinator {
@@ -126,6 +141,8 @@
             held_at: None,
             arming: Duration::ZERO,
             gap: 1 + term % VERSION_SPAN,
+            turned: false,
+            planned: None,
         }
     }
 
@@ -176,7 +193,9 @@
     /// Adds what a rank's requests chose; returns whether demand has turned.
     pub fn count(&mut self, place: &Place, units: &[f32], counts: &[u8], now: Instant) -> bool {
         let own = place.group == self.place.group && place.epoch == self.place.epoch;
-        own && self.estimate.add(units, counts, now)
+        let turned = own && self.estimate.add(units, counts, now);
+        self.turned |= turned;
+        turned
     }
 
     /// Goes on as far as the ranks' words allow; returns the order for the
@@ -261,6 +280,8 @@
                     // Some rank may have had a higher version of a former life.
                     self.gap = VERSION_SPAN;
                     return Some(Event::GivenUp(version));
+                } else if std::mem::take(&mut self.turned) {
+                    return self.replace(maps, now);
                 }
                 None
             }
@@ -313,20 +334,42 @@
         let settled = maps
             .iter()
             .all(|rank| rank.armed.is_none() && rank.current == maps[0].current);
-        if !settled || self.estimate.heard() < CHOICES_MIN {
+        let lately = |at| now.saturating_duration_since(at) < PLAN_EVERY;
+        if !settled || (!self.turned && self.planned.is_some_and(lately)) {
             return None;
         }
-        let (base, map) = self
-            .map
-            .as_ref()
-            .filter(|(version, _)| *version == maps[0].current)?;
-        let base = *base;
-        let plan = plan::plan(map, &self.estimate, &self.shape, &self.options);
-        if plan.moves.is_empty() {
+        let plan = self.plan(maps)?;
+        self.turned = false;
+        if plan.gain() < ROUND_GAIN {
+            self.planned = Some(now);
             return None;
         }
+        self.begin(maps, plan, now)
+    }
+
+    /// Plans from the map in force, if that and what is popular are known.
+    fn plan(&self, maps: &[Maps]) -> Option<Plan> {
+        let (version, map) = self.map.as_ref()?;
+        let known = *version == maps[0].current && self.estimate.heard() >= CHOICES_MIN;
+        known.then(|| plan::plan(map, &self.estimate, &self.shape, &self.options))
+    }
+
+    /// Replaces a round that still loads if demand has turned so that another
+    /// map would be far better. No rank is armed before all have loaded, and an
+    /// order to load the former map that comes late is refused for its version.
+    fn replace(&mut self, maps: &[Maps], now: Instant) -> Option<Event> {
+        let next = plan::skew_of(self.next.as_ref()?, &self.estimate);
+        let plan = self.plan(maps)?;
+        let better = f64::from(plan.after) <= f64::from(next) * (1.0 - REPLACE_GAIN);
+        better.then(|| self.begin(maps, plan, now)).flatten()
+    }
+
+    /// Begins the round that carries a plan out.
+    fn begin(&mut self, maps: &[Maps], plan: Plan, now: Instant) -> Option<Event> {
+        let (base, map) = self.map.as_ref()?;
+        let base = *base;
         let mut next = map.clone();
-        if !plan.moves.iter().all(|step| next.apply(step)) {
+        if plan.moves.is_empty() || !plan.moves.iter().all(|step| next.apply(step)) {
             return None;
         }
         let seen = maps
--- a/crates/rebalance/src/plan.rs
+++ b/crates/rebalance/src/plan.rs
@@ -30,6 +30,15 @@
     pub after: u32,
 }
 
+impl Plan {
+    /// Returns the part of the skew that the moves take off.
+    #[must_use]
+    pub fn gain(&self) -> f64 {
+        let before = f64::from(self.before.max(1));
+        (before - f64::from(self.after)) / before
+    }
+}
+
 /// A change of a set and what it brings.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Candidate {
@@ -55,10 +64,7 @@
 /// as long as ranks have room in this round.
 #[must_use]
 pub fn plan(map: &Map, estimate: &Estimate, shape: &Shape, options: &Options) -> Plan {
-    let layers = map.sets.iter().enumerate();
-    let mut layers: Vec<_> = layers
-        .map(|(set, ranks)| Layer::new(set, ranks, estimate.set(set)))
-        .collect();
+    let mut layers = layers(map, estimate);
     let ranks = map.sets.first().map_or(0, Vec::len);
     let mut room = vec![options.per_rank; ranks];
     let before = skew(&layers);
@@ -85,6 +91,19 @@
     }
 }
 
+/// Returns the mean over the sets of the busiest rank's load over the mean under
+/// `map`, in thousandths.
+#[must_use]
+pub fn skew_of(map: &Map, estimate: &Estimate) -> u32 {
+    skew(&layers(map, estimate))
+}
+
+fn layers(map: &Map, estimate: &Estimate) -> Vec<Layer> {
+    let sets = map.sets.iter().enumerate();
+    sets.map(|(set, ranks)| Layer::new(set, ranks, estimate.set(set)))
+        .collect()
+}
+
 fn most(best: &[Option<Candidate>]) -> Option<(usize, Candidate)> {
     let found = best
         .iter()
