perf: hold a group as few passes ahead as arming needs

Cause: from 'all armed' to 'map in force' a round waited 0.1 to 0.5 s, since the group was held two passes ahead and one more for each 60 ms of arming, whether passes took 50 ms or 130 ms, and wherever in its pass the group was.

Change: the leader notes when the present pass began and holds the first pass that is surely not due before all ranks are armed.

--- a/crates/rebalance/src/cadence.rs
+++ b/crates/rebalance/src/cadence.rs
@@ -15,25 +15,34 @@
 pub(crate) struct Cadence {
     since: Option<(u64, Instant)>,
     mean: f64,
+    /// The last pass that was seen begun, and the last look before it.
+    begun: Option<(u64, Instant)>,
+    /// When the last look was.
+    looked: Option<Instant>,
 }
 
 impl Cadence {
     /// Takes the number of passes that were begun.
     pub(crate) fn look(&mut self, step: u64, now: Instant) {
+        let looked = self.looked.replace(now).unwrap_or(now);
+        if self.begun.is_none_or(|(known, _)| known != step) {
+            self.begun = Some((step, looked));
+        }
+        self.count(step, now);
+    }
+
+    /// Counts the passes since the last measurement.
+    fn count(&mut self, step: u64, now: Instant) {
         let Some((known, at)) = self.since.filter(|(known, _)| *known <= step) else {
-            *self = Self {
-                since: Some((step, now)),
-                ..Self::default()
-            };
+            self.since = Some((step, now));
+            self.mean = 0.0;
             return;
         };
         let age = now.saturating_duration_since(at);
         if step == known {
             if age > IDLE {
-                *self = Self {
-                    since: Some((step, now)),
-                    ..Self::default()
-                };
+                self.since = Some((step, now));
+                self.mean = 0.0;
             }
             return;
         }
@@ -50,6 +59,24 @@
         self.since = Some((step, now));
     }
 
+    /// Returns how many passes after the present one begin within `time` at
+    /// the least, so that one more has surely not begun by then; `None` while
+    /// there are no passes.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a small number of passes"
+    )]
+    pub(crate) fn passes_within(&self, time: Duration, now: Instant) -> Option<u64> {
+        let (_, begun) = self.begun?;
+        let pass = Duration::try_from_secs_f64(self.mean / 1_000.0).ok()?;
+        if pass.is_zero() {
+            return None;
+        }
+        let elapsed = now.saturating_duration_since(begun).min(pass);
+        Some((elapsed + time).div_duration_f64(pass).floor() as u64)
+    }
+
     /// Returns how long a pass takes, in milliseconds; zero while there are
     /// none.
     #[expect(
--- a/crates/rebalance/src/coordinator.rs
+++ b/crates/rebalance/src/coordinator.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::Shape;
+use crate::cadence::Cadence;
 use crate::codec::Order;
 use crate::estimate::Estimate;
 use crate::map::Map;
@@ -15,15 +16,16 @@
 /// After this time ranks that can't load a map are given another one: far
 /// above the time to copy what a round moves.
 const PREPARE_TIME: Duration = Duration::from_secs(3);
-/// How many passes ahead the group is held at least: enough for the order to
-/// arrive before the pass begins.
+/// How many passes ahead the group is held while it isn't known how long they
+/// take: enough for the order to arrive before the pass begins.
 const PASSES_AHEAD: u64 = 2;
-/// The same at most. Further ahead a round takes longer, and demand turns.
+/// The most passes ahead. Further ahead a round takes longer, and demand turns.
 const PASSES_AHEAD_MAX: u64 = 8;
-/// A short pass. For each that arming took lately the group is held one more
-/// pass ahead, so that it doesn't stand still until all are armed: a pause of
-/// 0.1 s makes most running streams late.
-const PASS: Duration = Duration::from_millis(60);
+/// The time from a look at the own endpoint until a hold that follows from it
+/// is known to be in force: two calls on the same host.
+const HOLD_TIME: Duration = Duration::from_millis(10);
+/// How long arming takes until it was measured.
+const ARMING: Duration = Duration::from_millis(60);
 /// What is kept of the longest time that arming took, from round to round.
 const ARMING_KEPT: f64 = 0.85;
 /// The span of numbers that a life's versions begin in, above all versions
@@ -104,6 +106,8 @@
     held_at: Option<Instant>,
     /// The longest time that arming took lately.
     arming: Duration,
+    /// How long passes take, and when the present one began.
+    cadence: Cadence,
     /// How far the next version is above all that were seen.
     gap: u64,
     /// Whether demand has turned since the last plan.
@@ -139,7 +143,8 @@
             stage: Stage::Rest,
             let_go: None,
             held_at: None,
-            arming: Duration::ZERO,
+            arming: ARMING,
+            cadence: Cadence::default(),
             gap: 1 + term % VERSION_SPAN,
             turned: false,
             planned: None,
@@ -203,12 +208,13 @@
     /// endpoint.
     pub fn step(&mut self, own: &Maps, now: Instant) -> (Option<Order>, Option<Event>) {
         let mut event = None;
+        self.cadence.look(own.step, now);
         if let Some(maps) = self.words(now) {
             self.assemble(&maps);
             self.round.asks_held = self.map.is_none();
             event = self.advance(&maps, own, now);
         }
-        let order = self.order(own);
+        let order = self.order(own, now);
         if let Some(Order::Go { step }) = order {
             self.let_go = self.let_go.max(Some(step));
         }
@@ -409,11 +415,12 @@
         Event::Found(step)
     }
 
-    /// Returns how many passes ahead the group is held.
-    fn passes_ahead(&self) -> u64 {
-        let passes = self.arming.as_millis() / PASS.as_millis();
-        let more = u64::try_from(passes).unwrap_or(PASSES_AHEAD_MAX);
-        (PASSES_AHEAD + more).min(PASSES_AHEAD_MAX)
+    /// Returns how many passes ahead the group is held: as few as let all ranks
+    /// be armed before the pass is due, so that the group doesn't stand still. A
+    /// pause of 0.1 s makes most running streams late.
+    fn passes_ahead(&self, now: Instant) -> u64 {
+        let passes = self.cadence.passes_within(self.arming + HOLD_TIME, now);
+        passes.map_or(PASSES_AHEAD, |passes| (passes + 1).min(PASSES_AHEAD_MAX))
     }
 
     /// Returns the order that the own endpoint needs for the hold.
@@ -421,13 +428,13 @@
     /// A hold that shows up while ranks load, or after they were let go, is
     /// one that was carried out late. No rank is armed then or all are, so
     /// that the group may go on.
-    fn order(&self, own: &Maps) -> Option<Order> {
+    fn order(&self, own: &Maps, now: Instant) -> Option<Order> {
         match (self.stage, own.held) {
             // Once this rank is armed another has completed the round.
             (Stage::Hold, None) if own.armed.is_none() && own.current < self.round.version => {
                 let after = self.let_go.map_or(0, |step| step + 1);
                 Some(Order::Hold {
-                    step: (own.step + self.passes_ahead()).max(after),
+                    step: (own.step + self.passes_ahead(now)).max(after),
                 })
             }
             (Stage::Go { .. } | Stage::Prepare { .. } | Stage::Switch, Some(step)) => {
