feat: two entries of a data centre watch the store, the others are told

Change: calls that don't wait (the proofs of the configuration) tell how far the store is; an entry that is behind for 0.2 s asks for what it lacks, and a watch that missed it is opened anew. So watches last 20 s again. The first two ready entries of a data centre watch and pass changes on by datagram with the span of revisions; one that a span doesn't join on to asks the store. Newer configurations are seen in the states that entries exchange. The first entry proves each 0.9 s and the others by 1.7 s at the latest, or sooner where an endpoint that leaves has to be known sooner, which is a new setting taken from the bounds.

--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 
-use cactusnotch_derive::record;
+use cactusnotch_derive::message;
 
 /// An endpoint as it registered itself.
-#[record]
+#[message]
+#[derive(Eq)]
 pub struct Endpoint {
     /// The name of this incarnation of the endpoint.
     pub id: String,
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -116,7 +116,8 @@
         let knowledge = Rc::new(Knowledge::new(self.options));
         let (closing, closed) = watch::channel(false);
         for kind in [Kind::Configuration, Kind::Endpoints] {
-            tokio::task::spawn_local(watcher::run::<C>(Rc::clone(&knowledge), kind));
+            let (knowledge, socket) = (Rc::clone(&knowledge), Rc::clone(&socket));
+            tokio::task::spawn_local(watcher::run::<C>(knowledge, socket, kind));
         }
         tokio::task::spawn_local(watcher::keep_proof::<C>(Rc::clone(&knowledge)));
         tokio::task::spawn_local(watcher::entries::<C>(Rc::clone(&knowledge)));
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -6,15 +6,18 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tokio::sync::Notify;
 
 use crate::budget::Budgets;
 use crate::configuration::Configuration;
+use crate::endpoint::Endpoint;
 use crate::fleet::Fleet;
 use crate::freshness::Freshness;
 use crate::options::Options;
-use crate::peer::{Entry, State};
+use crate::peer::{Changes, Entry, State};
 use crate::peers::Peers;
 use crate::pool::Pool;
+use crate::progress::Progress;
 use crate::questions::Questions;
 use crate::store::{Change, Item, Kind, Revision};
 
@@ -29,6 +32,12 @@
     pub(crate) questions: RefCell<Questions>,
     /// The store's revision that the configuration was last read at.
     pub(crate) revision: Cell<Revision>,
+    /// How far endpoints are known, and how far the store is.
+    progress: Cell<Progress>,
+    /// Told when the store is known to be ahead of what this entry knows.
+    behind: Notify,
+    /// Told when another entry has a newer configuration.
+    outdated: Notify,
     pub(crate) pool: Pool,
     pub(crate) budgets: RefCell<Budgets>,
     pub(crate) rng: RefCell<SmallRng>,
@@ -53,6 +62,9 @@
             configuration: RefCell::default(),
             questions: RefCell::default(),
             revision: Cell::default(),
+            progress: Cell::default(),
+            behind: Notify::new(),
+            outdated: Notify::new(),
             pool: Pool::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
             in_flight: Cell::new(0),
@@ -91,13 +103,15 @@
         self.configuration.borrow().clone()
     }
 
-    /// Takes another entry's proof, if it is of the same version.
+    /// Takes what another entry states of the store, and its proof if it is of
+    /// the same version.
     pub(crate) fn take_proof(&self, state: &State) {
-        let same = self
-            .configuration
-            .borrow()
-            .as_ref()
-            .is_some_and(|known| known.version == state.version);
+        self.reach(state.reached);
+        let known = self.configuration.borrow().as_ref().map(|c| c.version);
+        if known.is_some_and(|known| known < state.version) {
+            self.outdated.notify_one();
+        }
+        let same = known == Some(state.version);
         let age = state
             .proof_age
             .filter(|_| same)
@@ -112,7 +126,11 @@
     /// its data centre early, so that the others have it from there in time.
     pub(crate) fn prove_after(&self, now: Instant) -> Duration {
         let before = self.peers.borrow().ready_before(now);
-        let bound = self.options.borrow().revocation.unwrap_or(PROVE_UNBOUND);
+        let options = self.options.borrow();
+        let leaving = options.leaving.div_f64(PROVE_LEAVING);
+        let bound = options
+            .revocation
+            .map_or(leaving, |bound| bound.min(leaving));
         let later = PROVE_STEP * f64::from(before.min(PROVE_STEPS));
         let part = if before == 0 {
             PROVE_FIRST
@@ -243,6 +261,92 @@
         *self.configuration.borrow_mut() = Some(Rc::new(new));
     }
 
+    /// Returns how far endpoints are known, and how far the store is.
+    pub(crate) const fn progress(&self) -> Progress {
+        self.progress.get()
+    }
+
+    /// Notes that endpoints are known up to `revision`.
+    pub(crate) fn know(&self, revision: Revision) {
+        let mut progress = self.progress.get();
+        progress.know(revision);
+        self.progress.set(progress);
+    }
+
+    /// Notes that the store has reached `revision`.
+    pub(crate) fn reach(&self, revision: Revision) {
+        let mut progress = self.progress.get();
+        progress.reach(revision);
+        self.progress.set(progress);
+        if progress.is_behind() {
+            self.behind.notify_one();
+        }
+    }
+
+    /// Waits until the store has been ahead of what is known of endpoints for
+    /// so long that nobody will bring the changes.
+    pub(crate) async fn behind(&self) {
+        loop {
+            self.behind.notified().await;
+            if self.progress.get().is_behind() {
+                tokio::time::sleep(LAG).await;
+            }
+            if self.progress.get().is_behind() {
+                return;
+            }
+        }
+    }
+
+    /// Waits until another entry has a newer configuration.
+    pub(crate) async fn outdated(&self) {
+        self.outdated.notified().await;
+    }
+
+    /// Tells whether this entry watches the store for others.
+    pub(crate) fn watches(&self, now: Instant) -> bool {
+        self.peers.borrow().ready_before(now) < WATCHERS
+    }
+
+    /// Takes changes of endpoints that another entry passes on, if none is
+    /// missing before them.
+    pub(crate) fn take_changes(&self, changes: Changes, now: Instant) {
+        let Changes {
+            from,
+            to,
+            returned_ago,
+            endpoints,
+        } = changes;
+        if !self.progress.get().continues(from, to) {
+            self.reach(to);
+            return;
+        }
+        let returned =
+            returned_ago.and_then(|ago| now.checked_sub(Duration::from_millis(ago.into())));
+        self.returned.set(self.returned.get().max(returned));
+        for (name, endpoint) in endpoints {
+            let item = Ok(endpoint.map(Item::Endpoint));
+            self.apply(Kind::Endpoints, Change { name, item }, to, now);
+        }
+        self.know(to);
+    }
+
+    /// Returns changes of endpoints for other entries.
+    pub(crate) fn passed_on(
+        &self,
+        from: Revision,
+        to: Revision,
+        endpoints: Vec<(String, Option<Endpoint>)>,
+        now: Instant,
+    ) -> Changes {
+        let ago = |at| u32::try_from(now.saturating_duration_since(at).as_millis()).ok();
+        Changes {
+            from,
+            to,
+            returned_ago: self.returned.get().and_then(ago),
+            endpoints,
+        }
+    }
+
     /// Notes that the store answers again after an outage.
     pub(crate) fn store_returned(&self, now: Instant) {
         self.returned.set(Some(now));
@@ -273,13 +377,21 @@
     }
 }
 
-/// The parts of the bound on revoked keys from which an entry proves what it
-/// knows anew: the first ready one of a data centre, and the others, each later
-/// by a step. They ask each other every 0.6 s, so that the first one's proof is
-/// with them before theirs is as old, and half of the bound is left for calls.
-const PROVE_FIRST: f64 = 0.3;
-const PROVE_OTHERS: f64 = 0.46;
-const PROVE_STEP: f64 = 0.03;
+/// The parts of a bound from which an entry proves what it knows anew: the first
+/// ready one of a data centre, and the others, each later by a step. They ask
+/// each other every 0.5 s, so that they mostly have the first one's proof before
+/// theirs is as old. The bound is that on revoked keys, or less if an endpoint
+/// that leaves has to be known sooner: a proof also tells whether a watch hangs.
+const PROVE_FIRST: f64 = 0.18;
+const PROVE_OTHERS: f64 = 0.29;
+const PROVE_STEP: f64 = 0.015;
 const PROVE_STEPS: u32 = 3;
-/// What stands for the bound where there is none.
-const PROVE_UNBOUND: Duration = Duration::from_secs(20);
+/// The part of the bound within which all entries have a proof, the steps, a
+/// look and a call included.
+const PROVE_LEAVING: f64 = 0.4;
+/// The entries of a data centre that watch endpoints and configuration; the
+/// others are told by them. One may die without changes being missed meanwhile.
+const WATCHERS: u32 = 2;
+/// How long an entry that is behind the store waits before it asks: its watch,
+/// or the datagram of an entry that watches, brings the changes as a rule.
+const LAG: Duration = Duration::from_millis(200);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod listing;
 pub mod peers;
 mod pool;
+pub mod progress;
 mod pump;
 pub mod questions;
 pub mod refusal;
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -11,15 +11,18 @@
 
 use crate::datagram;
 use crate::knowledge::Knowledge;
-use crate::peer::{self, Datagram};
+use crate::peer::{self, Changes, Datagram};
 
 /// How often entries near are asked whether they are ready.
-const ASK_EVERY: Duration = Duration::from_millis(600);
+const ASK_EVERY: Duration = Duration::from_millis(500);
 /// Every how many rounds agents are subscribed to; a subscription lasts
 /// several rounds.
 const SUBSCRIBE_EVERY: u32 = 2;
+/// The most endpoints of which changes are passed on at once: with some 130
+/// bytes each they fit into a datagram.
+const CHANGES_MAX: usize = 100;
 /// The largest datagram that is read.
-const DATAGRAM_MAX: usize = 2048;
+const DATAGRAM_MAX: usize = 16 * 1024;
 
 /// Asks and answers other entries and takes agents' reports.
 pub(crate) async fn run(knowledge: Rc<Knowledge>, socket: Rc<UdpSocket>) {
@@ -62,6 +65,7 @@
             knowledge.take_proof(&state);
         }
         Ok(Datagram::Load(load)) => take_load(knowledge, &load, now),
+        Ok(Datagram::Changes(changes)) => knowledge.take_changes(changes, now),
         Err(error) => tracing::debug!(%from, %error, "datagram dropped"),
     }
 }
@@ -76,6 +80,7 @@
             .configuration()
             .map_or(0, |configuration| configuration.version),
         proof_age: age.and_then(|age| u32::try_from(age.as_millis()).ok()),
+        reached: knowledge.progress().reached(),
     }
 }
 
@@ -152,6 +157,26 @@
     }
 }
 
+/// Passes changes of endpoints on to the entries of this data centre. One that
+/// doesn't get them finds itself behind the store and asks there.
+pub(crate) fn pass_on(knowledge: &Knowledge, socket: &UdpSocket, changes: Changes) {
+    if changes.endpoints.len() > CHANGES_MAX {
+        return;
+    }
+    let changes = Datagram::Changes(changes);
+    for peer in knowledge.peers.borrow().near() {
+        send(socket, &changes, peer);
+    }
+}
+
+/// Tells the entries near how this one is, since that has just changed.
+pub(crate) fn announce(knowledge: &Knowledge, socket: &UdpSocket) {
+    let state = Datagram::State(state(knowledge, 0, Instant::now()));
+    for peer in knowledge.peers.borrow().near() {
+        send(socket, &state, peer);
+    }
+}
+
 /// Tells the entries near that this one takes no callers any more.
 pub(crate) fn announce_stop(knowledge: &Knowledge, socket: &UdpSocket) {
     let asked = knowledge.peers.borrow().asked();
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -27,6 +27,8 @@
     /// The longest time for which a taken-away key may still work; `None` if
     /// that isn't bounded.
     pub revocation: Option<Duration>,
+    /// The time within which an endpoint that leaves has to be known.
+    pub leaving: Duration,
     /// The time that a stop may take.
     pub grace: Duration,
     /// Repeated sends allowed for each request.
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -4,6 +4,9 @@
 
 use cactusnotch_derive::message;
 
+use crate::Endpoint;
+use crate::store::Revision;
+
 /// What an agent measured of its own endpoint.
 #[message]
 pub struct Load {
@@ -50,6 +53,22 @@
     State(State),
     /// An agent states its endpoint's load.
     Load(Load),
+    /// An entry passes on how endpoints changed.
+    Changes(Changes),
+}
+
+/// All changes of endpoints in a span of the store's revisions, in their order.
+#[message]
+pub struct Changes {
+    /// The revision after which they begin.
+    pub from: Revision,
+    /// The revision up to which there are no others.
+    pub to: Revision,
+    /// How long ago the store came back from an outage, in milliseconds, if the
+    /// sender saw one.
+    pub returned_ago: Option<u32>,
+    /// The names of endpoints with their registrations; none if one is gone.
+    pub endpoints: Vec<(String, Option<Endpoint>)>,
 }
 
 /// How an entry is.
@@ -64,4 +83,6 @@
     pub version: u64,
     /// How old its proof of that version is, in milliseconds, if it has one.
     pub proof_age: Option<u32>,
+    /// The revision that the store has surely reached.
+    pub reached: Revision,
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -96,6 +96,14 @@
         u32::try_from(self.rows.values().filter(before).count()).unwrap_or(u32::MAX)
     }
 
+    /// Returns where the entries of this data centre take datagrams.
+    #[must_use]
+    pub fn near(&self) -> Vec<SocketAddr> {
+        let near = |row: &&Row| row.entry.data_centre == self.data_centre;
+        let rows = self.rows.values().filter(near);
+        rows.map(|row| row.entry.peers).collect()
+    }
+
     /// Returns where to ask for statements: the entries of this data centre,
     /// and a few others if there are not enough.
     #[must_use]
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -4,9 +4,12 @@
 use std::time::{Duration, Instant};
 
 use rand::Rng;
+use tokio::net::UdpSocket;
 
+use crate::endpoint::Endpoint;
 use crate::knowledge::Knowledge;
-use crate::store::{Codec, Error, Kind, Store};
+use crate::listing;
+use crate::store::{Answer, Change, Codec, Error, Item, Kind, Revision, Store};
 
 /// The pause after the first failed call, doubled with each further one. Each
 /// call is counted and paid for, refused ones too.
@@ -14,11 +17,12 @@
 /// The longest pause, so that an entry is back soon after the store is.
 const PAUSE_MAX: Duration = Duration::from_millis(500);
 
-/// The longest wait of one watch. A store that turns a host away may leave its
-/// waiting watch hanging and the connection sound, so that changes after its
-/// return are seen only with the next watch; an endpoint that leaves must be
-/// known two seconds after that.
-const WATCH_MAX: Duration = Duration::from_millis(2_500);
+/// The longest wait of one watch. A store that turns a host away may leave a
+/// watch hanging and the connection sound; calls that don't wait show that, so
+/// that this may be long: each watch is a call that is paid for.
+const WATCH_MAX: Duration = Duration::from_secs(20);
+/// How often an entry that is told by others looks whether it is to watch.
+const ROLE_LOOK: Duration = Duration::from_millis(600);
 /// How often the age of the proof is looked at.
 const PROOF_LOOK: Duration = Duration::from_millis(150);
 /// The wait of a watch that is only to prove what is known.
@@ -69,10 +73,11 @@
 }
 
 /// Follows the objects of `kind` for as long as the process lives.
-pub(crate) async fn run<C: Codec>(knowledge: Rc<Knowledge>, kind: Kind) {
+pub(crate) async fn run<C: Codec>(knowledge: Rc<Knowledge>, socket: Rc<UdpSocket>, kind: Kind) {
     let mut link = Link::default();
     loop {
-        let Err(error) = follow::<C>(&knowledge, kind, &mut link).await;
+        let mut follower = Follower::<C>::new(&knowledge, &socket, kind);
+        let Err(error) = follower.run(&mut link).await;
         if matches!(error, Error::HistoryGone) {
             tracing::info!(%kind, "changes are gone from the store, listing anew");
             continue;
@@ -83,40 +88,153 @@
     }
 }
 
-async fn follow<C: Codec>(
-    knowledge: &Rc<Knowledge>,
+/// Follows the objects of one kind: by a watch, if it is this entry that does so
+/// for its data centre, and else by what others tell.
+struct Follower<'a, C> {
+    knowledge: &'a Knowledge,
+    socket: &'a UdpSocket,
     kind: Kind,
-    link: &mut Link,
-) -> Result<std::convert::Infallible, Error> {
-    let mut store = Store::<C>::new(knowledge.options().store);
-    let asked = Instant::now();
-    let listing = store.list(kind, false).await?;
-    let now = Instant::now();
-    if link.answer(kind, now) {
-        knowledge.store_returned(now);
+    /// For calls that don't wait, while a watch may be waiting.
+    store: Store<C>,
+}
+
+impl<'a, C: Codec> Follower<'a, C> {
+    fn new(knowledge: &'a Knowledge, socket: &'a UdpSocket, kind: Kind) -> Self {
+        Self {
+            knowledge,
+            socket,
+            kind,
+            store: Store::new(knowledge.options().store),
+        }
     }
-    let mut revision = listing.revision;
-    note(knowledge, kind, revision);
-    knowledge.replace(kind, listing.changes, revision, now);
-    prove(knowledge, kind, asked);
-    loop {
+
+    async fn run(&mut self, link: &mut Link) -> Result<std::convert::Infallible, Error> {
+        self.list(link).await?;
+        let mut watching = Store::<C>::new(self.knowledge.options().store);
+        loop {
+            if self.knowledge.watches(Instant::now()) {
+                self.watch(&mut watching).await?;
+            } else {
+                self.listen().await?;
+            }
+        }
+    }
+
+    async fn list(&mut self, link: &mut Link) -> Result<(), Error> {
         let asked = Instant::now();
-        let answer = store.watch(kind, revision, WATCH_MAX).await?;
+        let listing = self.store.list(self.kind, false).await?;
+        let now = Instant::now();
+        if link.answer(self.kind, now) {
+            self.knowledge.store_returned(now);
+        }
+        let revision = listing.revision;
+        self.knowledge
+            .replace(self.kind, listing.changes, revision, now);
+        self.note(revision, asked);
+        Ok(())
+    }
+
+    /// Returns the revision up to which the objects are known.
+    const fn known(&self) -> Revision {
+        match self.kind {
+            Kind::Endpoints => self.knowledge.progress().known(),
+            Kind::Configuration | Kind::Entries => self.knowledge.revision.get(),
+        }
+    }
+
+    /// Notes that the objects are known up to `revision`, by an answer to what
+    /// was asked at `asked`.
+    fn note(&self, revision: Revision, asked: Instant) {
+        match self.kind {
+            Kind::Endpoints => self.knowledge.know(revision),
+            Kind::Configuration => prove(self.knowledge, revision, asked),
+            Kind::Entries => {}
+        }
+    }
+
+    /// Waits for one answer of a watch.
+    async fn watch(&mut self, watching: &mut Store<C>) -> Result<(), Error> {
+        let (from, asked) = (self.known(), Instant::now());
+        let waiting = watching.watch(self.kind, from, WATCH_MAX);
+        tokio::pin!(waiting);
+        loop {
+            tokio::select! {
+                answer = &mut waiting => {
+                    if self.take(from, answer?, asked) {
+                        tokio::time::sleep(WATCH_EVERY.saturating_sub(asked.elapsed())).await;
+                    }
+                    return Ok(());
+                }
+                () = news(self.knowledge, self.kind) => {
+                    if self.catch_up().await? {
+                        tracing::info!(kind = %self.kind, "a watch missed changes, watching anew");
+                        return Ok(());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Waits for what others tell, and asks the store if they tell too little.
+    async fn listen(&mut self) -> Result<(), Error> {
+        tokio::select! {
+            () = news(self.knowledge, self.kind) => self.catch_up().await.map(drop),
+            () = tokio::time::sleep(ROLE_LOOK) => Ok(()),
+        }
+    }
+
+    /// Asks for the changes since what is known; returns whether there are any.
+    async fn catch_up(&mut self) -> Result<bool, Error> {
+        let (from, asked) = (self.known(), Instant::now());
+        let answer = self.store.watch(self.kind, from, NO_WAIT).await?;
+        Ok(self.take(from, answer, asked))
+    }
+
+    /// Takes the changes after `from` and passes them on; returns whether there
+    /// are any.
+    fn take(&self, from: Revision, answer: Answer, asked: Instant) -> bool {
         let now = Instant::now();
-        revision = revision.max(answer.revision);
-        note(knowledge, kind, revision);
         let changed = !answer.changes.is_empty();
+        let endpoints = endpoints(&answer.changes);
         for change in answer.changes {
-            knowledge.apply(kind, change, revision, now);
+            self.knowledge
+                .apply(self.kind, change, answer.revision, now);
         }
-        prove(knowledge, kind, asked);
-        if changed {
-            tokio::time::sleep(WATCH_EVERY.saturating_sub(now.saturating_duration_since(asked)))
-                .await;
+        self.note(answer.revision, asked);
+        match self.kind {
+            Kind::Endpoints if self.knowledge.watches(now) => {
+                if let Some(endpoints) = endpoints {
+                    let passed_on = self
+                        .knowledge
+                        .passed_on(from, answer.revision, endpoints, now);
+                    listing::pass_on(self.knowledge, self.socket, passed_on);
+                }
+            }
+            Kind::Configuration if changed => listing::announce(self.knowledge, self.socket),
+            _ => {}
         }
+        changed
+    }
+}
+
+/// Waits for a sign that the store has objects of `kind` that aren't known.
+async fn news(knowledge: &Knowledge, kind: Kind) {
+    match kind {
+        Kind::Endpoints => knowledge.behind().await,
+        Kind::Configuration | Kind::Entries => knowledge.outdated().await,
     }
 }
 
+/// Returns the endpoints in `changes`, if all can be read.
+fn endpoints(changes: &[Change]) -> Option<Vec<(String, Option<Endpoint>)>> {
+    let endpoint = |change: &Change| match &change.item {
+        Ok(Some(Item::Endpoint(endpoint))) => Some((change.name.clone(), Some(endpoint.clone()))),
+        Ok(None) => Some((change.name.clone(), None)),
+        _ => None,
+    };
+    changes.iter().map(endpoint).collect()
+}
+
 /// Lists the other entries now and then.
 pub(crate) async fn entries<C: Codec>(knowledge: Rc<Knowledge>) {
     let mut store = Store::<C>::new(knowledge.options().store);
@@ -136,34 +254,39 @@
 }
 
 /// Notes that the configuration is as the store had it at `asked` or later.
-fn prove(knowledge: &Knowledge, kind: Kind, asked: Instant) {
-    if kind == Kind::Configuration {
-        knowledge.freshness.borrow_mut().renew(asked);
-    }
-}
-
-/// Notes up to which revision the configuration is known.
-fn note(knowledge: &Knowledge, kind: Kind, revision: crate::store::Revision) {
-    if kind == Kind::Configuration {
-        knowledge.revision.set(revision);
-    }
+fn prove(knowledge: &Knowledge, revision: Revision, asked: Instant) {
+    knowledge
+        .revision
+        .set(knowledge.revision.get().max(revision));
+    knowledge.reach(revision);
+    knowledge.freshness.borrow_mut().renew(asked);
 }
 
 /// Keeps the proof of the configuration fresh, by own calls or by those of
 /// other entries.
 pub(crate) async fn keep_proof<C: Codec>(knowledge: Rc<Knowledge>) {
     let mut store = Store::<C>::new(knowledge.options().store);
+    let mut link = Link::default();
     loop {
         tokio::time::sleep(PROOF_LOOK).await;
         let now = Instant::now();
         let age = knowledge.freshness.borrow().age(now);
-        // The watch lists the configuration first.
+        // The configuration is listed first.
         if age.is_none_or(|age| age < knowledge.prove_after(now)) {
             continue;
         }
-        if let Err(error) = renew(&knowledge, &mut store).await {
-            tracing::debug!(%error, "configuration not proved");
-            tokio::time::sleep(PAUSE_MAX / 2).await;
+        match renew(&knowledge, &mut store).await {
+            Ok(()) => {
+                let now = Instant::now();
+                if link.answer(Kind::Configuration, now) {
+                    knowledge.store_returned(now);
+                }
+            }
+            Err(error) => {
+                let jitter = knowledge.rng.borrow_mut().random();
+                let pause = link.fail(Kind::Configuration, &error, Instant::now(), jitter);
+                tokio::time::sleep(pause).await;
+            }
         }
     }
 }
@@ -179,7 +302,7 @@
     for change in answer.changes {
         knowledge.apply(kind, change, answer.revision, now);
     }
-    prove(knowledge, kind, asked);
+    prove(knowledge, answer.revision, asked);
     Ok(())
 }
 
