fix: a group that stands still must not look idle to entries

Cause: an agent's cadence forgot the pass after 0.6 s without one, so that a group that was held or stalled reported passes of 0 ms, and entries sent it more than others.

Change: while requests run or wait, the reported pass is no less than the time since the present one began.

Ruled out for now: placing the hold elsewhere. Whoever freezes after an order leaves it open whether its rank is armed, wherever the hold stands, and a pass with two maps is worse than a pause.

tests/cadence.rs: a standing group's pass grows; the mean of steady passes; the passes that may begin within a time.

--- a/crates/rebalance/src/agent/tell.rs
+++ b/crates/rebalance/src/agent/tell.rs
@@ -31,11 +31,16 @@
             return;
         }
         self.subscribers.retain(|&(_, until)| until > now);
+        let requests = state.running + state.waiting;
         let load = peer::Load {
             endpoint: self.options.endpoint,
-            requests: state.running + state.waiting,
+            requests,
             open: state.open,
-            pass: self.cadence.pass(),
+            pass: if requests > 0 {
+                self.cadence.pass_with_work(now)
+            } else {
+                self.cadence.pass()
+            },
             memory: state.memory,
         };
         for &(entry, _) in &self.subscribers {
--- a/crates/rebalance/src/cadence.rs
+++ b/crates/rebalance/src/cadence.rs
@@ -10,9 +10,12 @@
 /// within a pass changes little.
 const SPAN: Duration = Duration::from_millis(200);
 
+/// What looks may be apart while the group works.
+const LOOK_SPAN: Duration = Duration::from_millis(100);
+
 /// A mean of the time that a pass takes, from counts of passes at looks.
 #[derive(Debug, Default)]
-pub(crate) struct Cadence {
+pub struct Cadence {
     since: Option<(u64, Instant)>,
     mean: f64,
     /// The last pass that was seen begun, and the last look before it.
@@ -23,7 +26,7 @@
 
 impl Cadence {
     /// Takes the number of passes that were begun.
-    pub(crate) fn look(&mut self, step: u64, now: Instant) {
+    pub fn look(&mut self, step: u64, now: Instant) {
         let looked = self.looked.replace(now).unwrap_or(now);
         if self.begun.is_none_or(|(known, _)| known != step) {
             self.begun = Some((step, looked));
@@ -62,12 +65,13 @@
     /// Returns how many passes after the present one begin within `time` at
     /// the least, so that one more has surely not begun by then; `None` while
     /// there are no passes.
+    #[must_use]
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
         reason = "a small number of passes"
     )]
-    pub(crate) fn passes_within(&self, time: Duration, now: Instant) -> Option<u64> {
+    pub fn passes_within(&self, time: Duration, now: Instant) -> Option<u64> {
         let (_, begun) = self.begun?;
         let pass = Duration::try_from_secs_f64(self.mean / 1_000.0).ok()?;
         if pass.is_zero() {
@@ -77,6 +81,19 @@
         Some((elapsed + time).div_duration_f64(pass).floor() as u64)
     }
 
+    /// Returns how long a pass takes while there is work, in milliseconds. It is
+    /// no less than the time since the present one began: a group that stands
+    /// still must not look idle.
+    #[must_use]
+    pub fn pass_with_work(&self, now: Instant) -> u16 {
+        let since = self.begun.map_or(Duration::ZERO, |(_, begun)| {
+            now.saturating_duration_since(begun)
+        });
+        // A look comes some time after the pass has begun.
+        let standing = since.saturating_sub(LOOK_SPAN).as_millis();
+        self.pass().max(u16::try_from(standing).unwrap_or(u16::MAX))
+    }
+
     /// Returns how long a pass takes, in milliseconds; zero while there are
     /// none.
     #[expect(
@@ -84,7 +101,8 @@
         clippy::cast_sign_loss,
         reason = "a pass takes far less than a minute"
     )]
-    pub(crate) fn pass(&self) -> u16 {
+    #[must_use]
+    pub fn pass(&self) -> u16 {
         self.mean.clamp(0.0, f64::from(u16::MAX)).round() as u16
     }
 }
--- a/crates/rebalance/src/lib.rs
+++ b/crates/rebalance/src/lib.rs
@@ -23,7 +23,7 @@
 pub mod rescue;
 pub mod state;
 
-mod cadence;
+pub mod cadence;
 mod endpoint;
 mod layer;
 mod moves;
--- /dev/null
+++ b/crates/rebalance/tests/cadence.rs
@@ -0,0 +1,64 @@
+//! What is known of a group's passes from looks at its endpoint.
+
+use std::time::{Duration, Instant};
+
+use cactusnotch_rebalance::cadence::Cadence;
+
+const LOOK: Duration = Duration::from_millis(30);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Looks every 30 ms at a group whose passes take `pass`, for `time`.
+fn looks(cadence: &mut Cadence, start: Instant, pass: Duration, time: Duration) -> Instant {
+    let mut now = start;
+    while now < start + time {
+        let step = (now - start).as_nanos() / pass.as_nanos();
+        cadence.look(u64::try_from(step).expect("few passes"), now);
+        now += LOOK;
+    }
+    now - LOOK
+}
+
+#[test]
+fn the_mean_of_steady_passes_is_found() {
+    let mut cadence = Cadence::default();
+    looks(&mut cadence, Instant::now(), ms(80), ms(3_000));
+    assert!((70..=90).contains(&cadence.pass()), "{} ms", cadence.pass());
+}
+
+#[test]
+fn a_group_that_stands_still_has_a_pass_that_grows() {
+    let mut cadence = Cadence::default();
+    let last = looks(&mut cadence, Instant::now(), ms(80), ms(3_000));
+    assert!(cadence.pass_with_work(last) < 100);
+    // Looks go on and show no further pass.
+    for late in [300, 500, 900, 2_000] {
+        cadence.look(37, last + ms(late));
+        let pass = u64::from(cadence.pass_with_work(last + ms(late)));
+        assert!(
+            pass + 200 >= late,
+            "{pass} ms after {late} ms without a pass"
+        );
+    }
+}
+
+#[test]
+fn a_pass_that_may_begin_within_a_time_is_counted() {
+    let mut cadence = Cadence::default();
+    assert_eq!(
+        cadence.passes_within(ms(60), Instant::now()),
+        None,
+        "no passes yet"
+    );
+    let start = Instant::now();
+    let pass = ms(100);
+    let now = looks(&mut cadence, start, pass, ms(4_060));
+    // The next pass but one begins within 200 ms whatever the moment is, and the
+    // one after it does not within 60 ms.
+    let within = |time| cadence.passes_within(time, now).expect("there are passes");
+    assert!(within(ms(220)) >= 2);
+    assert!(within(ms(60)) <= 1);
+    assert_eq!(within(Duration::ZERO), 0, "the present one has begun");
+}
