perf: fewer store calls at the start, in outages and after unrelated changes

Change: an entry watches only 1.5 s after its start, and lists the others 0.6 s after it; after an error it goes on from what it knows, listing only once the history is gone; entries state how far they know endpoints, not how far the store is, so that the one that proves asks for its data centre. The longest pause between failed calls is 1 s, not 0.5 s.

--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -83,6 +83,6 @@
     pub version: u64,
     /// How old its proof of that version is, in milliseconds, if it has one.
     pub proof_age: Option<u32>,
-    /// The revision that the store has surely reached.
+    /// The revision up to which it knows endpoints.
     pub reached: Revision,
 }
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -15,12 +15,15 @@
 /// call is counted and paid for, refused ones too.
 const PAUSE: Duration = Duration::from_millis(60);
 /// The longest pause, so that an entry is back soon after the store is.
-const PAUSE_MAX: Duration = Duration::from_millis(500);
+const PAUSE_MAX: Duration = Duration::from_secs(1);
 
 /// The longest wait of one watch. A store that turns a host away may leave a
 /// watch hanging and the connection sound; calls that don't wait show that, so
 /// that this may be long: each watch is a call that is paid for.
 const WATCH_MAX: Duration = Duration::from_secs(20);
+/// How long after its start an entry doesn't watch: until then it doesn't know
+/// the others, and all that start together would.
+const ACQUAINTED: Duration = Duration::from_millis(1_500);
 /// How often an entry that is told by others looks whether it is to watch.
 const ROLE_LOOK: Duration = Duration::from_millis(600);
 /// How often the age of the proof is looked at.
@@ -35,7 +38,7 @@
 /// When entries are listed: soon after the start, when all have registered,
 /// and then rarely, since entries also make themselves known to each other. A
 /// stale listing costs a tenth of a call.
-const ENTRIES_FIRST: Duration = Duration::from_millis(1_500);
+const ENTRIES_FIRST: Duration = Duration::from_millis(600);
 const ENTRIES_EVERY: Duration = Duration::from_secs(12);
 
 /// The health of the connection to the store, for the log.
@@ -74,17 +77,26 @@
 
 /// Follows the objects of `kind` for as long as the process lives.
 pub(crate) async fn run<C: Codec>(knowledge: Rc<Knowledge>, socket: Rc<UdpSocket>, kind: Kind) {
-    let mut link = Link::default();
+    let mut watching = Store::<C>::new(knowledge.options().store);
+    let mut follower = Follower::<C>::new(&knowledge, &socket, kind);
     loop {
-        let mut follower = Follower::<C>::new(&knowledge, &socket, kind);
-        let Err(error) = follower.run(&mut link).await;
-        if matches!(error, Error::HistoryGone) {
-            tracing::info!(%kind, "changes are gone from the store, listing anew");
-            continue;
+        let step = if follower.listed {
+            follower.follow(&mut watching).await
+        } else {
+            follower.list().await
+        };
+        match step {
+            Ok(()) => {}
+            Err(Error::HistoryGone) => {
+                tracing::info!(%kind, "changes are gone from the store, listing anew");
+                follower.listed = false;
+            }
+            Err(error) => {
+                let jitter = knowledge.rng.borrow_mut().random();
+                let pause = follower.link.fail(kind, &error, Instant::now(), jitter);
+                tokio::time::sleep(pause).await;
+            }
         }
-        let jitter = knowledge.rng.borrow_mut().random();
-        let pause = link.fail(kind, &error, Instant::now(), jitter);
-        tokio::time::sleep(pause).await;
     }
 }
 
@@ -96,6 +108,10 @@
     kind: Kind,
     /// For calls that don't wait, while a watch may be waiting.
     store: Store<C>,
+    link: Link,
+    /// Whether the changes since what is known are to be had.
+    listed: bool,
+    started: Instant,
 }
 
 impl<'a, C: Codec> Follower<'a, C> {
@@ -105,35 +121,42 @@
             socket,
             kind,
             store: Store::new(knowledge.options().store),
+            link: Link::default(),
+            listed: false,
+            started: Instant::now(),
         }
     }
 
-    async fn run(&mut self, link: &mut Link) -> Result<std::convert::Infallible, Error> {
-        self.list(link).await?;
-        let mut watching = Store::<C>::new(self.knowledge.options().store);
-        loop {
-            if self.knowledge.watches(Instant::now()) {
-                self.watch(&mut watching).await?;
-            } else {
-                self.listen().await?;
-            }
+    /// Goes on from what is known, by one answer of the store or some time.
+    async fn follow(&mut self, watching: &mut Store<C>) -> Result<(), Error> {
+        let acquainted = self.started.elapsed() >= ACQUAINTED;
+        if acquainted && self.knowledge.watches(Instant::now()) {
+            self.watch(watching).await
+        } else {
+            self.listen().await
         }
     }
 
-    async fn list(&mut self, link: &mut Link) -> Result<(), Error> {
+    async fn list(&mut self) -> Result<(), Error> {
         let asked = Instant::now();
         let listing = self.store.list(self.kind, false).await?;
         let now = Instant::now();
-        if link.answer(self.kind, now) {
-            self.knowledge.store_returned(now);
-        }
+        self.answered(now);
         let revision = listing.revision;
         self.knowledge
             .replace(self.kind, listing.changes, revision, now);
         self.note(revision, asked);
+        self.listed = true;
         Ok(())
     }
 
+    /// Notes an answer of the store.
+    fn answered(&mut self, now: Instant) {
+        if self.link.answer(self.kind, now) {
+            self.knowledge.store_returned(now);
+        }
+    }
+
     /// Returns the revision up to which the objects are known.
     const fn known(&self) -> Revision {
         match self.kind {
@@ -192,8 +215,9 @@
 
     /// Takes the changes after `from` and passes them on; returns whether there
     /// are any.
-    fn take(&self, from: Revision, answer: Answer, asked: Instant) -> bool {
+    fn take(&mut self, from: Revision, answer: Answer, asked: Instant) -> bool {
         let now = Instant::now();
+        self.answered(now);
         let changed = !answer.changes.is_empty();
         let endpoints = endpoints(&answer.changes);
         for change in answer.changes {
@@ -239,8 +263,13 @@
 pub(crate) async fn entries<C: Codec>(knowledge: Rc<Knowledge>) {
     let mut store = Store::<C>::new(knowledge.options().store);
     tokio::time::sleep(ENTRIES_FIRST).await;
+    // Those that have just registered are missing from a stale listing.
+    let mut stale = false;
     loop {
-        match store.list(Kind::Entries, true).await {
+        match store
+            .list(Kind::Entries, std::mem::replace(&mut stale, true))
+            .await
+        {
             Ok(listing) => knowledge.replace(
                 Kind::Entries,
                 listing.changes,
--- a/crates/rebalance/tests/cadence.rs
+++ b/crates/rebalance/tests/cadence.rs
@@ -12,13 +12,17 @@
 
 /// Looks every 30 ms at a group whose passes take `pass`, for `time`.
 fn looks(cadence: &mut Cadence, start: Instant, pass: Duration, time: Duration) -> Instant {
+    let step = |now: Instant| {
+        let passes = now.duration_since(start).as_nanos() / pass.as_nanos();
+        u64::try_from(passes).expect("few passes")
+    };
     let mut now = start;
-    while now < start + time {
-        let step = (now - start).as_nanos() / pass.as_nanos();
-        cadence.look(u64::try_from(step).expect("few passes"), now);
+    while now + LOOK < start + time {
+        cadence.look(step(now), now);
         now += LOOK;
     }
-    now - LOOK
+    cadence.look(step(now), now);
+    now
 }
 
 #[test]
