fix: continue only streams that end with their framing

Change: an answer is continued elsewhere only if it is a stream of events and states no length; another one that breaks off is broken for the caller too.

--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -6,6 +6,8 @@
 
 use bytes::Bytes;
 use cactusnotch_base::name;
+use http::header;
+use http::response::Parts;
 use http_body_util::BodyExt;
 use tokio::sync::mpsc::Sender;
 
@@ -46,6 +48,18 @@
     pub(crate) resumed: u32,
 }
 
+/// Tells whether an answer is a stream of events that ends with its framing. The
+/// caller gets the head of the first endpoint: had that a length, events of
+/// another one would be cut there and look whole.
+fn is_open_stream(head: &Parts) -> bool {
+    let kind = head.headers.get(header::CONTENT_TYPE);
+    let events = kind.is_some_and(|kind| kind.as_bytes().starts_with(EVENTS));
+    head.status.is_success() && events && !head.headers.contains_key(header::CONTENT_LENGTH)
+}
+
+/// The media type of streams.
+const EVENTS: &[u8] = b"text/event-stream";
+
 /// What became of one endpoint's part of an answer.
 enum Part {
     End(End),
@@ -56,7 +70,7 @@
     /// Passes `reply` on, after the bytes `first` that were read already.
     pub(crate) async fn run<D: Dialect>(mut self, mut reply: Reply, first: Bytes) -> (End, Self) {
         let resumable =
-            self.call.judged.route.repeat == Repeat::Resume && reply.head.status.is_success();
+            self.call.judged.route.repeat == Repeat::Resume && is_open_stream(&reply.head);
         let mut events = resumable.then(|| Events::new(self.call.head.last_event));
         if !first.is_empty() && self.sender.send(Ok(first)).await.is_err() {
             return (End::Left, self);
