fix: deliver an endpoint's own failure if no other endpoint does better

Change: the failure is kept and delivered unless another endpoint answers; the budget is asked once.

The soak holds refusals of every kind of request to their word.

--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -67,6 +67,7 @@
         course,
         tried: Vec::new(),
         sending: false,
+        failure: None,
     };
     let until = tokio::time::Instant::from_std(flight.call.until);
     let driven = tokio::time::timeout_at(until, flight.drive::<D>()).await;
@@ -77,11 +78,7 @@
             passed_on(&knowledge, head, Outgoing::Whole(Some(body)))
         }
         Ok(Answered::Pieces(reply, first)) => flight.pass_on::<D>(*reply, first, guard),
-        Err(refusal) => {
-            flight.log(refusal.status().as_u16(), &refusal.to_string());
-            let left = flight.call.until.saturating_duration_since(Instant::now());
-            own::<D>(&knowledge, refusal, left)
-        }
+        Err(refusal) => flight.give::<D>(refusal),
     }
 }
 
@@ -177,6 +174,9 @@
     tried: Vec<Endpoint>,
     /// Whether an endpoint may be at work.
     sending: bool,
+    /// An endpoint's own failure, which the caller gets unless another endpoint
+    /// does better: the request has run, so that it can't be called refused.
+    failure: Option<(http::response::Parts, Bytes)>,
 }
 
 impl Flight {
@@ -236,13 +236,11 @@
         };
         let status = reply.head.status;
         let more = self.course.sent() < self.call.judged.route.attempts;
-        if exchange::worth_repeating(status, repeat) && more && self.affordable() {
-            self.sending = false;
+        if exchange::worth_repeating(status, repeat) && more {
             let cause = format!("the endpoint answered {status}");
-            return Err(Failed {
-                failure: Failure::Refused,
-                cause,
-            });
+            reply.lease.keep(reply.kept, Instant::now());
+            self.failure = Some((reply.head, bytes));
+            return Err(Failed::new(Failure::Refused, &cause));
         }
         reply.running.piece(Instant::now());
         if !status.is_server_error() {
@@ -318,6 +316,18 @@
         response
     }
 
+    /// Answers the caller though no endpoint did what it asked for.
+    fn give<D: Dialect>(mut self, refusal: Refusal) -> Response<Outgoing> {
+        if let Some((head, body)) = self.failure.take() {
+            let outcome = format!("an endpoint's own failure, then: {refusal}");
+            self.log(head.status.as_u16(), &outcome);
+            return passed_on(&self.knowledge, head, Outgoing::Whole(Some(body)));
+        }
+        self.log(refusal.status().as_u16(), &refusal.to_string());
+        let left = self.call.until.saturating_duration_since(Instant::now());
+        own::<D>(&self.knowledge, refusal, left)
+    }
+
     fn log(&self, status: u16, outcome: &str) {
         log(&self.knowledge, &self.call, &self.tried, status, outcome, 0);
     }
