--- a/crates/rebalance/src/agent/orders.rs
+++ b/crates/rebalance/src/agent/orders.rs
@@ -27,7 +27,7 @@
 /// What a copied expert has to take off the peak, as a part of the mean load,
 /// for each second that its copy takes. Copies are paid for and slow the group
 /// down meanwhile.
-const GAIN: f64 = 0.18;
+const GAIN: f64 = 0.25;
 
 /// The orders that may follow one another within one look.
 const STEPS_MAX: usize = 4;
