--- a/crates/rebalance/tests/coordinator.rs
+++ b/crates/rebalance/tests/coordinator.rs
@@ -175,3 +175,35 @@
         Some(cactusnotch_rebalance::codec::Order::Go { step: 5 })
     );
 }
+
+#[test]
+fn a_round_that_brings_little_is_not_begun() {
+    let now = Instant::now();
+    let mut lead = coordinator(7);
+    for rank in 0..2 {
+        lead.hear(standing(rank, 7, Maps::default()), now);
+    }
+    lead.count(&place(0), &[50.0], &[255, 250, 245, 250], now);
+    assert_eq!(lead.step(&Maps::default(), now), (None, None));
+}
+
+#[test]
+fn a_round_that_loads_is_replaced_once_demand_turns() {
+    let start = Instant::now();
+    let (mut lead, version) = begin(7, start);
+    let mut now = start;
+    for _ in 0..4 {
+        now += Duration::from_millis(130);
+        for rank in 0..2 {
+            lead.hear(standing(rank, 7, Maps::default()), now);
+        }
+        lead.count(&place(0), &[50.0], &[10, 10, 10, 255], now);
+        if let (_, Some(event)) = lead.step(&Maps::default(), now) {
+            assert!(matches!(event, Event::Began(_)), "{event:?}");
+            break;
+        }
+    }
+    assert!(lead.round().version > version, "the round is another one");
+    let brings = lead.round().moves.iter().map(|step| step.new);
+    assert_eq!(brings.collect::<Vec<_>>(), [3], "what is popular now");
+}
