fix: use endpoints that the store lost for 1.6 s after its return, not 2.2 s

Entries had just noticed the store's return, took the missing endpoint for one that the outage had lost, and used it for 2.2 s from there: 2,095 and 2,316 ms after its leaving, where 2,000 are allowed.

Change: 1.6 s, since an entry may notice the return 1.4 s late (a call that has to fail, and the longest pause, now 1.0 s and 0.4 s) and has three seconds from the moment at which its way is sound. Only the calls for endpoints tell of a return, and an entry that has lost the store asks until it answers, watching or not. Missing endpoints are dropped when they are due, not at the next half second.

Ruled out: that entries did not know (each logged the removal within 0.02 s).

Besides, an entry that falls silent is logged once.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -105,6 +105,7 @@
     let service = &call.judged.service;
     let may_probe = call.judged.route.repeat == Repeat::Idempotent;
     let tokens = call.head.prompt_tokens;
+    knowledge.drop_missing(now);
     let mut fleet = knowledge.fleet.borrow_mut();
     let mut rng = knowledge.rng.borrow_mut();
     let chosen = fleet.start(service, tokens, tried, may_probe, now, &mut rng);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -12,11 +12,8 @@
 use crate::configuration::{Engine, Service};
 use crate::endpoint::Endpoint;
 
-/// After the store is back, how long an endpoint that it lost meanwhile is
-/// still used: living ones register again within two seconds.
-const RETURN_TIME: Duration = Duration::from_millis(2_200);
-/// All endpoints of a service are compared for each request: up to a few
-/// hundred cost less than one system call.
+/// The endpoints that are drawn and compared for a request: with all compared,
+/// many entries send to the same idlest one at once.
 const COMPARED: usize = 3;
 /// What a crossing of data centres costs against an empty slot.
 const HOP_TIME: Duration = Duration::from_millis(2);
@@ -52,6 +49,8 @@
     data_centre: name::DataCentre,
     rows: Table<String, Row>,
     routers: Table<String, Router>,
+    /// When the first of the missing endpoints is to be dropped.
+    expires: Option<Instant>,
 }
 
 impl Fleet {
@@ -60,6 +59,7 @@
             data_centre: name::DataCentre::new(data_centre),
             rows: Table::new(),
             routers: Table::new(),
+            expires: None,
         }
     }
 
@@ -119,17 +119,15 @@
         true
     }
 
-    /// Takes that the store no longer names an endpoint, which it may have
-    /// lost in an outage that ended at `returned`.
-    pub(crate) fn remove(&mut self, id: &str, returned: Option<Instant>, now: Instant) {
+    /// Takes that the store no longer names an endpoint, which is used until
+    /// `until` if the store may have lost it.
+    pub(crate) fn remove(&mut self, id: &str, until: Option<Instant>) {
         let Some(row) = self.rows.get_mut(id) else {
             return;
         };
-        let until = returned
-            .map(|at| at + RETURN_TIME)
-            .filter(|&until| until > now);
         if let (Some(until), false) = (until, row.endpoint.leaving) {
             row.missing_until = Some(until);
+            self.expires = Some(self.expires.map_or(until, |known| known.min(until)));
             return;
         }
         if let Some(row) = self.rows.remove(id) {
@@ -140,6 +138,9 @@
     /// Drops the endpoints that are still missing after an outage; returns
     /// their names.
     pub(crate) fn expire(&mut self, now: Instant) -> Vec<String> {
+        if self.expires.is_none_or(|at| at > now) {
+            return Vec::new();
+        }
         let due = |row: &Row| row.missing_until.is_some_and(|until| until <= now);
         let gone: Vec<_> = self
             .rows
@@ -152,6 +153,7 @@
                 self.refresh(&row.endpoint.service);
             }
         }
+        self.expires = self.rows.values().filter_map(|row| row.missing_until).min();
         gone
     }
 
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -8,6 +8,7 @@
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
 
+use crate::absence::Absence;
 use crate::budget::Budgets;
 use crate::configuration::Configuration;
 use crate::endpoint::Endpoint;
@@ -47,8 +48,7 @@
     pub(crate) closing: Cell<bool>,
     /// Whether endpoints and entries have each been listed once.
     listed: Cell<(bool, bool)>,
-    /// When the store last answered after an outage.
-    returned: Cell<Option<Instant>>,
+    absence: Cell<Absence>,
 }
 
 impl Knowledge {
@@ -71,7 +71,7 @@
             stopping: Cell::new(None),
             closing: Cell::new(false),
             listed: Cell::new((false, false)),
-            returned: Cell::new(None),
+            absence: Cell::default(),
         }
     }
 
@@ -172,7 +172,7 @@
                         revision = revision.0,
                         "endpoint missing from the listing"
                     );
-                    fleet.remove(&id, self.returned.get(), now);
+                    fleet.remove(&id, self.absence.get().kept_until(now));
                 }
                 self.listed.set((true, self.listed.get().1));
             }
@@ -227,7 +227,7 @@
                 );
                 self.fleet
                     .borrow_mut()
-                    .remove(name, self.returned.get(), now);
+                    .remove(name, self.absence.get().kept_until(now));
             }
             Kind::Entries => self.peers.borrow_mut().remove(name),
         }
@@ -322,7 +322,9 @@
         }
         let returned =
             returned_ago.and_then(|ago| now.checked_sub(Duration::from_millis(ago.into())));
-        self.returned.set(self.returned.get().max(returned));
+        if let Some(returned) = returned {
+            self.store_returned(returned);
+        }
         for (name, endpoint) in endpoints {
             let item = Ok(endpoint.map(Item::Endpoint));
             self.apply(Kind::Endpoints, Change { name, item }, to, now);
@@ -338,25 +340,35 @@
         endpoints: Vec<(String, Option<Endpoint>)>,
         now: Instant,
     ) -> Changes {
-        let ago = |at| u32::try_from(now.saturating_duration_since(at).as_millis()).ok();
+        let ago = self.absence.get().ended_ago(now);
         Changes {
             from,
             to,
-            returned_ago: self.returned.get().and_then(ago),
+            returned_ago: ago.and_then(|ago| u32::try_from(ago.as_millis()).ok()),
             endpoints,
         }
     }
 
     /// Notes that the store answers again after an outage.
     pub(crate) fn store_returned(&self, now: Instant) {
-        self.returned.set(Some(now));
+        let mut absence = self.absence.get();
+        absence.end(now);
+        self.absence.set(absence);
     }
 
-    /// Drops what is past its time.
-    pub(crate) fn tick(&self, now: Instant) {
+    /// Drops the endpoints that have not come back after an outage of the store.
+    pub(crate) fn drop_missing(&self, now: Instant) {
         for endpoint in self.fleet.borrow_mut().expire(now) {
             tracing::info!(endpoint, "endpoint still missing after the store's return");
         }
+    }
+
+    /// Drops what is past its time.
+    pub(crate) fn tick(&self, now: Instant) {
+        self.drop_missing(now);
+        for host in self.peers.borrow_mut().expire(now) {
+            tracing::info!(host, "entry has fallen silent");
+        }
         let entries = self.peers.borrow().count();
         let known = self.listed.get().1;
         let slack = self.options.borrow().retry_slack;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod store;
 pub mod tcp;
 
+pub mod absence;
 mod answer;
 mod body;
 pub mod budget;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -132,6 +132,17 @@
         changed.then_some(row.entry.host.as_str())
     }
 
+    /// Takes entries that have fallen silent for unready; returns their hosts.
+    pub fn expire(&mut self, now: Instant) -> Vec<String> {
+        let silent = |row: &Row| row.ready && !row.alive(now);
+        let rows = self.rows.iter_mut().map(|(_, row)| row);
+        let silent = rows.filter(|row| silent(row)).map(|row| {
+            row.ready = false;
+            row.entry.host.clone()
+        });
+        silent.collect()
+    }
+
     /// Returns where callers of `data_centre` should connect: this entry, if
     /// `own` is given, and ready ones near it.
     #[must_use]
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -17,7 +17,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 /// The longest time for a call that does not wait for changes. The store
 /// answers in milliseconds; sixty times as slow is within this.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// The longest answer that is read: an object has at most a megabyte, and a
 /// page about as much again.
 const ANSWER_MAX: usize = 4 << 20;
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -15,7 +15,7 @@
 /// call is counted and paid for, refused ones too.
 const PAUSE: Duration = Duration::from_millis(60);
 /// The longest pause, so that an entry is back soon after the store is.
-const PAUSE_MAX: Duration = Duration::from_secs(1);
+const PAUSE_MAX: Duration = Duration::from_millis(400);
 
 /// The longest wait of one watch. A store that turns a host away may leave a
 /// watch hanging and the connection sound; calls that don't wait show that, so
@@ -63,6 +63,10 @@
             .mul_f64(0.5 + jitter / 2.0)
     }
 
+    const fn is_lost(&self) -> bool {
+        self.lost.is_some()
+    }
+
     /// Notes an answer; returns whether an outage has ended with it.
     fn answer(&mut self, kind: Kind, now: Instant) -> bool {
         self.failures = 0;
@@ -129,6 +133,10 @@
 
     /// Goes on from what is known, by one answer of the store or some time.
     async fn follow(&mut self, watching: &mut Store<C>) -> Result<(), Error> {
+        if self.link.is_lost() {
+            // The return has to be noticed soon.
+            return self.catch_up().await.map(drop);
+        }
         let acquainted = self.started.elapsed() >= ACQUAINTED;
         if acquainted && self.knowledge.watches(Instant::now()) {
             self.watch(watching).await
@@ -152,7 +160,7 @@
 
     /// Notes an answer of the store.
     fn answered(&mut self, now: Instant) {
-        if self.link.answer(self.kind, now) {
+        if self.link.answer(self.kind, now) && self.kind == Kind::Endpoints {
             self.knowledge.store_returned(now);
         }
     }
@@ -306,10 +314,7 @@
         }
         match renew(&knowledge, &mut store).await {
             Ok(()) => {
-                let now = Instant::now();
-                if link.answer(Kind::Configuration, now) {
-                    knowledge.store_returned(now);
-                }
+                link.answer(Kind::Configuration, Instant::now());
             }
             Err(error) => {
                 let jitter = knowledge.rng.borrow_mut().random();
--- a/crates/gateway/tests/bounds.rs
+++ b/crates/gateway/tests/bounds.rs
@@ -134,6 +134,9 @@
         [OWN],
         "a silent entry is off soon"
     );
+    assert_eq!(peers.expire(now), [""; 0]);
+    assert_eq!(peers.expire(later).len(), 2, "of those that were ready");
+    assert_eq!(peers.expire(later), [""; 0], "it is told once");
 }
 
 #[test]
