refactor: files of the entry with one job each, one reading of statuses

The store's and the endpoint's clients read statuses in one place (client::Client::body); eight lines stood twice. Behaviour is as before; tests pass unchanged.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -5,11 +5,20 @@
 
 use bytes::Bytes;
 use http::header::HOST;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 
 use crate::channel::{Channel, Error};
 
+/// Why a call brought no body.
+#[derive(Debug)]
+pub enum Failure {
+    /// There was no answer; the call may have been done.
+    Silent(Error),
+    /// The peer refused the call.
+    Refused(StatusCode),
+}
+
 /// Calls to one peer, one after the other.
 #[derive(Debug)]
 pub struct Client {
@@ -55,4 +64,21 @@
         self.channel = Some(channel);
         Ok(response)
     }
+
+    /// Makes a call and returns the body of a success.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none.
+    pub async fn body(
+        &mut self,
+        request: Request<Bytes>,
+        limit: Duration,
+    ) -> Result<Bytes, Failure> {
+        let response = self.call(request, limit).await.map_err(Failure::Silent)?;
+        match response.status() {
+            status if status.is_success() => Ok(response.into_body()),
+            status => Err(Failure::Refused(status)),
+        }
+    }
 }
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -7,7 +7,6 @@
 use cactusnotch_base::name::Endpoint;
 use cactusnotch_telemetry::metric;
 use http::{Request, Response, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::Rng;
 use tokio::sync::mpsc;
@@ -17,6 +16,7 @@
 use crate::decide::{Course, Failure, Next};
 use crate::dialect::Dialect;
 use crate::exchange::{self, Failed, Reply, Unserved};
+use crate::intake;
 use crate::knowledge::Knowledge;
 use crate::pump::Pump;
 use crate::refusal::Refusal;
@@ -51,7 +51,7 @@
 ) -> Response<Outgoing> {
     let arrived = Instant::now();
     let guard = InFlight::new(&knowledge);
-    let call = match admit::<D>(&knowledge, incoming, arrived).await {
+    let call = match intake::admit::<D>(&knowledge, incoming, arrived).await {
         Ok(call) => call,
         Err((refusal, id)) => {
             refused(&knowledge, id.as_deref(), refusal, arrived);
@@ -82,84 +82,6 @@
     }
 }
 
-/// Reads and judges a request.
-async fn admit<D: Dialect>(
-    knowledge: &Rc<Knowledge>,
-    incoming: Request<Incoming>,
-    arrived: Instant,
-) -> Result<Call, (Refusal, Option<String>)> {
-    let (parts, body) = incoming.into_parts();
-    let head = D::head(&parts.headers);
-    let id = head.id.clone();
-    let fail = |refusal| (refusal, id.clone());
-    let configuration = knowledge.configuration();
-    let limit = configuration
-        .as_ref()
-        .map_or(BODY_MAX, |c| c.limits.body_bytes);
-    let patience = configuration
-        .as_ref()
-        .map_or(BODY_TIME, |c| c.limits.idle_time);
-    let body = read_body(body, limit, patience).await.map_err(fail)?;
-    if knowledge.closing.get() {
-        return Err(fail(Refusal::Stopping));
-    }
-    let now = Instant::now();
-    let fresh = knowledge.freshness.borrow().holds(now);
-    let configuration = knowledge
-        .configuration()
-        .ok_or_else(|| fail(Refusal::NotFresh))?;
-    let host = parts
-        .headers
-        .get(header::HOST)
-        .and_then(|host| host.to_str().ok());
-    let draw = knowledge.rng.borrow_mut().random();
-    let judged = request::judge(&configuration, host, parts.uri.path(), &head, draw);
-    let judged = match judged {
-        // What isn't known here may have come with a configuration that
-        // hasn't arrived.
-        Err(Refusal::NoRoute | Refusal::NoKey) if !fresh => Err(Refusal::NotFresh),
-        Ok(judged) if judged.organisation.is_some() && !fresh => Err(Refusal::NotFresh),
-        other => other,
-    }
-    .map_err(fail)?;
-    let mut headers = parts.headers;
-    request::strip(&mut headers);
-    headers.remove(header::CONTENT_LENGTH);
-    headers.remove(header::EXPECT);
-    let until = Call::due(&judged.route, &head, arrived);
-    let target = parts
-        .uri
-        .path_and_query()
-        .cloned()
-        .ok_or_else(|| fail(Refusal::Malformed))?;
-    Ok(Call {
-        method: parts.method,
-        target,
-        headers,
-        body,
-        head,
-        judged,
-        version: configuration.version,
-        arrived,
-        until,
-    })
-}
-
-/// The most bytes of a body, and the time for one, while no configuration
-/// says otherwise.
-const BODY_MAX: usize = 1 << 20;
-const BODY_TIME: Duration = Duration::from_secs(15);
-
-async fn read_body(body: Incoming, limit: usize, patience: Duration) -> Result<Bytes, Refusal> {
-    let whole = tokio::time::timeout(patience, Limited::new(body, limit).collect()).await;
-    match whole {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
-        Ok(Err(_)) => Err(Refusal::Malformed),
-        Err(_) => Err(Refusal::SlowBody),
-    }
-}
-
 /// An endpoint's answer that is to be passed on.
 enum Answered {
     Whole(http::response::Parts, Bytes),
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -6,7 +6,6 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use tokio::sync::Notify;
 
 use crate::absence::Absence;
 use crate::budget::Budgets;
@@ -14,11 +13,11 @@
 use crate::endpoint::Endpoint;
 use crate::fleet::Fleet;
 use crate::freshness::Freshness;
+use crate::news::News;
 use crate::options::Options;
 use crate::peer::{Changes, Entry, State};
 use crate::peers::Peers;
 use crate::pool::Pool;
-use crate::progress::Progress;
 use crate::questions::Questions;
 use crate::store::{Change, Item, Kind, Revision};
 
@@ -33,12 +32,7 @@
     pub(crate) questions: RefCell<Questions>,
     /// The store's revision that the configuration was last read at.
     pub(crate) revision: Cell<Revision>,
-    /// How far endpoints are known, and how far the store is.
-    progress: Cell<Progress>,
-    /// Told when the store is known to be ahead of what this entry knows.
-    behind: Notify,
-    /// Told when another entry has a newer configuration.
-    outdated: Notify,
+    pub(crate) news: News,
     pub(crate) pool: Pool,
     pub(crate) budgets: RefCell<Budgets>,
     pub(crate) rng: RefCell<SmallRng>,
@@ -62,9 +56,7 @@
             configuration: RefCell::default(),
             questions: RefCell::default(),
             revision: Cell::default(),
-            progress: Cell::default(),
-            behind: Notify::new(),
-            outdated: Notify::new(),
+            news: News::default(),
             pool: Pool::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
             in_flight: Cell::new(0),
@@ -106,10 +98,10 @@
     /// Takes what another entry states of the store, and its proof if it is of
     /// the same version.
     pub(crate) fn take_proof(&self, state: &State) {
-        self.reach(state.reached);
+        self.news.reach(state.reached);
         let known = self.configuration.borrow().as_ref().map(|c| c.version);
         if known.is_some_and(|known| known < state.version) {
-            self.outdated.notify_one();
+            self.news.outdate();
         }
         let same = known == Some(state.version);
         let age = state
@@ -261,47 +253,6 @@
         *self.configuration.borrow_mut() = Some(Rc::new(new));
     }
 
-    /// Returns how far endpoints are known, and how far the store is.
-    pub(crate) const fn progress(&self) -> Progress {
-        self.progress.get()
-    }
-
-    /// Notes that endpoints are known up to `revision`.
-    pub(crate) fn know(&self, revision: Revision) {
-        let mut progress = self.progress.get();
-        progress.know(revision);
-        self.progress.set(progress);
-    }
-
-    /// Notes that the store has reached `revision`.
-    pub(crate) fn reach(&self, revision: Revision) {
-        let mut progress = self.progress.get();
-        progress.reach(revision);
-        self.progress.set(progress);
-        if progress.is_behind() {
-            self.behind.notify_one();
-        }
-    }
-
-    /// Waits until the store has been ahead of what is known of endpoints for
-    /// so long that nobody will bring the changes.
-    pub(crate) async fn behind(&self) {
-        loop {
-            self.behind.notified().await;
-            if self.progress.get().is_behind() {
-                tokio::time::sleep(LAG).await;
-            }
-            if self.progress.get().is_behind() {
-                return;
-            }
-        }
-    }
-
-    /// Waits until another entry has a newer configuration.
-    pub(crate) async fn outdated(&self) {
-        self.outdated.notified().await;
-    }
-
     /// Tells whether this entry watches the store for others.
     pub(crate) fn watches(&self, now: Instant) -> bool {
         self.peers.borrow().ready_before(now) < WATCHERS
@@ -316,8 +267,8 @@
             returned_ago,
             endpoints,
         } = changes;
-        if !self.progress.get().continues(from, to) {
-            self.reach(to);
+        if !self.news.progress().continues(from, to) {
+            self.news.reach(to);
             return;
         }
         let returned =
@@ -329,7 +280,7 @@
             let item = Ok(endpoint.map(Item::Endpoint));
             self.apply(Kind::Endpoints, Change { name, item }, to, now);
         }
-        self.know(to);
+        self.news.know(to);
     }
 
     /// Returns changes of endpoints for other entries.
@@ -404,6 +355,3 @@
 /// The entries of a data centre that watch endpoints and configuration; the
 /// others are told by them. One may die without changes being missed meanwhile.
 const WATCHERS: u32 = 2;
-/// How long an entry that is behind the store waits before it asks: its watch,
-/// or the datagram of an entry that watches, brings the changes as a rule.
-const LAG: Duration = Duration::from_millis(200);
--- /dev/null
+++ b/crates/gateway/src/news.rs
@@ -0,0 +1,71 @@
+//! Signs that the store holds what this entry does not know yet.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
+use crate::progress::Progress;
+use crate::store::Revision;
+
+/// How long an entry that is behind the store waits before it asks: its watch,
+/// or the datagram of an entry that watches, brings the changes as a rule.
+const LAG: Duration = Duration::from_millis(200);
+
+/// Signs that the store holds what this entry does not know yet.
+#[derive(Debug, Default)]
+pub(crate) struct News {
+    progress: Cell<Progress>,
+    /// Told when the store is known to be ahead of what is known of endpoints.
+    behind: Notify,
+    /// Told when another entry has a newer configuration.
+    outdated: Notify,
+}
+
+impl News {
+    /// Returns how far endpoints are known, and how far the store is.
+    pub(crate) const fn progress(&self) -> Progress {
+        self.progress.get()
+    }
+
+    /// Notes that endpoints are known up to `revision`.
+    pub(crate) fn know(&self, revision: Revision) {
+        let mut progress = self.progress.get();
+        progress.know(revision);
+        self.progress.set(progress);
+    }
+
+    /// Notes that the store has reached `revision`.
+    pub(crate) fn reach(&self, revision: Revision) {
+        let mut progress = self.progress.get();
+        progress.reach(revision);
+        self.progress.set(progress);
+        if progress.is_behind() {
+            self.behind.notify_one();
+        }
+    }
+
+    /// Waits until the store has been ahead of what is known of endpoints for
+    /// so long that nobody will bring the changes.
+    pub(crate) async fn behind(&self) {
+        loop {
+            self.behind.notified().await;
+            if self.progress.get().is_behind() {
+                tokio::time::sleep(LAG).await;
+            }
+            if self.progress.get().is_behind() {
+                return;
+            }
+        }
+    }
+
+    /// Notes that another entry has a newer configuration.
+    pub(crate) fn outdate(&self) {
+        self.outdated.notify_one();
+    }
+
+    /// Waits until another entry has a newer configuration.
+    pub(crate) async fn outdated(&self) {
+        self.outdated.notified().await;
+    }
+}
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -9,7 +9,7 @@
 use http::{Request, StatusCode};
 
 use crate::channel;
-use crate::client::Client;
+use crate::client::{Client, Failure};
 use crate::peer::Entry;
 use crate::{Configuration, Endpoint};
 
@@ -17,7 +17,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 /// The longest time for a call that does not wait for changes. The store
 /// answers in milliseconds; sixty times as slow is within this.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// The longest answer that is read: an object has at most a megabyte, and a
 /// page about as much again.
 const ANSWER_MAX: usize = 4 << 20;
@@ -131,6 +131,16 @@
     Unreadable(Unreadable),
 }
 
+impl From<Failure> for Error {
+    fn from(failure: Failure) -> Self {
+        match failure {
+            Failure::Silent(error) => Self::Channel(error),
+            Failure::Refused(StatusCode::GONE) => Self::HistoryGone,
+            Failure::Refused(status) => Self::Refused(status),
+        }
+    }
+}
+
 /// A connection to the store, opened when it is needed.
 #[derive(Debug)]
 pub struct Store<C> {
@@ -217,15 +227,6 @@
     }
 
     async fn call(&mut self, request: Request<Bytes>, limit: Duration) -> Result<Bytes, Error> {
-        let response = self
-            .client
-            .call(request, limit)
-            .await
-            .map_err(Error::Channel)?;
-        match response.status() {
-            status if status.is_success() => Ok(response.into_body()),
-            StatusCode::GONE => Err(Error::HistoryGone),
-            status => Err(Error::Refused(status)),
-        }
+        self.client.body(request, limit).await.map_err(Error::from)
     }
 }
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -8,15 +8,10 @@
 
 use crate::endpoint::Endpoint;
 use crate::knowledge::Knowledge;
+use crate::link::{Link, PAUSE, PAUSE_MAX};
 use crate::listing;
 use crate::store::{Answer, Change, Codec, Error, Item, Kind, Revision, Store};
 
-/// The pause after the first failed call, doubled with each further one. Each
-/// call is counted and paid for, refused ones too.
-const PAUSE: Duration = Duration::from_millis(60);
-/// The longest pause, so that an entry is back soon after the store is.
-const PAUSE_MAX: Duration = Duration::from_millis(400);
-
 /// The longest wait of one watch. A store that turns a host away may leave a
 /// watch hanging and the connection sound; calls that don't wait show that, so
 /// that this may be long: each watch is a call that is paid for.
@@ -41,44 +36,6 @@
 const ENTRIES_FIRST: Duration = Duration::from_millis(600);
 const ENTRIES_EVERY: Duration = Duration::from_secs(12);
 
-/// The health of the connection to the store, for the log.
-#[derive(Debug, Default)]
-struct Link {
-    lost: Option<Instant>,
-    failures: u32,
-}
-
-impl Link {
-    /// Notes a failure and returns how long to pause.
-    fn fail(&mut self, kind: Kind, error: &Error, now: Instant, jitter: f64) -> Duration {
-        if self.lost.is_none() {
-            self.lost = Some(now);
-            tracing::warn!(%kind, %error, "store lost");
-        }
-        self.failures = self.failures.saturating_add(1);
-        let factor = 1_u32.checked_shl(self.failures - 1).unwrap_or(u32::MAX);
-        PAUSE
-            .saturating_mul(factor)
-            .min(PAUSE_MAX)
-            .mul_f64(0.5 + jitter / 2.0)
-    }
-
-    const fn is_lost(&self) -> bool {
-        self.lost.is_some()
-    }
-
-    /// Notes an answer; returns whether an outage has ended with it.
-    fn answer(&mut self, kind: Kind, now: Instant) -> bool {
-        self.failures = 0;
-        let Some(lost) = self.lost.take() else {
-            return false;
-        };
-        let ms = u64::try_from(now.saturating_duration_since(lost).as_millis()).unwrap_or(u64::MAX);
-        tracing::info!(%kind, ms, "store regained");
-        true
-    }
-}
-
 /// Follows the objects of `kind` for as long as the process lives.
 pub(crate) async fn run<C: Codec>(knowledge: Rc<Knowledge>, socket: Rc<UdpSocket>, kind: Kind) {
     let mut watching = Store::<C>::new(knowledge.options().store);
@@ -168,7 +125,7 @@
     /// Returns the revision up to which the objects are known.
     const fn known(&self) -> Revision {
         match self.kind {
-            Kind::Endpoints => self.knowledge.progress().known(),
+            Kind::Endpoints => self.knowledge.news.progress().known(),
             Kind::Configuration | Kind::Entries => self.knowledge.revision.get(),
         }
     }
@@ -177,7 +134,7 @@
     /// was asked at `asked`.
     fn note(&self, revision: Revision, asked: Instant) {
         match self.kind {
-            Kind::Endpoints => self.knowledge.know(revision),
+            Kind::Endpoints => self.knowledge.news.know(revision),
             Kind::Configuration => prove(self.knowledge, revision, asked),
             Kind::Entries => {}
         }
@@ -252,8 +209,8 @@
 /// Waits for a sign that the store has objects of `kind` that aren't known.
 async fn news(knowledge: &Knowledge, kind: Kind) {
     match kind {
-        Kind::Endpoints => knowledge.behind().await,
-        Kind::Configuration | Kind::Entries => knowledge.outdated().await,
+        Kind::Endpoints => knowledge.news.behind().await,
+        Kind::Configuration | Kind::Entries => knowledge.news.outdated().await,
     }
 }
 
@@ -295,7 +252,7 @@
     knowledge
         .revision
         .set(knowledge.revision.get().max(revision));
-    knowledge.reach(revision);
+    knowledge.news.reach(revision);
     knowledge.freshness.borrow_mut().renew(asked);
 }
 
--- a/crates/rebalance/src/endpoint.rs
+++ b/crates/rebalance/src/endpoint.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use cactusnotch_gateway::channel;
-use cactusnotch_gateway::client::Client;
+use cactusnotch_gateway::client::{Client, Failure};
 use derive_more::{Display, Error};
 use http::{Request, StatusCode};
 
@@ -47,6 +47,15 @@
     codec: PhantomData<C>,
 }
 
+impl From<Failure> for Error {
+    fn from(failure: Failure) -> Self {
+        match failure {
+            Failure::Silent(error) => Self::Channel(error),
+            Failure::Refused(status) => Self::Refused(status),
+        }
+    }
+}
+
 impl Error {
     /// Tells whether the endpoint said nothing, so that its state has to show
     /// what became of an order.
@@ -90,14 +99,6 @@
     }
 
     async fn call(&mut self, request: Request<Bytes>, limit: Duration) -> Result<Bytes, Error> {
-        let response = self
-            .client
-            .call(request, limit)
-            .await
-            .map_err(Error::Channel)?;
-        match response.status() {
-            status if status.is_success() => Ok(response.into_body()),
-            status => Err(Error::Refused(status)),
-        }
+        self.client.body(request, limit).await.map_err(Error::from)
     }
 }
