fix: take no answer of the store that other entries' news have outrun

Found in reading the change: a watch that is answered at one revision while a datagram of another entry brings later changes was applied after them, so that an endpoint that leaves could be taken back to ready until its next change. The same could happen with a listing.

Change: an answer is taken only if it leads on from what is known.

tests/progress.rs: the order of that case.

--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -108,6 +108,10 @@
         let now = Instant::now();
         self.answered(now);
         let revision = listing.revision;
+        if revision < self.known() {
+            // Others have told more meanwhile.
+            return Ok(());
+        }
         self.knowledge
             .replace(self.kind, listing.changes, revision, now);
         self.note(revision, asked);
@@ -140,6 +144,14 @@
         }
     }
 
+    /// Tells whether others have told all that is in an answer for the changes
+    /// after `from` up to `to`, and maybe more, which it would take back.
+    fn is_outrun(&self, from: Revision, to: Revision) -> bool {
+        let progress = self.knowledge.news.progress();
+        let new = progress.known() == to || progress.continues(from, to);
+        self.kind == Kind::Endpoints && !new
+    }
+
     /// Waits for one answer of a watch.
     async fn watch(&mut self, watching: &mut Store<C>) -> Result<(), Error> {
         let (from, asked) = (self.known(), Instant::now());
@@ -184,6 +196,9 @@
         let now = Instant::now();
         self.answered(now);
         let changed = !answer.changes.is_empty();
+        if self.is_outrun(from, answer.revision) {
+            return changed;
+        }
         let endpoints = endpoints(&answer.changes);
         for change in answer.changes {
             self.knowledge
--- a/crates/gateway/tests/progress.rs
+++ b/crates/gateway/tests/progress.rs
@@ -51,3 +51,13 @@
         }
     }
 }
+
+#[test]
+fn an_answer_that_others_have_outrun_takes_nothing_back() {
+    let mut progress = Progress::default();
+    progress.know(Revision(10));
+    // A watch from 10 is answered at 11 while a datagram brings all up to 12.
+    assert!(progress.continues(Revision(10), Revision(12)));
+    progress.know(Revision(12));
+    assert!(!progress.continues(Revision(10), Revision(11)));
+}
