--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -98,7 +98,7 @@
     /// Takes what another entry states of the store, and its proof if it is of
     /// the same version.
     pub(crate) fn take_proof(&self, state: &State) {
-        self.news.reach(state.reached);
+        self.news.reach(state.known);
         let known = self.configuration.borrow().as_ref().map(|c| c.version);
         if known.is_some_and(|known| known < state.version) {
             self.news.outdate();
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -81,7 +81,7 @@
             .map_or(0, |configuration| configuration.version),
         proof_age: age.and_then(|age| u32::try_from(age.as_millis()).ok()),
         // Only what can be passed on: others would ask the store for the rest.
-        reached: knowledge.news.progress().known(),
+        known: knowledge.news.progress().known(),
     }
 }
 
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -84,5 +84,5 @@
     /// How old its proof of that version is, in milliseconds, if it has one.
     pub proof_age: Option<u32>,
     /// The revision up to which it knows endpoints.
-    pub reached: Revision,
+    pub known: Revision,
 }
