feat: price copies by the pressure on a group, and plan for slow ranks

Change: the leader follows from measured passes and the skew under which they were made how long a pass would take with even ranks, how long right after a turn, and how full the group is; from that follows what a copy has to bring, from 6 mean loads a second of copying far from the limits to 0.25 at them. Agents tell the leader the pace that their servers report; loads are times, and a rank may give up an expert that others hold without a copy.

--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -43,6 +43,8 @@
     pub spare: usize,
     /// The time to copy one expert to a rank.
     pub copy: Duration,
+    /// The part of the work for tokens that the experts do, in thousandths.
+    pub expert_part: u16,
 }
 
 /// How the model servers of a service work, in the model of a pass.
@@ -82,6 +84,8 @@
     pub limits: Limits,
     routes: Vec<Route>,
     services: Vec<Service>,
+    /// The longest pause that callers of each service accept, in the same order.
+    pauses: Vec<Option<Duration>>,
     organisations: Vec<Organisation>,
     /// Keys with the position of their organisation, sorted by key.
     keys: Vec<(String, usize)>,
@@ -116,6 +120,10 @@
         } = parts;
         routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
         services.sort_by(|a, b| a.name.cmp(&b.name));
+        let pauses = services
+            .iter()
+            .map(|service| least_pause(&routes, &service.name))
+            .collect();
         let closed = organisations.is_some();
         let mut names = Vec::new();
         let mut keys = Vec::new();
@@ -129,6 +137,7 @@
             limits,
             routes,
             services,
+            pauses,
             organisations: names,
             keys,
             closed,
@@ -158,11 +167,7 @@
     /// Returns the service of a name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Service> {
-        let at = self
-            .services
-            .binary_search_by(|service| service.name.as_str().cmp(name))
-            .ok()?;
-        Some(&self.services[at])
+        Some(&self.services[self.position(name)?])
     }
 
     /// Returns all services in order of their names.
@@ -171,6 +176,19 @@
         &self.services
     }
 
+    /// Returns the longest pause between events that all callers of a service
+    /// accept, if any of its routes states one.
+    #[must_use]
+    pub fn pause(&self, service: &str) -> Option<Duration> {
+        self.pauses[self.position(service)?]
+    }
+
+    fn position(&self, service: &str) -> Option<usize> {
+        self.services
+            .binary_search_by(|known| known.name.as_str().cmp(service))
+            .ok()
+    }
+
     /// Returns the organisation that holds `key`.
     #[must_use]
     pub fn organisation(&self, key: &str) -> Option<&Organisation> {
@@ -187,3 +205,13 @@
         self.closed && !route.anonymous
     }
 }
+
+/// Returns the shortest of the longest pauses that routes to a service state.
+fn least_pause(routes: &[Route], service: &str) -> Option<Duration> {
+    let leads = |route: &&Route| route.backends.iter().any(|b| b.service == service);
+    routes
+        .iter()
+        .filter(leads)
+        .filter_map(|route| route.pause)
+        .min()
+}
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -4,8 +4,8 @@
 
 use cactusnotch_derive::message;
 
-use crate::Endpoint;
 use crate::store::Revision;
+use crate::{Endpoint, Pace};
 
 /// What an agent measured of its own endpoint.
 #[message]
@@ -21,6 +21,8 @@
     pub pass: u16,
     /// The part of the memory for prompts that is in use, in thousandths.
     pub memory: u16,
+    /// How slow the endpoint is.
+    pub pace: Pace,
 }
 
 /// An entry as it makes itself known to others.
--- a/crates/rebalance/src/agent.rs
+++ b/crates/rebalance/src/agent.rs
@@ -20,7 +20,7 @@
 use tokio::task::LocalSet;
 
 use self::due::Due;
-use self::sockets::Sockets;
+use self::sockets::{Sockets, send_bytes};
 use crate::cadence::Cadence;
 use crate::codec::{Codec, Order};
 use crate::endpoint::Endpoint;
@@ -92,6 +92,8 @@
     counted: Option<(u64, Vec<u64>)>,
     given: Option<Given>,
     told: Option<Standing>,
+    /// The load as it was told to entries last.
+    load: Option<peer::Load>,
     due: Due,
     rescue: Rescue,
     /// Who completes a silent leader's round and asked for words, and when.
@@ -118,6 +120,7 @@
             counted: None,
             given: None,
             told: None,
+            load: None,
             due: Due::default(),
             rescue: Rescue::default(),
             finisher: None,
@@ -181,7 +184,7 @@
                 }
                 received = sockets.entries.recv_from(&mut from_entries) => {
                     if let Ok((length, from)) = received {
-                        self.subscribe(&from_entries[..length], from, Instant::now());
+                        self.subscribe(&sockets, &from_entries[..length], from, Instant::now());
                     }
                     continue;
                 }
@@ -193,13 +196,20 @@
         }
     }
 
-    fn subscribe(&mut self, bytes: &[u8], from: SocketAddr, now: Instant) {
+    /// Takes an entry's subscription, and tells a new subscriber the load at once: an
+    /// entry that has just started sends a group nothing before it knows that it is open.
+    fn subscribe(&mut self, sockets: &Sockets, bytes: &[u8], from: SocketAddr, now: Instant) {
         if !matches!(datagram::decode(bytes), Ok(peer::Datagram::Subscribe)) {
             return;
         }
+        let new = self.subscribers.iter().all(|&(entry, _)| entry != from);
         self.subscribers
             .retain(|&(entry, until)| entry != from && until > now);
         self.subscribers.push((from, now + SUBSCRIPTION));
+        if let Some(load) = self.load.as_ref().filter(|_| new) {
+            let load = datagram::encode(&peer::Datagram::Load(load.clone()));
+            send_bytes(&sockets.entries, &load, from);
+        }
     }
 
     /// Reads the endpoint's state and goes on from it.
--- a/crates/rebalance/src/agent/orders.rs
+++ b/crates/rebalance/src/agent/orders.rs
@@ -7,10 +7,12 @@
 
 use super::sockets::{Sockets, send_bytes};
 use super::{Agent, Given};
+use crate::Pace;
 use crate::codec::{Codec, Order};
 use crate::coordinator::Event;
 use crate::message::Datagram;
 use crate::plan;
+use crate::price::Price;
 use crate::state::{Place, State};
 
 /// The time within which a round's experts are to be copied.
@@ -24,10 +26,11 @@
 /// The pause before an order that was refused is given again; it is less than
 /// the time that one without an answer has waited.
 const ORDER_PAUSE: Duration = Duration::from_millis(25);
-/// What a copied expert has to take off the peak, as a part of the mean load,
-/// for each second that its copy takes. Copies are paid for and slow the group
-/// down meanwhile.
-const GAIN: f64 = 0.25;
+/// What a copied expert has to take off the peak, in mean loads for each second
+/// that its copy takes, where passes are far from the longest pause.
+const GAIN_EASY: f64 = 6.0;
+/// The same where passes are about as long as that pause.
+const GAIN_PRESSED: f64 = 0.25;
 
 /// The orders that may follow one another within one look.
 const STEPS_MAX: usize = 4;
@@ -71,7 +74,12 @@
         let per_rank = ROUND_COPY.as_secs_f64() / shape.copy.as_secs_f64().max(0.001);
         let options = plan::Options {
             per_rank: whole(per_rank).clamp(1, PER_RANK_MAX),
-            gain: GAIN * shape.copy.as_secs_f64(),
+            price: Price {
+                easy: GAIN_EASY,
+                pressed: GAIN_PRESSED,
+                copy: shape.copy,
+            },
+            pause: self.neighbours.pause,
         };
         if self.rank.lead(place, shape, options, self.term) {
             self.ranks = vec![None; usize::from(place.size)];
@@ -95,7 +103,7 @@
         let standing = self.standing(place, state);
         let step = self.rank.step(standing, now);
         if let Some(event) = &step.event {
-            log(place, event, self.cadence.pass());
+            log(place, event, self.cadence.pass(), self.rank.slowest());
         }
         if let Some(coordinator) = self.rank.coordinator.as_ref().filter(|_| step.announce) {
             let bytes = datagram::encode(&Datagram::Round(coordinator.round().clone()));
@@ -146,15 +154,18 @@
     }
 }
 
-fn log(place: &Place, event: &Event, pass: u16) {
+fn log(place: &Place, event: &Event, pass: u16, slowest: Pace) {
     let group = place.group.as_str();
     match event {
         Event::Began(plan) => {
+            metrics::gauge!(metric::GROUP_SKEW).set(f64::from(plan.before) / 1_000.0);
             tracing::info!(
                 group,
                 moves = plan.moves.len(),
                 skew = plan.before,
+                slowest = slowest.factor(),
                 expected = plan.after,
+                pressure = plan.pressure,
                 "round begun"
             );
         }
--- a/crates/rebalance/src/agent/tell.rs
+++ b/crates/rebalance/src/agent/tell.rs
@@ -26,10 +26,15 @@
 const SEEK_EVERY: Duration = Duration::from_millis(400);
 
 impl<C: Codec, S: store::Codec> Agent<C, S> {
+    /// Tells entries the load, at once if the group has opened or broken or the rank
+    /// has become slower or faster.
     pub(super) fn tell_load(&mut self, sockets: &Sockets, state: &State, now: Instant) {
-        if !due(&mut self.due.load, LOAD_EVERY, now) {
+        let same = |told: &peer::Load| (told.open, told.pace) == (state.open, state.pace);
+        let news = !self.load.as_ref().is_some_and(same);
+        if !due(&mut self.due.load, LOAD_EVERY, now) && !news {
             return;
         }
+        self.due.load = Some(now);
         self.subscribers.retain(|&(_, until)| until > now);
         let requests = state.running + state.waiting;
         let load = peer::Load {
@@ -42,14 +47,13 @@
                 self.cadence.pass()
             },
             memory: state.memory,
+            pace: state.pace,
         };
+        let bytes = datagram::encode(&peer::Datagram::Load(load.clone()));
         for &(entry, _) in &self.subscribers {
-            send_bytes(
-                &sockets.entries,
-                &datagram::encode(&peer::Datagram::Load(load.clone())),
-                entry,
-            );
+            send_bytes(&sockets.entries, &bytes, entry);
         }
+        self.load = Some(load);
     }
 
     /// Looks for rank 0's agent if it has not been heard lately, and for the
@@ -155,12 +159,21 @@
             place: place.clone(),
             open: state.open,
             maps: state.maps,
+            pace: state.pace,
+            fill: self.fill(state),
             term: self.rank.member.term(),
             known,
             held: held.map(|(_, _, held)| held.clone()),
         }
     }
 
+    /// Returns how full the endpoint is, in hundredths of its slots.
+    fn fill(&self, state: &State) -> u16 {
+        let slots = self.neighbours.slots.max(1);
+        let fill = (state.running + state.waiting) * 100 / slots;
+        u16::try_from(fill).unwrap_or(u16::MAX)
+    }
+
     /// Tells a rank that completes a round how this rank stands.
     fn tell_finisher(&self, sockets: &Sockets, place: &Place, state: &State, now: Instant) {
         let asked = |&(_, at): &(_, Instant)| now.saturating_duration_since(at) < FINISHER_TIME;
@@ -184,9 +197,9 @@
         };
         let standing = self.standing(place, state);
         let same = |told: &Standing| {
-            let step = standing.maps.step;
             let mut told = told.clone();
-            told.maps.step = step;
+            told.maps.step = standing.maps.step;
+            told.fill = standing.fill;
             told == standing
         };
         let news = !self.told.as_ref().is_some_and(same);
--- a/crates/rebalance/src/cadence.rs
+++ b/crates/rebalance/src/cadence.rs
@@ -25,21 +25,22 @@
 }
 
 impl Cadence {
-    /// Takes the number of passes that were begun.
-    pub fn look(&mut self, step: u64, now: Instant) {
+    /// Takes the number of passes that were begun; returns how long the latest
+    /// ones took whenever enough of them have been seen.
+    pub fn look(&mut self, step: u64, now: Instant) -> Option<Duration> {
         let looked = self.looked.replace(now).unwrap_or(now);
         if self.begun.is_none_or(|(known, _)| known != step) {
             self.begun = Some((step, looked));
         }
-        self.count(step, now);
+        self.count(step, now)
     }
 
     /// Counts the passes since the last measurement.
-    fn count(&mut self, step: u64, now: Instant) {
+    fn count(&mut self, step: u64, now: Instant) -> Option<Duration> {
         let Some((known, at)) = self.since.filter(|(known, _)| *known <= step) else {
             self.since = Some((step, now));
             self.mean = 0.0;
-            return;
+            return None;
         };
         let age = now.saturating_duration_since(at);
         if step == known {
@@ -47,10 +48,10 @@
                 self.since = Some((step, now));
                 self.mean = 0.0;
             }
-            return;
+            return None;
         }
         if age < SPAN {
-            return;
+            return None;
         }
         let passes = u32::try_from(step - known).unwrap_or(u32::MAX);
         let latest = age.as_secs_f64() * 1_000.0 / f64::from(passes);
@@ -60,6 +61,7 @@
             latest
         };
         self.since = Some((step, now));
+        Some(age / passes)
     }
 
     /// Returns how many passes after the present one begin within `time` at
--- a/crates/rebalance/src/coordinator.rs
+++ b/crates/rebalance/src/coordinator.rs
@@ -11,12 +11,12 @@
 use self::demand::Demand;
 pub use self::event::Event;
 use self::stage::Stage;
-use crate::Shape;
 use crate::codec::Order;
 use crate::map::Map;
 use crate::message::{Phase, Round, Standing};
 use crate::plan::{self, Plan};
 use crate::state::{Maps, Place};
+use crate::{Pace, Shape};
 
 /// How long a rank's word counts. Ranks repeat it several times a second.
 const STANDING_TIME: Duration = Duration::from_millis(1_500);
@@ -137,7 +137,12 @@
     /// endpoint.
     pub fn step(&mut self, own: &Maps, now: Instant) -> (Option<Order>, Option<Event>) {
         let mut event = None;
-        self.arming.look(own.step, now);
+        let pass = self.arming.look(own.step, now);
+        if let (Some(pass), Some((version, map))) = (pass, &self.map)
+            && *version == own.current
+        {
+            self.demand.measure(pass, map, &self.paces(), self.fill());
+        }
         if let Some(maps) = self.words(now) {
             self.assemble(&maps);
             self.round.asks_held = self.map.is_none();
@@ -161,6 +166,26 @@
         self.rows.iter().map(word).collect()
     }
 
+    /// Returns the pace of the slowest rank.
+    #[must_use]
+    pub fn slowest(&self) -> Pace {
+        let paces = self.rows.iter().flatten().map(|row| row.standing.pace);
+        paces.max().unwrap_or_default()
+    }
+
+    /// Returns how many times longer than usual each rank takes.
+    fn paces(&self) -> Vec<f64> {
+        let pace = |row: &Option<Row>| row.as_ref().map_or(1.0, |row| row.standing.pace.factor());
+        self.rows.iter().map(pace).collect()
+    }
+
+    /// Returns how many requests run or wait for each slot of the group.
+    fn fill(&self) -> f64 {
+        let fills = || self.rows.iter().flatten().map(|row| row.standing.fill);
+        let count = u32::try_from(fills().count()).unwrap_or(u32::MAX).max(1);
+        fills().map(f64::from).sum::<f64>() / (100.0 * f64::from(count))
+    }
+
     /// Puts the map in force together from what each rank holds.
     fn assemble(&mut self, maps: &[Maps]) {
         let version = maps[0].current;
@@ -268,9 +293,10 @@
         if !settled {
             return None;
         }
+        let paces = self.paces();
         let (version, map) = self.map.as_ref()?;
         let plan = (*version == maps[0].current)
-            .then(|| self.demand.plan(map, now))
+            .then(|| self.demand.plan(map, &paces, now))
             .flatten()?;
         self.begin(maps, plan, now)
     }
@@ -279,8 +305,9 @@
     /// map would be far better. No rank is armed before all have loaded, and an
     /// order to load the former map that comes late is refused for its version.
     fn replace(&mut self, maps: &[Maps], now: Instant) -> Option<Event> {
+        let paces = self.paces();
         let ((_, map), next) = (self.map.as_ref()?, self.next.as_ref()?);
-        let plan = self.demand.replacement(map, next)?;
+        let plan = self.demand.replacement(map, next, &paces)?;
         self.begin(maps, plan, now)
     }
 
--- a/crates/rebalance/src/coordinator/arming.rs
+++ b/crates/rebalance/src/coordinator/arming.rs
@@ -39,9 +39,10 @@
 }
 
 impl Arming {
-    /// Takes the last pass that was begun.
-    pub(crate) fn look(&mut self, step: u64, now: Instant) {
-        self.cadence.look(step, now);
+    /// Takes the last pass that was begun; returns how long the latest ones took
+    /// whenever enough of them have been seen.
+    pub(crate) fn look(&mut self, step: u64, now: Instant) -> Option<Duration> {
+        self.cadence.look(step, now)
     }
 
     /// Notes that the group is held and ranks get armed.
--- a/crates/rebalance/src/coordinator/demand.rs
+++ b/crates/rebalance/src/coordinator/demand.rs
@@ -6,6 +6,7 @@
 use crate::estimate::Estimate;
 use crate::map::Map;
 use crate::plan::{self, Plan};
+use crate::pressure::Pressure;
 
 /// The choices that must be known before a first plan; below it the counts
 /// are noise.
@@ -22,12 +23,16 @@
 /// turns. A plan costs the leader some milliseconds of a small part of a core.
 const PLAN_EVERY: Duration = Duration::from_millis(100);
 
+/// The experts' part of the work is told in thousandths.
+const THOUSAND: f64 = 1_000.0;
+
 /// What is popular in a group, and the plans that follow from it.
 #[derive(Debug)]
 pub(crate) struct Demand {
     shape: Shape,
     options: plan::Options,
     estimate: Estimate,
+    pressure: Pressure,
     /// Whether it has turned since the last plan.
     turned: bool,
     /// When a plan was last made that was not worth a round.
@@ -38,6 +43,7 @@
     pub(crate) fn new(shape: Shape, options: plan::Options) -> Self {
         Self {
             estimate: Estimate::new(shape.sets, shape.experts),
+            pressure: Pressure::new(f64::from(shape.expert_part) / THOUSAND, options.pause),
             shape,
             options,
             turned: false,
@@ -50,6 +56,15 @@
         &self.shape
     }
 
+    /// Takes how long passes take under `map`, and how full the group is.
+    pub(crate) fn measure(&mut self, pass: Duration, map: &Map, paces: &[f64], fill: f64) {
+        self.pressure.set_fill(fill);
+        let skew = plan::skew_of(map, &self.estimate, paces);
+        if self.estimate.heard() > 0.0 {
+            self.pressure.measure(pass, skew);
+        }
+    }
+
     /// Adds what a rank's requests chose; returns whether demand has turned.
     pub(crate) fn count(&mut self, units: &[f32], counts: &[u8], now: Instant) -> bool {
         let turned = self.estimate.add(units, counts, now);
@@ -58,13 +73,15 @@
     }
 
     /// Returns the plan of a round that is worth to begin under `map`.
-    pub(crate) fn plan(&mut self, map: &Map, now: Instant) -> Option<Plan> {
+    pub(crate) fn plan(&mut self, map: &Map, paces: &[f64], now: Instant) -> Option<Plan> {
         let lately = |at| now.saturating_duration_since(at) < PLAN_EVERY;
         if !self.turned && self.planned.is_some_and(lately) {
             return None;
         }
-        let plan = self.any_plan(map)?;
-        self.turned = false;
+        let plan = self.any_plan(map, paces)?;
+        if std::mem::take(&mut self.turned) {
+            self.pressure.turn(plan.before);
+        }
         if plan.gain() >= ROUND_GAIN {
             return Some(plan);
         }
@@ -74,17 +91,22 @@
 
     /// Returns the plan that replaces a round which still loads `next`, if
     /// demand has turned so that another map would be far better.
-    pub(crate) fn replacement(&mut self, map: &Map, next: &Map) -> Option<Plan> {
+    pub(crate) fn replacement(&mut self, map: &Map, next: &Map, paces: &[f64]) -> Option<Plan> {
         if !std::mem::take(&mut self.turned) {
             return None;
         }
-        let skew = f64::from(plan::skew_of(next, &self.estimate));
-        let plan = self.any_plan(map)?;
+        let skew = f64::from(plan::skew_of(next, &self.estimate, paces));
+        let plan = self.any_plan(map, paces)?;
+        self.pressure.turn(plan.before);
         (f64::from(plan.after) <= skew * (1.0 - REPLACE_GAIN)).then_some(plan)
     }
 
-    fn any_plan(&self, map: &Map) -> Option<Plan> {
+    fn any_plan(&self, map: &Map, paces: &[f64]) -> Option<Plan> {
         let known = self.estimate.heard() >= CHOICES_MIN;
-        known.then(|| plan::plan(map, &self.estimate, &self.shape, &self.options))
+        let group = plan::Group {
+            pressure: &self.pressure,
+            paces,
+        };
+        known.then(|| plan::plan(map, &self.estimate, &self.shape, &self.options, &group))
     }
 }
--- a/crates/rebalance/src/layer.rs
+++ b/crates/rebalance/src/layer.rs
@@ -11,7 +11,8 @@
 const TARGETS: usize = 8;
 const HOTTEST: usize = 6;
 
-/// One set of layers with the loads of its ranks, in units of the mean load.
+/// One set of layers with the loads of its ranks: the time that each needs, where
+/// one is that of an even share at the usual pace.
 ///
 /// The peak is a power mean of the loads. It is close to the greatest load,
 /// and unlike it falls also when one of several equally busy ranks is
@@ -24,6 +25,8 @@
     /// The ranks that hold each expert.
     holders: Vec<Vec<u16>>,
     loads: Vec<f64>,
+    /// How many times longer than usual each rank takes.
+    paces: Vec<f64>,
     /// The loads to the power of the mean.
     powers: Vec<f64>,
     /// The sum of the powers.
@@ -51,7 +54,7 @@
 }
 
 impl Layer {
-    pub(crate) fn new(set: usize, ranks: &[Vec<u16>], counts: &[f64]) -> Self {
+    pub(crate) fn new(set: usize, ranks: &[Vec<u16>], counts: &[f64], paces: &[f64]) -> Self {
         let mut holders = vec![Vec::new(); counts.len()];
         for (rank, experts) in ranks.iter().enumerate() {
             for &expert in experts {
@@ -70,6 +73,7 @@
             weights: counts.iter().map(|count| count * unit).collect(),
             holders,
             loads: vec![0.0; ranks.len()],
+            paces: paces.to_vec(),
             powers: vec![0.0; ranks.len()],
             power_sum: 0.0,
             new: vec![0; ranks.len()],
@@ -78,7 +82,7 @@
         layer
     }
 
-    /// Returns the busiest rank's load over the mean, if there is any load.
+    /// Returns the busiest rank's load, if there is any.
     pub(crate) fn skew(&self) -> Option<f64> {
         let most = self.loads.iter().copied().fold(0.0, f64::max);
         (most > 0.0).then_some(most)
@@ -90,10 +94,12 @@
             self.ranks[rank].retain(|&expert| expert != out);
             self.holders[usize::from(out)].retain(|&holder| holder != step.rank);
         }
-        self.ranks[rank].push(step.new);
-        self.ranks[rank].sort_unstable();
-        self.holders[usize::from(step.new)].push(step.rank);
-        self.new[rank] += 1;
+        if let Some(new) = step.new {
+            self.ranks[rank].push(new);
+            self.ranks[rank].sort_unstable();
+            self.holders[usize::from(new)].push(step.rank);
+            self.new[rank] += 1;
+        }
         self.sum();
     }
 
@@ -105,10 +111,8 @@
 
     fn sum(&mut self) {
         for rank in 0..self.ranks.len() {
-            self.loads[rank] = self.ranks[rank]
-                .iter()
-                .map(|&expert| self.share(expert))
-                .sum();
+            let shares = self.ranks[rank].iter().map(|&expert| self.share(expert));
+            self.loads[rank] = self.paces[rank] * shares.sum::<f64>();
         }
         for (powered, &load) in self.powers.iter_mut().zip(&self.loads) {
             *powered = power(load);
@@ -135,6 +139,11 @@
         let mut best: Option<Candidate> = None;
         for &source in order.iter().take(SOURCES) {
             for hot in self.hottest(source) {
+                if let Some(candidate) = self.surplus(source, hot, least)
+                    && best.is_none_or(|best| candidate.gain > best.gain)
+                {
+                    best = Some(candidate);
+                }
                 let takers = targets.iter().copied();
                 let takers = takers.filter(|&rank| {
                     self.loads[rank] < self.loads[source] && !self.holds(rank, hot)
@@ -153,6 +162,35 @@
         best
     }
 
+    /// Returns the change that `rank` gives up `expert`, which others hold too, if
+    /// that is worth as much as a copy has to be: a copy may have been paid for, and
+    /// would have to be made again.
+    fn surplus(&self, rank: usize, expert: u16, least: f64) -> Option<Candidate> {
+        if self.holders[usize::from(expert)].len() < 2 {
+            return None;
+        }
+        let change = Change::new(self, expert, -1);
+        let mut power_sum = self.power_sum;
+        for &holder in &self.holders[usize::from(expert)] {
+            let holder = usize::from(holder);
+            let more = change.on(true, false, holder == rank);
+            power_sum +=
+                power(self.loads[holder] + self.paces[holder] * more) - self.powers[holder];
+        }
+        let gain = peak(self.power_sum) - peak(power_sum);
+        let first = Move {
+            set: self.set,
+            rank: number(rank),
+            out: Some(expert),
+            new: None,
+        };
+        (gain >= least).then_some(Candidate {
+            first,
+            second: None,
+            gain,
+        })
+    }
+
     fn hottest(&self, rank: usize) -> Vec<u16> {
         let mut experts = self.ranks[rank].clone();
         experts.sort_by(|&a, &b| self.share(b).total_cmp(&self.share(a)));
@@ -176,7 +214,7 @@
             set: self.set,
             rank: number(target),
             out,
-            new: hot,
+            new: Some(hot),
         };
         if self.ranks[target].len() < shape.places {
             let first = bring(None);
@@ -201,7 +239,7 @@
                     set: self.set,
                     rank: number(source),
                     out: Some(hot),
-                    new: out,
+                    new: Some(out),
                 };
                 let gain = self.gain(target, Some(source), hot, Some(out)) / 2.0;
                 offer(Candidate {
@@ -227,10 +265,11 @@
         let mut power_sum = self.power_sum;
         let mut look = |rank: usize| {
             let (gets, gives) = (rank == target, source == Some(rank));
-            let mut load = self.loads[rank] + hot_change.on(self.holds(rank, hot), gets, gives);
+            let mut more = hot_change.on(self.holds(rank, hot), gets, gives);
             if let Some((out, change)) = &out_change {
-                load += change.on(self.holds(rank, *out), gives, gets);
+                more += change.on(self.holds(rank, *out), gives, gets);
             }
+            let load = self.loads[rank] + self.paces[rank] * more;
             power_sum += power(load) - self.powers[rank];
         };
         let holders = |expert: u16| self.holders[usize::from(expert)].iter().copied();
--- a/crates/rebalance/src/lib.rs
+++ b/crates/rebalance/src/lib.rs
@@ -19,6 +19,8 @@
 pub mod member;
 pub mod message;
 pub mod plan;
+pub mod pressure;
+pub mod price;
 pub mod rank;
 pub mod rescue;
 pub mod state;
@@ -31,5 +33,6 @@
 
 pub use agent::Agent;
 pub use cactusnotch_gateway::configuration::Shape;
+pub use cactusnotch_gateway::pace::{self, Pace};
 pub use map::Map;
 pub use rank::Rank;
--- a/crates/rebalance/src/map.rs
+++ b/crates/rebalance/src/map.rs
@@ -11,7 +11,7 @@
     pub sets: Vec<Vec<Vec<u16>>>,
 }
 
-/// One expert that a rank gets, in the place of another or in a free one.
+/// One expert that a rank gets, gives up, or both.
 #[message]
 #[derive(Copy, Eq)]
 pub struct Move {
@@ -19,10 +19,10 @@
     pub set: u16,
     /// The rank.
     pub rank: u16,
-    /// The expert that the rank gives up, if its places are all in use.
+    /// The expert that the rank gives up, if any.
     pub out: Option<u16>,
-    /// The expert that the rank gets.
-    pub new: u16,
+    /// The expert that the rank gets, if any; it has to be copied.
+    pub new: Option<u16>,
 }
 
 impl Map {
@@ -32,10 +32,12 @@
         let Some(held) = rank.and_then(|set| set.get_mut(usize::from(step.rank))) else {
             return false;
         };
-        let Err(at) = held.binary_search(&step.new) else {
-            return false;
-        };
-        held.insert(at, step.new);
+        if let Some(new) = step.new {
+            let Err(at) = held.binary_search(&new) else {
+                return false;
+            };
+            held.insert(at, new);
+        }
         let Some(out) = step.out else {
             return true;
         };
--- a/crates/rebalance/src/message.rs
+++ b/crates/rebalance/src/message.rs
@@ -2,6 +2,7 @@
 
 use cactusnotch_derive::message;
 
+use crate::Pace;
 use crate::map::Move;
 use crate::state::{Maps, Place};
 
@@ -14,6 +15,10 @@
     pub open: bool,
     /// The maps of the rank.
     pub maps: Maps,
+    /// How slow the rank is.
+    pub pace: Pace,
+    /// The requests that run or wait there for each of its slots, in hundredths.
+    pub fill: u16,
     /// The term of the leader that the agent has heard last.
     pub term: Option<u64>,
     /// The version of the whole map that the agent knows.
--- a/crates/rebalance/src/moves.rs
+++ b/crates/rebalance/src/moves.rs
@@ -9,13 +9,14 @@
 
 /// The bytes of a move: set, rank, expert that goes, expert that comes.
 const LENGTH: usize = 8;
-/// Stands for no expert that goes.
+/// Stands for no expert.
 const NONE: u16 = u16::MAX;
 
 pub(crate) fn serialize<S: Serializer>(moves: &[Move], serializer: S) -> Result<S::Ok, S::Error> {
     let mut bytes = Vec::with_capacity(moves.len() * LENGTH);
     for step in moves {
-        for number in [step.set, step.rank, step.out.unwrap_or(NONE), step.new] {
+        let (out, new) = (step.out.unwrap_or(NONE), step.new.unwrap_or(NONE));
+        for number in [step.set, step.rank, out, new] {
             bytes.extend_from_slice(&number.to_le_bytes());
         }
     }
@@ -31,11 +32,12 @@
         return Err(D::Error::custom("moves of another length"));
     }
     let number = |bytes: &[u8; LENGTH], at: usize| u16::from_le_bytes([bytes[at], bytes[at + 1]]);
+    let expert = |bytes: &[u8; LENGTH], at: usize| Some(number(bytes, at)).filter(|&e| e != NONE);
     let step = |bytes: &[u8; LENGTH]| Move {
         set: number(bytes, 0),
         rank: number(bytes, 2),
-        out: Some(number(bytes, 4)).filter(|&out| out != NONE),
-        new: number(bytes, 6),
+        out: expert(bytes, 4),
+        new: expert(bytes, 6),
     };
     Ok(moves.iter().map(step).collect())
 }
--- a/crates/rebalance/src/neighbours.rs
+++ b/crates/rebalance/src/neighbours.rs
@@ -21,6 +21,10 @@
     looked: Option<Instant>,
     pub(crate) agents: Vec<SocketAddr>,
     pub(crate) shape: Option<Shape>,
+    /// The requests that one of the service's endpoints runs at once.
+    pub(crate) slots: u32,
+    /// The longest pause between events that the service's callers accept.
+    pub(crate) pause: Option<Duration>,
 }
 
 impl<C: Codec> Neighbours<C> {
@@ -33,6 +37,8 @@
             looked: None,
             agents: Vec::new(),
             shape: None,
+            slots: 0,
+            pause: None,
         }
     }
 
@@ -49,7 +55,10 @@
             for change in self.store.list(Kind::Configuration, true).await?.changes {
                 if let Ok(Some(Item::Configuration(configuration))) = change.item {
                     let service = configuration.service(&self.service);
-                    self.shape = service.and_then(|service| service.engine.as_ref()?.shape);
+                    let engine = service.and_then(|service| service.engine.as_ref());
+                    self.shape = engine.and_then(|engine| engine.shape);
+                    self.slots = engine.map_or(0, |engine| engine.slots);
+                    self.pause = configuration.pause(&self.service);
                 }
             }
         }
--- a/crates/rebalance/src/plan.rs
+++ b/crates/rebalance/src/plan.rs
@@ -1,11 +1,15 @@
 //! Which few experts to move next.
 
+use std::time::Duration;
+
 use cactusnotch_derive::record;
 
 use crate::Shape;
 use crate::estimate::Estimate;
 use crate::layer::Layer;
 use crate::map::{Map, Move};
+use crate::pressure::Pressure;
+use crate::price::Price;
 
 /// How a round is kept small, and what a move has to bring.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -13,9 +17,19 @@
     /// The most experts that one rank gets in a round; it decides how long
     /// the ranks load.
     pub per_rank: usize,
-    /// What each new expert has to take off the peak load, as a part of the
-    /// mean load. Copies are paid for and slow the group while they are made.
-    pub gain: f64,
+    /// What each new expert has to take off the peak load.
+    pub price: Price,
+    /// The longest pause between events that callers of the group accept.
+    pub pause: Option<Duration>,
+}
+
+/// What is known of the group that is planned for.
+#[derive(Debug, Clone, Copy)]
+pub struct Group<'a> {
+    /// How near it is to its limits.
+    pub pressure: &'a Pressure,
+    /// How many times longer than usual each rank takes.
+    pub paces: &'a [f64],
 }
 
 /// A round's moves with the skew that they are made for.
@@ -24,10 +38,13 @@
 pub struct Plan {
     /// The moves.
     pub moves: Vec<Move>,
-    /// The busiest rank's load over the mean, over all sets, in thousandths.
+    /// The time of the slowest rank over that of an even share at the usual pace, mean
+    /// of all sets, in thousandths.
     pub before: u32,
     /// The same after the moves.
     pub after: u32,
+    /// How near the group is to its limits without them, from 0 to 100.
+    pub pressure: u8,
 }
 
 impl Plan {
@@ -44,7 +61,8 @@
 pub(crate) struct Candidate {
     pub(crate) first: Move,
     pub(crate) second: Option<Move>,
-    /// What it takes off the peak for each new expert, in mean loads.
+    /// What it takes off the peak for each new expert, or in all if there is none, in
+    /// mean loads.
     pub(crate) gain: f64,
 }
 
@@ -54,53 +72,66 @@
     }
 
     fn fits(&self, room: &[usize]) -> bool {
-        self.moves().all(|step| room[usize::from(step.rank)] > 0)
+        self.moves()
+            .all(|step| step.new.is_none() || room[usize::from(step.rank)] > 0)
     }
 }
 
 /// Plans the moves of a round.
 ///
 /// Over all sets the change that brings most for each copy comes first, for
-/// as long as ranks have room in this round.
+/// as long as ranks have room in this round and a copy is worth its price at the
+/// skew that is left.
 #[must_use]
-pub fn plan(map: &Map, estimate: &Estimate, shape: &Shape, options: &Options) -> Plan {
-    let mut layers = layers(map, estimate);
+pub fn plan(
+    map: &Map,
+    estimate: &Estimate,
+    shape: &Shape,
+    options: &Options,
+    group: &Group<'_>,
+) -> Plan {
+    let mut layers = layers(map, estimate, group.paces);
     let ranks = map.sets.first().map_or(0, Vec::len);
     let mut room = vec![options.per_rank; ranks];
     let before = skew(&layers);
+    let least = |skew| options.price.least(group.pressure.at(skew));
+    let mut after = before;
     let mut moves = Vec::new();
     let mut best: Vec<_> = layers
         .iter()
-        .map(|layer| layer.best(&room, shape, options.gain))
+        .map(|layer| layer.best(&room, shape, least(after)))
         .collect();
-    while let Some((set, chosen)) = most(&best) {
+    while let Some((set, chosen)) = most(&best).filter(|(_, best)| best.gain >= least(after)) {
         // Another set may have taken the room since this was found.
         if chosen.fits(&room) {
             for step in chosen.moves() {
                 layers[set].carry_out(&step);
-                room[usize::from(step.rank)] -= 1;
+                room[usize::from(step.rank)] -= usize::from(step.new.is_some());
                 moves.push(step);
             }
+            after = skew(&layers);
         }
-        best[set] = layers[set].best(&room, shape, options.gain);
+        best[set] = layers[set].best(&room, shape, least(after));
     }
     Plan {
         moves,
         before,
-        after: skew(&layers),
+        after,
+        pressure: hundredths(group.pressure.at(before)),
     }
 }
 
-/// Returns the mean over the sets of the busiest rank's load over the mean under
-/// `map`, in thousandths.
+/// Returns the mean over the sets of the busiest rank's time over that of an even
+/// share at the usual pace under `map`, in thousandths. `paces` says how many times
+/// longer than usual each rank takes.
 #[must_use]
-pub fn skew_of(map: &Map, estimate: &Estimate) -> u32 {
-    skew(&layers(map, estimate))
+pub fn skew_of(map: &Map, estimate: &Estimate, paces: &[f64]) -> u32 {
+    skew(&layers(map, estimate, paces))
 }
 
-fn layers(map: &Map, estimate: &Estimate) -> Vec<Layer> {
+fn layers(map: &Map, estimate: &Estimate, paces: &[f64]) -> Vec<Layer> {
     let sets = map.sets.iter().enumerate();
-    sets.map(|(set, ranks)| Layer::new(set, ranks, estimate.set(set)))
+    sets.map(|(set, ranks)| Layer::new(set, ranks, estimate.set(set), paces))
         .collect()
 }
 
@@ -120,6 +151,15 @@
     thousandths(ratios.iter().sum::<f64>() / f64::from(count))
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a part lies between 0 and 1"
+)]
+fn hundredths(part: f64) -> u8 {
+    (part * 100.0).round() as u8
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/rebalance/src/rank.rs
+++ b/crates/rebalance/src/rank.rs
@@ -2,13 +2,13 @@
 
 use std::time::Instant;
 
-use crate::Shape;
 use crate::codec::Order;
 use crate::coordinator::{Coordinator, Event};
 use crate::member::Member;
 use crate::message::Standing;
 use crate::plan;
 use crate::state::{Maps, Place};
+use crate::{Pace, Shape};
 
 /// The decisions of the agent beside one rank: its own part in each round,
 /// and the lead if it is rank 0.
@@ -51,6 +51,13 @@
         new
     }
 
+    /// Returns the pace of the slowest rank, as far as this one leads.
+    #[must_use]
+    pub fn slowest(&self) -> Pace {
+        let lead = self.coordinator.as_ref();
+        lead.map_or_else(Pace::default, Coordinator::slowest)
+    }
+
     /// Tells whether the leader has to be told which experts this rank holds.
     #[must_use]
     pub fn tells_held(&self) -> bool {
--- a/crates/rebalance/src/state.rs
+++ b/crates/rebalance/src/state.rs
@@ -2,6 +2,8 @@
 
 use cactusnotch_derive::{message, record};
 
+use crate::Pace;
+
 /// A rank of a group, as its endpoint names it.
 #[message]
 #[derive(Eq)]
@@ -48,6 +50,8 @@
     pub running: u32,
     /// The requests that wait.
     pub waiting: u32,
+    /// How slow the rank is.
+    pub pace: Pace,
     /// The part of the memory for prompts that is in use, in thousandths.
     pub memory: u16,
 }
--- a/crates/rebalance/tests/coordinator.rs
+++ b/crates/rebalance/tests/coordinator.rs
@@ -2,18 +2,26 @@
 
 use std::time::{Duration, Instant};
 
-use cactusnotch_rebalance::Shape;
 use cactusnotch_rebalance::coordinator::{Coordinator, Event};
 use cactusnotch_rebalance::message::{Phase, Standing};
 use cactusnotch_rebalance::plan;
+use cactusnotch_rebalance::price::Price;
 use cactusnotch_rebalance::state::{Maps, Place};
+use cactusnotch_rebalance::{Pace, Shape};
 
+/// The price of a copy: next to nothing, so that rounds follow each other.
+const PRICE: Price = Price {
+    easy: 0.01,
+    pressed: 0.01,
+    copy: Duration::from_secs(1),
+};
 const SHAPE: Shape = Shape {
     sets: 1,
     experts: 4,
     places: 3,
     spare: 2,
     copy: Duration::from_millis(100),
+    expert_part: 850,
 };
 
 fn place(rank: u16) -> Place {
@@ -31,6 +39,8 @@
         place: place(rank),
         open: true,
         maps,
+        pace: Pace::default(),
+        fill: 50,
         term: Some(term),
         known: None,
         held: Some(vec![held]),
@@ -40,7 +50,8 @@
 fn coordinator(term: u64) -> Coordinator {
     let options = plan::Options {
         per_rank: 2,
-        gain: 0.01,
+        price: PRICE,
+        pause: None,
     };
     Coordinator::new(place(0), SHAPE, options, term)
 }
@@ -205,5 +216,5 @@
     }
     assert!(lead.round().version > version, "the round is another one");
     let brings = lead.round().moves.iter().map(|step| step.new);
-    assert_eq!(brings.collect::<Vec<_>>(), [3], "what is popular now");
+    assert_eq!(brings.collect::<Vec<_>>(), [Some(3)], "what is popular now");
 }
--- a/crates/rebalance/tests/plan.rs
+++ b/crates/rebalance/tests/plan.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, Instant};
 
 use cactusnotch_rebalance::estimate::{Estimate, pack};
-use cactusnotch_rebalance::plan::{Options, plan};
+use cactusnotch_rebalance::plan::{Group, Options, Plan, plan};
+use cactusnotch_rebalance::pressure::Pressure;
+use cactusnotch_rebalance::price::Price;
 use cactusnotch_rebalance::{Map, Shape};
 use proptest::prelude::*;
 
@@ -14,6 +16,7 @@
         places,
         spare: 4,
         copy: Duration::from_millis(148),
+        expert_part: 850,
     }
 }
 
@@ -31,6 +34,32 @@
     }
 }
 
+/// Options under which each copy has to take `gain` mean loads off.
+fn options(per_rank: usize, gain: f64) -> Options {
+    Options {
+        per_rank,
+        price: Price {
+            easy: gain,
+            pressed: gain,
+            copy: Duration::from_secs(1),
+        },
+        pause: None,
+    }
+}
+
+/// Plans for a group whose ranks all have their usual pace.
+fn even(map: &Map, estimate: &Estimate, shape: &Shape, options: &Options) -> Plan {
+    paced(map, estimate, shape, options, &vec![1.0; map.sets[0].len()])
+}
+
+fn paced(map: &Map, estimate: &Estimate, shape: &Shape, options: &Options, paces: &[f64]) -> Plan {
+    let group = Group {
+        pressure: &Pressure::new(0.85, None),
+        paces,
+    };
+    plan(map, estimate, shape, options, &group)
+}
+
 fn estimate(shape: &Shape, counts: &[u64]) -> Estimate {
     let mut estimate = Estimate::new(shape.sets, shape.experts);
     let (units, bytes) = pack(counts, shape.experts);
@@ -54,14 +83,11 @@
     let shape = shape(6, 64, 11);
     let estimate = estimate(&shape, &skewed(&shape));
     let mut map = dealt(&shape, 8);
-    let options = Options {
-        per_rank: 2,
-        gain: 0.03,
-    };
-    let first = plan(&map, &estimate, &shape, &options);
+    let options = options(2, 0.03);
+    let first = even(&map, &estimate, &shape, &options);
     let mut last = first.clone();
     for _ in 0..6 {
-        last = plan(&map, &estimate, &shape, &options);
+        last = even(&map, &estimate, &shape, &options);
         assert!(last.moves.iter().all(|step| map.apply(step)));
     }
     assert!(
@@ -86,14 +112,14 @@
         let shape = shape(2, 16, 16 / ranks + 2);
         let estimate = estimate(&shape, &counts);
         let mut map = dealt(&shape, ranks);
-        let options = Options { per_rank, gain: 0.01 };
+        let options = options(per_rank, 0.01);
         for _ in 0..4 {
-            let made = plan(&map, &estimate, &shape, &options);
+            let made = even(&map, &estimate, &shape, &options);
             prop_assert!(made.after <= made.before);
             let mut new = vec![0; ranks];
             for step in &made.moves {
                 prop_assert!(map.apply(step));
-                new[usize::from(step.rank)] += 1;
+                new[usize::from(step.rank)] += usize::from(step.new.is_some());
             }
             prop_assert!(new.iter().all(|&new| new <= per_rank));
             prop_assert!(map.is_complete(shape.experts, shape.places));
@@ -139,12 +165,9 @@
     let shape = shape(4, 64, 11);
     let estimate = estimate(&shape, &skewed(&shape));
     let mut map = dealt(&shape, 8);
-    let options = Options {
-        per_rank: 3,
-        gain: 0.005,
-    };
+    let options = options(3, 0.005);
     for _ in 0..6 {
-        let plan = plan(&map, &estimate, &shape, &options);
+        let plan = even(&map, &estimate, &shape, &options);
         assert!((f64::from(plan.before) - skew(&map, &estimate)).abs() < 1.0);
         assert!(plan.moves.iter().all(|step| map.apply(step)));
         assert!((f64::from(plan.after) - skew(&map, &estimate)).abs() < 1.0);
--- /dev/null
+++ b/crates/rebalance/tests/price.rs
@@ -0,0 +1,115 @@
+//! What a copy has to bring, by how near the group is to its limits.
+//!
+//! On a quiet day with passes of half of the longest pause, copies that took a
+//! quarter of the mean load off for each second that they took moved 770 GB in
+//! 34 s; with the price that follows from the pressure 190 to 300 GB were moved and
+//! as many streams were on time. Where passes are near the pause a dearer copy cost
+//! up to a third of the streams.
+
+use std::time::{Duration, Instant};
+
+use cactusnotch_rebalance::estimate::{Estimate, pack};
+use cactusnotch_rebalance::plan::{Group, Options, plan};
+use cactusnotch_rebalance::pressure::Pressure;
+use cactusnotch_rebalance::price::Price;
+use cactusnotch_rebalance::{Map, Shape};
+
+const PAUSE: Duration = Duration::from_millis(120);
+const PRICE: Price = Price {
+    easy: 6.0,
+    pressed: 0.25,
+    copy: Duration::from_millis(50),
+};
+/// An even map, in thousandths.
+const EVEN: u32 = 1_000;
+
+fn pressure(pass: u64) -> Pressure {
+    let mut pressure = Pressure::new(0.85, Some(PAUSE));
+    pressure.measure(Duration::from_millis(pass), EVEN);
+    pressure
+}
+
+fn near(left: f64, right: f64) -> bool {
+    (left - right).abs() < 1e-9
+}
+
+#[test]
+fn short_passes_make_copies_dear_and_long_ones_cheap() {
+    assert!(near(pressure(30).at(EVEN), 0.0));
+    assert!(near(pressure(80).at(EVEN), 1.0));
+    assert!(
+        near(PRICE.least(0.0), 0.3),
+        "six mean loads a second, for 50 ms"
+    );
+    assert!(near(PRICE.least(1.0), 0.0125));
+    assert!(PRICE.least(0.5) < PRICE.least(0.2));
+}
+
+#[test]
+fn a_group_of_which_nothing_is_known_counts_as_pressed() {
+    assert!(near(Pressure::new(0.85, Some(PAUSE)).at(EVEN), 1.0));
+    assert!(near(Pressure::new(0.85, None).at(EVEN), 1.0));
+}
+
+#[test]
+fn skew_lengthens_the_experts_part_only() {
+    let mut skewed = Pressure::new(0.85, Some(PAUSE));
+    // 15 ms of its own and 85 ms for experts at twice the mean load.
+    skewed.measure(Duration::from_micros(57_500), 2 * EVEN);
+    // With even ranks a pass takes 57.5 / 1.85 = 31.1 ms.
+    assert!(skewed.at(EVEN) < 0.01);
+    assert!(skewed.at(2 * EVEN) > 0.5);
+}
+
+#[test]
+fn turns_that_leave_much_skew_press_a_group_with_short_passes() {
+    let mut group = pressure(54);
+    let calm = group.at(EVEN);
+    group.turn(2_500);
+    // 54 ms grow to 123 ms right after a turn.
+    assert!(calm < 0.6 && group.at(EVEN) > 0.85, "{calm}");
+}
+
+#[test]
+fn a_full_group_is_pressed_however_short_its_passes_are() {
+    let mut group = pressure(30);
+    group.set_fill(1.2);
+    assert!(near(group.at(EVEN), 1.0));
+}
+
+/// Returns how many moves are made where the busiest of four ranks has 1.4 times the
+/// mean load, of which one copy takes a fifth of a mean load at most.
+fn copies(pressure: &Pressure) -> usize {
+    let shape = Shape {
+        sets: 1,
+        experts: 16,
+        places: 8,
+        spare: 8,
+        copy: PRICE.copy,
+        expert_part: 850,
+    };
+    let rank = |rank: u16| (rank * 4..rank * 4 + 4).collect::<Vec<u16>>();
+    let map = Map {
+        sets: vec![(0..4).map(rank).collect()],
+    };
+    let counts: Vec<u64> = (0..16).map(|expert| 1_000 + 500 * (expert / 4)).collect();
+    let mut estimate = Estimate::new(1, 16);
+    let (units, bytes) = pack(&counts, 16);
+    estimate.add(&units, &bytes, Instant::now());
+    let options = Options {
+        per_rank: 4,
+        price: PRICE,
+        pause: Some(PAUSE),
+    };
+    let group = Group {
+        pressure,
+        paces: &[1.0; 4],
+    };
+    plan(&map, &estimate, &shape, &options, &group).moves.len()
+}
+
+#[test]
+fn a_little_skew_is_left_alone_far_from_the_limits() {
+    assert_eq!(copies(&pressure(30)), 0);
+    assert!(copies(&pressure(80)) > 0);
+}
--- a/crates/rebalance/tests/world/mod.rs
+++ b/crates/rebalance/tests/world/mod.rs
@@ -8,9 +8,10 @@
 use cactusnotch_rebalance::coordinator::Event;
 use cactusnotch_rebalance::message::{Datagram, Part, Round, Standing};
 use cactusnotch_rebalance::plan;
+use cactusnotch_rebalance::price::Price;
 use cactusnotch_rebalance::rescue::Rescue;
 use cactusnotch_rebalance::state::Place;
-use cactusnotch_rebalance::{Map, Rank, Shape};
+use cactusnotch_rebalance::{Map, Pace, Rank, Shape};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -23,12 +24,19 @@
 const TICK: Duration = Duration::from_millis(10);
 /// The ticks of a pass.
 const PASS: u64 = 6;
+/// The price of a copy: next to nothing, so that rounds follow each other.
+const PRICE: Price = Price {
+    easy: 0.01,
+    pressed: 0.01,
+    copy: Duration::from_secs(1),
+};
 const SHAPE: Shape = Shape {
     sets: 2,
     experts: 6,
     places: 3,
     spare: 2,
     copy: Duration::from_millis(50),
+    expert_part: 850,
 };
 
 /// How often things go wrong.
@@ -330,15 +338,25 @@
         self.finish(at);
     }
 
+    /// Returns how slow a rank is: by turns one of them is far slower, so that rounds
+    /// take experts away from it.
+    fn pace(&self, at: usize) -> Pace {
+        let turn = self.tick / 300 % (RANKS as u64 + 1);
+        let slow = usize::try_from(turn).is_ok_and(|slow| slow == at);
+        Pace::from_factor(if slow { 12.0 } else { 1.0 })
+    }
+
     /// Completes a silent leader's round, and tells others that do.
     fn finish(&mut self, at: usize) {
         let maps = self.endpoints[at].report(self.step);
-        let (place, now) = (self.place(at), self.now());
+        let (place, now, slowness) = (self.place(at), self.now(), self.pace(at));
         let agent = &mut self.agents[at];
         let standing = Standing {
             place: place.clone(),
             open: true,
             maps,
+            pace: slowness,
+            fill: 50,
             term: agent.rank.member.term(),
             known: agent.rank.member.known(),
             held: None,
@@ -374,13 +392,14 @@
         for _ in 0..4 {
             let maps = self.endpoints[at].report(self.step);
             let place = self.place(at);
-            let now = self.now();
+            let (now, slowness) = (self.now(), self.pace(at));
             let agent = &mut self.agents[at];
             agent.leader = true;
             agent.rank.observe(&place, &maps);
             let options = plan::Options {
                 per_rank: 2,
-                gain: 0.01,
+                price: PRICE,
+                pause: None,
             };
             let term = self.rng.random();
             agent.rank.lead(&place, SHAPE, options, term);
@@ -390,6 +409,8 @@
                 place: place.clone(),
                 open: true,
                 maps,
+                pace: slowness,
+                fill: 50,
                 term: agent.rank.member.term(),
                 known: agent.rank.member.known(),
                 held: agent
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -77,6 +77,8 @@
         "Requests that were let in, by outcome: ok, not-run, unknown or caller-gone.";
     GATEWAY_CONNECTIONS_OPENED = "cactusnotch_gateway_connections_opened_total", Counter, Count, [],
         "Connections that an entry opened to endpoints it calls directly.";
+    GATEWAY_FORECAST_ERROR = "cactusnotch_gateway_forecast_error_seconds", Histogram, Seconds, [],
+        "Time by which the first event of a stream came sooner or later than was expected when it was sent.";
     GATEWAY_REFUSALS = "cactusnotch_gateway_refusals_total", Counter, Count, [],
         "Requests refused before an endpoint was chosen.";
     GATEWAY_REPEATS = "cactusnotch_gateway_repeats_total", Counter, Count, [],
@@ -85,8 +87,14 @@
         "Time from a request's arrival to the end of its answer.";
     GATEWAY_REQUESTS = "cactusnotch_gateway_requests_total", Counter, Count, [],
         "Requests that were let in and have ended.";
+    GATEWAY_MOVED = "cactusnotch_gateway_streams_moved_total", Counter, Count, [],
+        "Streams that were moved away from an endpoint far slower than others.";
+    GATEWAY_WAITED = "cactusnotch_gateway_waits_total", Counter, Count, [],
+        "Callers refused before that waited at an entry until there was room, or in vain.";
     GROUP_REPORTS_UNCOUNTED = "cactusnotch_group_reports_uncounted_total", Counter, Count, [],
         "Reports of ranks that were repeated, too old or invalid.";
+    GROUP_SKEW = "cactusnotch_group_skew_ratio", Gauge, Count, [],
+        "Time of a group's slowest rank over that of an even share at the usual pace, as the last round of its leader found it.";
     GROUP_SWITCHES = "cactusnotch_group_switches_total", Counter, Count, [],
         "Expert maps that came in force at this rank.";
     LINK_BYTES = "cactusnotch_link_bytes_total", Counter, Bytes, ["direction"],
