feat: entries leave slow ranks, and let first attempts go first

Cause: entries sent streams to a rank twelve times slower, for whose own part all ranks of its group wait in each pass; and while half of the capacity was gone (75 streams a second, slots for 46) callers that came back late took the slots of first attempts: 40 of 172 streams in two seconds were on time.

Change: agents tell entries their pace and whether their group is open at once; an endpoint that is slow, or whose passes are longer than the pause, gets nothing while others take work, and running streams go on elsewhere if it is three times slower and such endpoints are few. A first attempt is let in if its first event is forecast within 0.9 of the target. A caller that has less left than first attempts state (observed by route) was refused before; it gets what first attempts leave, from half full endpoints to three quarters full while it waits for up to a second. A new entry looks for agents each 60 ms until they are heard, and agents answer a new subscriber at once.

--- a/crates/gateway/src/decide.rs
+++ b/crates/gateway/src/decide.rs
@@ -58,6 +58,12 @@
         self.sent
     }
 
+    /// Tells whether it may be sent to another endpoint.
+    #[must_use]
+    pub const fn may_repeat(&self) -> bool {
+        self.sent < self.attempts
+    }
+
     /// Notes that the request is being written to an endpoint.
     pub const fn send(&mut self) {
         self.sent += 1;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,11 +5,13 @@
 
 use cactusnotch_base::name;
 use cactusnotch_route::{Attempt, attempt::End, choice};
+use cactusnotch_telemetry::metric;
 use http::response::Parts;
 use http::{Response, StatusCode, header};
 use hyper::body::Incoming;
 use rand::Rng;
 
+use crate::admission::{self, Forecast, Terms};
 use crate::channel;
 use crate::decide::{Course, Failure};
 use crate::dialect::Dialect;
@@ -23,10 +25,18 @@
 #[derive(Debug)]
 pub(crate) struct Running {
     knowledge: Rc<Knowledge>,
+    /// The request's id, for the log.
+    id: Option<String>,
     service: String,
     attempt: Attempt,
     end: End,
     pieces: u32,
+    /// What was expected when the endpoint was chosen.
+    forecast: Forecast,
+    /// When it was sent, if it was.
+    sent: Option<Instant>,
+    /// How long its first piece took.
+    first: Option<Duration>,
 }
 
 impl Running {
@@ -34,6 +44,7 @@
     pub(crate) fn piece(&mut self, now: Instant) {
         self.pieces += 1;
         if self.pieces == 1 {
+            self.first = self.sent.map(|sent| now.saturating_duration_since(sent));
             self.knowledge
                 .fleet
                 .borrow_mut()
@@ -53,6 +64,29 @@
         self.end = End::Failed;
     }
 
+    /// Writes the line that compares what was expected with what came.
+    fn log(&self, now: Instant) {
+        let Some(sent) = self.sent else {
+            return;
+        };
+        let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        tracing::info!(
+            id = self.id,
+            endpoint = self.endpoint().as_str(),
+            fill = self.forecast.fill,
+            pass_ms = self.forecast.pass.map(millis),
+            wait_ms = millis(self.forecast.wait),
+            forecast_ms = millis(self.forecast.first),
+            first_ms = self.first.map(millis),
+            ms = millis(now.saturating_duration_since(sent)),
+            "send ended"
+        );
+        if let Some(first) = self.first {
+            let error = first.abs_diff(self.forecast.first);
+            metrics::histogram!(metric::GATEWAY_FORECAST_ERROR).record(error);
+        }
+    }
+
     /// Returns the endpoint.
     pub(crate) const fn endpoint(&self) -> &name::Endpoint {
         self.attempt.endpoint()
@@ -62,6 +96,7 @@
 impl Drop for Running {
     fn drop(&mut self) {
         let now = Instant::now();
+        self.log(now);
         let mut fleet = self.knowledge.fleet.borrow_mut();
         fleet.finish(&self.service, &self.attempt, self.end, now);
     }
@@ -113,42 +148,47 @@
     let endpoint = fleet.get(choice.endpoint.as_str()).cloned();
     drop(fleet);
     drop(rng);
+    let forecast = forecast(knowledge, &choice, now);
     let running = Running {
         knowledge: Rc::clone(knowledge),
+        id: call.head.id.clone(),
         service: service.clone(),
         attempt,
         end: End::Withdrawn,
         pieces: 0,
+        forecast,
+        sent: None,
+        first: None,
     };
-    let late = choice.reason == choice::Reason::Full && choice.wait > call.judged.route.target;
-    let late =
-        late || (tried.is_empty() && presses(knowledge, call, choice.endpoint.as_str(), now));
+    // What has been sent once is not worth less by now.
+    let admitted = !tried.is_empty() || admits(knowledge, call, &forecast, now);
     match endpoint {
-        Some(_) if late => Err(Unserved::Busy),
+        Some(_) if !admitted => Err(Unserved::Busy),
         Some(endpoint) => Ok((endpoint, running)),
         None => Err(Unserved::None(choice::Error::Unknown)),
     }
 }
 
-/// The part of the longest pause on time from which passes let some streams
-/// in no more, and the one from which they let none in. One pass in some takes
-/// a quarter longer than the usual, and one pause too long makes a whole stream
-/// late.
-const PASS_PRESSES: f64 = 0.7;
-const PASS_FULL: f64 = 1.1;
+/// Returns what a request has to expect at the endpoint that was chosen.
+fn forecast(knowledge: &Knowledge, choice: &choice::Choice, now: Instant) -> Forecast {
+    Forecast {
+        full: choice.reason == choice::Reason::Full,
+        wait: choice.wait,
+        fill: choice.fill,
+        first: choice.predicted,
+        pass: knowledge.fleet.borrow().pass(choice.endpoint.as_str(), now),
+    }
+}
 
-/// Decides whether a stream is refused so that passes stay short for those
-/// that run: one more would make all of them late.
-fn presses(knowledge: &Knowledge, call: &Call, endpoint: &str, now: Instant) -> bool {
-    let Some(pause) = call.judged.route.pause else {
-        return false;
-    };
-    let Some(pass) = knowledge.fleet.borrow().pass(endpoint, now) else {
-        return false;
+/// Tells whether a request is let in.
+fn admits(knowledge: &Knowledge, call: &Call, forecast: &Forecast, now: Instant) -> bool {
+    let route = &call.judged.route;
+    let terms = Terms {
+        target: route.target,
+        pause: route.pause,
     };
-    let part = pass.as_secs_f64() / pause.as_secs_f64();
-    let refused = (part - PASS_PRESSES) / (PASS_FULL - PASS_PRESSES);
-    refused > 0.0 && knowledge.rng.borrow_mut().random::<f64>() < refused
+    let draw = knowledge.rng.borrow_mut().random();
+    admission::admits(call.caller(now), forecast, &terms, draw)
 }
 
 /// Sends the request to `endpoint` and waits for the head of its answer.
@@ -168,6 +208,7 @@
     }
     let request = call.outgoing::<D>(endpoint, last_event, now);
     course.send();
+    running.sent = Some(now);
     let Some(channel) = lease.channel() else {
         return Err(Failed::new(Failure::Unsent, "no connection"));
     };
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,5 +1,7 @@
 //! The endpoints that an entry knows, and the choice among them.
 
+mod row;
+
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -9,8 +11,10 @@
 };
 use rand::rngs::SmallRng;
 
+use self::row::{Row, WORD_TIME};
 use crate::configuration::{Engine, Service};
 use crate::endpoint::Endpoint;
+use crate::peer::Load;
 
 /// The endpoints that are drawn and compared for a request: with all compared,
 /// many entries send to the same idlest one at once.
@@ -22,25 +26,17 @@
 const EJECTION: Duration = Duration::from_millis(700);
 const EJECTION_MAX: Duration = Duration::from_secs(6);
 
-/// An endpoint with what the entry believes of it.
-#[derive(Debug, Clone)]
-pub(crate) struct Row {
-    pub(crate) endpoint: Endpoint,
-    /// How long a pass of its group takes, and when that was told.
-    pass: Option<(Duration, Instant)>,
-    /// Until when it is used though the store no longer names it.
-    missing_until: Option<Instant>,
-}
-
-/// How long an agent's word on passes counts; agents repeat it four times a
-/// second.
-const PASS_TIME: Duration = Duration::from_millis(1_500);
+/// Streams are moved away from stragglers while these are at most one in so many of
+/// the service's endpoints: the others have to have room for them.
+const STRAGGLERS_PART: usize = 4;
 
-impl Row {
-    fn pass(&self, now: Instant) -> Option<Duration> {
-        let (pass, at) = self.pass?;
-        (now.saturating_duration_since(at) < PASS_TIME).then_some(pass)
-    }
+/// What an agent's word leads to.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Heard {
+    /// The requests that its endpoint runs at once.
+    pub(crate) slots: u32,
+    /// How many times longer its passes are than the shortest of its service.
+    pub(crate) slower: f64,
 }
 
 /// The endpoints that an entry knows.
@@ -49,6 +45,8 @@
     data_centre: name::DataCentre,
     rows: Table<String, Row>,
     routers: Table<String, Router>,
+    /// The services whose endpoints are ranks of groups, sorted.
+    ranked: Vec<String>,
     /// When the first of the missing endpoints is to be dropped.
     expires: Option<Instant>,
 }
@@ -59,6 +57,7 @@
             data_centre: name::DataCentre::new(data_centre),
             rows: Table::new(),
             routers: Table::new(),
+            ranked: Vec::new(),
             expires: None,
         }
     }
@@ -75,6 +74,14 @@
                 })
                 .set_options(options);
         }
+        let has_ranks =
+            |service: &&Service| service.engine.as_ref().is_some_and(|e| e.shape.is_some());
+        self.ranked = services
+            .iter()
+            .filter(has_ranks)
+            .map(|service| service.name.clone())
+            .collect();
+        self.ranked.sort_unstable();
         let names: Vec<_> = services
             .iter()
             .map(|service| service.name.clone())
@@ -103,18 +110,17 @@
     }
 
     /// Takes an endpoint's registration; returns whether anything changed.
-    pub(crate) fn insert(&mut self, endpoint: Endpoint) -> bool {
+    pub(crate) fn insert(&mut self, endpoint: Endpoint, now: Instant) -> bool {
         let known = self.rows.get(&endpoint.id);
         if known.is_some_and(|row| row.endpoint == endpoint && row.missing_until.is_none()) {
             return false;
         }
         let service = endpoint.service.clone();
-        let row = Row {
-            pass: known.and_then(|row| row.pass),
-            endpoint,
-            missing_until: None,
-        };
-        self.rows.insert(row.endpoint.id.clone(), row);
+        let ranked = self.ranked.binary_search(&service).is_ok();
+        let id = endpoint.id.clone();
+        self.rows
+            .get_or_insert_with(id, || Row::new(endpoint.clone(), ranked, now))
+            .register(endpoint);
         self.refresh(&service);
         true
     }
@@ -219,31 +225,69 @@
         }
     }
 
-    /// Takes how long a pass takes at the endpoint at `address`; returns its
-    /// ratio to the least pass of its service.
-    pub(crate) fn set_pass(&mut self, address: SocketAddr, pass: Duration, now: Instant) -> f64 {
-        let mut service = None;
-        for (_, row) in self.rows.iter_mut() {
-            if row.endpoint.address == address {
-                row.pass = Some((pass, now));
-                service = Some(row.endpoint.service.clone());
-            }
-        }
-        let of_service = |row: &&Row| Some(&row.endpoint.service) == service.as_ref();
-        let passes = self
+    /// Takes what the agent of an endpoint tells, whose service's streams have the
+    /// longest pause `pause`.
+    pub(crate) fn hear(
+        &mut self,
+        load: &Load,
+        pause: impl FnOnce(&str) -> Option<Duration>,
+        now: Instant,
+    ) -> Option<Heard> {
+        let (_, row) = self
             .rows
-            .values()
-            .filter(of_service)
-            .filter_map(|row| row.pass(now));
+            .iter_mut()
+            .find(|(_, row)| row.endpoint.address == load.endpoint)?;
+        row.hear(load, now);
+        let service = row.endpoint.service.clone();
+        let slots = row.endpoint.slots;
+        let late = row.is_late(pause(&service), now);
+        let name = name::Endpoint::new(row.endpoint.id.clone());
+        if let Some(router) = self.routers.get_mut(&service) {
+            router.avoid(&name, late.then(|| now + WORD_TIME));
+        }
+        Some(Heard {
+            slots,
+            slower: self.slower(&service, load.pass, now),
+        })
+    }
+
+    /// Returns the ratio of a pass, in milliseconds, to the shortest of its service.
+    fn slower(&self, service: &str, pass: u16, now: Instant) -> f64 {
+        let rows = self.rows.values();
+        let passes = rows.filter(|row| row.endpoint.service == service);
+        let passes = passes.filter_map(|row| row.pass(now));
         let least = passes.filter(|pass| !pass.is_zero()).min();
+        let pass = Duration::from_millis(pass.into());
         least.map_or(1.0, |least| pass.as_secs_f64() / least.as_secs_f64())
     }
 
+    /// Tells whether an endpoint is so slow that its streams should go on elsewhere,
+    /// and few enough others of its service are.
+    pub(crate) fn is_straggler(&self, id: &str, now: Instant) -> bool {
+        let Some(row) = self.rows.get(id).filter(|row| row.straggles(now)) else {
+            return false;
+        };
+        let same = |other: &&Row| other.endpoint.service == row.endpoint.service;
+        let all = self.rows.values().filter(same).count();
+        let slow = self
+            .rows
+            .values()
+            .filter(same)
+            .filter(|row| row.straggles(now));
+        slow.count() * STRAGGLERS_PART <= all
+    }
+
     /// Returns how long a pass takes at an endpoint, if that was told lately.
     pub(crate) fn pass(&self, id: &str, now: Instant) -> Option<Duration> {
         self.rows.get(id)?.pass(now)
     }
 
+    /// Returns the endpoints whose agents are looked for.
+    pub(crate) fn sought(&self, now: Instant) -> Vec<SocketAddr> {
+        let sought = self.rows.values().filter(|row| row.is_sought(now));
+        sought.map(|row| row.endpoint.address).collect()
+    }
+
     /// Takes a load report of the endpoint at `address`.
     pub(crate) fn report(&mut self, address: SocketAddr, report: &Report, now: Instant) {
         let found = self
--- /dev/null
+++ b/crates/gateway/src/fleet/row.rs
@@ -0,0 +1,90 @@
+//! What an entry believes of one endpoint.
+
+use std::time::{Duration, Instant};
+
+use crate::endpoint::Endpoint;
+use crate::pace::Pace;
+use crate::peer::Load;
+
+/// How long an agent's word on passes counts; agents repeat it four times a
+/// second.
+pub(crate) const WORD_TIME: Duration = Duration::from_millis(1_500);
+/// How long a rank's agent is looked for: agents answer a subscription at once, and a
+/// group that forms refuses all it gets for 0.6 s, which only its agents tell.
+const SEEK_TIME: Duration = Duration::from_secs(2);
+
+/// An endpoint with what the entry believes of it.
+#[derive(Debug, Clone)]
+pub(crate) struct Row {
+    pub(crate) endpoint: Endpoint,
+    /// How long a pass of its group takes, and when that was told.
+    pass: Option<(Duration, Instant)>,
+    /// How slow it is, as told with the pass.
+    pace: Pace,
+    /// Whether its group takes requests, as told with the pass.
+    open: bool,
+    /// Until when its agent is looked for, if it has not been heard.
+    sought_until: Option<Instant>,
+    /// Until when it is used though the store no longer names it.
+    pub(crate) missing_until: Option<Instant>,
+}
+
+impl Row {
+    /// Creates the row of an endpoint that was not known; `ranked` says whether it is
+    /// a rank of a group, whose agent tells how it is.
+    pub(crate) fn new(endpoint: Endpoint, ranked: bool, now: Instant) -> Self {
+        Self {
+            endpoint,
+            pass: None,
+            pace: Pace::default(),
+            open: true,
+            sought_until: ranked.then(|| now + SEEK_TIME),
+            missing_until: None,
+        }
+    }
+
+    /// Takes the endpoint's newest registration.
+    pub(crate) fn register(&mut self, endpoint: Endpoint) {
+        self.endpoint = endpoint;
+        self.missing_until = None;
+    }
+
+    /// Takes what its agent tells.
+    pub(crate) fn hear(&mut self, load: &Load, now: Instant) {
+        let endpoint = self.endpoint.id.as_str();
+        if self.open != load.open {
+            tracing::info!(endpoint, open = load.open, "group has opened or broken");
+        }
+        if self.pace != load.pace {
+            let (before, pace) = (self.pace.factor(), load.pace.factor());
+            tracing::info!(endpoint, before, pace, "endpoint has another pace");
+        }
+        self.pass = Some((Duration::from_millis(load.pass.into()), now));
+        self.pace = load.pace;
+        self.open = load.open;
+        self.sought_until = None;
+    }
+
+    /// Returns how long a pass of its group takes, if that was told lately.
+    pub(crate) fn pass(&self, now: Instant) -> Option<Duration> {
+        let (pass, at) = self.pass?;
+        (now.saturating_duration_since(at) < WORD_TIME).then_some(pass)
+    }
+
+    /// Tells whether it should get nothing while others have room: it is slow, or its
+    /// passes are longer than the longest pause of streams that are on time.
+    pub(crate) fn is_late(&self, pause: Option<Duration>, now: Instant) -> bool {
+        let pass = self.pass(now).zip(pause);
+        self.pace.is_slow() || pass.is_some_and(|(pass, pause)| pass > pause)
+    }
+
+    /// Tells whether it is so slow that its streams should go on elsewhere.
+    pub(crate) fn straggles(&self, now: Instant) -> bool {
+        self.pace.is_straggler() && self.pass(now).is_some()
+    }
+
+    /// Tells whether its agent is looked for.
+    pub(crate) fn is_sought(&self, now: Instant) -> bool {
+        self.sought_until.is_some_and(|until| until > now)
+    }
+}
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -11,6 +11,7 @@
 use rand::Rng;
 use tokio::sync::mpsc;
 
+use crate::admission::RETURNED_WAIT;
 use crate::answer::{self, Read};
 use crate::body::Outgoing;
 use crate::decide::{Course, Failure, Next};
@@ -26,6 +27,9 @@
 /// made to wait.
 const PIECES_AHEAD: usize = 16;
 
+/// How often it is looked whether there is room.
+const LOOK_AGAIN: Duration = Duration::from_millis(40);
+
 /// Counts a request as in flight until it is dropped.
 struct InFlight(Rc<Knowledge>);
 
@@ -66,6 +70,7 @@
         call,
         course,
         tried: Vec::new(),
+        waited: false,
         sending: false,
         failure: None,
     };
@@ -94,6 +99,8 @@
     call: Call,
     course: Course,
     tried: Vec<Endpoint>,
+    /// Whether it has waited for room.
+    waited: bool,
     /// Whether an endpoint may be at work.
     sending: bool,
     /// An endpoint's own failure, which the caller gets unless another endpoint
@@ -108,6 +115,10 @@
             let (endpoint, running) =
                 match exchange::choose(&self.knowledge, &self.call, &self.tried, Instant::now()) {
                     Ok(chosen) => chosen,
+                    Err(Unserved::Busy | Unserved::None(_)) if self.waits() => {
+                        self.wait().await;
+                        continue;
+                    }
                     Err(Unserved::Busy) if self.course.sent() == 0 => return Err(Refusal::Busy),
                     Err(Unserved::Busy) => return Err(self.course.given_up()),
                     Err(Unserved::None(error)) => {
@@ -172,6 +183,21 @@
         Ok(Answered::Whole(reply.head, bytes))
     }
 
+    /// Waits until it is looked for room again.
+    async fn wait(&mut self) {
+        if !std::mem::replace(&mut self.waited, true) {
+            metrics::counter!(metric::GATEWAY_WAITED).increment(1);
+        }
+        tokio::time::sleep(LOOK_AGAIN).await;
+    }
+
+    /// Tells whether a caller that was refused before still waits for room.
+    fn waits(&self) -> bool {
+        self.call.has_returned
+            && self.course.sent() == 0
+            && self.call.arrived.elapsed() < RETURNED_WAIT
+    }
+
     fn affordable(&self) -> bool {
         let mut budgets = self.knowledge.budgets.borrow_mut();
         budgets.spend(&self.call.judged.service, Instant::now())
@@ -271,6 +297,8 @@
         route = call.judged.route.name,
         organisation = call.judged.organisation.as_ref().map(|o| o.name.as_str()),
         version = call.version,
+        patience_ms = call.head.patience.map(millis),
+        returned = call.has_returned,
         key_age_ms = knowledge.freshness.borrow().age(now).map(millis),
         endpoint = tried.last().map(Endpoint::as_str),
         sends = tried.len(),
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -58,6 +58,10 @@
     request::strip(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
+    let has_returned = knowledge
+        .patience
+        .borrow_mut()
+        .has_returned(&judged.route.name, head.patience);
     let until = Call::due(&judged.route, &head, arrived);
     let target = parts
         .uri
@@ -71,6 +75,7 @@
         body,
         head,
         judged,
+        has_returned,
         version: configuration.version,
         arrived,
         until,
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -15,6 +15,7 @@
 use crate::freshness::Freshness;
 use crate::news::News;
 use crate::options::Options;
+use crate::patience::Patience;
 use crate::peer::{Changes, Entry, State};
 use crate::peers::Peers;
 use crate::pool::Pool;
@@ -35,6 +36,7 @@
     pub(crate) news: News,
     pub(crate) pool: Pool,
     pub(crate) budgets: RefCell<Budgets>,
+    pub(crate) patience: RefCell<Patience>,
     pub(crate) rng: RefCell<SmallRng>,
     pub(crate) in_flight: Cell<u32>,
     pub(crate) stopping: Cell<Option<Instant>>,
@@ -53,6 +55,7 @@
             peers: RefCell::new(Peers::new(&options.host, &options.data_centre)),
             budgets: RefCell::new(Budgets::new(options.retry_ratio, options.retry_window)),
             options: RefCell::new(Rc::new(options)),
+            patience: RefCell::default(),
             configuration: RefCell::default(),
             questions: RefCell::default(),
             revision: Cell::default(),
@@ -187,7 +190,7 @@
             Ok(Some(Item::Configuration(new))) => self.take_configuration(*new, revision),
             Ok(Some(Item::Endpoint(endpoint))) => {
                 let (leaving, service) = (endpoint.leaving, endpoint.service.clone());
-                if self.fleet.borrow_mut().insert(endpoint) {
+                if self.fleet.borrow_mut().insert(endpoint, now) {
                     tracing::info!(
                         endpoint = name,
                         service,
@@ -329,6 +332,11 @@
         self.pool.sweep(now, |id| fleet.takes_work(id));
     }
 
+    /// Tells whether agents are looked for that have not been heard.
+    pub(crate) fn seeks(&self, now: Instant) -> bool {
+        !self.fleet.borrow().sought(now).is_empty()
+    }
+
     /// Returns this entry's part of an endpoint's connections.
     pub(crate) fn connections(&self, service: &str) -> u32 {
         let all = self
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod tcp;
 
 pub mod absence;
+pub mod admission;
 mod answer;
 mod body;
 pub mod budget;
@@ -42,6 +43,7 @@
 mod link;
 mod listing;
 mod news;
+pub mod patience;
 pub mod peers;
 mod pool;
 pub mod progress;
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -10,11 +10,14 @@
 use tokio::net::UdpSocket;
 
 use crate::datagram;
+use crate::fleet::Heard;
 use crate::knowledge::Knowledge;
 use crate::peer::{self, Changes, Datagram};
 
 /// How often entries near are asked whether they are ready.
 const ASK_EVERY: Duration = Duration::from_millis(500);
+/// How often agents that have not been heard yet are subscribed to.
+const SEEK_EVERY: Duration = Duration::from_millis(60);
 /// Every how many rounds agents are subscribed to; a subscription lasts
 /// several rounds.
 const SUBSCRIBE_EVERY: u32 = 2;
@@ -28,6 +31,8 @@
 pub(crate) async fn run(knowledge: Rc<Knowledge>, socket: Rc<UdpSocket>) {
     let mut ticks = tokio::time::interval(ASK_EVERY);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut looks = tokio::time::interval(SEEK_EVERY);
+    looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut buffer = vec![0; DATAGRAM_MAX];
     let mut round = 0_u32;
     loop {
@@ -36,6 +41,7 @@
                 Ok((length, from)) => take(&knowledge, &socket, &buffer[..length], from),
                 Err(error) => tracing::debug!(%error, "datagram not received"),
             },
+            _ = looks.tick(), if knowledge.seeks(Instant::now()) => seek(&knowledge, &socket),
             _ = ticks.tick() => {
                 knowledge.tick(Instant::now());
                 ask(&knowledge, &socket, round.is_multiple_of(SUBSCRIBE_EVERY));
@@ -87,15 +93,12 @@
 
 fn take_load(knowledge: &Knowledge, load: &peer::Load, now: Instant) {
     let sharers = knowledge.peers.borrow().count();
+    let configuration = knowledge.configuration();
+    let pause = |service: &str| configuration.as_ref()?.pause(service);
     let mut fleet = knowledge.fleet.borrow_mut();
-    let found = fleet
-        .iter()
-        .find(|endpoint| endpoint.address == load.endpoint);
-    let Some(slots) = found.map(|endpoint| endpoint.slots) else {
+    let Some(Heard { slots, slower }) = fleet.hear(load, pause, now) else {
         return;
     };
-    let pass = Duration::from_millis(u64::from(load.pass));
-    let slower = fleet.set_pass(load.endpoint, pass, now);
     let report = Report {
         state: if load.open {
             State::Serving
@@ -158,6 +161,15 @@
     }
 }
 
+/// Subscribes to agents that have not been heard yet.
+fn seek(knowledge: &Knowledge, socket: &UdpSocket) {
+    let port = knowledge.options().agent_port;
+    for endpoint in knowledge.fleet.borrow().sought(Instant::now()) {
+        let agent = SocketAddr::new(endpoint.ip(), port);
+        send(socket, &Datagram::Subscribe, agent);
+    }
+}
+
 /// Passes changes of endpoints on to the entries of this data centre. One that
 /// doesn't get them finds itself behind the store and asks there.
 pub(crate) fn pass_on(knowledge: &Knowledge, socket: &UdpSocket, changes: Changes) {
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use cactusnotch_base::name;
+use cactusnotch_telemetry::metric;
 use http::header;
 use http::response::Parts;
 use http_body_util::BodyExt;
@@ -133,6 +134,10 @@
             if !data.is_empty() && self.sender.send(Ok(data)).await.is_err() {
                 return Part::End(End::Left);
             }
+            if events.is_some() && self.leaves(running.endpoint()) {
+                metrics::counter!(metric::GATEWAY_MOVED).increment(1);
+                return Part::Broken("the endpoint is far slower than others".to_owned());
+            }
         }
         if events.is_some_and(|events| events.is_partial()) {
             running.failed();
@@ -143,6 +148,13 @@
         Part::End(End::Whole)
     }
 
+    /// Tells whether a stream should go on at another endpoint: all ranks of a group
+    /// wait in each pass for what a straggler does for its own streams.
+    fn leaves(&self, endpoint: &name::Endpoint) -> bool {
+        let fleet = self.knowledge.fleet.borrow();
+        self.course.may_repeat() && fleet.is_straggler(endpoint.as_str(), Instant::now())
+    }
+
     /// Continues a stream after the event `last` at another endpoint.
     async fn resume<D: Dialect>(&mut self, last: Option<u64>, cause: String) -> Option<Reply> {
         let mut failure = exchange::Failed {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -9,6 +9,7 @@
 use http::{HeaderMap, Method, Request};
 use http_body_util::Full;
 
+use crate::admission::Caller;
 use crate::configuration::{Configuration, Organisation};
 use crate::dialect::{Dialect, Head, Hop};
 use crate::endpoint::Endpoint;
@@ -51,6 +52,8 @@
     pub(crate) body: Bytes,
     pub(crate) head: Head,
     pub(crate) judged: Judged,
+    /// Whether the caller was refused before.
+    pub(crate) has_returned: bool,
     pub(crate) version: u64,
     pub(crate) arrived: Instant,
     /// When the final answer is due.
@@ -105,6 +108,18 @@
         arrived + head.patience.unwrap_or(PATIENCE).min(route.timeout)
     }
 
+    /// Returns whether the caller comes for the first time, and how long it has waited
+    /// otherwise.
+    pub(crate) fn caller(&self, now: Instant) -> Caller {
+        if self.has_returned {
+            Caller::Returned {
+                waited: now.saturating_duration_since(self.arrived),
+            }
+        } else {
+            Caller::First
+        }
+    }
+
     /// Returns the urgency that endpoints are told: the organisation's rank
     /// goes before the route's.
     fn urgency(&self) -> u8 {
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -17,6 +17,8 @@
     pub predicted: Duration,
     /// The part of `predicted` that is spent waiting for a slot.
     pub wait: Duration,
+    /// The requests that are believed there, in hundredths of its slots.
+    pub fill: u32,
     /// How long a request of the service holds its slot.
     pub residence: Duration,
     /// The time to the first token that an endpoint of usual speed would take.
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -100,6 +100,14 @@
         }
     }
 
+    /// Leaves an endpoint to itself until a moment while others take work, or no
+    /// longer.
+    pub fn avoid(&mut self, endpoint: &Endpoint, until: Option<Instant>) {
+        if let Some(at) = self.position(endpoint) {
+            self.rows[at].avoided = until;
+        }
+    }
+
     /// Returns whether an endpoint takes new work, if the roster names it.
     #[must_use]
     pub fn state(&self, endpoint: &Endpoint) -> Option<State> {
@@ -177,6 +185,7 @@
             reason: pick.reason,
             predicted: pick.predicted,
             wait: pick.wait,
+            fill: pick.fill,
             residence: Duration::from_secs_f64(residence),
             usual: pick.usual,
         })
--- a/crates/route/src/row.rs
+++ b/crates/route/src/row.rs
@@ -34,6 +34,8 @@
     /// The entries that send requests, as last reported.
     pub(crate) sharers: f64,
     reported: Option<Instant>,
+    /// Until when the endpoint is left to itself while others take work.
+    pub(crate) avoided: Option<Instant>,
     pub(crate) health: Health,
     /// Measured first-token times as multiples of the undisturbed prediction.
     pub(crate) first: Average,
@@ -72,6 +74,7 @@
             others: Load::default(),
             sharers: 1.0,
             reported: None,
+            avoided: None,
             health: Health::default(),
             first: Average::default(),
             step: Average::default(),
--- a/crates/route/src/selection.rs
+++ b/crates/route/src/selection.rs
@@ -25,6 +25,7 @@
     pub(crate) row: usize,
     fitness: Fitness,
     distance: usize,
+    avoided: bool,
     slots: f64,
     slowness: f64,
     requests: f64,
@@ -51,6 +52,7 @@
     pub(crate) reason: Reason,
     pub(crate) predicted: Duration,
     pub(crate) wait: Duration,
+    pub(crate) fill: u32,
     pub(crate) usual: Duration,
 }
 
@@ -82,7 +84,7 @@
 
     /// Collects the endpoints that take work and have not been tried.
     fn collect(&mut self, members: &[usize], tried: &[Endpoint]) -> Result<(), Error> {
-        let (mut leaving, mut unreachable, mut serving) = (0, 0, 0);
+        let (mut leaving, mut unreachable, mut serving, mut avoided) = (0, 0, 0, 0);
         let mut mean = Mean::default();
         self.candidates.clear();
         for &at in members {
@@ -102,11 +104,15 @@
                     if !tried.contains(&row.member.name) {
                         let candidate = self.candidate(at, row, fresh, others);
                         self.candidates.push(candidate);
+                        avoided += usize::from(candidate.avoided);
                     }
                 }
             }
         }
         mean.store(self.seen);
+        if avoided < self.candidates.len() {
+            self.candidates.retain(|candidate| !candidate.avoided);
+        }
         match (self.candidates.is_empty(), serving) {
             (false, _) => Ok(()),
             (true, 0) => Err(Error::Unavailable {
@@ -126,6 +132,7 @@
             row: at,
             fitness: row.health.fitness(self.now),
             distance: row.distance,
+            avoided: row.avoided.is_some_and(|until| until > self.now),
             slots: row.slots,
             slowness: row.slowness(&self.reference, self.options, self.now),
             requests: f64::from(row.own.requests) + fresh * others.requests + stale * requests,
@@ -219,6 +226,7 @@
         let scale = |time: f64| Duration::try_from_secs_f64(time * self.reference.first);
         Pick {
             row: candidate.row,
+            fill: whole(100.0 * candidate.requests / candidate.slots),
             reason,
             predicted: scale(predicted).unwrap_or(Duration::MAX),
             wait: scale(wait).unwrap_or(Duration::MAX),
@@ -309,6 +317,16 @@
         + occupancy * options.base_time.as_secs_f64()
 }
 
+/// Returns the whole part of a number that is not negative.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a load is not negative and far below 2^32"
+)]
+const fn whole(number: f64) -> u32 {
+    number as u32
+}
+
 /// Returns `part / whole` for numbers of endpoints.
 fn fraction(part: usize, whole: usize) -> f64 {
     let float = |n: usize| u32::try_from(n).map_or(f64::MAX, f64::from);
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -72,6 +72,27 @@
     }
 }
 
+#[test]
+fn an_avoided_endpoint_gets_work_only_if_no_other_has_any_to_take() {
+    let now = Instant::now();
+    let mut router = router(&home(2));
+    let (slow, other) = (Endpoint::new("s00"), Endpoint::new("s01"));
+    router.avoid(&slow, Some(now + Duration::from_secs(1)));
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = service();
+    let mut choose = |tried: &[Endpoint], now| {
+        let choice = router.choose(&request(&service, &[], tried), now, &mut rng);
+        choice.expect("both take work").endpoint
+    };
+    for _ in 0..20 {
+        assert_eq!(choose(&[], now), other);
+    }
+    assert_eq!(choose(std::slice::from_ref(&other), now), slow);
+    // A word that is not renewed ends.
+    let later = now + Duration::from_secs(2);
+    assert!((0..20).any(|_| choose(&[], later) == slow));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 64,
