--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -185,7 +185,7 @@
             reason: pick.reason,
             predicted: pick.predicted,
             wait: pick.wait,
-            fill: pick.fill,
+            fill: whole(pick.fill),
             residence: Duration::from_secs_f64(residence),
             usual: pick.usual,
         })
--- a/crates/route/src/selection.rs
+++ b/crates/route/src/selection.rs
@@ -52,7 +52,8 @@
     pub(crate) reason: Reason,
     pub(crate) predicted: Duration,
     pub(crate) wait: Duration,
-    pub(crate) fill: u32,
+    /// The requests that are believed there, in hundredths of its slots.
+    pub(crate) fill: f64,
     pub(crate) usual: Duration,
 }
 
@@ -226,7 +227,7 @@
         let scale = |time: f64| Duration::try_from_secs_f64(time * self.reference.first);
         Pick {
             row: candidate.row,
-            fill: whole(100.0 * candidate.requests / candidate.slots),
+            fill: 100.0 * candidate.requests / candidate.slots,
             reason,
             predicted: scale(predicted).unwrap_or(Duration::MAX),
             wait: scale(wait).unwrap_or(Duration::MAX),
@@ -317,16 +318,6 @@
         + occupancy * options.base_time.as_secs_f64()
 }
 
-/// Returns the whole part of a number that is not negative.
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a load is not negative and far below 2^32"
-)]
-const fn whole(number: f64) -> u32 {
-    number as u32
-}
-
 /// Returns `part / whole` for numbers of endpoints.
 fn fraction(part: usize, whole: usize) -> f64 {
     let float = |n: usize| u32::try_from(n).map_or(f64::MAX, f64::from);
