--- a/crates/rebalance/src/pressure.rs
+++ b/crates/rebalance/src/pressure.rs
@@ -20,14 +20,14 @@
 /// longer than the mean, and longer passes keep slots from others, which makes
 /// passes longer still.
 const PASS: Limit = Limit {
-    easy: 0.3,
-    pressed: 0.6,
+    easy: 0.25,
+    pressed: 0.5,
 };
 /// The passes right after a turn of demand, in parts of the longest pause: streams
 /// that run then get late at once if it is exceeded.
 const TURN: Limit = Limit {
-    easy: 0.8,
-    pressed: 1.05,
+    easy: 0.75,
+    pressed: 0.95,
 };
 /// The requests that run or wait for each slot: passes that get shorter give the
 /// slots of a full group to others sooner.
