fix: streams leave a slow rank only for a free slot that can be paid for

Cause: read in the code: a stream that was to leave a slow rank was taken off it before it was known whether the budget of repeats allowed that and whether another endpoint had room; without either it would have been broken off in front of its caller. Not seen in play.

Change: budget and a free slot are looked at first; no task runs between that and the move. Asking the budget is tried together with spending in bounds.rs.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -90,16 +90,20 @@
         }
     }
 
-    /// Pays for a repeated send; returns whether there was enough.
-    pub fn spend(&mut self, service: &str, now: Instant) -> bool {
+    /// Tells whether a repeated send could be paid for now.
+    pub fn affords(&mut self, service: &str, now: Instant) -> bool {
         let (ratio, window) = (self.ratio, self.window);
         let allowance = f64::from(self.allowance);
-        let row = self.row(service, now);
-        let (first, again) = row.sums(now, window);
-        if f64::from(again + 1) > ratio * f64::from(first) + allowance {
+        let (first, again) = self.row(service, now).sums(now, window);
+        f64::from(again + 1) <= ratio * f64::from(first) + allowance
+    }
+
+    /// Pays for a repeated send; returns whether there was enough.
+    pub fn spend(&mut self, service: &str, now: Instant) -> bool {
+        if !self.affords(service, now) {
             return false;
         }
-        if let Some((_, _, again)) = row.parts.back_mut() {
+        if let Some((_, _, again)) = self.row(service, now).parts.back_mut() {
             *again += 1;
         }
         true
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -169,6 +169,17 @@
     }
 }
 
+/// Tells whether an endpoint that was not tried has a free slot for a request.
+pub(crate) fn has_room(
+    knowledge: &Rc<Knowledge>,
+    call: &Call,
+    tried: &[name::Endpoint],
+    now: Instant,
+) -> bool {
+    let chosen = choose(knowledge, call, tried, now);
+    chosen.is_ok_and(|(_, running)| !running.forecast.full)
+}
+
 /// Returns what a request has to expect at the endpoint that was chosen.
 fn forecast(knowledge: &Knowledge, choice: &choice::Choice, now: Instant) -> Forecast {
     Forecast {
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -149,10 +149,23 @@
     }
 
     /// Tells whether a stream should go on at another endpoint: all ranks of a group
-    /// wait in each pass for what a straggler does for its own streams.
+    /// wait in each pass for what a straggler does for its own streams. One that no
+    /// other endpoint has a free slot for, or that can't be paid for, stays.
     fn leaves(&self, endpoint: &name::Endpoint) -> bool {
-        let fleet = self.knowledge.fleet.borrow();
-        self.course.may_repeat() && fleet.is_straggler(endpoint.as_str(), Instant::now())
+        let now = Instant::now();
+        let knowledge = &self.knowledge;
+        let straggles = || {
+            knowledge
+                .fleet
+                .borrow()
+                .is_straggler(endpoint.as_str(), now)
+        };
+        let service = &self.call.judged.service;
+        let affordable = || knowledge.budgets.borrow_mut().affords(service, now);
+        self.course.may_repeat()
+            && straggles()
+            && affordable()
+            && exchange::has_room(knowledge, &self.call, &self.tried, now)
     }
 
     /// Continues a stream after the event `last` at another endpoint.
--- a/crates/gateway/tests/bounds.rs
+++ b/crates/gateway/tests/bounds.rs
@@ -27,7 +27,10 @@
         for (pause, repeat) in steps {
             now += Duration::from_millis(pause);
             if repeat {
-                if budgets.spend("s", now) {
+                // To ask costs nothing, and the answer is kept.
+                let affords = budgets.affords("s", now);
+                prop_assert_eq!(affords, budgets.spend("s", now));
+                if affords {
                     repeats.push(now);
                 }
             } else {
