refactor: one function for the milliseconds of log lines; mend two comments

Read once more at the end: the send's line wrote again what three places of the entry had, and a comment at the agent still told of a trial that was not kept (entries take a group for open until they are told otherwise); the prices of a copy named the pause alone, though turns and fill count too. Behaviour is the same.

Checks: format, lints with warnings denied, and the tests of the entry, the agents, the platform and the binaries pass (rc 0).

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -16,6 +16,7 @@
 use crate::decide::{Course, Failure};
 use crate::dialect::Dialect;
 use crate::endpoint::Endpoint;
+use crate::journal::millis;
 use crate::knowledge::Knowledge;
 use crate::pool::{self, Kept, Lease, Reuse};
 use crate::request::Call;
@@ -69,7 +70,6 @@
         let Some(sent) = self.sent else {
             return;
         };
-        let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
         tracing::info!(
             id = self.id,
             endpoint = self.endpoint().as_str(),
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -18,6 +18,7 @@
 use crate::dialect::Dialect;
 use crate::exchange::{self, Failed, Reply, Unserved};
 use crate::intake;
+use crate::journal::millis;
 use crate::knowledge::Knowledge;
 use crate::pump::Pump;
 use crate::refusal::Refusal;
@@ -293,7 +294,6 @@
     resumed: u32,
 ) {
     let now = Instant::now();
-    let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
     tracing::info!(
         id = call.head.id.as_deref(),
         route = call.judged.route.name,
@@ -322,7 +322,7 @@
     tracing::info!(
         id,
         version,
-        key_age_ms = age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+        key_age_ms = age.map(millis),
         status = refusal.status().as_u16(),
         outcome = %refusal,
         us = u64::try_from(now.saturating_duration_since(arrived).as_micros()).unwrap_or(u64::MAX),
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -118,3 +118,8 @@
         self
     }
 }
+
+/// Returns a time as log lines state it, in whole milliseconds.
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::absence::NOTICE_MAX;
+use crate::journal::millis;
 use crate::store::{CALL_TIMEOUT, Error, Kind};
 
 /// The pause after the first failed call, doubled with each further one. Each
@@ -53,7 +54,7 @@
         let Some(lost) = self.lost.take() else {
             return false;
         };
-        let ms = u64::try_from(now.saturating_duration_since(lost).as_millis()).unwrap_or(u64::MAX);
+        let ms = millis(now.saturating_duration_since(lost));
         tracing::info!(%kind, ms, "store regained");
         true
     }
--- a/crates/rebalance/src/agent.rs
+++ b/crates/rebalance/src/agent.rs
@@ -197,7 +197,7 @@
     }
 
     /// Takes an entry's subscription, and tells a new subscriber the load at once: an
-    /// entry that has just started sends a group nothing before it knows that it is open.
+    /// entry that has just started takes a group for open until it is told otherwise.
     fn subscribe(&mut self, sockets: &Sockets, bytes: &[u8], from: SocketAddr, now: Instant) {
         if !matches!(datagram::decode(bytes), Ok(peer::Datagram::Subscribe)) {
             return;
--- a/crates/rebalance/src/agent/orders.rs
+++ b/crates/rebalance/src/agent/orders.rs
@@ -27,9 +27,9 @@
 /// the time that one without an answer has waited.
 const ORDER_PAUSE: Duration = Duration::from_millis(25);
 /// What a copied expert has to take off the peak, in mean loads for each second
-/// that its copy takes, where passes are far from the longest pause.
+/// that its copy takes, where the group is far from its limits.
 const GAIN_EASY: f64 = 6.0;
-/// The same where passes are about as long as that pause.
+/// The same where the group is at its limits.
 const GAIN_PRESSED: f64 = 0.25;
 
 /// The orders that may follow one another within one look.
