fix: reset connections to endpoints when they are closed

Ruled out: a caller's leaving that is noticed late (leave.rs shows it at once).

Connections that this project opens are reset when they are closed, so that what has not arrived is dropped; the same holds for orders and store calls that were given up.

--- a/crates/gateway/src/tcp.rs
+++ b/crates/gateway/src/tcp.rs
@@ -38,7 +38,10 @@
     socket.set_tcp_keepalive(&keepalive)
 }
 
-/// Opens a tuned connection to `peer` within `limit`.
+/// Opens a tuned connection to `peer` within `limit`. It is reset when it is closed:
+/// what a call has written is then dropped if it hasn't arrived yet. A host that stood
+/// still would otherwise read requests whose callers have long left, and carry out
+/// orders that were given up.
 ///
 /// # Errors
 ///
@@ -46,6 +49,7 @@
 pub async fn connect(peer: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
     let stream = tokio::time::timeout(limit, TcpStream::connect(peer)).await??;
     tune(&stream)?;
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
     Ok(stream)
 }
 
