feat: use the later of two registrations at one address

Cause: after all hosts have lost their power the store names each endpoint twice for three heartbeats. Callers that had come back once were lost by it.

Ruled out: groups that form slowly (open 0.6 s after the power is back); refusals went on for 1.5 s after that.

The process test is red with the comparison taken out.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -109,12 +109,27 @@
         options
     }
 
-    /// Takes an endpoint's registration; returns whether anything changed.
+    /// Takes an endpoint's registration; returns whether anything changed. Of two at one
+    /// address the later one lives: the other's registration lapses only seconds after
+    /// its end, and what is sent there meanwhile is refused.
     pub(crate) fn insert(&mut self, endpoint: Endpoint, now: Instant) -> bool {
         let known = self.rows.get(&endpoint.id);
         if known.is_some_and(|row| row.endpoint == endpoint && row.missing_until.is_none()) {
             return false;
         }
+        if self.iter().any(|other| other.supersedes(&endpoint)) {
+            return false;
+        }
+        let ended = self.iter().find(|other| endpoint.supersedes(other));
+        if let Some(ended) = ended.map(|other| other.id.clone()) {
+            tracing::info!(
+                endpoint = ended,
+                by = endpoint.id,
+                revision = endpoint.registered.0,
+                "endpoint superseded at its address"
+            );
+            self.remove(&ended, None);
+        }
         let service = endpoint.service.clone();
         let ranked = self.ranked.binary_search(&service).is_ok();
         let id = endpoint.id.clone();
