feat: continue streams elsewhere whose endpoint is lost

A stream without an event for half a second whose endpoint has told that it does not serve, or whose agent is silent, goes on at an endpoint with a free slot within the same answer, also before its first event; within the attempts and the budget of repeats.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -169,17 +169,41 @@
     }
 }
 
-/// Tells whether an endpoint that was not tried has a free slot for a request.
-pub(crate) fn has_room(
+/// Tells whether an endpoint that was not tried has a free slot for a request, and
+/// sending it there can be paid for.
+pub(crate) fn may_move(
     knowledge: &Rc<Knowledge>,
     call: &Call,
     tried: &[name::Endpoint],
     now: Instant,
 ) -> bool {
+    let service = &call.judged.service;
+    if !knowledge.budgets.borrow_mut().affords(service, now) {
+        return false;
+    }
     let chosen = choose(knowledge, call, tried, now);
     chosen.is_ok_and(|(_, running)| !running.forecast.full)
 }
 
+/// Waits until a request should go on elsewhere: nothing has come for a while, its
+/// endpoint is lost, and another one has room.
+pub(crate) async fn lost(
+    knowledge: &Rc<Knowledge>,
+    call: &Call,
+    tried: &[name::Endpoint],
+    endpoint: &name::Endpoint,
+) {
+    tokio::time::sleep(STALLED).await;
+    loop {
+        let now = Instant::now();
+        let lost = knowledge.fleet.borrow().is_lost(endpoint.as_str(), now);
+        if lost && may_move(knowledge, call, tried, now) {
+            return;
+        }
+        tokio::time::sleep(LOOK_AGAIN).await;
+    }
+}
+
 /// Returns what a request has to expect at the endpoint that was chosen.
 fn forecast(knowledge: &Knowledge, choice: &choice::Choice, now: Instant) -> Forecast {
     Forecast {
@@ -202,6 +226,13 @@
     admission::admits(call.caller(now), forecast, &terms, draw)
 }
 
+/// The time without an event after which it is looked whether the endpoint is lost: far
+/// more than the longest pause on time, and far less than the two seconds after which
+/// callers leave, whose requests a frozen host can't be told to drop.
+const STALLED: Duration = Duration::from_millis(500);
+/// How often it is looked again.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+
 /// Sends the request to `endpoint` and waits for the head of its answer.
 pub(crate) async fn send<D: Dialect>(
     knowledge: &Rc<Knowledge>,
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -11,7 +11,7 @@
 };
 use rand::rngs::SmallRng;
 
-use self::row::{Row, WORD_TIME};
+use self::row::{Row, SILENCE, WORD_TIME};
 use crate::configuration::{Engine, Service};
 use crate::endpoint::Endpoint;
 use crate::peer::Load;
@@ -292,6 +292,11 @@
         slow.count() * STRAGGLERS_PART <= all
     }
 
+    /// Tells whether an endpoint is known not to serve.
+    pub(crate) fn is_lost(&self, id: &str, now: Instant) -> bool {
+        self.rows.get(id).is_some_and(|row| row.is_lost(now))
+    }
+
     /// Returns how long a pass takes at an endpoint, if that was told lately.
     pub(crate) fn pass(&self, id: &str, now: Instant) -> Option<Duration> {
         self.rows.get(id)?.pass(now)
@@ -362,10 +367,6 @@
 
 /// How fast a load report fades; agents send one four times a second.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
-/// The time after which an endpoint whose agent is not heard any more gets no work while
-/// others take some: its host is frozen, cut off or gone, and without reports it would
-/// look idle. Three reports in a row are lost in one of 40,000 cases where one in 30 is.
-const SILENCE: Duration = Duration::from_millis(800);
 
 fn kind(service: &str) -> route::Service {
     route::Service::Path(service.to_owned())
--- a/crates/gateway/src/fleet/row.rs
+++ b/crates/gateway/src/fleet/row.rs
@@ -9,6 +9,10 @@
 /// How long an agent's word on passes counts; agents repeat it four times a
 /// second.
 pub(crate) const WORD_TIME: Duration = Duration::from_millis(1_500);
+/// The time after which an endpoint whose agent is not heard any more gets no work while
+/// others take some: its host is frozen, cut off or gone, and without reports it would
+/// look idle. Three reports in a row are lost in one of 40,000 cases where one in 30 is.
+pub(crate) const SILENCE: Duration = Duration::from_millis(800);
 /// How long a rank's agent is looked for: agents answer a subscription at once, and a
 /// group that forms refuses all it gets for 0.6 s, which only its agents tell.
 const SEEK_TIME: Duration = Duration::from_secs(2);
@@ -83,6 +87,13 @@
         self.pace.is_straggler() && self.pass(now).is_some()
     }
 
+    /// Tells whether it is known not to serve: its group is broken, or its agent has been
+    /// heard before and is silent.
+    pub(crate) fn is_lost(&self, now: Instant) -> bool {
+        let silent = |at| now.saturating_duration_since(at) > SILENCE;
+        !self.open || self.pass.is_some_and(|(_, at)| silent(at))
+    }
+
     /// Tells whether its agent is looked for.
     pub(crate) fn is_sought(&self, now: Instant) -> bool {
         self.sought_until.is_some_and(|until| until > now)
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cactusnotch_base::name::Endpoint;
+use cactusnotch_base::name;
 use cactusnotch_telemetry::metric;
 use http::{Request, Response, header};
 use hyper::body::Incoming;
@@ -16,13 +16,15 @@
 use crate::body::Outgoing;
 use crate::decide::{Course, Failure, Next};
 use crate::dialect::Dialect;
-use crate::exchange::{self, Failed, Reply, Unserved};
+use crate::endpoint::Endpoint;
+use crate::exchange::{self, Failed, Reply, Running, Unserved};
 use crate::intake;
 use crate::journal::millis;
 use crate::knowledge::Knowledge;
 use crate::pump::Pump;
 use crate::refusal::Refusal;
 use crate::request::{self, Call};
+use crate::route::Repeat;
 
 /// The pieces of an answer that wait for a slow caller before the endpoint is
 /// made to wait.
@@ -99,7 +101,7 @@
     knowledge: Rc<Knowledge>,
     call: Call,
     course: Course,
-    tried: Vec<Endpoint>,
+    tried: Vec<name::Endpoint>,
     /// Whether it has waited for room.
     waited: bool,
     /// Whether an endpoint may be at work.
@@ -128,19 +130,7 @@
                     }
                 };
             self.tried.push(running.endpoint().clone());
-            self.sending = true;
-            let last = self.call.head.last_event;
-            let sent = exchange::send::<D>(
-                &self.knowledge,
-                &self.call,
-                &mut self.course,
-                &endpoint,
-                running,
-                last,
-            )
-            .await;
-            self.sending = false;
-            let failed = match sent {
+            let failed = match self.send::<D>(&endpoint, running).await {
                 Ok(reply) => match self.take(reply).await {
                     Ok(answered) => return Ok(answered),
                     Err(failed) => failed,
@@ -151,6 +141,37 @@
         }
     }
 
+    /// Sends the request to an endpoint and waits for the head of its answer, as long as
+    /// the endpoint is not lost or the request can't be sent again.
+    async fn send<D: Dialect>(
+        &mut self,
+        endpoint: &Endpoint,
+        running: Running,
+    ) -> Result<Reply, Failed> {
+        let (before, tried) = (self.course.sent(), running.endpoint().clone());
+        let movable = self.call.judged.route.repeat == Repeat::Resume
+            && before + 1 < self.call.judged.route.attempts;
+        self.sending = true;
+        let last = self.call.head.last_event;
+        let (knowledge, call) = (&self.knowledge, &self.call);
+        let sent = tokio::select! {
+            biased;
+            sent = exchange::send::<D>(knowledge, call, &mut self.course, endpoint, running, last) => Some(sent),
+            () = exchange::lost(knowledge, call, &self.tried, &tried), if movable => None,
+        };
+        self.sending = false;
+        sent.unwrap_or_else(|| {
+            metrics::counter!(metric::GATEWAY_MOVED).increment(1);
+            let unsent = self.course.sent() == before;
+            let failure = if unsent {
+                Failure::Unsent
+            } else {
+                Failure::InDoubt
+            };
+            Err(Failed::new(failure, "the endpoint is lost"))
+        })
+    }
+
     /// Reads an answer as far as it has to be known before it is passed on.
     async fn take(&mut self, mut reply: Reply) -> Result<Answered, Failed> {
         let repeat = self.call.judged.route.repeat;
@@ -212,7 +233,7 @@
         let next = course.fail(failed.failure, || self.affordable());
         self.course = course;
         let id = self.call.head.id.as_deref();
-        let endpoint = self.tried.last().map(Endpoint::as_str);
+        let endpoint = self.tried.last().map(name::Endpoint::as_str);
         tracing::info!(id, endpoint, cause = failed.cause, next = ?next, "endpoint gave no answer");
         match next {
             Next::Repeat => {
@@ -288,7 +309,7 @@
 fn log(
     knowledge: &Knowledge,
     call: &Call,
-    tried: &[Endpoint],
+    tried: &[name::Endpoint],
     status: u16,
     outcome: &str,
     resumed: u32,
@@ -302,7 +323,7 @@
         patience_ms = call.head.patience.map(millis),
         returned = call.has_returned,
         key_age_ms = knowledge.freshness.borrow().age(now).map(millis),
-        endpoint = tried.last().map(Endpoint::as_str),
+        endpoint = tried.last().map(name::Endpoint::as_str),
         sends = tried.len(),
         resumed,
         status,
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -117,6 +117,13 @@
                 () = self.sender.closed() => return Part::End(End::Left),
                 frame = body.frame() => frame,
                 () = tokio::time::sleep_until(until) => return Part::End(End::TimeUp),
+                () = exchange::lost(&self.knowledge, &self.call, &self.tried, running.endpoint()),
+                    if events.is_some() && self.course.may_repeat() =>
+                {
+                    running.failed();
+                    metrics::counter!(metric::GATEWAY_MOVED).increment(1);
+                    return Part::Broken("the endpoint is lost".to_owned());
+                }
             };
             let data = match frame {
                 None => break,
@@ -149,23 +156,16 @@
     }
 
     /// Tells whether a stream should go on at another endpoint: all ranks of a group
-    /// wait in each pass for what a straggler does for its own streams. One that no
-    /// other endpoint has a free slot for, or that can't be paid for, stays.
+    /// wait in each pass for what a straggler does for its own streams.
     fn leaves(&self, endpoint: &name::Endpoint) -> bool {
         let now = Instant::now();
-        let knowledge = &self.knowledge;
         let straggles = || {
-            knowledge
-                .fleet
-                .borrow()
-                .is_straggler(endpoint.as_str(), now)
+            let fleet = self.knowledge.fleet.borrow();
+            fleet.is_straggler(endpoint.as_str(), now)
         };
-        let service = &self.call.judged.service;
-        let affordable = || knowledge.budgets.borrow_mut().affords(service, now);
         self.course.may_repeat()
             && straggles()
-            && affordable()
-            && exchange::has_room(knowledge, &self.call, &self.tried, now)
+            && exchange::may_move(&self.knowledge, &self.call, &self.tried, now)
     }
 
     /// Continues a stream after the event `last` at another endpoint.
