perf: ask only the rank that has held the group whether it is there

Only the host that has just given the hold is likely to stand still.

Ranks take turns by a count of their own: by the version the same one of two was always asked.

--- a/crates/rebalance/src/agent/hear.rs
+++ b/crates/rebalance/src/agent/hear.rs
@@ -90,7 +90,10 @@
             return false;
         };
         let lacks = coordinator.lacks(&standing)
-            || coordinator.round().phase != Phase::Prepare
+            || !matches!(
+                coordinator.round().phase,
+                Phase::Prepare | Phase::Meet { .. }
+            )
             || coordinator.map().is_none();
         let parts = match coordinator.map() {
             Some((version, map))
--- a/crates/rebalance/src/agent/orders.rs
+++ b/crates/rebalance/src/agent/orders.rs
@@ -113,15 +113,25 @@
                 send_bytes(&sockets.agents, &bytes, rank);
             }
         }
+        let called = step.call.iter().filter_map(|&rank| self.agent_of(rank));
+        for (agent, lead) in called.zip(self.rank.coordinator.iter().cycle()) {
+            let round = Datagram::Round(lead.round().clone());
+            send(&sockets.agents, &round, agent);
+        }
         if let Some((rank, pass)) = step.ask {
             self.ask(sockets, place, state, rank, pass);
         }
         step.order
     }
 
+    /// Returns where a rank's agent is, as far as this one leads and has heard it.
+    fn agent_of(&self, rank: u16) -> Option<SocketAddr> {
+        self.ranks.get(usize::from(rank)).copied().flatten()
+    }
+
     /// Asks another rank to hold the group at the own endpoint.
     fn ask(&self, sockets: &Sockets, place: &Place, state: &State, rank: u16, step: u64) {
-        let agent = self.ranks.get(usize::from(rank)).copied().flatten();
+        let agent = self.agent_of(rank);
         tracing::info!(group = place.group, rank, step, agent = ?agent, "hold asked for");
         let Some(agent) = agent else {
             return;
--- a/crates/rebalance/src/coordinator.rs
+++ b/crates/rebalance/src/coordinator.rs
@@ -46,6 +46,9 @@
     next: Option<Map>,
     round: Round,
     stage: Stage,
+    /// The ranks that were asked to hold the group in this round, in order: one, unless it
+    /// took too long.
+    holders: Vec<u16>,
     /// When the group was last let go since a rank was out of reach.
     let_go_at: Option<Instant>,
     /// The last pass that the group was let go into. A late order to let it
@@ -79,6 +82,7 @@
             next: None,
             round,
             stage: Stage::Rest,
+            holders: Vec::new(),
             let_go_at: None,
             let_go: None,
             arming: Arming::default(),
@@ -111,9 +115,8 @@
         let version = self.round.version;
         let maps = &standing.maps;
         match self.round.phase {
-            Phase::Rest | Phase::Commit => false,
+            Phase::Rest | Phase::Commit | Phase::Meet { .. } => false,
             Phase::Prepare => maps.current < version && maps.prepared != Some(version),
-            Phase::Meet { step } => standing.met != Some(step),
             Phase::Arm { .. } => maps.current < version && maps.armed.is_none(),
         }
     }
@@ -242,10 +245,7 @@
             Stage::Rest => self.rest(maps, own, now),
             Stage::Prepare { since } => {
                 if maps.iter().all(|maps| maps.prepared == Some(version)) {
-                    self.stage = Stage::Hold {
-                        asks: 0,
-                        asked: None,
-                    };
+                    self.stage = Stage::Hold { asked: None };
                     self.round.phase = Phase::Commit;
                 } else if now.saturating_duration_since(since) > PREPARE_TIME {
                     self.stage = Stage::Rest;
@@ -266,7 +266,7 @@
                 self.stage = Stage::Meet {
                     step,
                     since: now,
-                    told: now,
+                    told: None,
                 };
                 self.round.phase = Phase::Meet { step };
                 Some(Event::Held(step))
--- a/crates/rebalance/src/coordinator/arming.rs
+++ b/crates/rebalance/src/coordinator/arming.rs
@@ -12,7 +12,7 @@
 /// The time from a look at the own endpoint until a hold that follows from it is known
 /// to be in force: a message to another host, its order, and a call on this one.
 const HOLD_TIME: Duration = Duration::from_millis(15);
-/// The least time that ranks have to say that they are there, once the group is held; it
+/// The least time that the rank that has held the group has to say that it is there; it
 /// is as long as arming took lately if that is more. One that takes longer is out of
 /// reach. The pass that is held is due after about as long, and a pause of 0.12 s would
 /// make all running streams late.
@@ -68,7 +68,7 @@
         self.held = None;
     }
 
-    /// Returns how long ranks may take to say that they are there.
+    /// Returns how long the rank that has held the group may take to say that it is there.
     pub(crate) fn meeting(&self) -> Duration {
         self.longest.max(MEET_MIN)
     }
--- a/crates/rebalance/src/coordinator/hold.rs
+++ b/crates/rebalance/src/coordinator/hold.rs
@@ -10,14 +10,14 @@
 /// How long a rank that was asked to hold the group is waited for before another one is.
 /// A message and an order to another host of the region take one to five milliseconds.
 const ASK_TIME: Duration = Duration::from_millis(60);
-/// How often ranks that have not said that they are there are told again.
+/// How often the rank that has held the group is told so until it says that it is there.
 const TELL_EVERY: Duration = Duration::from_millis(30);
 
 impl Coordinator {
     /// Returns which rank is to hold the group at this rank's endpoint, and before which
     /// pass, if that is due. All ranks have loaded the map then.
     pub fn ask(&mut self, own: &Maps, now: Instant) -> Option<(u16, u64)> {
-        let Stage::Hold { asks, asked } = self.stage else {
+        let Stage::Hold { asked } = self.stage else {
             return None;
         };
         let others = u64::from(self.place.size).checked_sub(1);
@@ -26,13 +26,14 @@
         if !self.lacks_hold(own) || asked.is_some_and(lately) {
             return None;
         }
-        self.stage = Stage::Hold {
-            asks: asks + 1,
-            asked: Some(now),
-        };
+        self.stage = Stage::Hold { asked: Some(now) };
         // By turns, so that one that is out of reach is not asked twice.
-        let rank = 1 + (self.round.version + asks) % others;
-        let rank = u16::try_from(rank).unwrap_or(1);
+        let last = self.holders.last().copied().unwrap_or(0);
+        if asked.is_none() {
+            self.holders.clear();
+        }
+        let rank = 1 + u16::try_from(u64::from(last) % others).unwrap_or(0);
+        self.holders.push(rank);
         Some((rank, self.hold_at(own, now)))
     }
 
@@ -48,24 +49,26 @@
         (own.step + self.arming.passes_ahead(now)).max(after)
     }
 
-    /// Tells whether ranks have to be told once more that the group is held.
-    pub fn repeats(&mut self, now: Instant) -> bool {
+    /// Returns the ranks that have to be told that the group is held, if that is due: one
+    /// of their agents has given the order, and they have to say that they are still there.
+    pub fn calls(&mut self, now: Instant) -> &[u16] {
         let Stage::Meet { step, since, told } = self.stage else {
-            return false;
+            return &[];
         };
-        let due = now.saturating_duration_since(told) >= TELL_EVERY;
-        if due {
-            self.stage = Stage::Meet {
-                step,
-                since,
-                told: now,
-            };
+        let lately = |at| now.saturating_duration_since(at) < TELL_EVERY;
+        if told.is_some_and(lately) {
+            return &[];
         }
-        due
+        self.stage = Stage::Meet {
+            step,
+            since,
+            told: Some(now),
+        };
+        &self.holders
     }
 
-    /// Goes on once the group is held: to arming if all ranks are there, or by giving the
-    /// round up if one isn't.
+    /// Goes on once the group is held: to arming if the rank that has held it is there, or
+    /// by giving the round up if it isn't.
     ///
     /// What rank 0's endpoint has decides for all, whoever acts: no other rank is armed
     /// before rank 0 is, and the round is given up only by having rank 0's endpoint load
@@ -80,7 +83,7 @@
                 }
                 None
             }
-            Stage::Meet { step, .. } if self.all_there(step) => {
+            Stage::Meet { step, .. } if self.is_there(step) => {
                 self.stage = Stage::Lead;
                 None
             }
@@ -110,11 +113,14 @@
         self.rows.iter().flatten().all(heard)
     }
 
-    /// Tells whether all other ranks have said that they are there for the pass.
-    fn all_there(&self, step: u64) -> bool {
+    /// Tells whether the ranks that were asked to hold the group before the pass have said,
+    /// once the hold was seen, that they are there. A host that stands still right after its order
+    /// could not be armed.
+    fn is_there(&self, step: u64) -> bool {
         let there = |row: &Row| row.standing.met == Some(step);
-        let mut others = self.rows.iter().skip(1);
-        others.all(|row| row.as_ref().is_some_and(there))
+        let row = |&rank: &u16| self.rows.get(usize::from(rank))?.as_ref();
+        let mut asked = self.holders.iter();
+        asked.all(|rank| row(rank).is_some_and(there))
     }
 
     /// Returns the order that settles at this rank's endpoint whether the round goes on:
--- a/crates/rebalance/src/coordinator/stage.rs
+++ b/crates/rebalance/src/coordinator/stage.rs
@@ -9,16 +9,17 @@
     Rest,
     /// The ranks load the map of this version.
     Prepare { since: Instant },
-    /// The group is to be held; all ranks have loaded the map. So many ranks were asked
-    /// to hold it, the last one then.
-    Hold { asks: u64, asked: Option<Instant> },
-    /// The group is held, and all ranks have to say that they are there.
+    /// The group is to be held; all ranks have loaded the map. A rank was last asked to
+    /// hold it then.
+    Hold { asked: Option<Instant> },
+    /// The group is held, and the rank that has held it has to say that it is there. It
+    /// was last told then.
     Meet {
         step: u64,
         since: Instant,
-        told: Instant,
+        told: Option<Instant>,
     },
-    /// The group is held and some rank is out of reach: this rank gives the map up.
+    /// The group is held and that rank is out of reach: this rank gives the map up.
     Undo,
     /// The group is held, and this rank gets armed, ahead of all others.
     Lead,
--- a/crates/rebalance/src/message.rs
+++ b/crates/rebalance/src/message.rs
@@ -55,8 +55,9 @@
     /// more unless some rank is out of reach. It says so before the group is held, so
     /// that others can go on if it falls silent then.
     Commit,
-    /// The group is held, and each rank says that it is there before any is armed: one
-    /// that has fallen silent could never be known to be armed or not.
+    /// The group is held, and who is told this says that it is there before any rank is
+    /// armed: the one that has held the group, or all if the leader is silent. One that has
+    /// fallen silent could never be known to be armed or not.
     Meet {
         /// The pass.
         step: u64,
--- a/crates/rebalance/src/rank.rs
+++ b/crates/rebalance/src/rank.rs
@@ -5,7 +5,7 @@
 use crate::codec::Order;
 use crate::coordinator::{Coordinator, Event};
 use crate::member::Member;
-use crate::message::Standing;
+use crate::message::{Phase, Standing};
 use crate::plan;
 use crate::state::{Maps, Place};
 use crate::{Pace, Shape};
@@ -31,6 +31,8 @@
     pub announce: bool,
     /// The rank that is to hold the group at this rank's endpoint, and before which pass.
     pub ask: Option<(u16, u64)>,
+    /// The ranks that have to be told the round and to say that they are there.
+    pub call: Vec<u16>,
 }
 
 impl Rank {
@@ -80,10 +82,12 @@
             let before = (coordinator.round().version, coordinator.round().phase);
             (step.order, step.event) = coordinator.step(&maps, now);
             let round = coordinator.round();
-            step.announce = before != (round.version, round.phase);
+            // Only the rank that has held the group is told that it is held.
+            let meets = matches!(round.phase, Phase::Meet { .. });
+            step.announce = before != (round.version, round.phase) && !meets;
             let round = round.clone();
             step.ask = coordinator.ask(&maps, now);
-            step.announce |= coordinator.repeats(now);
+            step.call = coordinator.calls(now).to_vec();
             if let Some((version, map)) = coordinator.map()
                 && self.member.known() != Some(version)
                 && maps.current == version
