refactor: one loop for loads to entries, one for rounds to ranks

Cause: the load was encoded and sent in two places once agents tell that their endpoint is lost, and a round in two loops once single ranks are called; found by reading the whole change again. Behaviour is as before; one doc comment is wrapped.

Tests of the package and its lints: green.

--- a/crates/rebalance/src/agent/orders.rs
+++ b/crates/rebalance/src/agent/orders.rs
@@ -107,17 +107,15 @@
         if let Some(event) = &step.event {
             log(place, event, self.cadence.pass(), self.rank.slowest());
         }
-        if let Some(coordinator) = self.rank.coordinator.as_ref().filter(|_| step.announce) {
+        let all = self.ranks.iter().flatten().copied();
+        let called = step.call.iter().filter_map(|&rank| self.agent_of(rank));
+        let told: Vec<_> = all.filter(|_| step.announce).chain(called).collect();
+        if let Some(coordinator) = self.rank.coordinator.as_ref().filter(|_| !told.is_empty()) {
             let bytes = datagram::encode(&Datagram::Round(coordinator.round().clone()));
-            for &rank in self.ranks.iter().flatten() {
-                send_bytes(&sockets.agents, &bytes, rank);
+            for agent in told {
+                send_bytes(&sockets.agents, &bytes, agent);
             }
         }
-        let called = step.call.iter().filter_map(|&rank| self.agent_of(rank));
-        for (agent, lead) in called.zip(self.rank.coordinator.iter().cycle()) {
-            let round = Datagram::Round(lead.round().clone());
-            send(&sockets.agents, &round, agent);
-        }
         if let Some((rank, pass)) = step.ask {
             self.ask(sockets, place, state, rank, pass);
         }
--- a/crates/rebalance/src/agent/tell.rs
+++ b/crates/rebalance/src/agent/tell.rs
@@ -49,11 +49,8 @@
             memory: state.memory,
             pace: state.pace,
         };
-        let bytes = datagram::encode(&peer::Datagram::Load(load.clone()));
-        for &(entry, _) in &self.subscribers {
-            send_bytes(&sockets.entries, &bytes, entry);
-        }
         self.load = Some(load);
+        self.send_load(sockets);
     }
 
     /// Tells entries that the endpoint does not answer.
@@ -62,6 +59,14 @@
             return;
         };
         load.open = false;
+        self.send_load(sockets);
+    }
+
+    /// Sends the load as it is known to all entries that have subscribed.
+    fn send_load(&self, sockets: &Sockets) {
+        let Some(load) = &self.load else {
+            return;
+        };
         let bytes = datagram::encode(&peer::Datagram::Load(load.clone()));
         for &(entry, _) in &self.subscribers {
             send_bytes(&sockets.entries, &bytes, entry);
--- a/crates/rebalance/src/coordinator/hold.rs
+++ b/crates/rebalance/src/coordinator/hold.rs
@@ -114,8 +114,8 @@
     }
 
     /// Tells whether the ranks that were asked to hold the group before the pass have said,
-    /// once the hold was seen, that they are there. A host that stands still right after its order
-    /// could not be armed.
+    /// once the hold was seen, that they are there. A host that stands still right after
+    /// its order could not be armed.
     fn is_there(&self, step: u64) -> bool {
         let there = |row: &Row| row.standing.met == Some(step);
         let row = |&rank: &u16| self.rows.get(usize::from(rank))?.as_ref();
