perf: tell groups of more than 32 ranks by relays, over links of 6 Mbit/s

It sends the map in force to each rank that lacks it with each of its words: 95 x 12 KB each 0.3 s, 3.5 MB a second over a link that carries 0.75 MB. What comes after 75 KB is dropped, so that the end of the train, and the round behind it, never arrives: of 3,662 maps sent 4 were put together. Counts of all ranks to rank 0 are 2.5 MB a second more on the same host's link.

Now ranks are split into branches of the square root of their number, within data centres; a relay passes on what rank 0 says and adds up what its branch counts. The map is told in trains of 24 KB at most, half a link at a time, and in a byte for an expert's number. Ranks say how far they know the round, so that rank 0 tells again only those that have not heard of it, eight at once while moves have to travel; told again to all by the words that were still on their way, its link was busy for 0.7 s, and holds came 0.3 to 0.85 s late. The same rank holds the group as long as it answers, since it has a connection then.

Ruled out: no leader (two lead 96 each), counts not heard (plans came), planning too slow (48 ms), datagrams that exceed a limit (3.3 KB arrive), errors at sockets (none logged).

Tests (relay.rs, 96 and 256 ranks, a link that drops what it can't hold back): without relays 4 of 7 are red (95 of 96 ranks lack a part of the map), with relays and without the bound on trains one is.

--- a/crates/rebalance/src/agent.rs
+++ b/crates/rebalance/src/agent.rs
@@ -5,6 +5,7 @@
 mod hear;
 mod orders;
 mod sockets;
+mod spread;
 mod tell;
 
 use std::io;
@@ -27,6 +28,7 @@
 use crate::message::{Ask, Standing};
 use crate::neighbours::Neighbours;
 use crate::rank::Rank;
+use crate::relay::{Gathering, Telling};
 use crate::rescue::Rescue;
 
 /// How often the endpoint's state is read while no round is under way.
@@ -98,6 +100,11 @@
     rescue: Rescue,
     /// The endpoint at which this agent has held its group for the leader.
     leading: Option<(SocketAddr, Endpoint<C>)>,
+    /// The relay that has passed on what rank 0 said last, and when.
+    relay: Option<(SocketAddr, Instant)>,
+    telling: Telling,
+    /// What the ranks have counted for which this agent relays.
+    gathering: Gathering,
     /// The hold that the leader's agent, at this address, has asked for.
     asked: Option<(Ask, SocketAddr)>,
     /// Who completes a silent leader's round and asked for words, and when.
@@ -128,6 +135,9 @@
             due: Due::default(),
             rescue: Rescue::default(),
             leading: None,
+            relay: None,
+            gathering: Gathering::default(),
+            telling: Telling::default(),
             asked: None,
             finisher: None,
             cadence: Cadence::default(),
--- a/crates/rebalance/src/agent/due.rs
+++ b/crates/rebalance/src/agent/due.rs
@@ -11,6 +11,8 @@
     /// Asking how others stand, for a silent leader.
     pub(crate) finish: Option<Instant>,
     pub(crate) tell: Option<Instant>,
+    /// Telling relays the round though nothing has changed.
+    pub(crate) beat: Option<Instant>,
 }
 
 /// Returns whether `every` has passed since `last`, and notes it if so.
--- a/crates/rebalance/src/agent/hear.rs
+++ b/crates/rebalance/src/agent/hear.rs
@@ -8,7 +8,8 @@
 use super::Agent;
 use super::sockets::{Sockets, send};
 use crate::codec::Codec;
-use crate::message::{Datagram, Part, Phase, Standing};
+use crate::message::{Choices, Datagram, Phase, Round, Standing};
+use crate::relay::relays;
 use crate::state::Place;
 
 impl<C: Codec, S: store::Codec> Agent<C, S> {
@@ -35,15 +36,18 @@
             }
             Datagram::Standing(standing) => self.hear_standing(sockets, standing, from, now),
             Datagram::Choices(choices) => {
-                self.count_in(&choices.place, &choices.units, &choices.counts, now);
+                self.hear_choices(&choices, now);
                 false
             }
-            Datagram::Round(round) => {
-                self.leader = Some((from, now));
-                let urgent = round.phase != Phase::Rest;
-                self.rank.member.take(round);
-                urgent
+            Datagram::Relay(relay) => {
+                self.pass_on(sockets, &relay, from, now);
+                self.hear_passed_on(&relay.message, from, now)
+            }
+            Datagram::Relayed(relayed) => {
+                self.relay = Some((from, now));
+                self.hear_passed_on(&relayed.message, relayed.leader, now)
             }
+            Datagram::Round(round) => self.hear_round(round, from, now),
             Datagram::Finish(round) => {
                 self.finisher = Some((from, now));
                 self.rank.member.take(round);
@@ -58,23 +62,60 @@
         }
     }
 
-    /// Notes where a rank's agent is, and tells it the round.
+    /// Takes what rank 0 says, as it was passed on: only what goes to all ranks is.
+    fn hear_passed_on(&mut self, message: &[u8], leader: SocketAddr, now: Instant) -> bool {
+        match datagram::decode(message) {
+            Ok(Datagram::Round(round)) => self.hear_round(round, leader, now),
+            Ok(Datagram::Part(part)) => self.rank.member.learn(part),
+            Ok(other) => {
+                tracing::debug!(%leader, ?other, "not for all ranks, not taken");
+                false
+            }
+            Err(error) => {
+                tracing::debug!(%leader, %error, "passed on datagram dropped");
+                false
+            }
+        }
+    }
+
+    fn hear_round(&mut self, round: Round, leader: SocketAddr, now: Instant) -> bool {
+        self.leader = Some((leader, now));
+        let urgent = round.phase != Phase::Rest;
+        let before = self.rank.member.heard();
+        self.rank.member.take(round);
+        if urgent && self.rank.member.heard() == before {
+            // It is told again since the word that it was heard has been lost.
+            self.due.tell = None;
+        }
+        urgent
+    }
+
+    fn hear_choices(&mut self, choices: &Choices, now: Instant) {
+        let Choices {
+            place,
+            units,
+            counts,
+        } = choices;
+        if self.rank.coordinator.is_some() {
+            self.count_in(place, units, counts, now);
+        } else {
+            self.gathering.add(place, units, counts, now);
+        }
+    }
+
+    /// Answers a rank that looks for its leader.
     fn answer(&mut self, sockets: &Sockets, place: &Place, from: SocketAddr) {
         let Some(coordinator) = &self.rank.coordinator else {
             return;
         };
-        let own = coordinator.place();
-        if (&own.group, own.epoch) != (&place.group, place.epoch) {
+        if !coordinator.place().is_beside(place) {
             return;
         }
         if let Some(rank) = self.ranks.get_mut(usize::from(place.rank)) {
             *rank = Some(from);
         }
-        send(
-            &sockets.agents,
-            &Datagram::Round(coordinator.round().clone()),
-            from,
-        );
+        let round = Datagram::Round(coordinator.round().clone());
+        send(&sockets.agents, &round, from);
     }
 
     fn hear_standing(
@@ -89,42 +130,19 @@
         let Some(coordinator) = &mut self.rank.coordinator else {
             return false;
         };
-        let lacks = coordinator.lacks(&standing)
-            || !matches!(
-                coordinator.round().phase,
-                Phase::Prepare | Phase::Meet { .. }
-            )
-            || coordinator.map().is_none();
-        let parts = match coordinator.map() {
-            Some((version, map))
-                if standing.maps.current == version && standing.known != Some(version) =>
-            {
-                parts(coordinator.place(), version, map)
-            }
-            _ => Vec::new(),
-        };
+        // In large groups relays tell now and then that rank 0 is there, and ranks that
+        // have not heard of a round are told again a few at a time.
+        let quiet = matches!(
+            coordinator.round().phase,
+            Phase::Prepare | Phase::Meet { .. }
+        );
+        let unsure = !quiet || coordinator.map().is_none() || coordinator.lacks(&standing);
+        let lacks = !coordinator.is_heard_by(&standing) || (unsure && !relays(place.size));
+        let known = self.ranks.get(usize::from(place.rank)).copied().flatten();
         coordinator.hear(standing, now);
-        for part in parts {
-            send(&sockets.agents, &Datagram::Part(part), from);
-        }
-        if lacks {
+        if lacks || known != Some(from) {
             self.answer(sockets, &place, from);
         }
         true
     }
 }
-
-/// Returns the parts of a map as they are told to agents that lack it.
-fn parts(place: &Place, version: u64, map: &crate::Map) -> Vec<Part> {
-    let number = |value: usize| u16::try_from(value).unwrap_or(u16::MAX);
-    let sets = number(map.sets.len());
-    let part = |(set, ranks): (usize, &Vec<Vec<u16>>)| Part {
-        group: place.group.clone(),
-        epoch: place.epoch,
-        version,
-        set: number(set),
-        sets,
-        ranks: ranks.clone(),
-    };
-    map.sets.iter().enumerate().map(part).collect()
-}
--- a/crates/rebalance/src/agent/orders.rs
+++ b/crates/rebalance/src/agent/orders.rs
@@ -107,23 +107,28 @@
         if let Some(event) = &step.event {
             log(place, event, self.cadence.pass(), self.rank.slowest());
         }
-        let all = self.ranks.iter().flatten().copied();
-        let called = step.call.iter().filter_map(|&rank| self.agent_of(rank));
-        let told: Vec<_> = all.filter(|_| step.announce).chain(called).collect();
-        if let Some(coordinator) = self.rank.coordinator.as_ref().filter(|_| !told.is_empty()) {
-            let bytes = datagram::encode(&Datagram::Round(coordinator.round().clone()));
-            for agent in told {
-                send_bytes(&sockets.agents, &bytes, agent);
-            }
-        }
+        self.announce(sockets, step.announce, now);
+        self.call(sockets, &step.call);
+        self.tell_map(sockets, now);
         if let Some((rank, pass)) = step.ask {
             self.ask(sockets, place, state, rank, pass);
         }
         step.order
     }
 
+    /// Tells ranks the round themselves.
+    fn call(&self, sockets: &Sockets, ranks: &[u16]) {
+        let Some(coordinator) = self.rank.coordinator.as_ref().filter(|_| !ranks.is_empty()) else {
+            return;
+        };
+        let bytes = datagram::encode(&Datagram::Round(coordinator.round().clone()));
+        for agent in ranks.iter().filter_map(|&rank| self.agent_of(rank)) {
+            send_bytes(&sockets.agents, &bytes, agent);
+        }
+    }
+
     /// Returns where a rank's agent is, as far as this one leads and has heard it.
-    fn agent_of(&self, rank: u16) -> Option<SocketAddr> {
+    pub(super) fn agent_of(&self, rank: u16) -> Option<SocketAddr> {
         self.ranks.get(usize::from(rank)).copied().flatten()
     }
 
--- a/crates/rebalance/src/agent/tell.rs
+++ b/crates/rebalance/src/agent/tell.rs
@@ -1,5 +1,6 @@
 //! What an agent reads of its endpoint and tells entries and other agents.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use cactusnotch_gateway::{datagram, peer, store};
@@ -10,6 +11,7 @@
 use crate::codec::Codec;
 use crate::estimate;
 use crate::message::{Choices, Datagram, Standing};
+use crate::relay::{self, RELAY_TIME};
 use crate::state::{Place, State};
 
 /// How often counts are read and sent.
@@ -80,8 +82,14 @@
             .leader
             .is_some_and(|(_, at)| now.saturating_duration_since(at) < SILENCE);
         let alone = place.rank != 0 && !heard;
-        let missing =
-            self.neighbours.shape.is_none() || (alone && self.neighbours.agents.is_empty());
+        let known = self.ranks.iter().flatten();
+        let scattered = relay::relays(place.size)
+            && known
+                .copied()
+                .any(|agent| self.neighbours.data_centre(agent).is_empty());
+        let missing = self.neighbours.shape.is_none()
+            || scattered
+            || (alone && self.neighbours.agents.is_empty());
         if (missing || alone)
             && self.neighbours.is_due(now)
             && let Err(error) = self.neighbours.look(now).await
@@ -141,22 +149,32 @@
             .zip(&before)
             .map(|(new, old)| new.saturating_sub(*old))
             .collect();
+        let new = self.gathering.take(place, new);
         if new.iter().all(|&count| count == 0) {
             return;
         }
         let (units, bytes) = estimate::pack(&new, shape.experts);
         if self.rank.coordinator.is_some() {
             self.count_in(place, &units, &bytes, now);
-        } else if let Some((leader, _)) = self.leader {
+        } else if let Some(to) = self.collector(place, now) {
             let choices = Choices {
                 place: place.clone(),
                 units,
                 counts: bytes.into(),
             };
-            send(&sockets.agents, &Datagram::Choices(choices), leader);
+            send(&sockets.agents, &Datagram::Choices(choices), to);
         }
     }
 
+    /// Returns where counts go: to rank 0, in a large group to the relay of the branch.
+    fn collector(&self, place: &Place, now: Instant) -> Option<SocketAddr> {
+        let fresh = |&(_, at): &(_, Instant)| now.saturating_duration_since(at) < RELAY_TIME;
+        if !relay::relays(place.size) || self.gathering.is_open(now) {
+            return self.leader.map(|(leader, _)| leader);
+        }
+        self.relay.filter(fresh).map(|(relay, _)| relay)
+    }
+
     /// Adds what a rank's requests chose, if this agent leads.
     pub(super) fn count_in(&mut self, place: &Place, units: &[f32], counts: &[u8], now: Instant) {
         let Some(coordinator) = &mut self.rank.coordinator else {
@@ -180,6 +198,7 @@
             fill: self.fill(state),
             term: self.rank.member.term(),
             met: self.rank.member.met(),
+            heard: self.rank.member.heard(),
             known,
             held: held.map(|(_, _, held)| held.clone()),
         }
--- a/crates/rebalance/src/coordinator/hold.rs
+++ b/crates/rebalance/src/coordinator/hold.rs
@@ -27,12 +27,13 @@
             return None;
         }
         self.stage = Stage::Hold { asked: Some(now) };
-        // By turns, so that one that is out of reach is not asked twice.
-        let last = self.holders.last().copied().unwrap_or(0);
         if asked.is_none() {
             self.holders.clear();
+        } else {
+            // Another one, since the one that was asked may be out of reach.
+            self.holder = self.holder.wrapping_add(1);
         }
-        let rank = 1 + u16::try_from(u64::from(last) % others).unwrap_or(0);
+        let rank = 1 + u16::try_from(u64::from(self.holder) % others).unwrap_or(0);
         self.holders.push(rank);
         Some((rank, self.hold_at(own, now)))
     }
@@ -91,6 +92,7 @@
                 let late = now.saturating_duration_since(since) > self.arming.meeting();
                 late.then(|| {
                     self.arming.give_up();
+                    self.holder = self.holder.wrapping_add(1);
                     self.let_go_at = Some(now);
                     self.stage = Stage::Undo;
                     Event::LetGo(step)
--- a/crates/rebalance/src/lib.rs
+++ b/crates/rebalance/src/lib.rs
@@ -22,11 +22,13 @@
 pub mod pressure;
 pub mod price;
 pub mod rank;
+pub mod relay;
 pub mod rescue;
 pub mod state;
 
 pub mod cadence;
 mod endpoint;
+mod experts;
 mod layer;
 mod moves;
 mod neighbours;
--- a/crates/rebalance/src/member.rs
+++ b/crates/rebalance/src/member.rs
@@ -2,7 +2,7 @@
 
 use crate::codec::Order;
 use crate::map::Map;
-use crate::message::{Part, Phase, Round};
+use crate::message::{Heard, Part, Phase, Round};
 use crate::state::{Maps, Place};
 
 /// What one rank's agent knows of its group's maps, and what it orders its
@@ -86,6 +86,16 @@
         }
     }
 
+    /// Returns how far the round is that was heard of last.
+    #[must_use]
+    pub fn heard(&self) -> Option<Heard> {
+        let round = self.round.as_ref()?;
+        Some(Heard {
+            version: round.version,
+            phase: round.phase,
+        })
+    }
+
     /// Tells whether a round is under way.
     #[must_use]
     pub fn is_busy(&self) -> bool {
--- a/crates/rebalance/src/message.rs
+++ b/crates/rebalance/src/message.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use cactusnotch_derive::message;
+use serde_bytes::ByteBuf;
 
 use crate::Pace;
 use crate::map::Move;
@@ -25,6 +26,8 @@
     pub term: Option<u64>,
     /// The pass before which the group is held, as the agent has heard it in the round.
     pub met: Option<u64>,
+    /// How far the round is that the agent has heard of last.
+    pub heard: Option<Heard>,
     /// The version of the whole map that the agent knows.
     pub known: Option<u64>,
     /// The experts that the rank holds in the map in force, by set, while the
@@ -32,7 +35,18 @@
     pub held: Option<Vec<Vec<u16>>>,
 }
 
-/// How often a rank's requests chose each expert since its last message.
+/// How far a rank knows the round.
+#[message]
+#[derive(Copy, Eq)]
+pub struct Heard {
+    /// The version that the round is to bring.
+    pub version: u64,
+    /// How far it has come.
+    pub phase: Phase,
+}
+
+/// How often a rank's requests, or those of a branch of ranks, chose each expert since its
+/// last message.
 #[message]
 pub struct Choices {
     /// The rank.
@@ -40,7 +54,7 @@
     /// For each set, what one unit of a count stands for.
     pub units: Vec<f32>,
     /// The counts of all sets, in units.
-    pub counts: serde_bytes::ByteBuf,
+    pub counts: ByteBuf,
 }
 
 /// How far a round has come.
@@ -124,9 +138,28 @@
     /// The sets of the map.
     pub sets: u16,
     /// The experts that each rank holds.
+    #[serde(with = "crate::experts")]
     pub ranks: Vec<Vec<u16>>,
 }
 
+/// Rank 0 has a rank pass on what it says.
+#[message]
+pub struct Relay {
+    /// The agents that it is passed on to.
+    pub to: Vec<SocketAddr>,
+    /// An encoded datagram, for the relay too.
+    pub message: ByteBuf,
+}
+
+/// What rank 0 says, passed on by a relay.
+#[message]
+pub struct Relayed {
+    /// Where rank 0's agent is.
+    pub leader: SocketAddr,
+    /// The encoded datagram.
+    pub message: ByteBuf,
+}
+
 /// A datagram between agents.
 #[message]
 pub enum Datagram {
@@ -145,4 +178,8 @@
     Ask(Ask),
     /// Rank 0 tells a part of the map.
     Part(Part),
+    /// Rank 0 has a rank pass on what it says.
+    Relay(Relay),
+    /// A relay passes on what rank 0 says.
+    Relayed(Relayed),
 }
--- a/crates/rebalance/src/neighbours.rs
+++ b/crates/rebalance/src/neighbours.rs
@@ -1,6 +1,6 @@
 //! Where the other agents of a service are.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use cactusnotch_gateway::store::{Codec, Error, Item, Kind, Store};
@@ -20,6 +20,8 @@
     own: SocketAddr,
     looked: Option<Instant>,
     pub(crate) agents: Vec<SocketAddr>,
+    /// The data centres of all agents' hosts, by address.
+    centres: Vec<(IpAddr, String)>,
     pub(crate) shape: Option<Shape>,
     /// The requests that one of the service's endpoints runs at once.
     pub(crate) slots: u32,
@@ -36,6 +38,7 @@
             own,
             looked: None,
             agents: Vec::new(),
+            centres: Vec::new(),
             shape: None,
             slots: 0,
             pause: None,
@@ -63,17 +66,29 @@
             }
         }
         let mut agents = Vec::new();
+        let mut centres = Vec::new();
         for change in self.store.list(Kind::Endpoints, true).await?.changes {
             if let Ok(Some(Item::Endpoint(endpoint))) = change.item
                 && endpoint.service == self.service
             {
                 agents.push(SocketAddr::new(endpoint.address.ip(), self.port));
+                centres.push((endpoint.address.ip(), endpoint.data_centre));
             }
         }
         agents.retain(|agent| *agent != self.own);
         agents.sort_unstable();
         agents.dedup();
         self.agents = agents;
+        centres.sort_unstable();
+        self.centres = centres;
         Ok(())
     }
+
+    /// Returns the data centre of an agent's host, empty if that isn't known.
+    pub(crate) fn data_centre(&self, agent: SocketAddr) -> &str {
+        let found = self
+            .centres
+            .binary_search_by_key(&agent.ip(), |(host, _)| *host);
+        found.map_or("", |at| self.centres[at].1.as_str())
+    }
 }
--- a/crates/rebalance/src/rank.rs
+++ b/crates/rebalance/src/rank.rs
@@ -31,7 +31,8 @@
     pub announce: bool,
     /// The rank that is to hold the group at this rank's endpoint, and before which pass.
     pub ask: Option<(u16, u64)>,
-    /// The ranks that have to be told the round and to say that they are there.
+    /// The ranks that have to be told the round themselves: to say that they are there, or
+    /// since they did not say that they have heard of it.
     pub call: Vec<u16>,
 }
 
@@ -88,6 +89,7 @@
             let round = round.clone();
             step.ask = coordinator.ask(&maps, now);
             step.call = coordinator.calls(now).to_vec();
+            step.call.extend(coordinator.retell(now));
             if let Some((version, map)) = coordinator.map()
                 && self.member.known() != Some(version)
                 && maps.current == version
--- a/crates/rebalance/src/state.rs
+++ b/crates/rebalance/src/state.rs
@@ -19,6 +19,14 @@
     pub size: u16,
 }
 
+impl Place {
+    /// Tells whether `other` is a rank of the same life of the same group.
+    #[must_use]
+    pub fn is_beside(&self, other: &Self) -> bool {
+        (&self.group, self.epoch) == (&other.group, other.epoch)
+    }
+}
+
 /// The expert maps of one rank.
 #[message]
 #[derive(Copy, Eq, Default)]
--- a/crates/rebalance/tests/coordinator.rs
+++ b/crates/rebalance/tests/coordinator.rs
@@ -44,6 +44,7 @@
         fill: 50,
         term: Some(term),
         met: None,
+        heard: None,
         known: None,
         held: Some(vec![held]),
     }
--- /dev/null
+++ b/crates/rebalance/tests/relay.rs
@@ -0,0 +1,327 @@
+//! Load: rank 0 of a group of 96 or 256 ranks tells all of them the map and its rounds, and
+//! hears what all of them count, over a host's link.
+//!
+//! Grounds of the figures: hosts of model servers have links of 6 Mbit/s; trains of 91 KB
+//! lost their end there, so that a link is taken to hold back 75 KB, a tenth of a second.
+//! Maps have 16 sets of 192 experts, 3 a rank. Demand turns every three to four seconds,
+//! and a group that forms has its first callers after 0.6 s.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use cactusnotch_gateway::datagram;
+use cactusnotch_rebalance::Map;
+use cactusnotch_rebalance::estimate::pack;
+use cactusnotch_rebalance::map::Move;
+use cactusnotch_rebalance::message::{Choices, Datagram, Part, Phase, Relay, Relayed, Round};
+use cactusnotch_rebalance::relay::{self, Branch, Gathering, Peer, Telling};
+use cactusnotch_rebalance::state::Place;
+use serde_bytes::ByteBuf;
+
+const SETS: usize = 16;
+const EXPERTS: usize = 192;
+const SIZES: [u16; 2] = [96, 256];
+/// Bytes a second of a host's link, and what it holds back.
+const LINK: f64 = 750_000.0;
+const QUEUE: f64 = 75_000.0;
+/// How often rank 0 looks what there is to be told.
+const LOOK: Duration = Duration::from_millis(30);
+/// How often ranks tell what they counted.
+const COUNT_EVERY: Duration = Duration::from_millis(120);
+
+fn number(value: usize) -> u16 {
+    u16::try_from(value).expect("it is small")
+}
+
+fn float(bytes: usize) -> f64 {
+    f64::from(u32::try_from(bytes).expect("it is small"))
+}
+
+/// A host's link, which drops what it can't hold back.
+#[derive(Clone, Default)]
+struct Link {
+    backlog: f64,
+    at: Duration,
+}
+
+impl Link {
+    /// Returns when what is sent at `now` has been sent, or nothing if it is dropped.
+    fn send(&mut self, bytes: usize, now: Duration) -> Option<Duration> {
+        let drained = now.saturating_sub(self.at).as_secs_f64() * LINK;
+        self.backlog = (self.backlog - drained).max(0.0);
+        self.at = self.at.max(now);
+        if self.backlog + float(bytes) > QUEUE {
+            return None;
+        }
+        self.backlog += float(bytes);
+        Some(self.at + Duration::from_secs_f64(self.backlog / LINK))
+    }
+}
+
+fn agent(rank: u16) -> SocketAddr {
+    let [high, low] = rank.to_be_bytes();
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, high, low)), 7340)
+}
+
+fn rank_of(agent: SocketAddr) -> usize {
+    let IpAddr::V4(host) = agent.ip() else {
+        panic!("{agent}")
+    };
+    let [_, _, high, low] = host.octets();
+    usize::from(u16::from_be_bytes([high, low]))
+}
+
+const CENTRES: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+fn peers(size: u16) -> Vec<Peer<'static>> {
+    let peer = |rank: u16| Peer {
+        rank,
+        agent: agent(rank),
+        data_centre: CENTRES[usize::from(rank) * 7 % CENTRES.len()],
+        alive: true,
+    };
+    (1..size).map(peer).collect()
+}
+
+fn map(size: u16) -> Map {
+    let experts = |rank: u16| (0..3).map(|at| (rank * 2 + at) % number(EXPERTS)).collect();
+    let set: Vec<Vec<u16>> = (0..size).map(experts).collect();
+    Map {
+        sets: vec![set; SETS],
+    }
+}
+
+fn part(map: &Map, set: usize) -> Datagram {
+    Datagram::Part(Part {
+        group: "g0-0".to_owned(),
+        epoch: 1,
+        version: 4_294_967_297,
+        set: number(set),
+        sets: number(SETS),
+        ranks: map.sets[set].clone(),
+    })
+}
+
+/// Sends a datagram to all ranks at `now`; returns the bytes that rank 0 sent, and when
+/// each rank has it.
+fn spread(
+    links: &mut [Link],
+    size: u16,
+    datagram: &Datagram,
+    now: Duration,
+) -> (usize, Vec<Option<Duration>>) {
+    let message = ByteBuf::from(datagram::encode(datagram));
+    let mut arrivals = vec![None; links.len()];
+    let mut sent = 0;
+    for Branch { relay, to } in relay::branches(size, peers(size)) {
+        let relayed = datagram::encode(&Datagram::Relay(Relay {
+            to: to.clone(),
+            message: message.clone(),
+        }));
+        sent += relayed.len();
+        arrivals[rank_of(relay)] = links[0].send(relayed.len(), now);
+        let Some(arrived) = arrivals[rank_of(relay)] else {
+            continue;
+        };
+        let passed_on = datagram::encode(&Datagram::Relayed(Relayed {
+            leader: agent(0),
+            message: message.clone(),
+        }));
+        for other in to {
+            arrivals[rank_of(other)] = links[rank_of(relay)].send(passed_on.len(), arrived);
+        }
+    }
+    (sent, arrivals)
+}
+
+#[test]
+fn the_map_is_with_all_ranks_soon_after_a_group_has_formed() {
+    // Half of the link has 0.46 MB to carry at 256 ranks.
+    let bounds = [Duration::from_millis(600), Duration::from_millis(1_400)];
+    for (size, bound) in SIZES.into_iter().zip(bounds) {
+        let map = map(size);
+        let mut links = vec![Link::default(); usize::from(size)];
+        let mut known = vec![0; usize::from(size)];
+        let (base, mut telling) = (Instant::now(), Telling::default());
+        let (mut last, mut told) = (Duration::ZERO, 0);
+        for look in 0..50 {
+            let now = LOOK * look;
+            while told < SETS
+                && let Some(set) = telling.next(SETS, base + now)
+            {
+                told += 1;
+                let (sent, arrivals) = spread(&mut links, size, &part(&map, set), now);
+                telling.sent(sent);
+                for (known, at) in known.iter_mut().zip(&arrivals) {
+                    *known += usize::from(at.is_some());
+                }
+                last = last.max(arrivals.iter().flatten().copied().max().unwrap_or_default());
+            }
+        }
+        let lacking = known.iter().skip(1).filter(|&&sets| sets < SETS).count();
+        assert_eq!(
+            lacking, 0,
+            "{lacking} of {size} ranks lack a part of the map"
+        );
+        assert!(last < bound, "{size} ranks have it after {last:?}");
+    }
+}
+
+#[test]
+fn a_round_is_with_all_ranks_within_a_pass() {
+    for size in SIZES {
+        let step = |at: u16| Move {
+            set: at % number(SETS),
+            rank: at % size,
+            out: Some(at % 192),
+            new: Some((at + 1) % 192),
+        };
+        let round = Datagram::Round(Round {
+            group: "g0-0".to_owned(),
+            epoch: 1,
+            term: u64::MAX,
+            version: 4_294_967_298,
+            base: 4_294_967_297,
+            moves: (0..300).map(step).collect(),
+            phase: Phase::Prepare,
+            asks_held: false,
+        });
+        let mut links = vec![Link::default(); usize::from(size)];
+        let (_, arrivals) = spread(&mut links, size, &round, Duration::ZERO);
+        let arrived: Vec<_> = arrivals.iter().skip(1).flatten().copied().collect();
+        assert_eq!(
+            arrived.len() + 1,
+            usize::from(size),
+            "some did not hear of it"
+        );
+        let last = arrived.iter().max().copied().unwrap_or_default();
+        assert!(last < Duration::from_millis(150), "{size}: {last:?}");
+    }
+}
+
+#[test]
+fn counts_take_up_less_than_two_thirds_of_a_link() {
+    for size in SIZES {
+        // Groups of 256 ranks have 64 experts a layer.
+        let experts = if size > 96 { 64 } else { EXPERTS };
+        let (units, bytes) = pack(&vec![1_000; SETS * experts], experts);
+        let choices = Datagram::Choices(Choices {
+            place: place(size),
+            units,
+            counts: bytes.into(),
+        });
+        let length = float(datagram::encode(&choices).len());
+        let branches = relay::branches(size, peers(size));
+        let most = branches.iter().map(|branch| branch.to.len()).max();
+        let most = most.unwrap_or_default().max(branches.len());
+        let rate = float(most) * length / COUNT_EVERY.as_secs_f64();
+        assert!(
+            rate < LINK * 2.0 / 3.0,
+            "{size} ranks: {rate} bytes a second"
+        );
+    }
+}
+
+fn place(size: u16) -> Place {
+    Place {
+        group: "g0-0".to_owned(),
+        epoch: 1,
+        rank: 5,
+        size,
+    }
+}
+
+#[test]
+fn a_relay_adds_up_what_its_branch_counts() {
+    let now = Instant::now();
+    let mut gathering = Gathering::default();
+    let (units, counts) = pack(&[10, 20, 255, 0, 510, 254], 3);
+    gathering.add(&place(96), &units, &counts, now);
+    let own = vec![1; 6];
+    assert_eq!(
+        gathering.take(&place(96), own.clone()),
+        own,
+        "no relay adds nothing up"
+    );
+    gathering.open(now);
+    gathering.add(&place(96), &units, &counts, now);
+    gathering.add(&place(96), &units, &counts, now);
+    let sums = gathering.take(&place(96), own.clone());
+    assert_eq!(sums, [21, 41, 511, 1, 1_021, 509]);
+    assert_eq!(gathering.take(&place(96), own.clone()), own, "told once");
+    let former = Place {
+        epoch: 0,
+        ..place(96)
+    };
+    gathering.add(&former, &units, &counts, now);
+    assert_eq!(
+        gathering.take(&place(96), own.clone()),
+        own,
+        "of a former life"
+    );
+    gathering.add(&place(96), &units, &counts, now + relay::RELAY_TIME);
+    assert_eq!(
+        gathering.take(&place(96), own.clone()),
+        own,
+        "no relay any more"
+    );
+}
+
+#[test]
+fn branches_stay_in_their_data_centre_and_leave_out_silent_relays() {
+    for size in SIZES {
+        let first = relay::branches(size, peers(size));
+        let reached: usize = first.iter().map(|branch| 1 + branch.to.len()).sum();
+        assert_eq!(reached, usize::from(size) - 1);
+        for branch in &first {
+            let ranks = branch
+                .to
+                .iter()
+                .chain([&branch.relay])
+                .map(|&at| rank_of(at));
+            let mut centres: Vec<_> = ranks.map(|rank| rank * 7 % CENTRES.len()).collect();
+            centres.dedup();
+            assert_eq!(centres.len(), 1, "{branch:?}");
+            assert!(branch.to.len() < usize::from(size.isqrt()) + 1);
+        }
+        let silent = first[0].relay;
+        let mut peers = peers(size);
+        for peer in &mut peers {
+            peer.alive = peer.agent != silent;
+        }
+        let then = relay::branches(size, peers);
+        assert!(then.iter().all(|branch| branch.relay != silent));
+        assert!(then.iter().any(|branch| branch.to.contains(&silent)));
+    }
+}
+
+#[test]
+fn small_groups_are_told_directly() {
+    let branches = relay::branches(32, peers(32));
+    assert_eq!(branches.len(), 31);
+    assert!(branches.iter().all(|branch| branch.to.is_empty()));
+}
+
+#[test]
+fn a_part_of_the_map_is_read_as_it_was_told_by_way_of_a_relay() {
+    for experts in [2, 192, 512] {
+        let ranks = vec![vec![0, experts - 1], Vec::new(), vec![experts / 2]];
+        let part = Datagram::Part(Part {
+            group: "g0-0".to_owned(),
+            epoch: 1,
+            version: 7,
+            set: 0,
+            sets: 1,
+            ranks,
+        });
+        let message = ByteBuf::from(datagram::encode(&part));
+        let sent = Datagram::Relay(Relay {
+            to: vec![agent(1), agent(2)],
+            message: message.clone(),
+        });
+        let read: Datagram = datagram::decode(&datagram::encode(&sent)).expect("it is whole");
+        assert_eq!(read, sent);
+        let inner: Datagram = datagram::decode(&message).expect("it is whole");
+        assert_eq!(inner, part);
+    }
+}
--- a/crates/rebalance/tests/world/mod.rs
+++ b/crates/rebalance/tests/world/mod.rs
@@ -330,7 +330,10 @@
             Datagram::Part(part) => {
                 let _: bool = agent.member.learn(part);
             }
-            Datagram::Seek(_) | Datagram::Choices(_) => {}
+            Datagram::Seek(_)
+            | Datagram::Choices(_)
+            | Datagram::Relay(_)
+            | Datagram::Relayed(_) => {}
         }
         for (rank, answer) in answers {
             self.send(rank, answer);
@@ -367,6 +370,7 @@
             fill: 50,
             term: agent.rank.member.term(),
             met: agent.rank.member.met(),
+            heard: agent.rank.member.heard(),
             known: agent.rank.member.known(),
             held: None,
         };
@@ -422,6 +426,7 @@
                 fill: 50,
                 term: agent.rank.member.term(),
                 met: agent.rank.member.met(),
+                heard: agent.rank.member.heard(),
                 known: agent.rank.member.known(),
                 held: agent
                     .rank
