perf: entries use 32 endpoints of a service that has more than 64

Cause: every agent told its load to every entry four times a second, 149 x 192 x 4 = 114,000 datagrams a second, which grow with both. They were most of what crosses between data centres and most of an entry's processor time.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -2,6 +2,7 @@
 
 mod row;
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -15,6 +16,7 @@
 use crate::configuration::{Engine, Service};
 use crate::endpoint::Endpoint;
 use crate::peer::Load;
+use crate::share;
 
 /// The endpoints that are drawn and compared for a request: with all compared,
 /// many entries send to the same idlest one at once.
@@ -35,6 +37,8 @@
 pub(crate) struct Heard {
     /// The requests that its endpoint runs at once.
     pub(crate) slots: u32,
+    /// The entries that use the endpoint.
+    pub(crate) sharers: u32,
     /// How many times longer its passes are than the shortest of its service.
     pub(crate) slower: f64,
 }
@@ -47,6 +51,9 @@
     routers: Table<String, Router>,
     /// The services whose endpoints are ranks of groups, sorted.
     ranked: Vec<String>,
+    /// Those of them of which this entry uses some endpoints alone, with a fingerprint of
+    /// the entries and endpoints that these were chosen from.
+    shared: Table<String, u64>,
     /// When the first of the missing endpoints is to be dropped.
     expires: Option<Instant>,
 }
@@ -58,6 +65,7 @@
             rows: Table::new(),
             routers: Table::new(),
             ranked: Vec::new(),
+            shared: Table::new(),
             expires: None,
         }
     }
@@ -109,6 +117,62 @@
         options
     }
 
+    /// Chooses the endpoints of large services that the entry `me` of `entries` uses, if
+    /// entries or endpoints have changed.
+    pub(crate) fn share(&mut self, me: &str, entries: &[&str]) {
+        for service in self.ranked.clone() {
+            self.share_one(&service, me, entries);
+        }
+    }
+
+    fn share_one(&mut self, service: &str, me: &str, entries: &[&str]) {
+        let lasting = |e: &&Endpoint| e.service == service && !e.leaving;
+        let endpoints: Vec<_> = self.iter().filter(lasting).map(|e| e.id.as_str()).collect();
+        let fingerprint = fingerprint(entries, &endpoints);
+        if self.shared.get(service) == Some(&fingerprint) {
+            return;
+        }
+        let used = share::used(me, entries, &endpoints).map(|used| {
+            let id = |at: usize| endpoints[at].to_owned();
+            used.into_iter().map(id).collect::<Vec<_>>()
+        });
+        if used.is_none() && !self.shared.contains(service) {
+            return;
+        }
+        tracing::info!(
+            service,
+            used = used.as_ref().map(Vec::len),
+            endpoints = endpoints.len(),
+            entries = entries.len(),
+            "endpoints to be used chosen"
+        );
+        match &used {
+            Some(_) => drop(self.shared.insert(service.to_owned(), fingerprint)),
+            None => drop(self.shared.remove(service)),
+        }
+        let rows = self.rows.iter_mut().map(|(_, row)| row);
+        for row in rows.filter(|row| row.endpoint.service == service) {
+            // Ids are in order, as the table is.
+            let chosen = |used: &Vec<String>| used.binary_search(&row.endpoint.id).is_ok();
+            row.used = used.as_ref().is_none_or(chosen);
+        }
+        self.refresh(service);
+    }
+
+    /// Returns how many of `entries` use one endpoint of a service.
+    pub(crate) fn sharers(&self, service: &str, entries: u32) -> u32 {
+        if !self.shared.contains(service) {
+            return entries;
+        }
+        let own = |endpoint: &&Endpoint| endpoint.service == service;
+        share::sharers(entries, self.iter().filter(own).count())
+    }
+
+    /// Returns the endpoints that this entry uses.
+    pub(crate) fn used(&self) -> impl Iterator<Item = &Endpoint> {
+        used(&self.rows)
+    }
+
     /// Takes an endpoint's registration; returns whether anything changed. Of two at one
     /// address the later one lives: the other's registration lapses only seconds after
     /// its end, and what is sent there meanwhile is refused.
@@ -132,9 +196,11 @@
         }
         let service = endpoint.service.clone();
         let ranked = self.ranked.binary_search(&service).is_ok();
+        // One that is new to a shared service is used once it was chosen.
+        let used = !self.shared.contains(&service);
         let id = endpoint.id.clone();
         self.rows
-            .get_or_insert_with(id, || Row::new(endpoint.clone(), ranked, now))
+            .get_or_insert_with(id, || Row::new(endpoint.clone(), ranked, used, now))
             .register(endpoint);
         self.refresh(&service);
         true
@@ -241,11 +307,12 @@
     }
 
     /// Takes what the agent of an endpoint tells, whose service's streams have the
-    /// longest pause `pause`.
+    /// longest pause `pause`; there are so many `entries`.
     pub(crate) fn hear(
         &mut self,
         load: &Load,
         pause: impl FnOnce(&str) -> Option<Duration>,
+        entries: u32,
         now: Instant,
     ) -> Option<Heard> {
         let (_, row) = self
@@ -262,6 +329,7 @@
         }
         Some(Heard {
             slots,
+            sharers: self.sharers(&service, entries),
             slower: self.slower(&service, load.pass, now),
         })
     }
@@ -282,7 +350,7 @@
         let Some(row) = self.rows.get(id).filter(|row| row.straggles(now)) else {
             return false;
         };
-        let same = |other: &&Row| other.endpoint.service == row.endpoint.service;
+        let same = |other: &&Row| other.used && other.endpoint.service == row.endpoint.service;
         let all = self.rows.values().filter(same).count();
         let slow = self
             .rows
@@ -332,12 +400,8 @@
         let Some(router) = self.routers.get_mut(service) else {
             return;
         };
-        let own = || {
-            self.rows
-                .values()
-                .map(|row| &row.endpoint)
-                .filter(|e| e.service == service)
-        };
+        let rows = &self.rows;
+        let own = || used(rows).filter(|e| e.service == service);
         let members: Vec<_> = own().map(member).collect();
         let known: Vec<_> = members
             .iter()
@@ -355,6 +419,19 @@
     }
 }
 
+fn used(rows: &Table<String, Row>) -> impl Iterator<Item = &Endpoint> {
+    rows.values()
+        .filter(|row| row.used)
+        .map(|row| &row.endpoint)
+}
+
+/// Returns a number that tells these entries and endpoints from others.
+fn fingerprint(entries: &[&str], endpoints: &[&str]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (entries, endpoints).hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Fits the choice to the pass of a model server: a request that runs costs
 /// others part of a step, and one whose prompt waits costs the reading time.
 fn pace(options: &mut route::Options, engine: &Engine) {
--- a/crates/gateway/src/fleet/row.rs
+++ b/crates/gateway/src/fleet/row.rs
@@ -21,6 +21,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Row {
     pub(crate) endpoint: Endpoint,
+    /// Whether this entry sends requests there.
+    pub(crate) used: bool,
     /// How long a pass of its group takes, and when that was told.
     pass: Option<(Duration, Instant)>,
     /// How slow it is, as told with the pass.
@@ -35,10 +37,12 @@
 
 impl Row {
     /// Creates the row of an endpoint that was not known; `ranked` says whether it is
-    /// a rank of a group, whose agent tells how it is.
-    pub(crate) fn new(endpoint: Endpoint, ranked: bool, now: Instant) -> Self {
+    /// a rank of a group, whose agent tells how it is, and `used` whether this entry sends
+    /// requests there.
+    pub(crate) fn new(endpoint: Endpoint, ranked: bool, used: bool, now: Instant) -> Self {
         Self {
             endpoint,
+            used,
             pass: None,
             pace: Pace::default(),
             open: true,
@@ -96,6 +100,6 @@
 
     /// Tells whether its agent is looked for.
     pub(crate) fn is_sought(&self, now: Instant) -> bool {
-        self.sought_until.is_some_and(|until| until > now)
+        self.used && self.sought_until.is_some_and(|until| until > now)
     }
 }
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -318,12 +318,20 @@
         }
     }
 
+    /// Chooses the endpoints of large services that this entry uses.
+    fn share(&self) {
+        let peers = self.peers.borrow();
+        let host = self.options.borrow().host.clone();
+        self.fleet.borrow_mut().share(&host, &peers.hosts());
+    }
+
     /// Drops what is past its time.
     pub(crate) fn tick(&self, now: Instant) {
         self.drop_missing(now);
         for host in self.peers.borrow_mut().expire(now) {
             tracing::info!(host, "entry has fallen silent");
         }
+        self.share();
         let entries = self.peers.borrow().count();
         let known = self.listed.get().1;
         let slack = self.options.borrow().retry_slack;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod refusal;
 mod request;
 mod server;
+pub mod share;
 mod stop;
 mod watcher;
 
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -94,11 +94,17 @@
 }
 
 fn take_load(knowledge: &Knowledge, load: &peer::Load, now: Instant) {
-    let sharers = knowledge.peers.borrow().count();
+    let entries = knowledge.peers.borrow().count();
     let configuration = knowledge.configuration();
     let pause = |service: &str| configuration.as_ref()?.pause(service);
     let mut fleet = knowledge.fleet.borrow_mut();
-    let Some(Heard { slots, slower }) = fleet.hear(load, pause, now) else {
+    let heard = fleet.hear(load, pause, entries, now);
+    let Some(Heard {
+        slots,
+        sharers,
+        slower,
+    }) = heard
+    else {
         return;
     };
     let report = Report {
@@ -148,7 +154,7 @@
     let port = knowledge.options().agent_port;
     let fleet = knowledge.fleet.borrow();
     let configuration = knowledge.configuration();
-    let engines = fleet.iter().filter(|endpoint| {
+    let engines = fleet.used().filter(|endpoint| {
         let service = configuration
             .as_ref()
             .and_then(|c| c.service(&endpoint.service));
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -78,6 +78,13 @@
         self.rows.remove(host);
     }
 
+    /// Returns the hosts of all entries, this one included, in no order.
+    #[must_use]
+    pub fn hosts(&self) -> Vec<&str> {
+        let others = self.rows.iter().map(|(host, _)| host.as_str());
+        others.chain([self.host.as_str()]).collect()
+    }
+
     /// Returns how many entries there may be, this one included.
     #[must_use]
     pub fn count(&self) -> u32 {
