feat: tell lives of one registration apart, and take nothing from objects that can't be read

A life is an endpoint of its own now (id with the start), so that requests, connections, loads, ejections and paces of the former one are not this one's; servers are still told the id that they know. An agent forgets maps, counts, orders and its lead when its server has started again. A load that states another start changes nothing. Of two starts the older loses; if the newer one does not register itself again within 3 s (servers write each 1.2 s) the older is taken, since the server's clock may have been set back.

Each object is read by itself: before, one with metadata of another type or with bytes that are no text made a whole listing unreadable, and a registration that turned bad was used on.

--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -2,16 +2,25 @@
 
 use std::net::SocketAddr;
 
-use cactusnotch_derive::message;
+use cactusnotch_derive::{message, number};
 
 use crate::store::Revision;
 
+/// When an endpoint started, in Unix milliseconds of its own clock.
+#[number]
+pub struct Born(pub u64);
+
 /// An endpoint as it registered itself.
 #[message]
 #[derive(Eq)]
 pub struct Endpoint {
-    /// The name of this incarnation of the endpoint.
+    /// The name of this life of the endpoint, which no other life has.
     pub id: String,
+    /// The name under which it is registered. One that starts again may keep it, and knows
+    /// nothing of before.
+    pub instance: String,
+    /// When it started, if it says so.
+    pub born: Option<Born>,
     /// The service that it belongs to.
     pub service: String,
     /// Where it takes requests.
@@ -27,10 +36,16 @@
 }
 
 impl Endpoint {
-    /// Tells whether this is a later incarnation at the address of `other`, which has
-    /// ended then: an address is used by one process at a time.
+    /// Tells whether `other` has ended since this one lives: an address is used by one
+    /// process at a time, and a registration tells of one life.
     #[must_use]
     pub fn supersedes(&self, other: &Self) -> bool {
-        self.address == other.address && self.id != other.id && self.registered > other.registered
+        let at_address = self.address == other.address && self.registered > other.registered;
+        self.id != other.id && (at_address || self.follows(other))
+    }
+
+    /// Tells whether this is a later life of the same registration.
+    fn follows(&self, other: &Self) -> bool {
+        self.instance == other.instance && self.born > other.born
     }
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -28,6 +28,9 @@
 const EJECTION: Duration = Duration::from_millis(700);
 const EJECTION_MAX: Duration = Duration::from_secs(6);
 
+/// How long a registration of an earlier start than the known one is not taken. A server
+/// writes its own each 1.2 s, which shows which of the two lives.
+const RIVAL_TIME: Duration = Duration::from_secs(3);
 /// Streams are moved away from stragglers while these are at most one in so many of
 /// the service's endpoints: the others have to have room for them.
 const STRAGGLERS_PART: usize = 4;
@@ -177,23 +180,18 @@
     /// address the later one lives: the other's registration lapses only seconds after
     /// its end, and what is sent there meanwhile is refused.
     pub(crate) fn insert(&mut self, endpoint: Endpoint, now: Instant) -> bool {
-        let known = self.rows.get(&endpoint.id);
-        if known.is_some_and(|row| row.endpoint == endpoint && row.missing_until.is_none()) {
-            return false;
+        if let Some(known) = self.rows.get_mut(&endpoint.id) {
+            known.rival = None;
+            if known.endpoint == endpoint && known.missing_until.is_none() {
+                return false;
+            }
         }
-        if self.iter().any(|other| other.supersedes(&endpoint)) {
+        if self.is_of_former_life(&endpoint, now)
+            || self.iter().any(|other| other.supersedes(&endpoint))
+        {
             return false;
         }
-        let ended = self.iter().find(|other| endpoint.supersedes(other));
-        if let Some(ended) = ended.map(|other| other.id.clone()) {
-            tracing::info!(
-                endpoint = ended,
-                by = endpoint.id,
-                revision = endpoint.registered.0,
-                "endpoint superseded at its address"
-            );
-            self.remove(&ended, None);
-        }
+        self.end_former_lives(&endpoint);
         let service = endpoint.service.clone();
         let ranked = self.ranked.binary_search(&service).is_ok();
         // One that is new to a shared service is used once it was chosen.
@@ -206,17 +204,82 @@
         true
     }
 
+    /// Drops the lives that have ended since `endpoint` lives, with all that is believed
+    /// of them.
+    fn end_former_lives(&mut self, endpoint: &Endpoint) {
+        let ended = self.iter().filter(|other| endpoint.supersedes(other));
+        let ended: Vec<_> = ended.map(|other| other.id.clone()).collect();
+        for id in ended {
+            tracing::info!(
+                endpoint = id,
+                by = endpoint.id,
+                revision = endpoint.registered.0,
+                "endpoint superseded by a later life"
+            );
+            self.end(&id);
+        }
+    }
+
+    /// Tells whether a registration is of a life before the known one of the same name: a
+    /// write that was carried out late. It is taken all the same if the known life does not
+    /// register itself again within [`RIVAL_TIME`], since its clock may have been set back.
+    fn is_of_former_life(&mut self, endpoint: &Endpoint, now: Instant) -> bool {
+        let same = |row: &&mut Row| {
+            let known = &row.endpoint;
+            known.instance == endpoint.instance && known.born > endpoint.born
+        };
+        let mut rows = self.rows.iter_mut().map(|(_, row)| row);
+        let Some(row) = rows.find(same) else {
+            return false;
+        };
+        tracing::info!(
+            endpoint = endpoint.id,
+            known = row.endpoint.id,
+            "registration of an earlier start not taken yet"
+        );
+        row.rival = Some((endpoint.clone(), now + RIVAL_TIME));
+        true
+    }
+
+    /// Takes the registrations of earlier starts that nothing has contradicted.
+    pub(crate) fn settle(&mut self, now: Instant) {
+        let due = |row: &Row| row.rival.as_ref().is_some_and(|(_, until)| *until <= now);
+        let due: Vec<_> = self.rows.values().filter(|row| due(row)).collect();
+        let due: Vec<_> = due
+            .into_iter()
+            .filter_map(|row| Some((row.endpoint.id.clone(), row.rival.clone()?.0)))
+            .collect();
+        for (id, endpoint) in due {
+            tracing::info!(
+                endpoint = endpoint.id,
+                by = "time",
+                former = id,
+                "endpoint's earlier start taken"
+            );
+            self.end(&id);
+            self.insert(endpoint, now);
+        }
+    }
+
     /// Takes that the store no longer names an endpoint, which is used until
     /// `until` if the store may have lost it.
-    pub(crate) fn remove(&mut self, id: &str, until: Option<Instant>) {
-        let Some(row) = self.rows.get_mut(id) else {
-            return;
-        };
-        if let (Some(until), false) = (until, row.endpoint.leaving) {
-            row.missing_until = Some(until);
-            self.expires = Some(self.expires.map_or(until, |known| known.min(until)));
-            return;
+    pub(crate) fn remove(&mut self, instance: &str, until: Option<Instant>) {
+        let lives = self.iter().filter(|endpoint| endpoint.instance == instance);
+        let lives: Vec<_> = lives.map(|endpoint| endpoint.id.clone()).collect();
+        for id in lives {
+            let Some(row) = self.rows.get_mut(&id) else {
+                continue;
+            };
+            if let (Some(until), false) = (until, row.endpoint.leaving) {
+                row.missing_until = Some(until);
+                self.expires = Some(self.expires.map_or(until, |known| known.min(until)));
+            } else {
+                self.end(&id);
+            }
         }
+    }
+
+    fn end(&mut self, id: &str) {
         if let Some(row) = self.rows.remove(id) {
             self.refresh(&row.endpoint.service);
         }
@@ -319,6 +382,9 @@
             .rows
             .iter_mut()
             .find(|(_, row)| row.endpoint.address == load.endpoint)?;
+        if row.is_of_other_life(load) {
+            return None;
+        }
         row.hear(load, now);
         let service = row.endpoint.service.clone();
         let slots = row.endpoint.slots;
--- a/crates/gateway/src/fleet/row.rs
+++ b/crates/gateway/src/fleet/row.rs
@@ -31,6 +31,9 @@
     open: bool,
     /// Until when its agent is looked for, if it has not been heard.
     sought_until: Option<Instant>,
+    /// A registration of an earlier start, which is taken at that time unless the known life
+    /// registers itself again.
+    pub(crate) rival: Option<(Endpoint, Instant)>,
     /// Until when it is used though the store no longer names it.
     pub(crate) missing_until: Option<Instant>,
 }
@@ -47,6 +50,7 @@
             pace: Pace::default(),
             open: true,
             sought_until: ranked.then(|| now + SEEK_TIME),
+            rival: None,
             missing_until: None,
         }
     }
@@ -54,9 +58,17 @@
     /// Takes the endpoint's newest registration.
     pub(crate) fn register(&mut self, endpoint: Endpoint) {
         self.endpoint = endpoint;
+        self.rival = None;
         self.missing_until = None;
     }
 
+    /// Tells whether a load is not of this life: of one before, whose word is late, or of
+    /// one whose registration is still on its way.
+    pub(crate) fn is_of_other_life(&self, load: &Load) -> bool {
+        let told = load.born.zip(self.endpoint.born);
+        told.is_some_and(|(told, known)| told != known)
+    }
+
     /// Takes what its agent tells.
     pub(crate) fn hear(&mut self, load: &Load, now: Instant) {
         let endpoint = self.endpoint.id.as_str();
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -4,11 +4,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use cactusnotch_telemetry::metric;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
 use crate::absence::Absence;
 use crate::budget::Budgets;
+use crate::complaints::Complaints;
 use crate::configuration::Configuration;
 use crate::endpoint::Endpoint;
 use crate::fleet::Fleet;
@@ -20,7 +22,7 @@
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::questions::Questions;
-use crate::store::{Change, Item, Kind, Revision};
+use crate::store::{Change, Item, Kind, Revision, Unreadable};
 
 /// Everything that an entry believes, shared between its tasks.
 #[derive(Debug)]
@@ -45,6 +47,7 @@
     /// Whether endpoints and entries have each been listed once.
     listed: Cell<(bool, bool)>,
     absence: Cell<Absence>,
+    complaints: RefCell<Complaints>,
 }
 
 impl Knowledge {
@@ -56,6 +59,7 @@
             budgets: RefCell::new(Budgets::new(options.retry_ratio, options.retry_window)),
             options: RefCell::new(Rc::new(options)),
             patience: RefCell::default(),
+            complaints: RefCell::default(),
             configuration: RefCell::default(),
             questions: RefCell::default(),
             revision: Cell::default(),
@@ -158,16 +162,16 @@
                 let mut fleet = self.fleet.borrow_mut();
                 let gone: Vec<_> = fleet
                     .iter()
-                    .map(|e| e.id.clone())
-                    .filter(|id| !named(id))
+                    .map(|endpoint| endpoint.instance.clone())
+                    .filter(|instance| !named(instance))
                     .collect();
-                for id in gone {
+                for instance in gone {
                     tracing::info!(
-                        endpoint = id,
+                        endpoint = instance,
                         revision = revision.0,
                         "endpoint missing from the listing"
                     );
-                    fleet.remove(&id, self.absence.get().kept_until(now));
+                    fleet.remove(&instance, self.absence.get().kept_until(now));
                 }
                 self.listed.set((true, self.listed.get().1));
             }
@@ -184,15 +188,14 @@
     pub(crate) fn apply(&self, kind: Kind, change: Change, revision: Revision, now: Instant) {
         let Change { name, item } = change;
         match item {
-            Err(error) => {
-                tracing::error!(%kind, name, revision = revision.0, %error, "object not taken, the last good one stays");
-            }
+            Err(error) => self.take_unreadable(kind, &name, revision, &error),
             Ok(Some(Item::Configuration(new))) => self.take_configuration(*new, revision),
             Ok(Some(Item::Endpoint(endpoint))) => {
                 let (leaving, service) = (endpoint.leaving, endpoint.service.clone());
+                let id = endpoint.id.clone();
                 if self.fleet.borrow_mut().insert(endpoint, now) {
                     tracing::info!(
-                        endpoint = name,
+                        endpoint = id,
                         service,
                         leaving,
                         revision = revision.0,
@@ -205,6 +208,20 @@
         }
     }
 
+    /// Takes that an object can't be read, which another writer may have written. It names
+    /// no endpoint or entry that could be used; of configurations the last good one stays.
+    fn take_unreadable(&self, kind: Kind, name: &str, revision: Revision, error: &Unreadable) {
+        if self.complaints.borrow_mut().is_new(name, &error.detail) {
+            metrics::counter!(metric::GATEWAY_UNREADABLE).increment(1);
+            tracing::error!(%kind, name, revision = revision.0, %error, "object not taken");
+        }
+        match kind {
+            Kind::Configuration => {}
+            Kind::Endpoints => self.fleet.borrow_mut().remove(name, None),
+            Kind::Entries => self.peers.borrow_mut().remove(name),
+        }
+    }
+
     fn forget(&self, kind: Kind, name: &str, revision: Revision, now: Instant) {
         match kind {
             Kind::Configuration => {
@@ -313,6 +330,7 @@
 
     /// Drops the endpoints that have not come back after an outage of the store.
     pub(crate) fn drop_missing(&self, now: Instant) {
+        self.fleet.borrow_mut().settle(now);
         for endpoint in self.fleet.borrow_mut().expire(now) {
             tracing::info!(endpoint, "endpoint still missing after the store's return");
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod channel;
 pub mod client;
+mod complaints;
 pub mod configuration;
 pub mod datagram;
 pub mod dialect;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -4,6 +4,7 @@
 
 use cactusnotch_derive::message;
 
+use crate::endpoint::Born;
 use crate::store::Revision;
 use crate::{Endpoint, Pace};
 
@@ -12,6 +13,8 @@
 pub struct Load {
     /// Where the endpoint takes requests.
     pub endpoint: SocketAddr,
+    /// When it started, if it says so.
+    pub born: Option<Born>,
     /// The requests that run or wait there.
     pub requests: u32,
     /// Whether its group of ranks can take requests.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -138,7 +138,7 @@
     ) -> Request<Full<Bytes>> {
         let mut headers = self.headers.clone();
         let hop = Hop {
-            endpoint: &endpoint.id,
+            endpoint: &endpoint.instance,
             organisation: self.judged.organisation.as_ref().map(|o| o.name.as_str()),
             left: Some(self.until.saturating_duration_since(now)),
             last_event,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -166,8 +166,14 @@
     pub async fn list(&mut self, kind: Kind, stale: bool) -> Result<Answer, Error> {
         let mut whole = self.page(kind, None, stale).await?;
         while whole.more {
-            let after = whole.changes.last().map(|change| change.name.clone());
-            let page = self.page(kind, after.as_deref(), stale).await?;
+            // One without a name can't be continued from.
+            let named = |change: &&Change| !change.name.is_empty();
+            let after = whole.changes.iter().rfind(named);
+            let Some(after) = after.map(|change| change.name.clone()) else {
+                let detail = "a page without a name to go on from".to_owned();
+                return Err(Error::Unreadable(Unreadable { kind, detail }));
+            };
+            let page = self.page(kind, Some(&after), stale).await?;
             // Changes between two pages are seen by a watch from the first.
             whole.more = page.more && !page.changes.is_empty();
             whole.changes.extend(page.changes);
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -207,12 +207,10 @@
         self.note(answer.revision, asked);
         match self.kind {
             Kind::Endpoints if self.knowledge.watches(now) => {
-                if let Some(endpoints) = endpoints {
-                    let passed_on = self
-                        .knowledge
-                        .passed_on(from, answer.revision, endpoints, now);
-                    listing::pass_on(self.knowledge, self.socket, passed_on);
-                }
+                let passed_on = self
+                    .knowledge
+                    .passed_on(from, answer.revision, endpoints, now);
+                listing::pass_on(self.knowledge, self.socket, passed_on);
             }
             Kind::Configuration if changed => listing::announce(self.knowledge, self.socket),
             _ => {}
@@ -229,12 +227,11 @@
     }
 }
 
-/// Returns the endpoints in `changes`, if all can be read.
-fn endpoints(changes: &[Change]) -> Option<Vec<(String, Option<Endpoint>)>> {
+/// Returns the endpoints in `changes`; what can't be read names none.
+fn endpoints(changes: &[Change]) -> Vec<(String, Option<Endpoint>)> {
     let endpoint = |change: &Change| match &change.item {
-        Ok(Some(Item::Endpoint(endpoint))) => Some((change.name.clone(), Some(endpoint.clone()))),
-        Ok(None) => Some((change.name.clone(), None)),
-        _ => None,
+        Ok(Some(Item::Endpoint(endpoint))) => (change.name.clone(), Some(endpoint.clone())),
+        _ => (change.name.clone(), None),
     };
     changes.iter().map(endpoint).collect()
 }
--- a/crates/rebalance/src/agent.rs
+++ b/crates/rebalance/src/agent.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use cactusnotch_gateway::endpoint::Born;
 use cactusnotch_gateway::{datagram, peer, reload, serve_metrics, store, tcp};
 use cactusnotch_telemetry::Exporter;
 use derive_more::{Display, Error};
@@ -30,6 +31,7 @@
 use crate::rank::Rank;
 use crate::relay::{Gathering, Telling};
 use crate::rescue::Rescue;
+use crate::state::State;
 
 /// How often the endpoint's state is read while no round is under way.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
@@ -111,6 +113,8 @@
     finisher: Option<(SocketAddr, Instant)>,
     cadence: Cadence,
     lost: bool,
+    /// When the endpoint started, as it said last.
+    born: Option<Born>,
     codec: PhantomData<(C, S)>,
 }
 
@@ -142,6 +146,7 @@
             finisher: None,
             cadence: Cadence::default(),
             lost: false,
+            born: None,
             options,
             codec: PhantomData,
         }
@@ -228,6 +233,25 @@
         }
     }
 
+    /// Forgets what was known of the endpoint if it has started again: it holds no map,
+    /// runs no order and counts anew.
+    fn live(&mut self, state: &State) {
+        let before = std::mem::replace(&mut self.born, state.born);
+        let Some((before, born)) = before.zip(state.born).filter(|(a, b)| a != b) else {
+            return;
+        };
+        tracing::info!(
+            before = before.0,
+            born = born.0,
+            "endpoint has started again"
+        );
+        self.rank = Rank::default();
+        self.term = rand::random();
+        (self.held, self.counted, self.given) = (None, None, None);
+        (self.told, self.load, self.asked) = (None, None, None);
+        self.cadence = Cadence::default();
+    }
+
     /// Reads the endpoint's state and goes on from it.
     async fn look(&mut self, sockets: &Sockets, now: Instant) {
         if let Some((ask, from)) = self.asked.take() {
@@ -248,6 +272,7 @@
             tracing::info!("endpoint regained");
             self.lost = false;
         }
+        self.live(&state);
         self.cadence.look(state.maps.step, now);
         self.tell_load(sockets, &state, now);
         if let Some(place) = state.place.clone() {
--- a/crates/rebalance/src/agent/tell.rs
+++ b/crates/rebalance/src/agent/tell.rs
@@ -41,6 +41,7 @@
         let requests = state.running + state.waiting;
         let load = peer::Load {
             endpoint: self.options.endpoint,
+            born: state.born,
             requests,
             open: state.open,
             pass: if requests > 0 {
--- a/crates/rebalance/src/state.rs
+++ b/crates/rebalance/src/state.rs
@@ -2,6 +2,8 @@
 
 use cactusnotch_derive::{message, record};
 
+use cactusnotch_gateway::endpoint::Born;
+
 use crate::Pace;
 
 /// A rank of a group, as its endpoint names it.
@@ -52,6 +54,8 @@
     pub open: bool,
     /// The maps of this rank.
     pub maps: Maps,
+    /// When the endpoint started, if it says so.
+    pub born: Option<Born>,
     /// The number of orders that the endpoint has begun.
     pub sequence: u64,
     /// The requests that run.
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -89,6 +89,8 @@
         "Requests that were let in and have ended.";
     GATEWAY_MOVED = "cactusnotch_gateway_streams_moved_total", Counter, Count, [],
         "Streams that were moved away from an endpoint far slower than others.";
+    GATEWAY_UNREADABLE = "cactusnotch_gateway_unreadable_objects_total", Counter, Count, [],
+        "Objects of the store that could not be read and name nothing to use, each counted once for each reason.";
     GATEWAY_WAITED = "cactusnotch_gateway_waits_total", Counter, Count, [],
         "Callers refused before that waited at an entry until there was room, or in vain.";
     GROUP_REPORTS_UNCOUNTED = "cactusnotch_group_reports_uncounted_total", Counter, Count, [],
