perf: while the store is lost one task of an entry asks it, and most entries rely on two of their data centre

Cause: each of an entry's three tasks (configuration, endpoints, proof) asked a store that refuses or doesn't answer by itself, each 0.2 to 0.4 s, however many others did the same: 149 entries made over 1,000 calls a second in an outage. Now the health of the way to the store is one for an entry, one task asks at a time, and only the first two entries of a data centre that are heard (ready or not: in an outage nobody is) ask each 0.4 s; the others ask each 2 s, and take the word of one that got an answer for the store's return.

Ruled out: a longer pause for all (it breaks what the notice of a return is bounded by).

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,7 +41,7 @@
 pub mod freshness;
 mod intake;
 mod knowledge;
-mod link;
+pub mod link;
 mod listing;
 mod news;
 pub mod patience;
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -71,6 +71,7 @@
                 tracing::info!(host, ready = state.ready, "entry changed");
             }
             knowledge.take_proof(&state);
+            knowledge.hear_of_return(&state, now);
         }
         Ok(Datagram::Load(load)) => take_load(knowledge, &load, now),
         Ok(Datagram::Changes(changes)) => knowledge.take_changes(changes, now),
@@ -90,6 +91,7 @@
         proof_age: age.and_then(|age| u32::try_from(age.as_millis()).ok()),
         // Only what can be passed on: others would ask the store for the rest.
         known: knowledge.news.progress().known(),
+        returned_ago: knowledge.returned_ago(now),
     }
 }
 
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -90,4 +90,6 @@
     pub proof_age: Option<u32>,
     /// The revision up to which it knows endpoints.
     pub known: Revision,
+    /// How long ago the store came back for it after an outage, in milliseconds.
+    pub returned_ago: Option<u32>,
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -103,6 +103,20 @@
         u32::try_from(self.rows.values().filter(before).count()).unwrap_or(u32::MAX)
     }
 
+    /// Returns how many entries of this data centre that are heard come before this one in
+    /// the order of names; `None` if others are known and none is heard.
+    #[must_use]
+    pub fn heard_before(&self, now: Instant) -> Option<u32> {
+        let heard = || self.rows.values().filter(|row| row.alive(now));
+        if !self.rows.is_empty() && heard().next().is_none() {
+            return None;
+        }
+        let before =
+            |row: &&Row| row.entry.data_centre == self.data_centre && row.entry.host < self.host;
+        let count = heard().filter(before).count();
+        Some(u32::try_from(count).unwrap_or(u32::MAX))
+    }
+
     /// Returns where the entries of this data centre take datagrams.
     #[must_use]
     pub fn near(&self) -> Vec<SocketAddr> {
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -3,12 +3,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use rand::Rng;
 use tokio::net::UdpSocket;
 
 use crate::endpoint::Endpoint;
 use crate::knowledge::Knowledge;
-use crate::link::{Link, PAUSE, PAUSE_MAX};
 use crate::listing;
 use crate::store::{Answer, Change, Codec, Error, Item, Kind, Revision, Store};
 
@@ -50,13 +48,10 @@
             Ok(()) => {}
             Err(Error::HistoryGone) => {
                 tracing::info!(%kind, "changes are gone from the store, listing anew");
+                knowledge.store_answers(kind, Instant::now());
                 follower.listed = false;
             }
-            Err(error) => {
-                let jitter = knowledge.rng.borrow_mut().random();
-                let pause = follower.link.fail(kind, &error, Instant::now(), jitter);
-                tokio::time::sleep(pause).await;
-            }
+            Err(error) => knowledge.store_fails(kind, &error, Instant::now()),
         }
     }
 }
@@ -69,7 +64,6 @@
     kind: Kind,
     /// For calls that don't wait, while a watch may be waiting.
     store: Store<C>,
-    link: Link,
     /// Whether the changes since what is known are to be had.
     listed: bool,
     started: Instant,
@@ -82,7 +76,6 @@
             socket,
             kind,
             store: Store::new(knowledge.options().store),
-            link: Link::default(),
             listed: false,
             started: Instant::now(),
         }
@@ -90,8 +83,8 @@
 
     /// Goes on from what is known, by one answer of the store or some time.
     async fn follow(&mut self, watching: &mut Store<C>) -> Result<(), Error> {
-        if self.link.is_lost() {
-            // The return has to be noticed soon.
+        if self.knowledge.link.borrow().is_lost() {
+            self.knowledge.turn().await;
             return self.catch_up().await.map(drop);
         }
         let acquainted = self.started.elapsed() >= ACQUAINTED;
@@ -103,10 +96,11 @@
     }
 
     async fn list(&mut self) -> Result<(), Error> {
+        self.knowledge.turn().await;
         let asked = Instant::now();
         let listing = self.store.list(self.kind, false).await?;
         let now = Instant::now();
-        self.answered(now);
+        self.knowledge.store_answers(self.kind, now);
         let revision = listing.revision;
         if revision < self.known() {
             // Others have told more meanwhile.
@@ -119,13 +113,6 @@
         Ok(())
     }
 
-    /// Notes an answer of the store.
-    fn answered(&mut self, now: Instant) {
-        if self.link.answer(self.kind, now) && self.kind == Kind::Endpoints {
-            self.knowledge.store_returned(now);
-        }
-    }
-
     /// Returns the revision up to which the objects are known.
     const fn known(&self) -> Revision {
         match self.kind {
@@ -194,7 +181,7 @@
     /// are any.
     fn take(&mut self, from: Revision, answer: Answer, asked: Instant) -> bool {
         let now = Instant::now();
-        self.answered(now);
+        self.knowledge.store_answers(self.kind, now);
         let changed = !answer.changes.is_empty();
         if self.is_outrun(from, answer.revision) {
             return changed;
@@ -272,7 +259,6 @@
 /// other entries.
 pub(crate) async fn keep_proof<C: Codec>(knowledge: Rc<Knowledge>) {
     let mut store = Store::<C>::new(knowledge.options().store);
-    let mut link = Link::default();
     loop {
         tokio::time::sleep(PROOF_LOOK).await;
         let now = Instant::now();
@@ -281,14 +267,13 @@
         if age.is_none_or(|age| age < knowledge.prove_after(now)) {
             continue;
         }
+        if knowledge.link.borrow_mut().wait(now).is_some() {
+            continue;
+        }
         match renew(&knowledge, &mut store).await {
-            Ok(()) => {
-                link.answer(Kind::Configuration, Instant::now());
-            }
+            Ok(()) => knowledge.store_answers(Kind::Configuration, Instant::now()),
             Err(error) => {
-                let jitter = knowledge.rng.borrow_mut().random();
-                let pause = link.fail(Kind::Configuration, &error, Instant::now(), jitter);
-                tokio::time::sleep(pause).await;
+                knowledge.store_fails(Kind::Configuration, &error, Instant::now());
             }
         }
     }
@@ -313,11 +298,10 @@
 pub(crate) async fn register<C: Codec>(knowledge: Rc<Knowledge>) {
     let entry = knowledge.entry();
     let mut store = Store::<C>::new(knowledge.options().store);
-    let mut pause = PAUSE;
     while let Err(error) = store.register(&entry).await {
         tracing::warn!(%error, "entry not registered yet");
-        tokio::time::sleep(pause).await;
-        pause = (pause * 2).min(PAUSE_MAX);
+        knowledge.store_fails(Kind::Entries, &error, Instant::now());
+        knowledge.turn().await;
     }
     tracing::info!(host = entry.host, "entry registered");
 }
