fix: entries know of all others of a data centre of up to 31, so that callers are spread over all

Now it asks the first two, which watch and prove for all, and the 14 that follow it by name; a question also tells how who asks is, so that it hears of those before it as well. One that stops tells all of its data centre.

Ruled out: asking all (grows with the data centre); asking 16 by chance (leaves out a quarter of the pairs).

--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -57,19 +57,17 @@
     let now = Instant::now();
     match datagram::decode(bytes) {
         Ok(Datagram::Subscribe) => tracing::debug!(%from, "subscription to loads at an entry"),
-        Ok(Datagram::Ask { entry, round }) => {
+        Ok(Datagram::Ask {
+            entry,
+            ready,
+            round,
+        }) => {
             knowledge.peers.borrow_mut().insert(entry);
+            hear(knowledge, from, ready, now);
             send(socket, &Datagram::State(state(knowledge, round, now)), from);
         }
         Ok(Datagram::State(state)) => {
-            let known = knowledge
-                .peers
-                .borrow_mut()
-                .hear(from, state.ready, now)
-                .map(str::to_owned);
-            if let Some(host) = known {
-                tracing::info!(host, ready = state.ready, "entry changed");
-            }
+            hear(knowledge, from, state.ready, now);
             knowledge.take_proof(&state, from);
             knowledge.hear_of_return(&state, now);
         }
@@ -79,6 +77,13 @@
     }
 }
 
+/// Takes whether the entry at `from` takes callers' requests.
+fn hear(knowledge: &Knowledge, from: SocketAddr, ready: bool, now: Instant) {
+    if let Some(host) = knowledge.peers.borrow_mut().hear(from, ready, now) {
+        tracing::info!(host, ready, "entry changed");
+    }
+}
+
 /// Returns how this entry is.
 fn state(knowledge: &Knowledge, round: u32, now: Instant) -> peer::State {
     let age = knowledge.freshness.borrow().age(now);
@@ -142,9 +147,11 @@
 
 fn ask(knowledge: &Knowledge, socket: &UdpSocket, subscribe: bool) {
     let asked = knowledge.peers.borrow().asked();
-    let round = knowledge.questions.borrow_mut().begin(Instant::now());
+    let now = Instant::now();
+    let round = knowledge.questions.borrow_mut().begin(now);
     let question = Datagram::Ask {
         entry: knowledge.entry(),
+        ready: knowledge.ready(now),
         round,
     };
     for peer in asked {
@@ -204,8 +211,12 @@
 
 /// Tells the entries near that this one takes no callers any more.
 pub(crate) fn announce_stop(knowledge: &Knowledge, socket: &UdpSocket) {
-    let asked = knowledge.peers.borrow().asked();
-    for peer in asked {
+    let peers = knowledge.peers.borrow();
+    let mut told = peers.near();
+    told.extend(peers.asked());
+    told.sort_unstable();
+    told.dedup();
+    for peer in told {
         let state = peer::State {
             ready: false,
             ..state(knowledge, 0, Instant::now())
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -51,6 +51,8 @@
     Ask {
         /// Who asks.
         entry: Entry,
+        /// Whether it takes callers' requests.
+        ready: bool,
         /// The number of the question, which the answer repeats.
         round: u32,
     },
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,9 +10,13 @@
 /// How long a statement of readiness counts: two lost datagrams are borne, and
 /// a dead entry is off the lists before callers' next question.
 const STATEMENT_TIME: Duration = Duration::from_millis(1_700);
-/// The most entries that are asked; beyond it the nearest in the order of
-/// names are, so that the cost stays the same however many there are.
-const ASKED_MAX: usize = 16;
+/// The most entries that are asked, so that the cost stays the same however many there
+/// are. Those that ask tell how they are too, so that up to 31 know of each other.
+pub const ASKED_MAX: usize = 16;
+/// How many of them are the first of the data centre by name, which watch the store and
+/// prove its state for the others; the rest follow this entry by name, and begin again
+/// after the last, so that each is asked by equally many.
+const ASKED_FIRST: usize = 2;
 /// The entries from which on a list is long enough to stay within the
 /// caller's data centre.
 const LIST_MIN: usize = 2;
@@ -125,8 +129,8 @@
         rows.map(|row| row.entry.peers).collect()
     }
 
-    /// Returns where to ask for statements: the entries of this data centre,
-    /// and a few others if there are not enough.
+    /// Returns where to ask for statements: entries of this data centre, and a few others
+    /// if there are not enough.
     #[must_use]
     pub fn asked(&self) -> Vec<SocketAddr> {
         let near = |row: &&Row| row.entry.data_centre == self.data_centre;
@@ -134,6 +138,11 @@
         let mut asked: Vec<_> = rows().filter(near).map(|row| row.entry.peers).collect();
         if asked.len() < LIST_MIN {
             asked.extend(rows().filter(|row| !near(row)).map(|row| row.entry.peers));
+        } else if asked.len() > ASKED_MAX {
+            let before = rows().filter(near).filter(|row| row.entry.host < self.host);
+            // The first stay in front, the others begin after this entry.
+            let others = &mut asked[ASKED_FIRST..];
+            others.rotate_left(before.count().saturating_sub(ASKED_FIRST) % others.len());
         }
         asked.truncate(ASKED_MAX);
         asked
