--- /dev/null
+++ b/crates/rebalance/tests/datagrams.rs
@@ -0,0 +1,180 @@
+//! Datagrams of entries and agents whose bytes were spoilt are refused or read, and never
+//! stop the process that gets them.
+
+use std::net::SocketAddr;
+
+use cactusnotch_gateway::endpoint::{Born, Endpoint};
+use cactusnotch_gateway::store::Revision;
+use cactusnotch_gateway::{Pace, datagram, peer};
+use cactusnotch_rebalance::estimate::pack;
+use cactusnotch_rebalance::map::Move;
+use cactusnotch_rebalance::message::{Ask, Choices, Datagram, Part, Phase, Relay, Round, Standing};
+use cactusnotch_rebalance::state::{Maps, Place};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::Serialize;
+use serde_bytes::ByteBuf;
+
+fn agent() -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 7340))
+}
+
+fn place() -> Place {
+    Place {
+        group: "g".to_owned(),
+        epoch: 1,
+        rank: 2,
+        size: 96,
+    }
+}
+
+fn of_agents() -> Vec<Datagram> {
+    let (units, counts) = pack(&[1, 2, 300, 4], 2);
+    let part = Part {
+        group: "g".to_owned(),
+        epoch: 1,
+        version: 3,
+        set: 0,
+        sets: 1,
+        ranks: vec![vec![0, 1], vec![300]],
+    };
+    let step = Move {
+        set: 0,
+        rank: 1,
+        out: Some(1),
+        new: None,
+    };
+    vec![
+        Datagram::Seek(place()),
+        Datagram::Standing(Standing {
+            place: place(),
+            open: true,
+            maps: Maps::default(),
+            pace: Pace::default(),
+            fill: 50,
+            term: Some(1),
+            met: None,
+            heard: None,
+            known: None,
+            held: Some(vec![vec![0, 1], vec![300]]),
+        }),
+        Datagram::Choices(Choices {
+            place: place(),
+            units,
+            counts: counts.into(),
+        }),
+        Datagram::Round(Round {
+            group: "g".to_owned(),
+            epoch: 1,
+            term: 1,
+            version: 4,
+            base: 3,
+            moves: vec![step],
+            phase: Phase::Arm { step: 9 },
+            asks_held: false,
+        }),
+        Datagram::Ask(Ask {
+            place: place(),
+            endpoint: agent(),
+            sequence: 0,
+            step: 9,
+        }),
+        Datagram::Relay(Relay {
+            to: vec![agent(); 3],
+            message: ByteBuf::from(datagram::encode(&Datagram::Part(part.clone()))),
+        }),
+        Datagram::Part(part),
+    ]
+}
+
+fn of_entries() -> Vec<peer::Datagram> {
+    let entry = peer::Entry {
+        host: "a".to_owned(),
+        data_centre: "z".to_owned(),
+        listen: agent(),
+        peers: agent(),
+    };
+    let endpoint = Endpoint {
+        id: "i@1".to_owned(),
+        instance: "i".to_owned(),
+        born: Some(Born(1)),
+        service: "s".to_owned(),
+        address: agent(),
+        data_centre: "z".to_owned(),
+        slots: 6,
+        leaving: false,
+        registered: Revision(3),
+    };
+    vec![
+        peer::Datagram::Subscribe,
+        peer::Datagram::Ask {
+            entry,
+            ready: true,
+            round: 7,
+        },
+        peer::Datagram::State(peer::State {
+            ready: true,
+            round: 7,
+            version: 3,
+            proof_age: Some(4),
+            known: Revision(9),
+            returned_ago: None,
+        }),
+        peer::Datagram::Changes(peer::Changes {
+            from: Revision(1),
+            to: Revision(2),
+            returned_ago: Some(1),
+            endpoints: vec![("i".to_owned(), Some(endpoint)), ("j".to_owned(), None)],
+        }),
+    ]
+}
+
+fn spoil(mut bytes: Vec<u8>, rng: &mut SmallRng) -> Vec<u8> {
+    for _ in 0..rng.random_range(1..6) {
+        if bytes.is_empty() {
+            break;
+        }
+        let at = rng.random_range(0..bytes.len());
+        match rng.random_range(0..4) {
+            0 => bytes[at] = rng.random(),
+            1 => drop(bytes.remove(at)),
+            2 => bytes.insert(at, rng.random()),
+            _ => bytes.truncate(at),
+        }
+    }
+    bytes
+}
+
+/// Reads a spoilt copy of each datagram, as both sides would.
+fn read<T: Serialize>(datagrams: &[T], rng: &mut SmallRng) {
+    for whole in datagrams {
+        let bytes = spoil(datagram::encode(whole), rng);
+        // Either is fine; a panic is not.
+        drop(datagram::decode::<Datagram>(&bytes));
+        drop(datagram::decode::<peer::Datagram>(&bytes));
+    }
+}
+
+#[test]
+fn spoilt_datagrams_are_borne() {
+    let seeds = std::env::var("FUZZ_SEEDS")
+        .ok()
+        .and_then(|s| s.parse().ok());
+    for seed in 0..seeds.unwrap_or(500_u64) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        read(&of_agents(), &mut rng);
+        read(&of_entries(), &mut rng);
+    }
+}
+
+#[test]
+fn whole_datagrams_are_read_as_they_were_sent() {
+    for sent in of_agents() {
+        let read: Datagram = datagram::decode(&datagram::encode(&sent)).expect("it is whole");
+        assert_eq!(read, sent);
+    }
+    for sent in of_entries() {
+        let read: peer::Datagram = datagram::decode(&datagram::encode(&sent)).expect("it is whole");
+        assert_eq!(read, sent);
+    }
+}
