--- a/crates/gateway/src/handout.rs
+++ b/crates/gateway/src/handout.rs
@@ -1,7 +1,7 @@
 //! The newest configuration as other entries get it.
 //!
-//! Each entry asked the store for each version: 149 calls a change, and 830 within two
-//! seconds of a few keys that were taken back. A few ask the store; the others get what
+//! Each entry asked the store for each version: 149 calls a change, and 824 within four
+//! seconds in which a few keys were taken back. A few ask the store; the others get what
 //! these were answered from each other, over the port on which entries exchange datagrams.
 
 use std::cell::RefCell;
