--- a/crates/gateway/src/fleet/lives.rs
+++ b/crates/gateway/src/fleet/lives.rs
@@ -9,6 +9,7 @@
 /// How long a registration of an earlier start than the known one is not taken. A server
 /// writes its own each 1.2 s, which shows which of the two lives.
 const RIVAL_TIME: Duration = Duration::from_secs(3);
+
 impl Fleet {
     /// Drops the lives that have ended since `endpoint` lives, with all that is believed
     /// of them.
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -2,9 +2,9 @@
 //!
 //! A store that is down, or turns hosts away, would be asked by every task of every entry
 //! again and again: 149 entries with three tasks each made 11,900 calls in a day with an
-//! outage of eight seconds, and 7,000 as it is here. While the store is lost one task of an entry asks at a
-//! time, and entries that hear others rely on a few of their data centre: these ask often
-//! and tell all once they get an answer.
+//! outage of eight seconds, and 7,000 as it is here. While the store is lost one task of an
+//! entry asks at a time, and entries that hear others rely on a few of their data centre:
+//! these ask often and tell all once they get an answer.
 
 use std::time::{Duration, Instant};
 
@@ -69,9 +69,9 @@
         self.failures = self.failures.saturating_add(1);
         let next = now + pause.mul_f64(0.5 + jitter / 2.0);
         self.next = Some(next);
-        let first = self.lost.is_none();
+        let is_new = self.lost.is_none();
         self.lost.get_or_insert(now);
-        first
+        is_new
     }
 
     /// Tells whether the store is lost.
@@ -81,7 +81,7 @@
     }
 
     /// Takes that the store came back at `returned` for another entry of the data centre;
-    /// returns whether this one, which relies on it, had lost the store before that.
+    /// returns whether this one had lost the store before that.
     pub fn hear_of_return(&mut self, returned: Instant) -> bool {
         let heard = self.lost.is_some_and(|lost| lost < returned);
         if heard {
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -216,12 +216,12 @@
     told.extend(peers.asked());
     told.sort_unstable();
     told.dedup();
+    let state = Datagram::State(peer::State {
+        ready: false,
+        ..state(knowledge, 0, Instant::now())
+    });
     for peer in told {
-        let state = peer::State {
-            ready: false,
-            ..state(knowledge, 0, Instant::now())
-        };
-        send(socket, &Datagram::State(state), peer);
+        send(socket, &state, peer);
     }
 }
 
--- a/crates/rebalance/src/again.rs
+++ b/crates/rebalance/src/again.rs
@@ -5,7 +5,7 @@
 /// How long a word of a rank is trusted to be on its way before it is said again. Rank 0
 /// tells a round again after 0.06 s at the earliest, and answers each word of a rank in a
 /// small group: said again at once, 32 ranks and their leader answered each other without
-/// end while their group was held (1.4 s a day instead of 0.1 s).
+/// end while their group was held (1.4 s a day instead of 0.6 s).
 const AGAIN: Duration = Duration::from_millis(100);
 
 /// Tells whether a rank that hears a round for the second time has to say again how it
--- a/crates/rebalance/src/agent/finish.rs
+++ b/crates/rebalance/src/agent/finish.rs
@@ -59,7 +59,7 @@
                 return;
             }
         };
-        let leads = |at: &Place| at.rank == 0 && at.group == place.group && at.epoch == place.epoch;
+        let leads = |at: &Place| at.rank == 0 && at.is_beside(place);
         let Some(round) = self
             .rescue
             .round(round, &state.maps)
--- a/crates/rebalance/src/coordinator.rs
+++ b/crates/rebalance/src/coordinator.rs
@@ -120,8 +120,7 @@
     /// one could hide that the rank has been armed since.
     pub fn hear(&mut self, standing: Standing, now: Instant) {
         let place = &standing.place;
-        let other_group = place.group != self.place.group || place.epoch != self.place.epoch;
-        if other_group || standing.term != Some(self.round.term) {
+        if !self.place.is_beside(place) || standing.term != Some(self.round.term) {
             return;
         }
         if let Some(row) = self.rows.get_mut(usize::from(place.rank)) {
@@ -131,8 +130,7 @@
 
     /// Adds what a rank's requests chose; returns whether demand has turned.
     pub fn count(&mut self, place: &Place, units: &[f32], counts: &[u8], now: Instant) -> bool {
-        let own = place.group == self.place.group && place.epoch == self.place.epoch;
-        own && self.demand.count(units, counts, now)
+        self.place.is_beside(place) && self.demand.count(units, counts, now)
     }
 
     /// Goes on as far as the ranks' words allow; returns the order for the
--- a/crates/rebalance/src/relay.rs
+++ b/crates/rebalance/src/relay.rs
@@ -145,7 +145,8 @@
 #[derive(Debug, Default)]
 pub struct Gathering {
     until: Option<Instant>,
-    life: Option<(String, u64)>,
+    /// A rank of the group and life that the counts are of.
+    place: Option<Place>,
     counts: Vec<u64>,
 }
 
@@ -166,9 +167,9 @@
         if !self.is_open(now) || units.is_empty() || !counts.len().is_multiple_of(units.len()) {
             return;
         }
-        let life = (place.group.clone(), place.epoch);
-        if self.life.as_ref() != Some(&life) || self.counts.len() != counts.len() {
-            self.life = Some(life);
+        let same = self.place.as_ref().is_some_and(|of| of.is_beside(place));
+        if !same || self.counts.len() != counts.len() {
+            self.place = Some(place.clone());
             self.counts = vec![0; counts.len()];
         }
         let experts = counts.len() / units.len();
@@ -180,11 +181,9 @@
     /// Returns what was gathered for the group's life since the last time, with the rank's
     /// own counts `new`.
     pub fn take(&mut self, place: &Place, new: Vec<u64>) -> Vec<u64> {
-        let mine = self.life.take().filter(|(group, epoch)| {
-            (group.as_str(), *epoch) == (place.group.as_str(), place.epoch)
-        });
+        let mine = self.place.take().is_some_and(|of| of.is_beside(place));
         let gathered = std::mem::take(&mut self.counts);
-        if mine.is_none() || gathered.len() != new.len() {
+        if !mine || gathered.len() != new.len() {
             return new;
         }
         gathered.iter().zip(&new).map(|(a, b)| a + b).collect()
