feat: lines on sends without an answer name the request's content

An attempt's id is new each time its caller comes back, so that the logs of an incident in which servers ended one after the other couldn't tell whether one request ended them all or whether streams merely met servers that end. The digest of caller, method, target and body is the same for all attempts at all entries. It is worked out only for sends that fail.

--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -234,7 +234,7 @@
         self.course = course;
         let id = self.call.head.id.as_deref();
         let endpoint = self.tried.last().map(name::Endpoint::as_str);
-        tracing::info!(id, endpoint, cause = failed.cause, next = ?next, "endpoint gave no answer");
+        tracing::info!(id, endpoint, content = %self.call.content(), cause = failed.cause, next = ?next, "endpoint gave no answer");
         match next {
             Next::Repeat => {
                 metrics::counter!(metric::GATEWAY_REPEATS).increment(1);
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -1,5 +1,6 @@
 //! Reads a caller's request and judges it.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -79,6 +80,7 @@
         version: configuration.version,
         arrived,
         until,
+        digest: OnceCell::new(),
     })
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod client;
 mod complaints;
 pub mod configuration;
+pub mod content;
 pub mod datagram;
 pub mod dialect;
 pub mod endpoint;
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -180,7 +180,7 @@
             let affordable = || self.knowledge.budgets.borrow_mut().spend(&service, now);
             let next = self.course.fail(failure.failure, affordable);
             let id = self.call.head.id.as_deref();
-            tracing::info!(id, after = last, cause = failure.cause, next = ?next, "stream broken at its endpoint");
+            tracing::info!(id, content = %self.call.content(), after = last, cause = failure.cause, next = ?next, "stream broken at its endpoint");
             if matches!(next, Next::Give(_)) || now >= self.call.until {
                 return None;
             }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,5 +1,6 @@
 //! A caller's request, read whole and judged.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -11,6 +12,7 @@
 
 use crate::admission::Caller;
 use crate::configuration::{Configuration, Organisation};
+use crate::content::{self, Content};
 use crate::dialect::{Dialect, Head, Hop};
 use crate::endpoint::Endpoint;
 use crate::refusal::Refusal;
@@ -58,6 +60,8 @@
     pub(crate) arrived: Instant,
     /// When the final answer is due.
     pub(crate) until: Instant,
+    /// Worked out only when it is asked for.
+    pub(crate) digest: OnceCell<Content>,
 }
 
 /// Finds the route and the organisation of a request.
@@ -108,6 +112,20 @@
         arrived + head.patience.unwrap_or(PATIENCE).min(route.timeout)
     }
 
+    /// Returns what other attempts of this request have in common with it.
+    pub(crate) fn content(&self) -> Content {
+        *self.digest.get_or_init(|| {
+            let host = self.headers.get(header::HOST);
+            Content::of(&content::Parts {
+                organisation: self.judged.organisation.as_ref().map(|o| o.name.as_str()),
+                method: &self.method,
+                host: host.map(http::HeaderValue::as_bytes).unwrap_or_default(),
+                target: self.target.as_str(),
+                body: &self.body,
+            })
+        })
+    }
+
     /// Returns whether the caller comes for the first time, and how long it has waited
     /// otherwise.
     pub(crate) fn caller(&self, now: Instant) -> Caller {
