fix: a request that ends the endpoints which run it is held, over all attempts and entries

Cause: what an entry allows is bounded for each attempt, and attempts have new ids, so that nothing remembers a request that ended its servers once its caller comes back.

Now a run whose connection breaks before it has given anything for a quarter of a second has its endpoint asked for a connection: refused, the process has ended. The end is noted of the request's content, told to all entries (three times, and passed on by each to three others), and from the second on that can't have the first one's cause the request is refused at once for an hour. The store keeps a record beside the entries, which one listing reads, for entries that start when all have ended. A request that is served whole is cleared.

--- /dev/null
+++ b/crates/gateway/src/alarms.rs
@@ -0,0 +1,133 @@
+//! What other entries are told of requests that end endpoints.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use rand::seq::IndexedRandom;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+
+use crate::content::Content;
+use crate::journal::millis;
+use crate::knowledge::Knowledge;
+use crate::listing;
+use crate::peer::{self, Datagram};
+use crate::quarantine::Crash;
+
+/// How often the entry that saw a crash tells all others, half a second apart: where one
+/// datagram in 30 is lost, one entry in 27,000 hears of it only from others.
+const TIMES: u32 = 3;
+/// How many entries an entry tells of a crash that it was told of, so that those which the
+/// first can't reach hear of it too.
+const FURTHER: usize = 3;
+
+/// What is told.
+#[derive(Debug, Clone)]
+pub(crate) enum Alarm {
+    /// An endpoint ended under a request.
+    Crash(Content, Crash),
+    /// A request is held until then.
+    Held(Content, Instant),
+    /// A request was served whole.
+    Served(Content),
+}
+
+impl Alarm {
+    fn datagram(&self, now: Instant) -> Datagram {
+        let millis = |time| u32::try_from(millis(time)).unwrap_or(u32::MAX);
+        match self {
+            Self::Crash(content, crash) => Datagram::Crash(peer::Crash {
+                content: *content,
+                endpoint: crash.endpoint.clone(),
+                sent_ago: millis(now.saturating_duration_since(crash.sent)),
+                ago: millis(now.saturating_duration_since(crash.at)),
+            }),
+            Self::Held(content, until) => Datagram::Held(peer::Held {
+                content: *content,
+                left: millis(until.saturating_duration_since(now)),
+            }),
+            Self::Served(content) => Datagram::Served(*content),
+        }
+    }
+}
+
+/// Who is told.
+#[derive(Debug, Clone, Copy)]
+enum Audience {
+    All,
+    Few,
+    One(SocketAddr),
+}
+
+#[derive(Debug)]
+struct Due {
+    alarm: Alarm,
+    audience: Audience,
+    times: u32,
+}
+
+/// What other entries are to be told.
+#[derive(Debug, Default)]
+pub(crate) struct Alarms {
+    due: RefCell<Vec<Due>>,
+    raised: Notify,
+}
+
+impl Alarms {
+    /// Has all entries told, several times.
+    pub(crate) fn tell_all(&self, alarm: Alarm) {
+        self.push(alarm, Audience::All, TIMES);
+    }
+
+    /// Has a few entries told.
+    pub(crate) fn tell_few(&self, alarm: Alarm) {
+        self.push(alarm, Audience::Few, 1);
+    }
+
+    /// Has one entry told.
+    pub(crate) fn tell_one(&self, alarm: Alarm, entry: SocketAddr) {
+        self.push(alarm, Audience::One(entry), 1);
+    }
+
+    fn push(&self, alarm: Alarm, audience: Audience, times: u32) {
+        self.due.borrow_mut().push(Due {
+            alarm,
+            audience,
+            times,
+        });
+        self.raised.notify_one();
+    }
+
+    /// Waits until there is something new to be told.
+    pub(crate) async fn raised(&self) {
+        self.raised.notified().await;
+    }
+}
+
+/// Tells what is due once, and keeps what is to be told again.
+pub(crate) fn tell(knowledge: &Knowledge, socket: &UdpSocket, now: Instant) {
+    let due = std::mem::take(&mut *knowledge.alarms.due.borrow_mut());
+    for mut due in due {
+        let datagram = due.alarm.datagram(now);
+        for entry in audience(knowledge, due.audience) {
+            listing::send(socket, &datagram, entry);
+        }
+        due.times -= 1;
+        if due.times > 0 {
+            knowledge.alarms.due.borrow_mut().push(due);
+        }
+    }
+}
+
+fn audience(knowledge: &Knowledge, audience: Audience) -> Vec<SocketAddr> {
+    let all = || knowledge.peers.borrow().all();
+    match audience {
+        Audience::All => all(),
+        Audience::Few => {
+            let mut rng = knowledge.rng.borrow_mut();
+            all().choose_multiple(&mut rng, FURTHER).copied().collect()
+        }
+        Audience::One(entry) => vec![entry],
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/crash.rs
@@ -0,0 +1,55 @@
+//! Finds out whether an endpoint has ended under a request.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use cactusnotch_telemetry::metric;
+
+use crate::content::Content;
+use crate::knowledge::Knowledge;
+use crate::quarantine;
+use crate::request::Call;
+use crate::tcp;
+
+/// How long an endpoint is asked for a connection. A host without a process refuses it
+/// within a round trip; one that is silent tells nothing.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// A run whose connection broke before it had given anything.
+#[derive(Debug)]
+pub(crate) struct Cut {
+    pub(crate) endpoint: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) sent: Instant,
+}
+
+/// Finds out whether the endpoint has ended, as opposed to its connection, and remembers
+/// that of the request. Its caller may leave meanwhile.
+pub(crate) async fn examine(knowledge: &Rc<Knowledge>, call: &Call, cut: Cut) {
+    let (knowledge, content) = (Rc::clone(knowledge), call.content());
+    let examined = tokio::task::spawn_local(examine_one(knowledge, content, cut));
+    if let Err(error) = examined.await {
+        tracing::error!(%content, %error, "an endpoint's end was not examined");
+    }
+}
+
+async fn examine_one(knowledge: Rc<Knowledge>, content: Content, cut: Cut) {
+    let at = Instant::now();
+    let Err(error) = tcp::connect(cut.address, PROBE_TIMEOUT).await else {
+        return;
+    };
+    if error.kind() != ErrorKind::ConnectionRefused {
+        let endpoint = cut.endpoint;
+        tracing::info!(%content, endpoint, %error, "whether the endpoint has ended is open");
+        return;
+    }
+    metrics::counter!(metric::GATEWAY_CRASHES).increment(1);
+    let crash = quarantine::Crash {
+        endpoint: cut.endpoint,
+        sent: cut.sent,
+        at,
+    };
+    knowledge.note_crash(content, &crash, Instant::now());
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,5 +1,6 @@
 //! One send of a request to one endpoint.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -13,6 +14,7 @@
 
 use crate::admission::{self, Forecast, Terms};
 use crate::channel;
+use crate::crash::Cut;
 use crate::decide::{Course, Failure};
 use crate::dialect::Dialect;
 use crate::endpoint::Endpoint;
@@ -29,6 +31,7 @@
     /// The request's id, for the log.
     id: Option<String>,
     service: String,
+    address: SocketAddr,
     attempt: Attempt,
     end: End,
     pieces: u32,
@@ -65,6 +68,21 @@
         self.end = End::Failed;
     }
 
+    /// Returns what there is to be examined when the connection of this run has broken: had
+    /// it given something for a while, it would not be what ends its endpoint.
+    pub(crate) fn cut(&self, now: Instant) -> Option<Cut> {
+        let sent = self.sent?;
+        let given = self.first.map(|first| sent + first);
+        if given.is_some_and(|given| now.saturating_duration_since(given) > HARMLESS) {
+            return None;
+        }
+        Some(Cut {
+            endpoint: self.endpoint().as_str().to_owned(),
+            address: self.address,
+            sent,
+        })
+    }
+
     /// Writes the line that compares what was expected with what came.
     fn log(&self, now: Instant) {
         let Some(sent) = self.sent else {
@@ -119,6 +137,8 @@
     pub(crate) failure: Failure,
     /// What happened, for the log.
     pub(crate) cause: String,
+    /// The run, if its connection broke before it had given anything.
+    pub(crate) cut: Option<Cut>,
 }
 
 /// Why no endpoint was chosen.
@@ -128,6 +148,8 @@
     None(choice::Error),
     /// All are so full that the request would be late.
     Busy,
+    /// The request is held.
+    Held,
 }
 
 /// Chooses an endpoint and counts the request there.
@@ -140,6 +162,9 @@
     let service = &call.judged.service;
     let may_probe = call.judged.route.repeat == Repeat::Idempotent;
     let tokens = call.head.prompt_tokens;
+    if knowledge.holds(call, now).is_some() {
+        return Err(Unserved::Held);
+    }
     knowledge.drop_missing(now);
     let mut fleet = knowledge.fleet.borrow_mut();
     let mut rng = knowledge.rng.borrow_mut();
@@ -148,11 +173,15 @@
     let endpoint = fleet.get(choice.endpoint.as_str()).cloned();
     drop(fleet);
     drop(rng);
+    let Some(endpoint) = endpoint else {
+        return Err(Unserved::None(choice::Error::Unknown));
+    };
     let forecast = forecast(knowledge, &choice, now);
     let running = Running {
         knowledge: Rc::clone(knowledge),
         id: call.head.id.clone(),
         service: service.clone(),
+        address: endpoint.address,
         attempt,
         end: End::Withdrawn,
         pieces: 0,
@@ -162,10 +191,10 @@
     };
     // What has been sent once is not worth less by now.
     let admitted = !tried.is_empty() || admits(knowledge, call, &forecast, now);
-    match endpoint {
-        Some(_) if !admitted => Err(Unserved::Busy),
-        Some(endpoint) => Ok((endpoint, running)),
-        None => Err(Unserved::None(choice::Error::Unknown)),
+    if admitted {
+        Ok((endpoint, running))
+    } else {
+        Err(Unserved::Busy)
     }
 }
 
@@ -215,6 +244,11 @@
     }
 }
 
+/// How long after its first piece a run has shown that it does no harm: two passes of the
+/// longest that streams on time allow. Endpoints that a request ends do so 50 ms after they
+/// begin to run it.
+const HARMLESS: Duration = Duration::from_millis(250);
+
 /// Tells whether a request is let in.
 fn admits(knowledge: &Knowledge, call: &Call, forecast: &Forecast, now: Instant) -> bool {
     let route = &call.judged.route;
@@ -259,10 +293,12 @@
             channel::Error::Unsent { .. } => Failure::Unsent,
             _ => Failure::InDoubt,
         };
+        let mut failed = Failed::new(failure, &error.to_string());
         if failure == Failure::InDoubt {
             running.failed();
+            failed.cut = running.cut(Instant::now());
         }
-        Failed::new(failure, &error.to_string())
+        failed
     })?;
     check::<D>(call, response, lease, running)
 }
@@ -354,6 +390,7 @@
         Self {
             failure,
             cause: cause.to_owned(),
+            cut: None,
         }
     }
 }
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -14,6 +14,7 @@
 use crate::admission::RETURNED_WAIT;
 use crate::answer::{self, Read};
 use crate::body::Outgoing;
+use crate::crash;
 use crate::decide::{Course, Failure, Next};
 use crate::dialect::Dialect;
 use crate::endpoint::Endpoint;
@@ -123,20 +124,22 @@
                         continue;
                     }
                     Err(Unserved::Busy) if self.course.sent() == 0 => return Err(Refusal::Busy),
-                    Err(Unserved::Busy) => return Err(self.course.given_up()),
+                    Err(Unserved::Held) if self.course.sent() == 0 => return Err(Refusal::Held),
+                    Err(Unserved::Busy | Unserved::Held) => return Err(self.course.given_up()),
                     Err(Unserved::None(error)) => {
                         tracing::debug!(%error, "no endpoint chosen");
                         return Err(self.course.given_up());
                     }
                 };
             self.tried.push(running.endpoint().clone());
-            let failed = match self.send::<D>(&endpoint, running).await {
+            let mut failed = match self.send::<D>(&endpoint, running).await {
                 Ok(reply) => match self.take(reply).await {
                     Ok(answered) => return Ok(answered),
                     Err(failed) => failed,
                 },
                 Err(failed) => failed,
             };
+            self.examine(&mut failed).await;
             self.next(&failed)?;
         }
     }
@@ -186,7 +189,9 @@
             Read::Beginning(bytes) => return Ok(Answered::Pieces(Box::new(reply), bytes)),
             Read::Broken(error) => {
                 reply.running.failed();
-                return Err(Failed::new(Failure::InDoubt, &error.to_string()));
+                let mut failed = Failed::new(Failure::InDoubt, &error.to_string());
+                failed.cut = reply.running.cut(Instant::now());
+                return Err(failed);
             }
         };
         let status = reply.head.status;
@@ -200,6 +205,7 @@
         reply.running.piece(Instant::now());
         if !status.is_server_error() {
             reply.running.whole();
+            self.knowledge.note_served(&self.call);
         }
         reply.lease.keep(reply.kept, Instant::now());
         Ok(Answered::Whole(reply.head, bytes))
@@ -227,6 +233,17 @@
         budgets.spend(&self.call.judged.service, Instant::now())
     }
 
+    /// Finds out whether an endpoint has ended under the request, before it is sent to
+    /// another one.
+    async fn examine(&mut self, failed: &mut Failed) {
+        if let Some(cut) = failed.cut.take() {
+            // What the send has left open stays so if the time is up meanwhile.
+            self.sending = true;
+            crash::examine(&self.knowledge, &self.call, cut).await;
+            self.sending = false;
+        }
+    }
+
     /// Decides what follows a send without an answer.
     fn next(&mut self, failed: &Failed) -> Result<(), Refusal> {
         let mut course = self.course;
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -1,6 +1,7 @@
 //! Everything that an entry believes, shared between its tasks.
 
 mod outage;
+mod suspects;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -13,6 +14,7 @@
 use tokio::sync::Notify;
 
 use crate::absence::Absence;
+use crate::alarms::Alarms;
 use crate::budget::Budgets;
 use crate::complaints::Complaints;
 use crate::configuration::Configuration;
@@ -27,7 +29,9 @@
 use crate::peer::{Changes, Entry, State};
 use crate::peers::Peers;
 use crate::pool::Pool;
+use crate::quarantine::Quarantine;
 use crate::questions::Questions;
+use crate::record::Records;
 use crate::store::{Change, Item, Kind, Revision, Unreadable};
 
 /// Everything that an entry believes, shared between its tasks.
@@ -58,6 +62,10 @@
     /// Told when the store answers again.
     answered: Notify,
     complaints: RefCell<Complaints>,
+    /// The requests under which endpoints have ended.
+    pub(crate) quarantine: RefCell<Quarantine>,
+    pub(crate) alarms: Alarms,
+    pub(crate) records: Records,
 }
 
 impl Knowledge {
@@ -84,6 +92,9 @@
             closing: Cell::new(false),
             listed: Cell::new((false, false)),
             absence: Cell::default(),
+            quarantine: RefCell::default(),
+            alarms: Alarms::default(),
+            records: Records::default(),
         }
     }
 
@@ -201,6 +212,9 @@
         for change in changes {
             self.apply(kind, change, revision, now);
         }
+        if kind == Kind::Entries {
+            self.complete_records(now);
+        }
     }
 
     /// Takes one change.
@@ -223,6 +237,7 @@
                 }
             }
             Ok(Some(Item::Entry(entry))) => self.peers.borrow_mut().insert(entry),
+            Ok(Some(Item::Hold(hold))) => self.take_record(&hold, now),
             Ok(None) => self.forget(kind, &name, revision, now),
         }
     }
@@ -357,6 +372,7 @@
     /// Drops what is past its time.
     pub(crate) fn tick(&self, now: Instant) {
         self.drop_missing(now);
+        self.forget_suspects(now);
         for host in self.peers.borrow_mut().expire(now) {
             tracing::info!(host, "entry has fallen silent");
         }
--- /dev/null
+++ b/crates/gateway/src/knowledge/suspects.rs
@@ -0,0 +1,162 @@
+//! What an entry knows of requests that end endpoints.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant, SystemTime};
+
+use cactusnotch_telemetry::metric;
+
+use super::Knowledge;
+use crate::alarms::Alarm;
+use crate::content::Content;
+use crate::journal::millis;
+use crate::peer;
+use crate::quarantine::{Crash, Verdict};
+use crate::record::Write;
+use crate::request::Call;
+use crate::store::Hold;
+
+impl Knowledge {
+    /// Returns how long a request is held still, if it is. No request's content is worked
+    /// out while none is remembered.
+    pub(crate) fn holds(&self, call: &Call, now: Instant) -> Option<Duration> {
+        let quarantine = self.quarantine.borrow();
+        if quarantine.is_empty() {
+            return None;
+        }
+        quarantine.holds(call.content(), now)
+    }
+
+    /// Takes that a request was served whole, which none is that ends its endpoints.
+    pub(crate) fn note_served(&self, call: &Call) {
+        if self.quarantine.borrow().is_empty() {
+            return;
+        }
+        let content = call.content();
+        let Some(held) = self.clear(content) else {
+            return;
+        };
+        self.alarms.tell_all(Alarm::Served(content));
+        if held {
+            self.records.push(Write::Erase(content));
+        }
+    }
+
+    /// Takes that this entry has seen an endpoint end under a request, and has the others
+    /// told.
+    pub(crate) fn note_crash(&self, content: Content, crash: &Crash, now: Instant) {
+        let verdict = self.take_crash(content, crash, now);
+        self.alarms.tell_all(Alarm::Crash(content, crash.clone()));
+        if verdict == Verdict::Held {
+            self.keep_record(content);
+        }
+    }
+
+    /// Takes that the entry at `from` tells of a crash. What is new is told to a few others;
+    /// an entry that has just started gets what it can't know, that the request is held.
+    pub(crate) fn hear_of_crash(&self, told: &peer::Crash, from: SocketAddr, now: Instant) {
+        let ago = |millis: u32| now.checked_sub(Duration::from_millis(millis.into()));
+        let Some((sent, at)) = ago(told.sent_ago).zip(ago(told.ago)) else {
+            return;
+        };
+        let crash = Crash {
+            endpoint: told.endpoint.clone(),
+            sent,
+            at,
+        };
+        let verdict = self.take_crash(told.content, &crash, now);
+        if matches!(verdict, Verdict::Suspected | Verdict::Held) {
+            self.alarms.tell_few(Alarm::Crash(told.content, crash));
+        }
+        // The one that saw it may have ended, or not know of the crash before it.
+        if verdict == Verdict::Held && self.peers.borrow().ready_before(now) == 0 {
+            self.keep_record(told.content);
+        }
+        let left = self.quarantine.borrow().holds(told.content, now);
+        if let (Verdict::Held | Verdict::HeldBefore, Some(left)) = (verdict, left) {
+            let held = Alarm::Held(told.content, now + left);
+            self.alarms.tell_one(held, from);
+        }
+    }
+
+    /// Takes that another entry holds a request, which ended an endpoint here.
+    pub(crate) fn hear_of_hold(&self, held: &peer::Held, now: Instant) {
+        let left = Duration::from_millis(held.left.into());
+        if self.hold(held.content, left, "another entry holds it", now) {
+            self.keep_record(held.content);
+        }
+    }
+
+    /// Takes that a request was served whole at another entry.
+    pub(crate) fn hear_of_service(&self, content: Content) {
+        self.clear(content);
+    }
+
+    /// Takes the store's record of a request that is held.
+    pub(super) fn take_record(&self, hold: &Hold, now: Instant) {
+        let left = hold.until.duration_since(SystemTime::now());
+        let Ok(left) = left else {
+            if self.peers.borrow().ready_before(now) == 0 {
+                self.records.push(Write::Erase(hold.content));
+            }
+            return;
+        };
+        self.hold(hold.content, left, "the store has it on record", now);
+        self.quarantine.borrow_mut().check(hold.content, true);
+    }
+
+    /// Has what is held and missing from the store's records written there, by the first
+    /// entry of a data centre: the one that was to do so may have ended.
+    pub(super) fn complete_records(&self, now: Instant) {
+        let held: Vec<_> = self.quarantine.borrow().all(now).collect();
+        if held.is_empty() || self.peers.borrow().ready_before(now) > 0 {
+            return;
+        }
+        for (content, _) in held {
+            if self.quarantine.borrow_mut().check(content, false) {
+                self.keep_record(content);
+            }
+        }
+    }
+
+    fn take_crash(&self, content: Content, crash: &Crash, now: Instant) -> Verdict {
+        let verdict = self.quarantine.borrow_mut().take(content, crash, now);
+        if verdict != Verdict::Known {
+            let endpoint = crash.endpoint.as_str();
+            let ago = millis(now.saturating_duration_since(crash.at));
+            tracing::warn!(%content, endpoint, ago_ms = ago, ?verdict, "endpoint ended under a request");
+        }
+        self.gauge_held();
+        verdict
+    }
+
+    fn hold(&self, content: Content, left: Duration, cause: &str, now: Instant) -> bool {
+        let new = self.quarantine.borrow_mut().hold(content, left, now);
+        if new {
+            tracing::warn!(%content, left_ms = millis(left), cause, "request held");
+        }
+        self.gauge_held();
+        new
+    }
+
+    fn clear(&self, content: Content) -> Option<bool> {
+        let held = self.quarantine.borrow_mut().clear(content)?;
+        tracing::info!(%content, held, "request cleared: it was served");
+        self.gauge_held();
+        Some(held)
+    }
+
+    fn keep_record(&self, content: Content) {
+        self.records.push(Write::Keep(content));
+    }
+
+    fn gauge_held(&self) {
+        let held = self.quarantine.borrow().held();
+        metrics::gauge!(metric::GATEWAY_HELD).set(u32::try_from(held).unwrap_or(u32::MAX));
+    }
+
+    /// Forgets what is past its time.
+    pub(super) fn forget_suspects(&self, now: Instant) {
+        self.quarantine.borrow_mut().expire(now);
+        self.gauge_held();
+    }
+}
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -9,6 +9,7 @@
 use cactusnotch_route::{Load, Report, State};
 use tokio::net::UdpSocket;
 
+use crate::alarms;
 use crate::datagram;
 use crate::fleet::Heard;
 use crate::knowledge::Knowledge;
@@ -42,9 +43,11 @@
                 Ok((length, from)) => take(&knowledge, &socket, &buffer[..length], from),
                 Err(error) => tracing::debug!(%error, "datagram not received"),
             },
+            () = knowledge.alarms.raised() => alarms::tell(&knowledge, &socket, Instant::now()),
             _ = looks.tick(), if seeking => seeking = seek(&knowledge, &socket),
             _ = ticks.tick() => {
                 knowledge.tick(Instant::now());
+                alarms::tell(&knowledge, &socket, Instant::now());
                 seeking = true;
                 ask(&knowledge, &socket, round.is_multiple_of(SUBSCRIBE_EVERY));
                 round = round.wrapping_add(1);
@@ -73,6 +76,9 @@
         }
         Ok(Datagram::Load(load)) => take_load(knowledge, &load, now),
         Ok(Datagram::Changes(changes)) => knowledge.take_changes(changes, now),
+        Ok(Datagram::Crash(crash)) => knowledge.hear_of_crash(&crash, from, now),
+        Ok(Datagram::Held(held)) => knowledge.hear_of_hold(&held, now),
+        Ok(Datagram::Served(content)) => knowledge.hear_of_service(content),
         Err(error) => tracing::debug!(%from, %error, "datagram dropped"),
     }
 }
@@ -226,7 +232,7 @@
 }
 
 /// Sends a datagram; one that can't be sent now is as good as lost on its way.
-fn send(socket: &UdpSocket, message: &Datagram, to: SocketAddr) {
+pub(crate) fn send(socket: &UdpSocket, message: &Datagram, to: SocketAddr) {
     if let Err(error) = socket.try_send_to(&datagram::encode(message), to)
         && error.kind() != io::ErrorKind::WouldBlock
     {
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -4,6 +4,7 @@
 
 use cactusnotch_derive::message;
 
+use crate::content::Content;
 use crate::endpoint::Born;
 use crate::store::Revision;
 use crate::{Endpoint, Pace};
@@ -62,6 +63,34 @@
     Load(Load),
     /// An entry passes on how endpoints changed.
     Changes(Changes),
+    /// An endpoint ended under a request.
+    Crash(Crash),
+    /// An entry holds a request.
+    Held(Held),
+    /// A request was served whole that others may suspect or hold.
+    Served(Content),
+}
+
+/// An endpoint that ended while it ran a request which had given nothing yet.
+#[message]
+pub struct Crash {
+    /// What all attempts of the request have in common.
+    pub content: Content,
+    /// The life of the endpoint.
+    pub endpoint: String,
+    /// How long ago the request was sent there, in milliseconds.
+    pub sent_ago: u32,
+    /// How long ago the endpoint was seen to have ended, in milliseconds.
+    pub ago: u32,
+}
+
+/// A request that an entry keeps from endpoints.
+#[message]
+pub struct Held {
+    /// What all attempts of the request have in common.
+    pub content: Content,
+    /// How long it is held still, in milliseconds.
+    pub left: u32,
 }
 
 /// All changes of endpoints in a span of the store's revisions, in their order.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -129,6 +129,12 @@
         rows.map(|row| row.entry.peers).collect()
     }
 
+    /// Returns where all other entries take datagrams.
+    #[must_use]
+    pub fn all(&self) -> Vec<SocketAddr> {
+        self.rows.values().map(|row| row.entry.peers).collect()
+    }
+
     /// Returns where to ask for statements: entries of this data centre, and a few others
     /// if there are not enough.
     #[must_use]
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -13,10 +13,11 @@
 use tokio::sync::mpsc::Sender;
 
 use crate::body::Broken;
+use crate::crash;
 use crate::decide::{Course, Failure, Next};
 use crate::dialect::Dialect;
 use crate::events::Events;
-use crate::exchange::{self, Reply};
+use crate::exchange::{self, Failed, Reply};
 use crate::knowledge::Knowledge;
 use crate::request::Call;
 use crate::route::Repeat;
@@ -64,7 +65,14 @@
 /// What became of one endpoint's part of an answer.
 enum Part {
     End(End),
-    Broken(String),
+    Broken(Failed),
+}
+
+impl Part {
+    /// Returns that the stream is to go on elsewhere, since `cause`.
+    fn broken(cause: &str) -> Self {
+        Self::Broken(Failed::new(Failure::InDoubt, cause))
+    }
 }
 
 impl Pump {
@@ -77,15 +85,16 @@
             return (End::Left, self);
         }
         loop {
-            let cause = match self.part(reply, events.as_mut()).await {
+            let mut failed = match self.part(reply, events.as_mut()).await {
                 Part::End(end) => return (self.close(end).await, self),
-                Part::Broken(cause) => cause,
+                Part::Broken(failed) => failed,
             };
+            self.examine(&mut failed).await;
             let Some(events) = events.as_mut() else {
                 return (self.close(End::Broken).await, self);
             };
             events.drop_partial();
-            match self.resume::<D>(events.last(), cause).await {
+            match self.resume::<D>(events.last(), failed).await {
                 Some(next) => reply = next,
                 None => return (self.close(End::Broken).await, self),
             }
@@ -122,14 +131,16 @@
                 {
                     running.failed();
                     metrics::counter!(metric::GATEWAY_MOVED).increment(1);
-                    return Part::Broken("the endpoint is lost".to_owned());
+                    return Part::broken("the endpoint is lost");
                 }
             };
             let data = match frame {
                 None => break,
                 Some(Err(error)) => {
                     running.failed();
-                    return Part::Broken(error.to_string());
+                    let mut failed = Failed::new(Failure::InDoubt, &error.to_string());
+                    failed.cut = running.cut(Instant::now());
+                    return Part::Broken(failed);
                 }
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
@@ -143,14 +154,15 @@
             }
             if events.is_some() && self.leaves(running.endpoint()) {
                 metrics::counter!(metric::GATEWAY_MOVED).increment(1);
-                return Part::Broken("the endpoint is far slower than others".to_owned());
+                return Part::broken("the endpoint is far slower than others");
             }
         }
         if events.is_some_and(|events| events.is_partial()) {
             running.failed();
-            return Part::Broken("the stream ended within an event".to_owned());
+            return Part::broken("the stream ended within an event");
         }
         running.whole();
+        self.knowledge.note_served(&self.call);
         lease.keep(kept, Instant::now());
         Part::End(End::Whole)
     }
@@ -168,13 +180,21 @@
             && exchange::may_move(&self.knowledge, &self.call, &self.tried, now)
     }
 
+    /// Finds out whether an endpoint has ended under the request.
+    async fn examine(&self, failed: &mut Failed) {
+        if let Some(cut) = failed.cut.take() {
+            crash::examine(&self.knowledge, &self.call, cut).await;
+        }
+    }
+
     /// Continues a stream after the event `last` at another endpoint.
-    async fn resume<D: Dialect>(&mut self, last: Option<u64>, cause: String) -> Option<Reply> {
-        let mut failure = exchange::Failed {
-            failure: Failure::InDoubt,
-            cause,
-        };
+    async fn resume<D: Dialect>(
+        &mut self,
+        last: Option<u64>,
+        mut failure: Failed,
+    ) -> Option<Reply> {
         loop {
+            self.examine(&mut failure).await;
             let now = Instant::now();
             let service = self.call.judged.service.clone();
             let affordable = || self.knowledge.budgets.borrow_mut().spend(&service, now);
@@ -209,10 +229,7 @@
                 }
                 Ok(reply) => {
                     let cause = format!("the endpoint answered {}", reply.head.status);
-                    failure = exchange::Failed {
-                        failure: Failure::InDoubt,
-                        cause,
-                    };
+                    failure = Failed::new(Failure::InDoubt, &cause);
                 }
                 Err(failed) => failure = failed,
             }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -7,6 +7,7 @@
 use http::{HeaderValue, Response, StatusCode, header};
 
 use crate::dialect::Dialect;
+use crate::quarantine;
 
 /// When a refused caller is told to come back if it is another entry that will
 /// serve it, and at least: the time to find one.
@@ -46,6 +47,9 @@
     /// The endpoints are so busy that the request would be late.
     #[display("the endpoints are busy")]
     Busy,
+    /// The request has ended endpoints that ran it, and has not been sent to another.
+    #[display("the request ends the endpoints that run it")]
+    Held,
     /// This entry stops.
     #[display("the entry stops")]
     Stopping,
@@ -67,7 +71,7 @@
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
-            Self::NotFresh | Self::NotRun | Self::Busy | Self::Stopping => {
+            Self::NotFresh | Self::NotRun | Self::Busy | Self::Held | Self::Stopping => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::TimeUp => StatusCode::GATEWAY_TIMEOUT,
@@ -81,7 +85,12 @@
     pub const fn may_come_back(self) -> bool {
         matches!(
             self,
-            Self::SlowBody | Self::NotFresh | Self::NotRun | Self::Busy | Self::Stopping
+            Self::SlowBody
+                | Self::NotFresh
+                | Self::NotRun
+                | Self::Busy
+                | Self::Held
+                | Self::Stopping
         )
     }
 
@@ -96,6 +105,8 @@
                 let recovery = left.mul_f64(RECOVERY_PART).min(RECOVERY_MAX);
                 recovery.mul_f64(0.5 + spread / 2.0).max(COME_BACK)
             }
+            // Coming back sooner helps nobody.
+            Self::Held => quarantine::HOLD_TIME,
             _ => COME_BACK.mul_f64(spread),
         }
     }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,15 +1,16 @@
 //! The platform's store as an entry or an agent uses it.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
-use cactusnotch_derive::number;
+use cactusnotch_derive::{number, record};
 use derive_more::{Display, Error};
 use http::{Request, StatusCode};
 
 use crate::channel;
 use crate::client::{Client, Failure};
+use crate::content::Content;
 use crate::peer::Entry;
 use crate::{Configuration, Endpoint};
 
@@ -35,7 +36,7 @@
     /// Endpoints, which register themselves.
     #[display("endpoints")]
     Endpoints,
-    /// Entries, which register themselves.
+    /// Entries, which register themselves, and what they keep for each other.
     #[display("entries")]
     Entries,
 }
@@ -49,6 +50,19 @@
     Endpoint(Endpoint),
     /// An entry.
     Entry(Entry),
+    /// A record that a request is held.
+    Hold(Hold),
+}
+
+/// A record that a request is kept from endpoints, since it ends them.
+#[record]
+#[derive(Copy)]
+pub struct Hold {
+    /// What all attempts of the request have in common.
+    pub content: Content,
+    /// Until when, by the time of day: the record outlives all steady clocks, and some
+    /// seconds more or less of an hour matter to nobody.
+    pub until: SystemTime,
 }
 
 /// A change of an object.
@@ -99,6 +113,12 @@
     /// Writes the call that removes an entry's object.
     fn remove(host: &str) -> Request<Bytes>;
 
+    /// Writes the call that creates the record of a held request.
+    fn hold(hold: &Hold) -> Request<Bytes>;
+
+    /// Writes the call that removes the record of a held request.
+    fn release(content: Content) -> Request<Bytes>;
+
     /// Reads the answer to a listing.
     ///
     /// # Errors
@@ -242,6 +262,24 @@
         self.call(C::remove(host), CALL_TIMEOUT).await.map(drop)
     }
 
+    /// Writes the record of a held request.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it could not be written; it may be written all the same.
+    pub async fn hold(&mut self, hold: &Hold) -> Result<(), Error> {
+        self.call(C::hold(hold), CALL_TIMEOUT).await.map(drop)
+    }
+
+    /// Removes the record of a held request.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it could not be removed; it may be removed all the same.
+    pub async fn release(&mut self, content: Content) -> Result<(), Error> {
+        self.call(C::release(content), CALL_TIMEOUT).await.map(drop)
+    }
+
     async fn call(&mut self, request: Request<Bytes>, limit: Duration) -> Result<Bytes, Error> {
         self.client.body(request, limit).await.map_err(Error::from)
     }
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -281,7 +281,12 @@
                 listing.revision,
                 Instant::now(),
             ),
-            Err(error) => tracing::warn!(%error, "entries not listed"),
+            Err(error) => {
+                tracing::warn!(%error, "entries not listed");
+                knowledge.store_fails(Kind::Entries, &error, Instant::now());
+                knowledge.turn().await;
+                continue;
+            }
         }
         tokio::time::sleep(ENTRIES_EVERY).await;
     }
--- /dev/null
+++ b/crates/gateway/tests/quarantine.rs
@@ -0,0 +1,177 @@
+//! Which requests are held, by the ends of endpoints that are told of them.
+//!
+//! Grounds of the figures: a model server that a request ends takes its group of eight with
+//! it for some five seconds; one to three innocent requests stand there each time without an
+//! event; the loss of a rack ends many servers within the same moment.
+
+use std::time::{Duration, Instant};
+
+use cactusnotch_gateway::content::{Content, Parts};
+use cactusnotch_gateway::quarantine::{CRASHES, Crash, HOLD_TIME, Quarantine, Verdict};
+use http::Method;
+use proptest::prelude::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn content(number: u64) -> Content {
+    Content::of(&Parts {
+        organisation: Some("weavers"),
+        method: &Method::POST,
+        host: b"shop.example",
+        target: "/stream/a",
+        body: &number.to_be_bytes(),
+    })
+}
+
+/// Returns the end of an endpoint at `at` milliseconds, after a run of `ran`.
+fn crash(start: Instant, endpoint: &str, at: u64, ran: u64) -> Crash {
+    Crash {
+        endpoint: endpoint.to_owned(),
+        sent: start + Duration::from_millis(at - ran),
+        at: start + Duration::from_millis(at),
+    }
+}
+
+fn take(quarantine: &mut Quarantine, request: u64, crash: &Crash) -> Verdict {
+    quarantine.take(content(request), crash, crash.at)
+}
+
+#[test]
+fn a_request_is_held_after_the_second_endpoint_that_it_has_ended() {
+    let (start, mut quarantine) = (Instant::now(), Quarantine::default());
+    let first = take(&mut quarantine, 1, &crash(start, "a", 1_000, 50));
+    let second = crash(start, "b", 1_200, 150);
+    assert_eq!(first, Verdict::Suspected);
+    assert_eq!(take(&mut quarantine, 1, &second), Verdict::Held);
+    assert_eq!(
+        quarantine.holds(content(1), second.at + SECOND),
+        Some(HOLD_TIME.saturating_sub(SECOND))
+    );
+    assert_eq!(
+        quarantine.holds(content(1), second.at + HOLD_TIME + SECOND),
+        None
+    );
+}
+
+#[test]
+fn what_several_entries_tell_of_one_end_counts_once() {
+    let (start, mut quarantine) = (Instant::now(), Quarantine::default());
+    let told = crash(start, "a", 1_000, 50);
+    assert_eq!(take(&mut quarantine, 1, &told), Verdict::Suspected);
+    // A caller came back elsewhere, and that entry saw the same endpoint end.
+    let later = crash(start, "a", 1_004, 1);
+    assert_eq!(take(&mut quarantine, 1, &later), Verdict::Known);
+    assert_eq!(quarantine.holds(content(1), later.at), None);
+}
+
+#[test]
+fn the_loss_of_a_rack_holds_nothing_that_ran_there_several_times() {
+    let (start, mut quarantine) = (Instant::now(), Quarantine::default());
+    // Many callers ask for the same at eight endpoints, which end within 40 ms of each other.
+    for number in 0..8 {
+        let end = crash(start, &format!("rack-{number}"), 1_000 + 5 * number, 300);
+        assert_eq!(take(&mut quarantine, 1, &end), Verdict::Suspected);
+    }
+    assert_eq!(quarantine.held(), 0);
+}
+
+#[test]
+fn what_is_told_out_of_order_counts_the_same() {
+    let start = Instant::now();
+    let ends = [
+        crash(start, "a", 1_000, 50),
+        crash(start, "b", 1_020, 500),
+        crash(start, "c", 1_500, 100),
+    ];
+    for order in [[0, 1, 2], [2, 1, 0], [1, 2, 0], [2, 0, 1]] {
+        let mut quarantine = Quarantine::default();
+        for at in order {
+            let now = start + 2 * SECOND;
+            quarantine.take(content(1), &ends[at], now);
+        }
+        assert_eq!(quarantine.held(), 1, "{order:?}");
+    }
+}
+
+#[test]
+fn a_request_that_is_served_is_suspected_no_more() {
+    let (start, mut quarantine) = (Instant::now(), Quarantine::default());
+    take(&mut quarantine, 1, &crash(start, "a", 1_000, 50));
+    assert_eq!(quarantine.clear(content(1)), Some(false));
+    assert_eq!(quarantine.clear(content(1)), None);
+    let later = crash(start, "b", 9_000, 50);
+    assert_eq!(take(&mut quarantine, 1, &later), Verdict::Suspected);
+}
+
+#[test]
+fn an_end_is_forgotten_and_a_hold_ends() {
+    let (start, mut quarantine) = (Instant::now(), Quarantine::default());
+    take(&mut quarantine, 1, &crash(start, "a", 1_000, 50));
+    quarantine.expire(start + 9 * 60 * SECOND);
+    assert!(!quarantine.is_empty());
+    quarantine.expire(start + 11 * 60 * SECOND);
+    assert!(quarantine.is_empty());
+    assert!(quarantine.hold(content(2), 5 * HOLD_TIME, start));
+    assert_eq!(quarantine.holds(content(2), start), Some(HOLD_TIME));
+    quarantine.expire(start + HOLD_TIME + SECOND);
+    assert!(quarantine.is_empty());
+}
+
+#[test]
+fn a_hold_that_was_told_is_not_told_of_as_new_again() {
+    let (start, mut quarantine) = (Instant::now(), Quarantine::default());
+    assert!(quarantine.hold(content(1), HOLD_TIME, start));
+    assert!(!quarantine.hold(content(1), HOLD_TIME, start));
+    let end = crash(start, "a", 1_000, 50);
+    assert_eq!(take(&mut quarantine, 1, &end), Verdict::HeldBefore);
+}
+
+#[test]
+fn a_hold_is_recorded_once() {
+    let (start, mut quarantine) = (Instant::now(), Quarantine::default());
+    assert!(
+        !quarantine.check(content(1), false),
+        "nothing is known of it"
+    );
+    take(&mut quarantine, 1, &crash(start, "a", 1_000, 50));
+    assert!(!quarantine.check(content(1), false), "it is not held");
+    quarantine.hold(content(1), HOLD_TIME, start);
+    assert!(quarantine.check(content(1), false));
+    quarantine.check(content(1), true);
+    assert!(!quarantine.check(content(1), false));
+}
+
+#[test]
+fn however_many_are_suspected_the_table_is_bounded_and_holds_stay() {
+    let (start, mut quarantine) = (Instant::now(), Quarantine::default());
+    quarantine.hold(content(u64::MAX), HOLD_TIME, start);
+    for number in 0..10_000 {
+        take(&mut quarantine, number, &crash(start, "a", 1_000, 50));
+    }
+    assert!(quarantine.holds(content(u64::MAX), start).is_some());
+    assert!(quarantine.len() <= 4_096);
+}
+
+proptest! {
+    /// Of random ends in random order a request is held if, and only if, some run began
+    /// after another one had ended, and what is held stays so.
+    #[test]
+    fn a_request_is_held_if_two_of_its_runs_can_not_have_ended_for_one_cause(
+        runs in proptest::collection::vec((0..2_000_u64, 1..400_u64), 1..8)
+    ) {
+        let (start, mut quarantine) = (Instant::now(), Quarantine::default());
+        let ends: Vec<_> = runs
+            .iter()
+            .enumerate()
+            .map(|(number, &(sent, ran))| crash(start, &number.to_string(), sent + ran, ran))
+            .collect();
+        for (taken, end) in ends.iter().enumerate() {
+            quarantine.take(content(1), end, start + 3 * SECOND);
+            let known = &ends[..=taken];
+            let pairs = known.iter().flat_map(|a| known.iter().map(move |b| (a, b)));
+            let mut after = pairs.filter(|(a, b)| a.sent >= b.at);
+            prop_assert_eq!(CRASHES, 2);
+            prop_assert_eq!(quarantine.held() == 1, after.next().is_some());
+        }
+    }
+}
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -77,8 +77,12 @@
         "Requests that were let in, by outcome: ok, not-run, unknown or caller-gone.";
     GATEWAY_CONNECTIONS_OPENED = "cactusnotch_gateway_connections_opened_total", Counter, Count, [],
         "Connections that an entry opened to endpoints it calls directly.";
+    GATEWAY_CRASHES = "cactusnotch_gateway_crashes_total", Counter, Count, [],
+        "Endpoints that this entry saw end under a request which had given nothing yet, one for each such request.";
     GATEWAY_FORECAST_ERROR = "cactusnotch_gateway_forecast_error_seconds", Histogram, Seconds, [],
         "Time by which the first event of a stream came sooner or later than was expected when it was sent.";
+    GATEWAY_HELD = "cactusnotch_gateway_held_requests", Gauge, Count, [],
+        "Requests that are kept from endpoints, since they end those that run them.";
     GATEWAY_REFUSALS = "cactusnotch_gateway_refusals_total", Counter, Count, [],
         "Requests refused before an endpoint was chosen.";
     GATEWAY_REPEATS = "cactusnotch_gateway_repeats_total", Counter, Count, [],
