--- a/crates/admit/examples/quota_cost.rs
+++ b/crates/admit/examples/quota_cost.rs
@@ -5,10 +5,11 @@
 //! Each request of an organisation lands at a random entry and runs for a
 //! second. Every organisation has a cap of its usual use plus a half.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_admit::quota::{Exchange, Key, Message, Options, Unit};
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::name::{Organisation, Process};
 use cactusnotch_base::number::{Incarnation, Revision};
 use rand::rngs::StdRng;
@@ -67,7 +68,7 @@
 }
 
 fn run(entries: u32, organisations: u32, at_home: bool) -> Count {
-    let start = Instant::now();
+    let start = clock::now();
     let names: Vec<Process> = (0..entries)
         .map(|at| Process::new(format!("entry-{at:03}")))
         .collect();
@@ -158,7 +159,7 @@
     time: &mut Duration,
 ) {
     let mut posts = Vec::new();
-    let begun = Instant::now();
+    let begun = clock::now();
     for (at, node) in nodes.iter_mut().enumerate() {
         posts.extend(
             node.tick(now)
@@ -170,7 +171,7 @@
     while let Some((from, to, message)) = posts.pop() {
         sent(from, &message);
         let at = names.binary_search(&to).expect("the entry is known");
-        let begun = Instant::now();
+        let begun = clock::now();
         let answers = nodes[at].receive(&names[from], &message, now);
         *time += begun.elapsed();
         posts.extend(answers.into_iter().map(|(to, answer)| (at, to, answer)));
--- a/crates/admit/src/drain.rs
+++ b/crates/admit/src/drain.rs
@@ -1,6 +1,8 @@
 //! The measured rate at which a queue drains.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 /// The rate at which a queue drains while something waits in it.
 ///
--- a/crates/admit/src/gate.rs
+++ b/crates/admit/src/gate.rs
@@ -1,8 +1,9 @@
 //! The queue before the endpoints of one service.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Organisation;
 use rand::Rng;
 
--- a/crates/admit/src/lane.rs
+++ b/crates/admit/src/lane.rs
@@ -1,7 +1,9 @@
 //! The waiting requests of one priority of an organisation.
 
 use std::collections::VecDeque;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 use crate::Ticket;
 
--- a/crates/admit/src/quota/account.rs
+++ b/crates/admit/src/quota/account.rs
@@ -1,8 +1,9 @@
 //! A home's part of one cap and the loans from it.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::{Incarnation, Sequence};
 
--- a/crates/admit/src/quota/borrower.rs
+++ b/crates/admit/src/quota/borrower.rs
@@ -1,8 +1,7 @@
 //! The borrower's side of the exchange.
 
-use std::time::Instant;
-
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::{Incarnation, Sequence};
 use xxhash_rust::xxh3::xxh3_64;
--- a/crates/admit/src/quota/exchange.rs
+++ b/crates/admit/src/quota/exchange.rs
@@ -1,8 +1,7 @@
 //! An entry's part in the exchange of caps.
 
-use std::time::Instant;
-
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::{Organisation, Process};
 use cactusnotch_base::number::{Incarnation, Revision};
 
--- a/crates/admit/src/quota/plan.rs
+++ b/crates/admit/src/quota/plan.rs
@@ -1,8 +1,9 @@
 //! How the caps are divided among homes, by revision.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::Revision;
 
--- a/crates/admit/src/quota/purse.rs
+++ b/crates/admit/src/quota/purse.rs
@@ -1,8 +1,9 @@
 //! What a borrower holds of one cap.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::{Revision, Sequence};
 
--- a/crates/admit/src/request.rs
+++ b/crates/admit/src/request.rs
@@ -1,7 +1,8 @@
 //! The admission decision's view of a request.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Organisation;
 
 use crate::Priority;
--- a/crates/admit/src/usage.rs
+++ b/crates/admit/src/usage.rs
@@ -1,8 +1,7 @@
 //! What runs for each organisation at this entry.
 
-use std::time::Instant;
-
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Organisation;
 
 use crate::Allowance;
--- a/crates/admit/tests/gate.rs
+++ b/crates/admit/tests/gate.rs
@@ -1,12 +1,13 @@
 //! Fair queueing and early refusal through the public API.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_admit::refusal::Reason;
 use cactusnotch_admit::{
     Allowance, Command, Gate, Options, Priority, Refusal, Request, Ticket, Usage,
 };
 use cactusnotch_base::Outcome;
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::name::Organisation;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -23,7 +24,7 @@
     fn new(options: Options) -> Self {
         Self {
             gate: Gate::new(options),
-            now: Instant::now(),
+            now: clock::now(),
             rng: StdRng::seed_from_u64(4),
             commands: Vec::new(),
         }
--- a/crates/admit/tests/quota.rs
+++ b/crates/admit/tests/quota.rs
@@ -1,10 +1,11 @@
 //! The exchange of caps through the public API, over a network that loses,
 //! repeats and reorders.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_admit::quota::{Exchange, Key, Message, Options, Unit};
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::name::{Organisation, Process};
 use cactusnotch_base::number::{Incarnation, Revision};
 use proptest::prelude::*;
@@ -43,7 +44,7 @@
 
 impl World {
     fn new() -> Self {
-        let start = Instant::now();
+        let start = clock::now();
         let node = |at| Exchange::new(name(at), Incarnation(0), options(), start);
         let mut world = Self {
             nodes: (0..NODES).map(node).collect(),
--- a/crates/attempt/src/event.rs
+++ b/crates/attempt/src/event.rs
@@ -1,7 +1,6 @@
 //! What an exchange is told.
 
-use std::time::Instant;
-
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Endpoint;
 use cactusnotch_claim as claim;
 use cactusnotch_ledger::{Attempt, Reply, Terms};
--- a/crates/attempt/src/exchange.rs
+++ b/crates/attempt/src/exchange.rs
@@ -1,8 +1,7 @@
 //! The course of one request.
 
-use std::time::Instant;
-
 use cactusnotch_base::Outcome;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Endpoint;
 use cactusnotch_claim::{self as claim, Claim};
 use cactusnotch_ledger::message::{Repeat, Run};
--- a/crates/attempt/src/order.rs
+++ b/crates/attempt/src/order.rs
@@ -1,7 +1,6 @@
 //! A request as the entry takes it on.
 
-use std::time::Instant;
-
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::number::Sequence;
 use cactusnotch_ledger::message::Repeat;
 use cactusnotch_ledger::{Attempt, Holder, Identity, Terms};
--- a/crates/attempt/src/recovery.rs
+++ b/crates/attempt/src/recovery.rs
@@ -1,8 +1,7 @@
 //! What an exchange does when an agent is silent, refuses or is gone.
 
-use std::time::Instant;
-
 use cactusnotch_base::Outcome;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Endpoint;
 use cactusnotch_base::number::Sequence;
 use cactusnotch_ledger::Request;
--- a/crates/attempt/src/replies.rs
+++ b/crates/attempt/src/replies.rs
@@ -1,9 +1,8 @@
 //! What an exchange makes of an agent's replies.
 
-use std::time::Instant;
-
 use bytes::Bytes;
 use cactusnotch_base::Outcome;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::number::Sequence;
 use cactusnotch_ledger::{Attempt, Reply, message};
 
--- a/crates/attempt/tests/exchange.rs
+++ b/crates/attempt/tests/exchange.rs
@@ -1,9 +1,10 @@
 //! The course of single requests, and what their callers are told.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_attempt::{Answer, Budget, Command, Event, Exchange, Options, Order, Reason, Way};
 use cactusnotch_base::Outcome;
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::number::{Incarnation, Sequence};
 use cactusnotch_base::outcome::Key;
 use cactusnotch_claim as claim;
@@ -40,7 +41,7 @@
 
 impl Entry {
     fn new(repeat: Repeat, way: Way, retries: u32) -> Self {
-        let now = Instant::now();
+        let now = clock::now();
         let order = Order {
             identity: Identity {
                 organisation: "loom".into(),
--- a/crates/attempt/tests/explore/world.rs
+++ b/crates/attempt/tests/explore/world.rs
@@ -1,9 +1,10 @@
 //! Two entries, two agents, the platform and one key, with all their faults.
 
 use std::hash::Hash;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_attempt::{Answer, Budget, Event, Exchange, Options, Order, Way};
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::name::Endpoint;
 use cactusnotch_base::number::{Incarnation, Sequence};
 use cactusnotch_claim::batch::{Batch, Entry as Row};
@@ -115,7 +116,7 @@
 
 impl World {
     pub fn new(setup: Setup) -> Self {
-        let now = Instant::now();
+        let now = clock::now();
         let shard_options = claim::Options {
             window: Duration::ZERO,
             patience: ms(30),
--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -1,7 +1,103 @@
 //! Time as an interface, so that decisions can be run under a test's clock.
+//!
+//! A host may be suspended for seconds. The steady clock of the standard library stands still
+//! meanwhile, so that what it dates looks as fresh after a sleep as before: the proof that a
+//! key still counts, a lease, a caller's deadline. [`Instant`] counts the time asleep.
 
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant, SystemTime};
+use std::cell::RefCell;
+use std::ops::{Add, AddAssign, Sub, SubAssign};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime};
+
+use nix::time::{ClockId, clock_gettime};
+
+/// What lies between the first instant and the start of the host, so that what is dated
+/// before a start has an instant too.
+const BEFORE_START: Duration = Duration::from_hours(24 * 365);
+
+/// A moment of a clock that never goes back and counts the time that the host is suspended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Instant(Duration);
+
+impl Instant {
+    /// Returns the time since this moment, zero if it is to come.
+    #[must_use]
+    pub fn elapsed(&self) -> Duration {
+        now().saturating_duration_since(*self)
+    }
+
+    /// Returns the time that is left until this moment, zero if it has passed.
+    #[must_use]
+    pub fn left(&self) -> Duration {
+        self.saturating_duration_since(now())
+    }
+
+    /// Returns the time since `earlier`, zero if that is later.
+    #[must_use]
+    pub const fn saturating_duration_since(&self, earlier: Self) -> Duration {
+        self.0.saturating_sub(earlier.0)
+    }
+
+    /// Returns the time since `earlier`, zero if that is later.
+    #[must_use]
+    pub const fn duration_since(&self, earlier: Self) -> Duration {
+        self.saturating_duration_since(earlier)
+    }
+
+    /// Returns the time since `earlier`, `None` if that is later.
+    #[must_use]
+    pub fn checked_duration_since(&self, earlier: Self) -> Option<Duration> {
+        self.0.checked_sub(earlier.0)
+    }
+
+    /// Returns the moment `step` later, `None` if there is no such one.
+    #[must_use]
+    pub fn checked_add(&self, step: Duration) -> Option<Self> {
+        self.0.checked_add(step).map(Self)
+    }
+
+    /// Returns the moment `step` earlier, `None` if there is no such one.
+    #[must_use]
+    pub fn checked_sub(&self, step: Duration) -> Option<Self> {
+        self.0.checked_sub(step).map(Self)
+    }
+}
+
+impl Add<Duration> for Instant {
+    type Output = Self;
+
+    fn add(self, step: Duration) -> Self {
+        Self(self.0 + step)
+    }
+}
+
+impl AddAssign<Duration> for Instant {
+    fn add_assign(&mut self, step: Duration) {
+        self.0 += step;
+    }
+}
+
+impl Sub<Duration> for Instant {
+    type Output = Self;
+
+    fn sub(self, step: Duration) -> Self {
+        Self(self.0 - step)
+    }
+}
+
+impl SubAssign<Duration> for Instant {
+    fn sub_assign(&mut self, step: Duration) {
+        self.0 -= step;
+    }
+}
+
+impl Sub for Instant {
+    type Output = Duration;
+
+    fn sub(self, earlier: Self) -> Duration {
+        self.saturating_duration_since(earlier)
+    }
+}
 
 /// A source of monotonic and of wall-clock time.
 pub trait Clock: Clone + Send + Sync + 'static {
@@ -12,17 +108,69 @@
     fn wall(&self) -> SystemTime;
 }
 
-/// The clock of the operating system.
+/// The clock of the operating system, or the one that was set for this thread.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct System;
 
 impl Clock for System {
     fn now(&self) -> Instant {
-        Instant::now()
+        now()
     }
 
     fn wall(&self) -> SystemTime {
-        SystemTime::now()
+        wall()
+    }
+}
+
+thread_local! {
+    /// The time that this thread's host is said to have been suspended, beside the real one.
+    static ASLEEP: RefCell<Option<Sleep>> = const { RefCell::new(None) };
+}
+
+/// Returns the current time of the operating system's clock that counts the time asleep.
+///
+/// # Panics
+///
+/// Panics if the operating system has no such clock; Linux has had it since 2.6.39.
+#[must_use]
+pub fn now() -> Instant {
+    let time = clock_gettime(ClockId::CLOCK_MONOTONIC);
+    let since_start = Duration::from(time.expect("Linux has this clock"));
+    Instant(BEFORE_START + since_start)
+}
+
+/// Returns the current time of day.
+#[must_use]
+pub fn wall() -> SystemTime {
+    SystemTime::now() + asleep()
+}
+
+fn asleep() -> Duration {
+    ASLEEP.with_borrow(|sleep| sleep.as_ref().map_or(Duration::ZERO, Sleep::total))
+}
+
+/// Lets a test suspend a thread's host: all clocks of this module go on by the time asleep,
+/// the runtime's timers don't.
+#[derive(Debug, Clone, Default)]
+pub struct Sleep(Arc<Mutex<Duration>>);
+
+impl Sleep {
+    /// Sets this as what suspends the host of the current thread.
+    pub fn set(&self) {
+        ASLEEP.with_borrow_mut(|sleep| *sleep = Some(self.clone()));
+    }
+
+    /// Suspends the host for `time`.
+    pub fn pass(&self, time: Duration) {
+        *self.lock() += time;
+    }
+
+    fn total(&self) -> Duration {
+        *self.lock()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Duration> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -39,7 +187,7 @@
     #[must_use]
     pub fn new(since_epoch: Duration) -> Self {
         Self {
-            start: Instant::now(),
+            start: now(),
             wall_start: SystemTime::UNIX_EPOCH + since_epoch,
             elapsed: Arc::default(),
         }
--- a/crates/claim/examples/claims.rs
+++ b/crates/claim/examples/claims.rs
@@ -10,8 +10,9 @@
 
 use std::collections::VecDeque;
 use std::hint::black_box;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, SystemTime};
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::number::Incarnation;
 use cactusnotch_base::outcome::Key;
 use cactusnotch_claim::batch::{Batch, Entry};
@@ -74,7 +75,7 @@
         window,
         ..Options::default()
     };
-    let start = Instant::now();
+    let start = clock::now();
     let mut random = StdRng::seed_from_u64(4);
     let mut lanes: Vec<Lane> = (0..shards)
         .map(|shard| Lane {
@@ -142,7 +143,7 @@
         count: &mut Count,
     ) {
         let wall = SystemTime::UNIX_EPOCH + Duration::from_hours(400_000) + (now - start);
-        let clock = Instant::now();
+        let clock = clock::now();
         let commands = self.shard.step(event, now, wall);
         count.spent += clock.elapsed();
         for command in commands {
@@ -225,7 +226,7 @@
         ..Options::default()
     };
     let mut shard = Shard::new(options, Uuid::nil());
-    let start = Instant::now();
+    let start = clock::now();
     let before = resident();
     let wall = SystemTime::UNIX_EPOCH + Duration::from_hours(400_000);
     let mut version = 0;
--- a/crates/claim/src/shard.rs
+++ b/crates/claim/src/shard.rs
@@ -1,7 +1,8 @@
 //! One writer of one shard's log.
 
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, SystemTime};
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_ledger::{Attempt, Link};
 use uuid::Uuid;
 
--- a/crates/claim/tests/shard.rs
+++ b/crates/claim/tests/shard.rs
@@ -1,7 +1,8 @@
 //! Writers of one log against a platform that fails.
 
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, SystemTime};
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::number::Incarnation;
 use cactusnotch_base::outcome::Key;
 use cactusnotch_claim::batch::{Batch, Entry};
@@ -55,7 +56,7 @@
         Self {
             log: Vec::new(),
             version: 0,
-            now: Instant::now(),
+            now: clock::now(),
             wall: SystemTime::UNIX_EPOCH + Duration::from_hours(500_000),
         }
     }
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -1,10 +1,11 @@
 //! Which requests an entry lets in, and when.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_admit::quota::{self, Exchange, Unit};
 use cactusnotch_admit::{Command, Gate, Refusal, Request, Ticket, Usage};
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::{Organisation, Process};
 use cactusnotch_base::number::Revision;
 use cactusnotch_base::{Clock, Table};
--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Endpoint;
 use cactusnotch_base::{Clock, Table};
 use cactusnotch_ledger::Terms;
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -1,8 +1,9 @@
 //! Claims of callers' keys, recorded in the platform in batches.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Process;
 use cactusnotch_base::{Clock, Table};
 use cactusnotch_claim::{Answer, Claim, Command, Event, Shard, calls, owner};
@@ -132,7 +133,7 @@
         let now = shared.clock.now();
         let wake = shared.claims.wake().unwrap_or(now + IDLE);
         tokio::select! {
-            () = tokio::time::sleep_until(wake.into()) => {}
+            () = tokio::time::sleep(wake.left()) => {}
             () = shared.claims.changed.notified() => {}
         }
         for index in 0..SHARDS {
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -1,10 +1,11 @@
 //! The course of one request: the exchange's commands carried out.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use cactusnotch_attempt::{Answer, Command, Event, Exchange, Order};
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Endpoint;
 use cactusnotch_base::number::Sequence;
 use cactusnotch_base::{Clock, Outcome};
@@ -88,7 +89,7 @@
     while let Some(wake) = drive.exchange.wake() {
         let event = tokio::select! {
             event = events.recv() => event.unwrap_or(Event::Timer),
-            () = tokio::time::sleep_until(wake.into()) => Event::Timer,
+            () = tokio::time::sleep(wake.left()) => Event::Timer,
             () = drive.output.closed() => Event::CallerGone,
         };
         let commands = drive.step(event);
--- a/crates/gateway/src/absence.rs
+++ b/crates/gateway/src/absence.rs
@@ -1,6 +1,8 @@
 //! How long endpoints are used that the store has lost in an outage.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 /// How long after the store's return an endpoint is used that it no longer
 /// names: living ones register again within about two seconds. A host has three
--- a/crates/gateway/src/alarms.rs
+++ b/crates/gateway/src/alarms.rs
@@ -2,8 +2,8 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::time::Instant;
 
+use cactusnotch_base::clock::Instant;
 use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -1,9 +1,10 @@
 //! How many repeated sends an entry may make.
 
 use std::collections::VecDeque;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 
 /// The parts into which the window is divided.
 const PARTS: u32 = 10;
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -3,8 +3,9 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_telemetry::metric;
 
 use crate::content::Content;
@@ -36,7 +37,7 @@
 }
 
 async fn examine_one(knowledge: Rc<Knowledge>, content: Content, cut: Cut) {
-    let at = Instant::now();
+    let at = clock::now();
     let Err(error) = tcp::connect(cut.address, PROBE_TIMEOUT).await else {
         return;
     };
@@ -51,5 +52,5 @@
         sent: cut.sent,
         at,
     };
-    knowledge.note_crash(content, &crash, Instant::now());
+    knowledge.note_crash(content, &crash, clock::now());
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::name;
 use cactusnotch_route::{Attempt, attempt::End, choice};
 use cactusnotch_telemetry::metric;
@@ -113,7 +114,7 @@
 
 impl Drop for Running {
     fn drop(&mut self) {
-        let now = Instant::now();
+        let now = clock::now();
         self.log(now);
         let mut fleet = self.knowledge.fleet.borrow_mut();
         fleet.finish(&self.service, &self.attempt, self.end, now);
@@ -224,7 +225,7 @@
 ) {
     tokio::time::sleep(STALLED).await;
     loop {
-        let now = Instant::now();
+        let now = clock::now();
         let lost = knowledge.fleet.borrow().is_lost(endpoint.as_str(), now);
         if lost && may_move(knowledge, call, tried, now) {
             return;
@@ -278,7 +279,7 @@
 ) -> Result<Reply, Failed> {
     let first = course.sent() == 0;
     let mut lease = connect(knowledge, call, endpoint, first, &mut running).await?;
-    let now = Instant::now();
+    let now = clock::now();
     if !knowledge.fleet.borrow().takes_work(&endpoint.id) {
         return Err(Failed::new(Failure::Unsent, "the endpoint began to leave"));
     }
@@ -296,7 +297,7 @@
         let mut failed = Failed::new(failure, &error.to_string());
         if failure == Failure::InDoubt {
             running.failed();
-            failed.cut = running.cut(Instant::now());
+            failed.cut = running.cut(clock::now());
         }
         failed
     })?;
@@ -319,7 +320,7 @@
     };
     let most = knowledge.connections(&endpoint.service);
     let pool = knowledge.pool.clone();
-    pool.take(endpoint, most, reuse, Instant::now())
+    pool.take(endpoint, most, reuse, clock::now())
         .await
         .map_err(|error| match error {
             pool::Error::Full => Failed::new(Failure::Unsent, "the entry's connections are in use"),
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -5,8 +5,9 @@
 mod sharing;
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::{Table, name};
 use cactusnotch_route::{
     self as route, Attempt, Choice, Member, Report, Request, Router, State, attempt, choice,
--- a/crates/gateway/src/fleet/lives.rs
+++ b/crates/gateway/src/fleet/lives.rs
@@ -1,6 +1,8 @@
 //! Which lives of endpoints have ended.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 use super::Fleet;
 use super::row::Row;
--- a/crates/gateway/src/fleet/row.rs
+++ b/crates/gateway/src/fleet/row.rs
@@ -1,6 +1,8 @@
 //! What an entry believes of one endpoint.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 use crate::endpoint::Endpoint;
 use crate::pace::Pace;
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -1,9 +1,10 @@
 //! The course of one request, from its head to its final answer.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::name;
 use cactusnotch_telemetry::metric;
 use http::{Request, Response, header};
@@ -26,6 +27,7 @@
 use crate::refusal::Refusal;
 use crate::request::{self, Call};
 use crate::route::Repeat;
+use crate::wake;
 
 /// The pieces of an answer that wait for a slow caller before the endpoint is
 /// made to wait.
@@ -57,7 +59,7 @@
     knowledge: Rc<Knowledge>,
     incoming: Request<Incoming>,
 ) -> Response<Outgoing> {
-    let arrived = Instant::now();
+    let arrived = clock::now();
     let guard = InFlight::new(&knowledge);
     let call = match intake::admit::<D>(&knowledge, incoming, arrived).await {
         Ok(call) => call,
@@ -78,9 +80,12 @@
         sending: false,
         failure: None,
     };
-    let until = tokio::time::Instant::from_std(flight.call.until);
-    let driven = tokio::time::timeout_at(until, flight.drive::<D>()).await;
-    let driven = driven.unwrap_or_else(|_| Err(flight.course.time_up(flight.sending)));
+    let until = flight.call.until;
+    let driven = tokio::select! {
+        driven = flight.drive::<D>() => Some(driven),
+        () = wake::due(until) => None,
+    };
+    let driven = driven.unwrap_or_else(|| Err(flight.course.time_up(flight.sending)));
     match driven {
         Ok(Answered::Whole(head, body)) => {
             flight.log(head.status.as_u16(), "whole");
@@ -117,7 +122,7 @@
     async fn drive<D: Dialect>(&mut self) -> Result<Answered, Refusal> {
         loop {
             let (endpoint, running) =
-                match exchange::choose(&self.knowledge, &self.call, &self.tried, Instant::now()) {
+                match exchange::choose(&self.knowledge, &self.call, &self.tried, clock::now()) {
                     Ok(chosen) => chosen,
                     Err(Unserved::Busy | Unserved::None(_)) if self.waits() => {
                         self.wait().await;
@@ -190,7 +195,7 @@
             Read::Broken(error) => {
                 reply.running.failed();
                 let mut failed = Failed::new(Failure::InDoubt, &error.to_string());
-                failed.cut = reply.running.cut(Instant::now());
+                failed.cut = reply.running.cut(clock::now());
                 return Err(failed);
             }
         };
@@ -198,16 +203,16 @@
         let more = self.course.sent() < self.call.judged.route.attempts;
         if exchange::worth_repeating(status, repeat) && more {
             let cause = format!("the endpoint answered {status}");
-            reply.lease.keep(reply.kept, Instant::now());
+            reply.lease.keep(reply.kept, clock::now());
             self.failure = Some((reply.head, bytes));
             return Err(Failed::new(Failure::Refused, &cause));
         }
-        reply.running.piece(Instant::now());
+        reply.running.piece(clock::now());
         if !status.is_server_error() {
             reply.running.whole();
             self.knowledge.note_served(&self.call);
         }
-        reply.lease.keep(reply.kept, Instant::now());
+        reply.lease.keep(reply.kept, clock::now());
         Ok(Answered::Whole(reply.head, bytes))
     }
 
@@ -230,7 +235,7 @@
 
     fn affordable(&self) -> bool {
         let mut budgets = self.knowledge.budgets.borrow_mut();
-        budgets.spend(&self.call.judged.service, Instant::now())
+        budgets.spend(&self.call.judged.service, clock::now())
     }
 
     /// Finds out whether an endpoint has ended under the request, before it is sent to
@@ -313,7 +318,7 @@
             return passed_on(&self.knowledge, head, Outgoing::Whole(Some(body)));
         }
         self.log(refusal.status().as_u16(), &refusal.to_string());
-        let left = self.call.until.saturating_duration_since(Instant::now());
+        let left = self.call.until.saturating_duration_since(clock::now());
         own::<D>(&self.knowledge, refusal, left)
     }
 
@@ -331,7 +336,7 @@
     outcome: &str,
     resumed: u32,
 ) {
-    let now = Instant::now();
+    let now = clock::now();
     tracing::info!(
         id = call.head.id.as_deref(),
         route = call.judged.route.name,
@@ -354,7 +359,7 @@
 }
 
 fn refused(knowledge: &Knowledge, id: Option<&str>, refusal: Refusal, arrived: Instant) {
-    let now = Instant::now();
+    let now = clock::now();
     let age = knowledge.freshness.borrow().age(now);
     let version = knowledge.configuration().map(|c| c.version);
     tracing::info!(
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -1,6 +1,8 @@
 //! How long what an entry knows of keys may be relied on.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 /// Taken off the bound for clocks that run apart and for the time between a
 /// request's arrival and its check.
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -2,9 +2,10 @@
 
 use std::cell::OnceCell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
+use cactusnotch_base::clock::{self, Instant};
 use http::{Request, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -36,7 +37,7 @@
     if knowledge.closing.get() {
         return Err(fail(Refusal::Stopping));
     }
-    let now = Instant::now();
+    let now = clock::now();
     let fresh = knowledge.freshness.borrow().holds(now);
     let configuration = knowledge
         .configuration()
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -6,8 +6,9 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_telemetry::metric;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
--- a/crates/gateway/src/knowledge/outage.rs
+++ b/crates/gateway/src/knowledge/outage.rs
@@ -1,7 +1,8 @@
 //! What an entry does and believes while the store doesn't answer it.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use rand::Rng;
 
 use super::{Knowledge, WATCHERS};
@@ -21,7 +22,7 @@
     pub(crate) async fn turn(&self) {
         loop {
             let answered = self.answered.notified();
-            let Some(left) = self.link.borrow_mut().wait(Instant::now()) else {
+            let Some(left) = self.link.borrow_mut().wait(clock::now()) else {
                 return;
             };
             tokio::select! {
--- a/crates/gateway/src/knowledge/suspects.rs
+++ b/crates/gateway/src/knowledge/suspects.rs
@@ -1,8 +1,9 @@
 //! What an entry knows of requests that end endpoints.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, SystemTime};
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_telemetry::metric;
 
 use super::Knowledge;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -61,6 +61,7 @@
 mod server;
 pub mod share;
 mod stop;
+mod wake;
 mod watcher;
 
 pub use configuration::Configuration;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -6,7 +6,9 @@
 //! entry asks at a time, and entries that hear others rely on a few of their data centre:
 //! these ask often and tell all once they get an answer.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 use crate::absence::NOTICE_MAX;
 use crate::store::CALL_TIMEOUT;
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -4,8 +4,9 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_route::{Load, Report, State};
 use tokio::net::UdpSocket;
 
@@ -43,11 +44,11 @@
                 Ok((length, from)) => take(&knowledge, &socket, &buffer[..length], from),
                 Err(error) => tracing::debug!(%error, "datagram not received"),
             },
-            () = knowledge.alarms.raised() => alarms::tell(&knowledge, &socket, Instant::now()),
+            () = knowledge.alarms.raised() => alarms::tell(&knowledge, &socket, clock::now()),
             _ = looks.tick(), if seeking => seeking = seek(&knowledge, &socket),
             _ = ticks.tick() => {
-                knowledge.tick(Instant::now());
-                alarms::tell(&knowledge, &socket, Instant::now());
+                knowledge.tick(clock::now());
+                alarms::tell(&knowledge, &socket, clock::now());
                 seeking = true;
                 ask(&knowledge, &socket, round.is_multiple_of(SUBSCRIBE_EVERY));
                 round = round.wrapping_add(1);
@@ -57,7 +58,7 @@
 }
 
 fn take(knowledge: &Knowledge, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
-    let now = Instant::now();
+    let now = clock::now();
     match datagram::decode(bytes) {
         Ok(Datagram::Subscribe) => tracing::debug!(%from, "subscription to loads at an entry"),
         Ok(Datagram::Ask {
@@ -153,7 +154,7 @@
 
 fn ask(knowledge: &Knowledge, socket: &UdpSocket, subscribe: bool) {
     let asked = knowledge.peers.borrow().asked();
-    let now = Instant::now();
+    let now = clock::now();
     let round = knowledge.questions.borrow_mut().begin(now);
     let question = Datagram::Ask {
         entry: knowledge.entry(),
@@ -187,7 +188,7 @@
 /// Subscribes to agents that have not been heard yet; returns whether there are any.
 fn seek(knowledge: &Knowledge, socket: &UdpSocket) -> bool {
     let port = knowledge.options().agent_port;
-    let sought = knowledge.fleet.borrow().sought(Instant::now());
+    let sought = knowledge.fleet.borrow().sought(clock::now());
     for endpoint in &sought {
         let agent = SocketAddr::new(endpoint.ip(), port);
         send(socket, &Datagram::Subscribe, agent);
@@ -209,7 +210,7 @@
 
 /// Tells the entries near how this one is, since that has just changed.
 pub(crate) fn announce(knowledge: &Knowledge, socket: &UdpSocket) {
-    let state = Datagram::State(state(knowledge, 0, Instant::now()));
+    let state = Datagram::State(state(knowledge, 0, clock::now()));
     for peer in knowledge.peers.borrow().near() {
         send(socket, &state, peer);
     }
@@ -224,7 +225,7 @@
     told.dedup();
     let state = Datagram::State(peer::State {
         ready: false,
-        ..state(knowledge, 0, Instant::now())
+        ..state(knowledge, 0, clock::now())
     });
     for peer in told {
         send(socket, &state, peer);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,9 +1,10 @@
 //! Which other entries are there and ready.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 
 use crate::peer::Entry;
 
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -2,9 +2,10 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 
 use crate::channel::{self, Channel};
 use crate::endpoint::Endpoint;
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -2,9 +2,9 @@
 //! another endpoint.
 
 use std::rc::Rc;
-use std::time::Instant;
 
 use bytes::Bytes;
+use cactusnotch_base::clock;
 use cactusnotch_base::name;
 use cactusnotch_telemetry::metric;
 use http::header;
@@ -21,6 +21,7 @@
 use crate::knowledge::Knowledge;
 use crate::request::Call;
 use crate::route::Repeat;
+use crate::wake;
 
 /// How an answer ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
@@ -119,13 +120,13 @@
             kept,
             ..
         } = reply;
-        let until = tokio::time::Instant::from_std(self.call.until);
+        let until = self.call.until;
         loop {
             let frame = tokio::select! {
                 biased;
                 () = self.sender.closed() => return Part::End(End::Left),
                 frame = body.frame() => frame,
-                () = tokio::time::sleep_until(until) => return Part::End(End::TimeUp),
+                () = wake::due(until) => return Part::End(End::TimeUp),
                 () = exchange::lost(&self.knowledge, &self.call, &self.tried, running.endpoint()),
                     if events.is_some() && self.course.may_repeat() =>
                 {
@@ -139,12 +140,12 @@
                 Some(Err(error)) => {
                     running.failed();
                     let mut failed = Failed::new(Failure::InDoubt, &error.to_string());
-                    failed.cut = running.cut(Instant::now());
+                    failed.cut = running.cut(clock::now());
                     return Part::Broken(failed);
                 }
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
-            running.piece(Instant::now());
+            running.piece(clock::now());
             let data = match events.as_deref_mut() {
                 Some(events) => events.push(&data),
                 None => data,
@@ -163,14 +164,14 @@
         }
         running.whole();
         self.knowledge.note_served(&self.call);
-        lease.keep(kept, Instant::now());
+        lease.keep(kept, clock::now());
         Part::End(End::Whole)
     }
 
     /// Tells whether a stream should go on at another endpoint: all ranks of a group
     /// wait in each pass for what a straggler does for its own streams.
     fn leaves(&self, endpoint: &name::Endpoint) -> bool {
-        let now = Instant::now();
+        let now = clock::now();
         let straggles = || {
             let fleet = self.knowledge.fleet.borrow();
             fleet.is_straggler(endpoint.as_str(), now)
@@ -195,7 +196,7 @@
     ) -> Option<Reply> {
         loop {
             self.examine(&mut failure).await;
-            let now = Instant::now();
+            let now = clock::now();
             let service = self.call.judged.service.clone();
             let affordable = || self.knowledge.budgets.borrow_mut().spend(&service, now);
             let next = self.course.fail(failure.failure, affordable);
@@ -215,12 +216,12 @@
                 running,
                 last,
             );
-            let until = tokio::time::Instant::from_std(self.call.until);
+            let until = self.call.until;
             let sent = tokio::select! {
                 biased;
                 () = self.sender.closed() => return None,
                 sent = sending => sent,
-                () = tokio::time::sleep_until(until) => return None,
+                () = wake::due(until) => return None,
             };
             match sent {
                 Ok(reply) if reply.head.status.is_success() => {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -4,9 +4,10 @@
 //! over all requests never binds for a single one. What a request has done is remembered by
 //! its [`Content`] instead, over all attempts and all entries.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_derive::record;
 
 use crate::content::Content;
--- a/crates/gateway/src/questions.rs
+++ b/crates/gateway/src/questions.rs
@@ -1,6 +1,8 @@
 //! When this entry asked others how they are.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 /// The questions that may still be answered: a few rounds back.
 const KEPT: usize = 4;
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -6,8 +6,9 @@
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
-use std::time::{Instant, SystemTime};
+use std::time::SystemTime;
 
+use cactusnotch_base::clock;
 use http::StatusCode;
 use tokio::sync::Notify;
 
@@ -57,7 +58,7 @@
         let write = knowledge.records.next().await;
         while let Err(error) = carry_out(&knowledge, &mut store, write).await {
             tracing::warn!(?write, %error, "record of a held request not written yet");
-            knowledge.store_fails(Kind::Entries, &error, Instant::now());
+            knowledge.store_fails(Kind::Entries, &error, clock::now());
             knowledge.turn().await;
         }
     }
@@ -70,7 +71,7 @@
 ) -> Result<(), Error> {
     let (done, what) = match write {
         Write::Keep(content) => {
-            let left = knowledge.quarantine.borrow().holds(content, Instant::now());
+            let left = knowledge.quarantine.borrow().holds(content, clock::now());
             // It may have been cleared meanwhile.
             let Some(left) = left else {
                 return Ok(());
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -2,9 +2,10 @@
 
 use std::cell::OnceCell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
+use cactusnotch_base::clock::Instant;
 use http::header::{self, HeaderName};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request};
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -3,9 +3,10 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
+use cactusnotch_base::clock;
 use cactusnotch_telemetry::Exporter;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
@@ -101,7 +102,7 @@
     knowledge: &Knowledge,
     request: &Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    let now = Instant::now();
+    let now = clock::now();
     let status = |status| {
         let mut response = Response::new(Full::default());
         *response.status_mut() = status;
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -2,8 +2,9 @@
 
 use std::io;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -37,7 +38,7 @@
         _ = stop.recv() => {}
         _ = interrupt.recv() => {}
     }
-    let began = Instant::now();
+    let began = clock::now();
     let options = knowledge.options();
     knowledge.stopping.set(Some(began));
     tracing::info!(in_flight = knowledge.in_flight.get(), "stop asked for");
@@ -54,7 +55,7 @@
     closing.send_replace(true);
     let last = began + options.grace.saturating_sub(END_MARGIN);
     tokio::time::sleep(LOOK_EVERY).await;
-    while knowledge.in_flight.get() > 0 && Instant::now() < last {
+    while knowledge.in_flight.get() > 0 && clock::now() < last {
         tokio::time::sleep(LOOK_EVERY).await;
     }
     tracing::info!(in_flight = knowledge.in_flight.get(), "stopped");
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -1,8 +1,9 @@
 //! Follows the store's objects of one kind.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use rand::Rng;
 use tokio::net::UdpSocket;
 
@@ -53,10 +54,10 @@
             Ok(()) => {}
             Err(Error::HistoryGone) => {
                 tracing::info!(%kind, "changes are gone from the store, listing anew");
-                knowledge.store_answers(kind, Instant::now());
+                knowledge.store_answers(kind, clock::now());
                 follower.listed = false;
             }
-            Err(error) => knowledge.store_fails(kind, &error, Instant::now()),
+            Err(error) => knowledge.store_fails(kind, &error, clock::now()),
         }
     }
 }
@@ -82,7 +83,7 @@
             kind,
             store: Store::new(knowledge.options().store),
             listed: false,
-            started: Instant::now(),
+            started: clock::now(),
         }
     }
 
@@ -93,7 +94,7 @@
             return self.catch_up().await.map(drop);
         }
         let acquainted = self.started.elapsed() >= ACQUAINTED;
-        if acquainted && self.knowledge.watches(Instant::now()) {
+        if acquainted && self.knowledge.watches(clock::now()) {
             self.watch(watching).await
         } else {
             self.listen().await
@@ -102,9 +103,9 @@
 
     async fn list(&mut self) -> Result<(), Error> {
         self.knowledge.turn().await;
-        let asked = Instant::now();
+        let asked = clock::now();
         let listing = self.store.list(self.kind, false).await?;
-        let now = Instant::now();
+        let now = clock::now();
         self.knowledge.store_answers(self.kind, now);
         let revision = listing.revision;
         if revision < self.known() {
@@ -146,7 +147,7 @@
 
     /// Waits for one answer of a watch.
     async fn watch(&mut self, watching: &mut Store<C>) -> Result<(), Error> {
-        let (from, asked) = (self.known(), Instant::now());
+        let (from, asked) = (self.known(), clock::now());
         let waiting = watching.watch(self.kind, from, WATCH_MAX);
         tokio::pin!(waiting);
         loop {
@@ -192,7 +193,7 @@
         let mut other = Store::<C>::new(from);
         match other.watch(self.kind, self.known(), NO_WAIT).await {
             Ok(Watched { answer, body }) => {
-                let now = Instant::now();
+                let now = clock::now();
                 for change in answer.changes {
                     self.knowledge
                         .apply(self.kind, change, answer.revision, now);
@@ -209,7 +210,7 @@
 
     /// Asks for the changes since what is known; returns whether there are any.
     async fn catch_up(&mut self) -> Result<bool, Error> {
-        let (from, asked) = (self.known(), Instant::now());
+        let (from, asked) = (self.known(), clock::now());
         let answer = self.store.watch(self.kind, from, NO_WAIT).await?;
         Ok(self.take(from, answer, asked))
     }
@@ -217,7 +218,7 @@
     /// Takes the changes after `from` and passes them on; returns whether there
     /// are any.
     fn take(&mut self, from: Revision, watched: Watched, asked: Instant) -> bool {
-        let now = Instant::now();
+        let now = clock::now();
         self.knowledge.store_answers(self.kind, now);
         let Watched { answer, body } = watched;
         let changed = !answer.changes.is_empty();
@@ -279,11 +280,11 @@
                 Kind::Entries,
                 listing.changes,
                 listing.revision,
-                Instant::now(),
+                clock::now(),
             ),
             Err(error) => {
                 tracing::warn!(%error, "entries not listed");
-                knowledge.store_fails(Kind::Entries, &error, Instant::now());
+                knowledge.store_fails(Kind::Entries, &error, clock::now());
                 knowledge.turn().await;
                 continue;
             }
@@ -307,7 +308,7 @@
     let mut store = Store::<C>::new(knowledge.options().store);
     loop {
         tokio::time::sleep(PROOF_LOOK).await;
-        let now = Instant::now();
+        let now = clock::now();
         let age = knowledge.freshness.borrow().age(now);
         // The configuration is listed first.
         if age.is_none_or(|age| age < knowledge.prove_after(now)) {
@@ -317,9 +318,9 @@
             continue;
         }
         match renew(&knowledge, &mut store).await {
-            Ok(()) => knowledge.store_answers(Kind::Configuration, Instant::now()),
+            Ok(()) => knowledge.store_answers(Kind::Configuration, clock::now()),
             Err(error) => {
-                knowledge.store_fails(Kind::Configuration, &error, Instant::now());
+                knowledge.store_fails(Kind::Configuration, &error, clock::now());
             }
         }
     }
@@ -327,7 +328,7 @@
 
 async fn renew<C: Codec>(knowledge: &Knowledge, store: &mut Store<C>) -> Result<(), Error> {
     let kind = Kind::Configuration;
-    let asked = Instant::now();
+    let asked = clock::now();
     let answer = match store.watch(kind, knowledge.revision.get(), NO_WAIT).await {
         Err(Error::HistoryGone) => store.list(kind, false).await?,
         Ok(Watched { answer, body }) => {
@@ -338,7 +339,7 @@
         }
         Err(error) => return Err(error),
     };
-    let now = Instant::now();
+    let now = clock::now();
     for change in answer.changes {
         knowledge.apply(kind, change, answer.revision, now);
     }
@@ -352,7 +353,7 @@
     let mut store = Store::<C>::new(knowledge.options().store);
     while let Err(error) = store.register(&entry).await {
         tracing::warn!(%error, "entry not registered yet");
-        knowledge.store_fails(Kind::Entries, &error, Instant::now());
+        knowledge.store_fails(Kind::Entries, &error, clock::now());
         knowledge.turn().await;
     }
     tracing::info!(host = entry.host, "entry registered");
--- a/crates/gateway/tests/absence.rs
+++ b/crates/gateway/tests/absence.rs
@@ -1,8 +1,9 @@
 //! Endpoints that the store lost are used for a while, and leaving ones not for
 //! too long.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_gateway::absence::{Absence, NOTICE_MAX, RETURN_TIME};
 
 /// The time from a sound way to the store until leaving endpoints must be known.
@@ -10,12 +11,12 @@
 
 #[test]
 fn an_endpoint_that_is_missing_without_an_outage_is_gone() {
-    assert_eq!(Absence::default().kept_until(Instant::now()), None);
+    assert_eq!(Absence::default().kept_until(clock::now()), None);
 }
 
 #[test]
 fn an_endpoint_that_the_store_lost_is_kept_for_a_while_after_its_return() {
-    let returned = Instant::now();
+    let returned = clock::now();
     let mut absence = Absence::default();
     absence.end(returned);
     assert_eq!(absence.kept_until(returned), Some(returned + RETURN_TIME));
@@ -26,7 +27,7 @@
 #[test]
 fn an_endpoint_that_leaves_at_any_moment_is_not_used_beyond_its_bound() {
     let bound = Duration::from_secs(2);
-    let sound = Instant::now();
+    let sound = clock::now();
     for late in (0..=NOTICE_MAX.as_millis()).step_by(50) {
         let late = Duration::from_millis(u64::try_from(late).expect("small"));
         let returned = sound + late;
--- a/crates/gateway/tests/bounds.rs
+++ b/crates/gateway/tests/bounds.rs
@@ -1,8 +1,9 @@
 //! The bounds that hold over all entries: repeated sends, age of keys, lists.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_gateway::budget::Budgets;
 use cactusnotch_gateway::freshness::Freshness;
 use cactusnotch_gateway::peer::Entry;
@@ -19,7 +20,7 @@
     fn repeats_stay_within_the_ratio_in_every_window(
         steps in proptest::collection::vec((0_u64..400, any::<bool>()), 1..600),
     ) {
-        let start = Instant::now();
+        let start = clock::now();
         let mut budgets = Budgets::new(0.2, WINDOW);
         let mut now = start;
         let mut requests = Vec::new();
@@ -52,7 +53,7 @@
 
 #[test]
 fn keys_are_trusted_for_less_than_the_bound_from_the_question_on() {
-    let earlier = Instant::now();
+    let earlier = clock::now();
     let asked = earlier + Duration::from_secs(1);
     let mut freshness = Freshness::new(Some(Duration::from_secs(5)));
     assert!(!freshness.holds(asked), "nothing is proved yet");
@@ -68,7 +69,7 @@
 
 #[test]
 fn a_proof_of_another_entry_counts_from_the_question() {
-    let asked = Instant::now() + Duration::from_secs(100);
+    let asked = clock::now() + Duration::from_secs(100);
     let mut questions = Questions::default();
     let first = questions.begin(asked);
     let second = questions.begin(asked + Duration::from_millis(600));
@@ -114,7 +115,7 @@
 
 #[test]
 fn lists_hold_ready_entries_of_the_callers_data_centre() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut peers = peers();
     assert_eq!(
         ports(&peers.list(Some("a"), Some(own()), now)),
@@ -144,7 +145,7 @@
 
 #[test]
 fn an_entry_that_stops_lists_the_others() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut peers = peers();
     peers.hear(SocketAddr::from(([10, 0, 0, 1], 1003)), true, now);
     assert_eq!(ports(&peers.list(Some("a"), None, now)), [3]);
--- a/crates/gateway/tests/link.rs
+++ b/crates/gateway/tests/link.rs
@@ -5,8 +5,9 @@
 //! eight seconds; a refusal comes within some milliseconds. With each task asking by itself,
 //! with pauses of 0.2 to 0.4 s, 149 entries made 11,900 calls in a day with such an outage.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_gateway::link::{Link, Role};
 use cactusnotch_gateway::peer::Entry;
 use cactusnotch_gateway::peers::Peers;
@@ -23,7 +24,7 @@
 /// Returns how often a second the store is asked in the second half of an outage.
 fn calls(entries: usize, centres: usize) -> f64 {
     let mut rng = SmallRng::seed_from_u64(7);
-    let base = Instant::now();
+    let base = clock::now();
     let mut links: Vec<_> = (0..entries).map(|_| Link::default()).collect();
     let mut calls = 0_u32;
     for step in 0..1_600 {
@@ -56,7 +57,7 @@
 #[test]
 fn one_that_asks_for_others_is_back_within_a_second_and_a_half_of_the_store() {
     let mut link = Link::default();
-    let mut now = Instant::now();
+    let mut now = clock::now();
     for _ in 0..20 {
         link.fail(Role::Asks, now, 1.0);
         let pause = link.wait(now).expect("it pauses");
@@ -70,7 +71,7 @@
 
 #[test]
 fn one_task_asks_at_a_time_while_the_store_is_lost() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut link = Link::default();
     assert_eq!((link.wait(now), link.wait(now)), (None, None));
     assert!(link.fail(Role::Asks, now, 0.5));
@@ -82,7 +83,7 @@
 
 #[test]
 fn one_that_relies_on_others_takes_their_word_for_the_return() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut link = Link::default();
     link.fail(Role::Relies, now, 0.5);
     assert!(!link.hear_of_return(now), "that was before");
@@ -92,7 +93,7 @@
 
 #[test]
 fn the_first_that_are_heard_ask_for_their_data_centre() {
-    let now = Instant::now();
+    let now = clock::now();
     let peer = |at: u8| std::net::SocketAddr::from(([10, 0, 0, at], 7340));
     let mut peers = Peers::new("c", "east");
     assert_eq!(peers.heard_before(now), Some(0), "it knows no others");
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -6,8 +6,8 @@
 //! and the others 50.
 
 use std::net::SocketAddr;
-use std::time::Instant;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_gateway::peer::Entry;
 use cactusnotch_gateway::peers::{ASKED_MAX, Peers};
 
@@ -59,7 +59,7 @@
 
 #[test]
 fn up_to_thirty_one_entries_are_all_on_every_list() {
-    let now = Instant::now();
+    let now = clock::now();
     for count in [3, 17, 18, 25, 31] {
         let listed = listed(&round(count, now), now);
         assert!(
@@ -71,7 +71,7 @@
 
 #[test]
 fn beyond_that_each_is_on_as_many_lists_as_the_others() {
-    let now = Instant::now();
+    let now = clock::now();
     for count in [43, 48, 100] {
         let mut listed = listed(&round(count, now), now);
         listed.sort_unstable();
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -4,8 +4,9 @@
 //! it for some five seconds; one to three innocent requests stand there each time without an
 //! event; the loss of a rack ends many servers within the same moment.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_gateway::content::{Content, Parts};
 use cactusnotch_gateway::quarantine::{CRASHES, Crash, HOLD_TIME, Quarantine, Verdict};
 use http::Method;
@@ -38,7 +39,7 @@
 
 #[test]
 fn a_request_is_held_after_the_second_endpoint_that_it_has_ended() {
-    let (start, mut quarantine) = (Instant::now(), Quarantine::default());
+    let (start, mut quarantine) = (clock::now(), Quarantine::default());
     let first = take(&mut quarantine, 1, &crash(start, "a", 1_000, 50));
     let second = crash(start, "b", 1_200, 150);
     assert_eq!(first, Verdict::Suspected);
@@ -55,7 +56,7 @@
 
 #[test]
 fn what_several_entries_tell_of_one_end_counts_once() {
-    let (start, mut quarantine) = (Instant::now(), Quarantine::default());
+    let (start, mut quarantine) = (clock::now(), Quarantine::default());
     let told = crash(start, "a", 1_000, 50);
     assert_eq!(take(&mut quarantine, 1, &told), Verdict::Suspected);
     // A caller came back elsewhere, and that entry saw the same endpoint end.
@@ -66,7 +67,7 @@
 
 #[test]
 fn the_loss_of_a_rack_holds_nothing_that_ran_there_several_times() {
-    let (start, mut quarantine) = (Instant::now(), Quarantine::default());
+    let (start, mut quarantine) = (clock::now(), Quarantine::default());
     // Many callers ask for the same at eight endpoints, which end within 40 ms of each other.
     for number in 0..8 {
         let end = crash(start, &format!("rack-{number}"), 1_000 + 5 * number, 300);
@@ -77,7 +78,7 @@
 
 #[test]
 fn what_is_told_out_of_order_counts_the_same() {
-    let start = Instant::now();
+    let start = clock::now();
     let ends = [
         crash(start, "a", 1_000, 50),
         crash(start, "b", 1_020, 500),
@@ -95,7 +96,7 @@
 
 #[test]
 fn a_request_that_is_served_is_suspected_no_more() {
-    let (start, mut quarantine) = (Instant::now(), Quarantine::default());
+    let (start, mut quarantine) = (clock::now(), Quarantine::default());
     take(&mut quarantine, 1, &crash(start, "a", 1_000, 50));
     assert_eq!(quarantine.clear(content(1)), Some(false));
     assert_eq!(quarantine.clear(content(1)), None);
@@ -105,7 +106,7 @@
 
 #[test]
 fn an_end_is_forgotten_and_a_hold_ends() {
-    let (start, mut quarantine) = (Instant::now(), Quarantine::default());
+    let (start, mut quarantine) = (clock::now(), Quarantine::default());
     take(&mut quarantine, 1, &crash(start, "a", 1_000, 50));
     quarantine.expire(start + 9 * 60 * SECOND);
     assert!(!quarantine.is_empty());
@@ -119,7 +120,7 @@
 
 #[test]
 fn a_hold_that_was_told_is_not_told_of_as_new_again() {
-    let (start, mut quarantine) = (Instant::now(), Quarantine::default());
+    let (start, mut quarantine) = (clock::now(), Quarantine::default());
     assert!(quarantine.hold(content(1), HOLD_TIME, start));
     assert!(!quarantine.hold(content(1), HOLD_TIME, start));
     let end = crash(start, "a", 1_000, 50);
@@ -128,7 +129,7 @@
 
 #[test]
 fn a_hold_is_recorded_once() {
-    let (start, mut quarantine) = (Instant::now(), Quarantine::default());
+    let (start, mut quarantine) = (clock::now(), Quarantine::default());
     assert!(
         !quarantine.check(content(1), false),
         "nothing is known of it"
@@ -143,7 +144,7 @@
 
 #[test]
 fn however_many_are_suspected_the_table_is_bounded_and_holds_stay() {
-    let (start, mut quarantine) = (Instant::now(), Quarantine::default());
+    let (start, mut quarantine) = (clock::now(), Quarantine::default());
     quarantine.hold(content(u64::MAX), HOLD_TIME, start);
     for number in 0..10_000 {
         take(&mut quarantine, number, &crash(start, "a", 1_000, 50));
@@ -159,7 +160,7 @@
     fn a_request_is_held_if_two_of_its_runs_can_not_have_ended_for_one_cause(
         runs in proptest::collection::vec((0..2_000_u64, 1..400_u64), 1..8)
     ) {
-        let (start, mut quarantine) = (Instant::now(), Quarantine::default());
+        let (start, mut quarantine) = (clock::now(), Quarantine::default());
         let ends: Vec<_> = runs
             .iter()
             .enumerate()
--- a/crates/group/src/coordination.rs
+++ b/crates/group/src/coordination.rs
@@ -1,7 +1,6 @@
 //! The coordinator's part, at the agents that may coordinate.
 
-use std::time::Instant;
-
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::{Clock, Table};
 use cactusnotch_objects::object::Version;
 use cactusnotch_placement::Map as Content;
--- a/crates/group/src/driver.rs
+++ b/crates/group/src/driver.rs
@@ -1,9 +1,9 @@
 //! The driver of the decisions beside a rank.
 
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Instant;
 
 use cactusnotch_base::Clock;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::{Group, Process};
 use cactusnotch_objects::http::Client;
 use cactusnotch_placement::{Map as Content, Rank as Place, Replica, Share};
@@ -150,7 +150,7 @@
                 let Some(input) = input else { return };
                 dispatch(&context, input, &mut membership, coordination.as_mut());
             }
-            () = tokio::time::sleep_until(wake.into()) => {}
+            () = tokio::time::sleep(wake.left()) => {}
         }
         membership.tick(&context);
         if let Some(coordination) = &mut coordination {
--- a/crates/group/src/membership.rs
+++ b/crates/group/src/membership.rs
@@ -1,7 +1,6 @@
 //! The rank's own part in the agreement.
 
-use std::time::Instant;
-
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::{Fence, Sequence};
 use cactusnotch_base::{Clock, Table};
--- a/crates/group/src/planning.rs
+++ b/crates/group/src/planning.rs
@@ -1,7 +1,6 @@
 //! When the planner is asked, and what becomes of its plans.
 
-use std::time::Instant;
-
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Process;
 use cactusnotch_placement::{Map as Content, Planner, State};
 use cactusnotch_popularity::Report;
--- a/crates/history/examples/order.rs
+++ b/crates/history/examples/order.rs
@@ -6,8 +6,9 @@
 #[path = "../tests/support/mod.rs"]
 mod support;
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_base::number::Revision;
 use cactusnotch_history::{Options, Reader, Replica, Verdict, Writer};
 use serde::Serialize;
@@ -28,7 +29,7 @@
     let mut times = Vec::with_capacity(EDITS);
     for at in 0..EDITS {
         let edit = fleet::change(Revision(1 + at as u64), at);
-        let started = Instant::now();
+        let started = clock::now();
         let verdict = writer.submit(&edit);
         times.push(started.elapsed());
         assert!(matches!(verdict, Verdict::Accepted { .. }), "{verdict}");
@@ -52,7 +53,7 @@
 fn print_reading(store: &Memory) {
     let mut reader = Reader::new(store.clone(), Replica::new());
     let before = store.calls();
-    let started = Instant::now();
+    let started = clock::now();
     reader.sync().expect("the order can be read");
     let took = started.elapsed();
     let calls = store.calls() - before;
--- a/crates/lab/examples/capacity.rs
+++ b/crates/lab/examples/capacity.rs
@@ -3,9 +3,10 @@
 //! counters that the processes log. The slopes go into `docs/CAPACITY.md`.
 
 use std::process::ExitCode;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_lab::site::Place;
 use cactusnotch_lab::{Failure, Operator, Site};
 use cactusnotch_standins::engine;
@@ -90,7 +91,7 @@
         if !take(&line, &mut series) {
             continue;
         }
-        let now = Instant::now();
+        let now = clock::now();
         let values: Vec<f64> = FIGURES.iter().map(|f| sum(&series, f.1)).collect();
         match &first {
             None => first = Some((now, values)),
--- a/crates/lab/examples/load_tables/bench.rs
+++ b/crates/lab/examples/load_tables/bench.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_lab::load::{self, Options, Plan, Policy, Report, Targets};
 use cactusnotch_lab::operator::{create, set};
 use cactusnotch_lab::{Failure, Operator, Site};
@@ -94,7 +95,7 @@
         let engines = &self.site.engines;
         let measured = async {
             tokio::time::sleep(WARM_UP).await;
-            let (start, before) = (Instant::now(), completed(engines));
+            let (start, before) = (clock::now(), completed(engines));
             tokio::time::sleep(MEASURED).await;
             f64::from(completed(engines) - before) / start.elapsed().as_secs_f64()
         };
--- a/crates/lab/examples/quickstart.rs
+++ b/crates/lab/examples/quickstart.rs
@@ -4,9 +4,10 @@
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_agent::Care;
+use cactusnotch_base::clock;
 use cactusnotch_entry::Server;
 use cactusnotch_lab::caller::{Ask, Outcome, key};
 use cactusnotch_lab::cluster::{Cluster, Options};
@@ -123,7 +124,7 @@
 
     /// Waits until every entry serves with all engines.
     fn settle(&self, operator: &mut Operator) -> Result<(), Failure> {
-        let start = Instant::now();
+        let start = clock::now();
         for address in &self.operators {
             operator.wait(*address, PATIENCE, |status| {
                 status.revision.0 == 2
@@ -147,7 +148,7 @@
         for number in 0..REQUESTS_EACH {
             alone.add(&whole(&caller, addresses[0], &ask(CALLERS + 1, number))?);
         }
-        let start = Instant::now();
+        let start = clock::now();
         let threads: Vec<_> = (0..CALLERS)
             .map(|number| {
                 let address = addresses[number % addresses.len()];
@@ -177,7 +178,7 @@
         let root = Id::root();
         let value = Value::Duration(15_000);
         let set = cactusnotch_lab::operator::set(&root, Key::AddressLifetime, value);
-        let start = Instant::now();
+        let start = clock::now();
         let revision = operator.edit("shorter address lifetime", vec![set])?;
         let status = operator.wait(self.operators[0], PATIENCE, |status| {
             status.in_force >= revision
@@ -226,7 +227,7 @@
 
 /// Waits for a switch of the expert map and checks that no step mixed maps.
 async fn ranks_agree(cluster: &Cluster) -> Result<(), Failure> {
-    let start = Instant::now();
+    let start = clock::now();
     while cluster
         .rank_agents
         .iter()
--- a/crates/lab/src/caller.rs
+++ b/crates/lab/src/caller.rs
@@ -2,8 +2,9 @@
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_standins::engine::{self, Message};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -207,7 +208,7 @@
         for (name, value) in ask.headers() {
             request = request.header(name, value);
         }
-        let start = Instant::now();
+        let start = clock::now();
         let mut response = request
             .send_json(ask.body())
             .map_err(|error| Failure::new("request for a completion", error))?;
--- a/crates/lab/src/load/run.rs
+++ b/crates/lab/src/load/run.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::task::JoinSet;
@@ -16,11 +17,11 @@
 /// them once the last has ended.
 pub async fn run(options: &Options, plan: Plan, targets: Arc<Targets>) -> Report {
     let streamer = Streamer::default();
-    let begin = Instant::now();
+    let begin = clock::now();
     let mut requests = JoinSet::new();
     for (number, arrival) in plan.arrivals.into_iter().enumerate() {
         let start = begin + arrival.at;
-        tokio::time::sleep_until(start.into()).await;
+        tokio::time::sleep(start.left()).await;
         let course = Course {
             streamer: streamer.clone(),
             targets: Arc::clone(&targets),
@@ -100,7 +101,7 @@
             Ok(Outcome::Broken(answer)) => {
                 self.add(answer, told);
                 told.is_wrong |= !self.expected.starts_with(&self.text);
-                if Instant::now() >= self.until {
+                if clock::now() >= self.until {
                     End::Expired
                 } else {
                     End::Broken
--- a/crates/lab/src/operator.rs
+++ b/crates/lab/src/operator.rs
@@ -1,8 +1,9 @@
 //! An operator who edits the settings and watches the status.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_base::number::Revision;
 use cactusnotch_entry::Status;
 use cactusnotch_history::{self as history, Replica, Verdict, Writer};
@@ -124,13 +125,13 @@
         patience: Duration,
         wanted: impl Fn(&Status) -> bool,
     ) -> Result<Status, Failure> {
-        let until = Instant::now() + patience;
+        let until = clock::now() + patience;
         loop {
             let status = self.status(address)?;
             if wanted(&status) {
                 return Ok(status);
             }
-            if Instant::now() > until {
+            if clock::now() > until {
                 return Err(Failure::new("wait for the status", format!("{status:?}")));
             }
             std::thread::sleep(GLANCE);
--- a/crates/lab/src/transcript.rs
+++ b/crates/lab/src/transcript.rs
@@ -1,7 +1,6 @@
 //! A streamed answer as its events come.
 
-use std::time::Instant;
-
+use cactusnotch_base::clock::{self, Instant};
 use serde_json::Value;
 
 use crate::caller::{Answer, Outcome};
@@ -76,7 +75,7 @@
     }
 
     fn token(&mut self, text: &str) {
-        let now = Instant::now();
+        let now = clock::now();
         match self.last_token.replace(now) {
             None => self.answer.first_token = Some(now.saturating_duration_since(self.start)),
             Some(before) => self.answer.gaps.push(now - before),
--- a/crates/lab/src/trial.rs
+++ b/crates/lab/src/trial.rs
@@ -4,8 +4,9 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread::ScopedJoinHandle;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_standins::engine::Engine;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
@@ -132,7 +133,7 @@
 /// Sends the requests from all callers and returns what they were told.
 #[must_use]
 pub fn run(options: &Options, addresses: &[SocketAddr]) -> Answers {
-    let start = Instant::now();
+    let start = clock::now();
     let next = AtomicU64::new(0);
     let callers: Vec<_> = (0..options.callers).collect();
     let told = std::thread::scope(|scope| {
--- a/crates/lab/tests/limits.rs
+++ b/crates/lab/tests/limits.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_entry::Server;
 use cactusnotch_lab::caller::{Ask, Outcome, key};
 use cactusnotch_lab::cluster::{self, Cluster, Options};
@@ -40,13 +41,13 @@
 /// that are known when its revision comes into force.
 fn meet(addresses: &[SocketAddr]) {
     let caller = Caller::default();
-    let until = Instant::now() + PATIENCE;
+    let until = clock::now() + PATIENCE;
     let knows_all = |entry: &SocketAddr| {
         let known = caller.addresses(*entry).unwrap_or_default();
         addresses.iter().all(|address| known.contains(address))
     };
     while !addresses.iter().all(knows_all) {
-        assert!(Instant::now() < until, "the entries do not know each other");
+        assert!(clock::now() < until, "the entries do not know each other");
         thread::yield_now();
     }
 }
--- a/crates/lab/tests/path.rs
+++ b/crates/lab/tests/path.rs
@@ -1,8 +1,9 @@
 //! A request's whole path through a system of real sockets.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_entry::Server;
 use cactusnotch_lab::caller::{Ask, Outcome, key};
 use cactusnotch_lab::cluster::{Cluster, Options};
@@ -29,10 +30,10 @@
 /// Waits until an entry lists as many entries as there are: its roster says of
 /// each when it serves, which is not settled by the status of the endpoints.
 fn listed(caller: &Caller, entry: SocketAddr, entries: usize) -> Vec<SocketAddr> {
-    let until = Instant::now() + PATIENCE;
+    let until = clock::now() + PATIENCE;
     loop {
         let addresses = caller.addresses(entry).unwrap();
-        if addresses.len() >= entries || Instant::now() > until {
+        if addresses.len() >= entries || clock::now() > until {
             return addresses;
         }
         std::thread::sleep(GLANCE);
--- a/crates/lab/tests/rank_faults.rs
+++ b/crates/lab/tests/rank_faults.rs
@@ -4,8 +4,9 @@
 //! The agents' binary must have been built, as `cargo test --workspace` does.
 
 use std::thread::sleep;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_base::number::{Epoch, Fence, Step};
 use cactusnotch_lab::operator::set;
 use cactusnotch_lab::{Operator, Process, Ranks};
@@ -167,9 +168,9 @@
     fn pause_coordinator(&mut self) {
         let (fence, rank) = self.coordinator();
         self.signal(rank, Process::pause);
-        let until = Instant::now() + PATIENCE;
+        let until = clock::now() + PATIENCE;
         while self.coordinator().0 == fence {
-            assert!(Instant::now() < until, "no other coordinator");
+            assert!(clock::now() < until, "no other coordinator");
             let fault = if self.random.random() {
                 Fault::LinksCut
             } else {
@@ -212,12 +213,12 @@
     /// Makes other experts hot until the group uses another map.
     fn switch(&mut self) {
         let before = self.epoch();
-        let until = Instant::now() + PATIENCE;
+        let until = clock::now() + PATIENCE;
         while self.epoch() == before {
-            assert!(Instant::now() < until, "no switch after {before}");
+            assert!(clock::now() < until, "no switch after {before}");
             self.heat();
-            let glances = Instant::now() + PATIENCE / 12;
-            while self.epoch() == before && Instant::now() < glances {
+            let glances = clock::now() + PATIENCE / 12;
+            while self.epoch() == before && clock::now() < glances {
                 let next = self.ranks.group.step().next();
                 // The group may stand still, which the outer bound catches.
                 let _ = self.ranks.group.wait_for(next, PATIENCE / 60);
--- a/crates/lab/tests/streams.rs
+++ b/crates/lab/tests/streams.rs
@@ -2,8 +2,9 @@
 //! each caller gets its own answer, whole or visibly not.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_entry::Status;
 use cactusnotch_lab::caller::{Answer, Ask, Outcome, key};
 use cactusnotch_lab::load::Streamer;
@@ -66,7 +67,7 @@
     for (number, ask) in asks.into_iter().enumerate() {
         let (streamer, address) = (streamer.clone(), addresses[number % addresses.len()]);
         streams.spawn(async move {
-            let now = Instant::now();
+            let now = clock::now();
             let outcome = streamer.ask(address, &ask, now, now + PATIENCE).await;
             (ask, outcome.unwrap())
         });
--- a/crates/lease/src/attempt.rs
+++ b/crates/lease/src/attempt.rs
@@ -1,8 +1,7 @@
 //! Writes whose effect may still be found by reading back.
 
-use std::time::Instant;
-
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::number::Sequence;
 
 /// How many writes are remembered; an older one is past its lease.
--- a/crates/lease/src/guard.rs
+++ b/crates/lease/src/guard.rs
@@ -1,8 +1,8 @@
 //! The right to act, for a bounded time.
 
 use std::sync::Arc;
-use std::time::Instant;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::number::Fence;
 
 /// The right to act under a lease until [`Guard::deadline`].
--- a/crates/lease/src/lease.rs
+++ b/crates/lease/src/lease.rs
@@ -1,8 +1,9 @@
 //! The decisions of one process about one lease.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::{Fence, Sequence};
 use cactusnotch_objects::object::{Condition, Version};
--- a/crates/lease/tests/holder.rs
+++ b/crates/lease/tests/holder.rs
@@ -1,8 +1,9 @@
 //! What one holder may believe: lost replies, pauses, releases.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_base::clock::Manual;
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::number::{Fence, Sequence};
 use cactusnotch_lease::call::{Answer, Call, Found, Ticket};
 use cactusnotch_lease::{Driver, Lease, Options, Record};
@@ -55,7 +56,7 @@
 
 #[test]
 fn a_lost_reply_is_settled_by_reading_back_and_dated_from_the_send() {
-    let start = Instant::now();
+    let start = clock::now();
     let mut lease = acquired(start);
     let sent = start + second(3);
     let (ticket, record, _) = put(lease.poll(sent));
@@ -76,7 +77,7 @@
 
 #[test]
 fn a_paused_holder_resumes_without_the_right_and_comes_back_under_a_new_fence() {
-    let start = Instant::now();
+    let start = clock::now();
     let mut lease = acquired(start);
     let guard = lease.check(start).expect("held");
     let resumed = start + second(9);
@@ -89,7 +90,7 @@
 
 #[test]
 fn a_release_waits_for_the_guards_in_use() {
-    let start = Instant::now();
+    let start = clock::now();
     let mut lease = acquired(start);
     let guard = lease.check(start).expect("held");
     lease.release();
@@ -107,7 +108,7 @@
 
 #[test]
 fn a_taker_waits_for_an_absent_object_as_for_a_holder() {
-    let start = Instant::now();
+    let start = clock::now();
     let mut lease = Lease::new(Options::default(), "entry-0".into(), &mut rng());
     lease.acquire();
     let (ticket, _) = lease.poll(start).expect("a first read");
--- a/crates/lease/tests/overlap.rs
+++ b/crates/lease/tests/overlap.rs
@@ -1,7 +1,8 @@
 //! Guards of two holders never overlap, whatever is late, lost or paused.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::name::Process;
 use cactusnotch_lease::call::{Answer, Call, Found, Ticket};
 use cactusnotch_lease::{Guard, Lease, Options};
@@ -87,7 +88,7 @@
             }
         });
         Self {
-            start: Instant::now(),
+            start: clock::now(),
             now: 0,
             wire: Wire::default(),
             members: members.collect(),
--- a/crates/ledger/examples/memory.rs
+++ b/crates/ledger/examples/memory.rs
@@ -7,9 +7,10 @@
 )]
 
 use std::hint::black_box;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::number::Incarnation;
 use cactusnotch_base::outcome::Key;
 use cactusnotch_ledger::message::{Repeat, Run};
@@ -50,7 +51,7 @@
 }
 
 fn measure(load: &Load) -> Ledger {
-    let start = Instant::now();
+    let start = clock::now();
     let options = Options {
         rows: 1_000_000,
         bytes: 1 << 30,
@@ -58,7 +59,7 @@
     };
     let mut ledger = Ledger::new(options, "endpoint-01".into(), Incarnation(1), start);
     let before = resident();
-    let clock = Instant::now();
+    let clock = clock::now();
     for number in 0..load.keys {
         let now = start + Duration::from_millis(number * 1000 / RATE);
         run(&mut ledger, load, number, now);
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -1,8 +1,7 @@
 //! The ledger of an agent.
 
-use std::time::Instant;
-
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Endpoint;
 use cactusnotch_base::number::Incarnation;
 
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -1,8 +1,9 @@
 //! What an agent remembers, and what it refuses.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_base::Outcome;
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::number::{Incarnation, Sequence};
 use cactusnotch_ledger::message::{Fault, Query, Reason, Repeat, Run};
 use cactusnotch_ledger::{
@@ -31,7 +32,7 @@
 
 impl Agent {
     fn new(options: Options) -> Self {
-        let now = Instant::now();
+        let now = clock::now();
         let ledger = Ledger::new(options, "one".into(), Incarnation(3), now);
         Self { ledger, now }
     }
--- a/crates/link/examples/link_figures.rs
+++ b/crates/link/examples/link_figures.rs
@@ -4,8 +4,9 @@
 //! Run it with `cargo run --release -p cactusnotch-link --example link_figures`.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::number::Incarnation;
 use cactusnotch_link::{Identity, Link, Listener, Options, Role, Secret, dial};
 use hdrhistogram::Histogram;
@@ -60,7 +61,7 @@
 async fn opening(address: SocketAddr, options: &Options) -> Result<(), Failure> {
     let mut times = Histogram::<u64>::new(3)?;
     for _ in 0..DIALS {
-        let start = Instant::now();
+        let start = clock::now();
         let link = dial::<String>(address, options).await?;
         times.record(micros(start))?;
         drop(link);
@@ -74,7 +75,7 @@
     let message = "x".repeat(MESSAGE_LENGTH);
     let mut times = Histogram::<u64>::new(3)?;
     for _ in 0..ROUND_TRIPS {
-        let start = Instant::now();
+        let start = clock::now();
         sender.send(&message).await?;
         receiver.recv().await.ok_or("closed")??;
         times.record(micros(start))?;
@@ -86,7 +87,7 @@
 async fn throughput(address: SocketAddr, options: &Options) -> Result<(), Failure> {
     let (sender, mut receiver) = dial::<String>(address, options).await?.split();
     let message = "x".repeat(MESSAGE_LENGTH);
-    let start = Instant::now();
+    let start = clock::now();
     let sending = tokio::spawn(async move {
         for _ in 0..MESSAGES {
             sender.send(&message).await?;
--- a/crates/member/src/backoff.rs
+++ b/crates/member/src/backoff.rs
@@ -1,7 +1,8 @@
 //! Pauses between failed calls.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use rand::Rng;
 
 /// Doublings after which the pause is at its longest in any setting.
--- a/crates/member/src/liveness.rs
+++ b/crates/member/src/liveness.rs
@@ -1,8 +1,7 @@
 //! Who can be reached.
 
-use std::time::Instant;
-
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::Incarnation;
 use cactusnotch_derive::record;
--- a/crates/member/src/registration.rs
+++ b/crates/member/src/registration.rs
@@ -1,7 +1,6 @@
 //! Keeping a process's own record in the platform.
 
-use std::time::Instant;
-
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::number::Incarnation;
 use cactusnotch_derive::record;
 use cactusnotch_objects::object::{Condition, Version};
--- a/crates/member/tests/liveness.rs
+++ b/crates/member/tests/liveness.rs
@@ -1,8 +1,9 @@
 //! Suspicion, refutation and expiry.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::Incarnation;
 use cactusnotch_member::{
@@ -58,7 +59,7 @@
 
 #[test]
 fn a_suspected_process_refutes_and_a_silent_one_counts_as_dead() {
-    let (roster, now) = (roster(8), Instant::now());
+    let (roster, now) = (roster(8), clock::now());
     let (mut a, mut b) = (view(0), view(1));
     a.suspect(&name(1), Incarnation(1), now);
     a.suspect(&name(2), Incarnation(1), now);
@@ -73,7 +74,7 @@
 
 #[test]
 fn whoever_missed_a_refutation_is_told_again() {
-    let (roster, now) = (roster(8), Instant::now());
+    let (roster, now) = (roster(8), clock::now());
     let (mut knows, mut missed) = (view(0), view(1));
     let mut rumour = Rumour {
         process: name(2),
@@ -96,7 +97,7 @@
 
 #[test]
 fn the_dead_expire_after_long_and_never_too_many_at_once() {
-    let (roster, now) = (roster(8), Instant::now());
+    let (roster, now) = (roster(8), clock::now());
     let mut view = view(0);
     let dead = now + Duration::from_secs(4);
     let long = dead + Duration::from_mins(1);
@@ -117,7 +118,7 @@
 
 #[test]
 fn a_restarted_process_is_alive_again_once_the_roster_says_so() {
-    let (mut roster, now) = (roster(8), Instant::now());
+    let (mut roster, now) = (roster(8), clock::now());
     let mut view = view(0);
     view.suspect(&name(1), Incarnation(1), now);
     let later = now + Duration::from_secs(4);
--- a/crates/member/tests/registration.rs
+++ b/crates/member/tests/registration.rs
@@ -1,8 +1,9 @@
 //! A process's own record, whatever becomes of the replies.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_base::number::Incarnation;
 use cactusnotch_member::registration::{Answer, Call};
 use cactusnotch_member::{Options, Record, Registration, Role, Row, State};
@@ -45,7 +46,7 @@
 
 #[test]
 fn a_restarted_process_takes_a_larger_incarnation_over_its_earlier_record() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut own = Registration::new(&Options::default(), record(7, 1));
     assert_eq!(own.poll(now), Some(Call::Find));
     own.answer(found(record(7, 1), 3), now, &mut rng());
@@ -67,7 +68,7 @@
 
 #[test]
 fn of_two_processes_of_one_name_the_earlier_is_superseded() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut first = Registration::new(&Options::default(), record(5, 1));
     assert_eq!(first.poll(now), Some(Call::Find));
     first.answer(Answer::Found(None), now, &mut rng());
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -1,9 +1,9 @@
 //! The driver of the spread decision.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
 
 use cactusnotch_base::Clock;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::Revision;
 use cactusnotch_history::Replica;
--- a/crates/order/src/sender.rs
+++ b/crates/order/src/sender.rs
@@ -1,7 +1,8 @@
 //! The sender of orders to one engine.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::number::{Fence, Incarnation};
 use cactusnotch_derive::{message, record};
 
--- a/crates/order/tests/sender.rs
+++ b/crates/order/tests/sender.rs
@@ -1,7 +1,8 @@
 //! The sender of orders against engines that check fencing numbers or not.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::number::{Fence, Incarnation};
 use cactusnotch_order::{
     Command, Event, Fencing, Options, Order, Progress, Reply, Sender, Settlement, Wanted,
@@ -97,7 +98,7 @@
             fencing,
             ..Options::default()
         };
-        let now = Instant::now();
+        let now = clock::now();
         Self {
             sender: Sender::new(options, Incarnation(1), false, now),
             engine: Engine::new(fencing == Fencing::Checked),
@@ -185,7 +186,7 @@
         lease: Duration::from_secs(10),
         ..Options::default()
     };
-    let now = Instant::now();
+    let now = clock::now();
     let mut sender = Sender::new(options, Incarnation(2), true, now);
     let first = sender.step(Event::Want(Wish::Set(false, 1)), None, now);
     assert_eq!(first, [Command::Wake(options.lease)]);
--- a/crates/placement/examples/traces/effort.rs
+++ b/crates/placement/examples/traces/effort.rs
@@ -2,8 +2,9 @@
 //! without waiting, so that the time it takes is the CPU it uses, or more on a
 //! busy machine.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::number::{Incarnation, Sequence, Step};
 use cactusnotch_placement::{
     Budget, Count, Map, Options, Planner, Rank, Report, State, Weights, pack,
@@ -64,7 +65,7 @@
 
     fn go(mut self) -> Self {
         let trace = Trace::new(Kind::Dispute, SEED);
-        let start = Instant::now();
+        let start = clock::now();
         let states = vec![State::Loaded; self.speeds.len()];
         let budget = Budget {
             rate: RATE,
@@ -76,7 +77,7 @@
             if !second.is_multiple_of(INTERVAL.as_secs()) {
                 continue;
             }
-            let before = Instant::now();
+            let before = clock::now();
             let weights = Weights::SKEW_FIRST;
             let plan = self
                 .planner
@@ -94,7 +95,7 @@
     fn observe(&mut self, rates: &[f64], second: u64, now: Instant) {
         for rank in 0..self.options.ranks {
             let report = self.report(Rank(rank), rates, second);
-            let before = Instant::now();
+            let before = clock::now();
             self.planner.observe(&report, now).expect("a new report");
             let spent = before.elapsed();
             self.busy += spent;
--- a/crates/placement/examples/traces/policy.rs
+++ b/crates/placement/examples/traces/policy.rs
@@ -1,7 +1,8 @@
 //! The policies that are compared.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_placement::{Budget, Map, Options, Plan, Planner, State, Weights, pack};
 
 use crate::trace::{RANKS, SHAPE, SLOTS};
--- a/crates/placement/examples/traces/simulation.rs
+++ b/crates/placement/examples/traces/simulation.rs
@@ -1,7 +1,8 @@
 //! Runs one policy on one trace, second by second.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::number::{Incarnation, Sequence, Step};
 use cactusnotch_placement::{Count, Map, Planner, Rank, Report, State, bound, pack};
 use rand::rngs::StdRng;
@@ -73,7 +74,7 @@
         reports: Vec::new(),
         pending: None,
         loading: vec![0.0; usize::from(RANKS)],
-        start: Instant::now(),
+        start: clock::now(),
         summary: Summary::new(trace.kind, policy),
     };
     (0..SECONDS).for_each(|second| run.second(second));
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -1,7 +1,6 @@
 //! The planner of one group.
 
-use std::time::Instant;
-
+use cactusnotch_base::clock::Instant;
 use cactusnotch_popularity::{Popularity, Report, Shape, popularity};
 use derive_more::{Display, Error};
 
--- a/crates/placement/tests/placement/group.rs
+++ b/crates/placement/tests/placement/group.rs
@@ -1,7 +1,8 @@
 //! A group whose reports are made from given loads.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::number::{Incarnation, Sequence, Step};
 use cactusnotch_placement::{
     Budget, Cell, Count, Map, Options, Plan, Planner, Rank, Report, Shape, State, Weights, pack,
@@ -32,7 +33,7 @@
                 rate: 1_000_000_000,
                 interval: Duration::from_secs(5),
             },
-            now: Instant::now(),
+            now: clock::now(),
             sequence: 0,
             options,
         }
--- a/crates/rebalance/src/again.rs
+++ b/crates/rebalance/src/again.rs
@@ -1,6 +1,8 @@
 //! When a rank says again how it stands, since rank 0 repeats itself.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 /// How long a word of a rank is trusted to be on its way before it is said again. Rank 0
 /// tells a round again after 0.06 s at the earliest, and answers each word of a rank in a
--- a/crates/rebalance/src/agent.rs
+++ b/crates/rebalance/src/agent.rs
@@ -11,8 +11,9 @@
 use std::io;
 use std::marker::PhantomData;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_gateway::endpoint::Born;
 use cactusnotch_gateway::{datagram, peer, reload, serve_metrics, store, tcp};
 use cactusnotch_telemetry::Exporter;
@@ -195,7 +196,7 @@
             let now = tokio::select! {
                 biased;
                 received = sockets.agents.recv_from(&mut from_agents) => {
-                    let now = Instant::now();
+                    let now = clock::now();
                     if let Ok((length, from)) = received
                         && self.hear(&sockets, &from_agents[..length], from, now)
                     {
@@ -205,11 +206,11 @@
                 }
                 received = sockets.entries.recv_from(&mut from_entries) => {
                     if let Ok((length, from)) = received {
-                        self.subscribe(&sockets, &from_entries[..length], from, Instant::now());
+                        self.subscribe(&sockets, &from_entries[..length], from, clock::now());
                     }
                     continue;
                 }
-                () = tokio::time::sleep_until(next) => Instant::now(),
+                () = tokio::time::sleep_until(next) => clock::now(),
             };
             self.look(&sockets, now).await;
             let busy = self.rank.member.is_busy();
--- a/crates/rebalance/src/agent/due.rs
+++ b/crates/rebalance/src/agent/due.rs
@@ -1,6 +1,8 @@
 //! When the repeated things of an agent are due.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 /// When the repeated things were done last.
 #[derive(Debug, Default)]
--- a/crates/rebalance/src/agent/finish.rs
+++ b/crates/rebalance/src/agent/finish.rs
@@ -1,8 +1,9 @@
 //! Completes the round of a leader that has fallen silent.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_gateway::{datagram, store};
 
 use super::Agent;
--- a/crates/rebalance/src/agent/hear.rs
+++ b/crates/rebalance/src/agent/hear.rs
@@ -1,8 +1,8 @@
 //! What an agent does with the datagrams of other agents.
 
 use std::net::SocketAddr;
-use std::time::Instant;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_gateway::{datagram, store};
 
 use super::Agent;
--- a/crates/rebalance/src/agent/orders.rs
+++ b/crates/rebalance/src/agent/orders.rs
@@ -1,8 +1,9 @@
 //! The agent's part in a round: what it orders its own endpoint.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_gateway::{datagram, store};
 use cactusnotch_telemetry::metric;
 
@@ -64,8 +65,8 @@
             }
             self.rank.observe(place, &state.maps);
         }
-        self.tell_standing(sockets, place, &state, Instant::now());
-        self.finish(sockets, place, &state, Instant::now()).await;
+        self.tell_standing(sockets, place, &state, clock::now());
+        self.finish(sockets, place, &state, clock::now()).await;
     }
 
     /// Takes the lead if this is rank 0.
@@ -173,7 +174,7 @@
     /// Gives an order unless it is under way; returns whether the endpoint's
     /// state is worth another look now.
     async fn give(&mut self, order: &Order, state: &State, place: &Place) -> bool {
-        let now = Instant::now();
+        let now = clock::now();
         if let Some(given) = &self.given
             && given.order == *order
         {
--- a/crates/rebalance/src/agent/spread.rs
+++ b/crates/rebalance/src/agent/spread.rs
@@ -1,8 +1,8 @@
 //! How rank 0's agent tells all ranks something: in a large group by relays.
 
 use std::net::SocketAddr;
-use std::time::Instant;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_gateway::{datagram, store};
 use serde_bytes::ByteBuf;
 
--- a/crates/rebalance/src/agent/tell.rs
+++ b/crates/rebalance/src/agent/tell.rs
@@ -1,8 +1,9 @@
 //! What an agent reads of its endpoint and tells entries and other agents.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_gateway::{datagram, peer, store};
 
 use super::Agent;
--- a/crates/rebalance/src/cadence.rs
+++ b/crates/rebalance/src/cadence.rs
@@ -1,6 +1,8 @@
 //! How long the passes of a group take.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 /// The part of a new measurement in the mean: a few passes back.
 const NEW_PART: f64 = 0.3;
--- a/crates/rebalance/src/coordinator.rs
+++ b/crates/rebalance/src/coordinator.rs
@@ -7,7 +7,7 @@
 mod stage;
 mod telling;
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use self::arming::Arming;
 use self::demand::Demand;
@@ -19,6 +19,7 @@
 use crate::plan::{self, Plan};
 use crate::state::{Maps, Place};
 use crate::{Pace, Shape};
+use cactusnotch_base::clock::Instant;
 
 /// How long a rank's word counts. Ranks repeat it several times a second.
 const STANDING_TIME: Duration = Duration::from_millis(1_500);
--- a/crates/rebalance/src/coordinator/arming.rs
+++ b/crates/rebalance/src/coordinator/arming.rs
@@ -1,6 +1,8 @@
 //! How long a group is held, and how far ahead.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 use crate::cadence::Cadence;
 
--- a/crates/rebalance/src/coordinator/demand.rs
+++ b/crates/rebalance/src/coordinator/demand.rs
@@ -1,6 +1,8 @@
 //! What is popular in a group, and the plans that follow from it.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 use crate::Shape;
 use crate::estimate::Estimate;
--- a/crates/rebalance/src/coordinator/hold.rs
+++ b/crates/rebalance/src/coordinator/hold.rs
@@ -1,6 +1,8 @@
 //! How the group is held, and let go again if a rank is out of reach.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 use super::{Coordinator, Event, Row, Stage};
 use crate::codec::Order;
--- a/crates/rebalance/src/coordinator/stage.rs
+++ b/crates/rebalance/src/coordinator/stage.rs
@@ -1,6 +1,6 @@
 //! How far a coordinator's round is.
 
-use std::time::Instant;
+use cactusnotch_base::clock::Instant;
 
 /// How far the coordinator's round is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/rebalance/src/coordinator/telling.rs
+++ b/crates/rebalance/src/coordinator/telling.rs
@@ -1,6 +1,8 @@
 //! Which ranks have to be told what.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 use super::{Coordinator, Row};
 use crate::message::{Heard, Phase, Round, Standing};
--- a/crates/rebalance/src/estimate.rs
+++ b/crates/rebalance/src/estimate.rs
@@ -1,6 +1,8 @@
 //! How much work each expert gets now.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 /// The time after which half of a count is forgotten while demand only drifts.
 /// A turn is noticed by itself, so that this may be long enough for noise to
--- a/crates/rebalance/src/neighbours.rs
+++ b/crates/rebalance/src/neighbours.rs
@@ -1,8 +1,9 @@
 //! Where the other agents of a service are.
 
 use std::net::{IpAddr, SocketAddr};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_gateway::store::{Codec, Error, Item, Kind, Store};
 
 use crate::Shape;
--- a/crates/rebalance/src/rank.rs
+++ b/crates/rebalance/src/rank.rs
@@ -1,6 +1,6 @@
 //! The decisions of the agent beside one rank, without input or output.
 
-use std::time::Instant;
+use cactusnotch_base::clock::Instant;
 
 use crate::codec::Order;
 use crate::coordinator::{Coordinator, Event};
--- a/crates/rebalance/src/relay.rs
+++ b/crates/rebalance/src/relay.rs
@@ -9,7 +9,9 @@
 //! then tells ranks that have not followed itself.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 use crate::state::Place;
 
--- a/crates/rebalance/src/rescue.rs
+++ b/crates/rebalance/src/rescue.rs
@@ -8,7 +8,9 @@
 //! No rank is armed before rank 0 is, and a leader turns back only by having rank 0's
 //! endpoint load another map: what that endpoint has decides for all.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 use crate::codec::Order;
 use crate::message::{Phase, Round, Standing};
--- a/crates/rebalance/tests/again.rs
+++ b/crates/rebalance/tests/again.rs
@@ -4,8 +4,9 @@
 //! Grounds of the figures: a message takes a millisecond within a region, and a group of 32
 //! ranks is held for some 30 ms in a round that goes well.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_rebalance::again;
 
 const HOP: Duration = Duration::from_millis(1);
@@ -13,7 +14,7 @@
 /// Returns how many words a rank says within `time` after it has heard a round, if each is
 /// answered at once.
 fn words(time: Duration) -> u32 {
-    let base = Instant::now();
+    let base = clock::now();
     let (mut told, mut words, mut now) = (Some(base), 1, base);
     while now < base + time {
         now += HOP + HOP;
@@ -32,7 +33,7 @@
 
 #[test]
 fn a_word_that_was_lost_is_said_again_when_the_round_is_told_again() {
-    let base = Instant::now();
+    let base = clock::now();
     assert!(!again::is_due(None, base), "it is said anyway");
     assert!(again::is_due(Some(base), base + Duration::from_millis(200)));
 }
--- a/crates/rebalance/tests/cadence.rs
+++ b/crates/rebalance/tests/cadence.rs
@@ -1,7 +1,8 @@
 //! What is known of a group's passes from looks at its endpoint.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_rebalance::cadence::Cadence;
 
 const LOOK: Duration = Duration::from_millis(30);
@@ -28,14 +29,14 @@
 #[test]
 fn the_mean_of_steady_passes_is_found() {
     let mut cadence = Cadence::default();
-    looks(&mut cadence, Instant::now(), ms(80), ms(3_000));
+    looks(&mut cadence, clock::now(), ms(80), ms(3_000));
     assert!((70..=90).contains(&cadence.pass()), "{} ms", cadence.pass());
 }
 
 #[test]
 fn a_group_that_stands_still_has_a_pass_that_grows() {
     let mut cadence = Cadence::default();
-    let last = looks(&mut cadence, Instant::now(), ms(80), ms(3_000));
+    let last = looks(&mut cadence, clock::now(), ms(80), ms(3_000));
     assert!(cadence.pass_with_work(last) < 100);
     // Looks go on and show no further pass.
     for late in [300, 500, 900, 2_000] {
@@ -52,11 +53,11 @@
 fn a_pass_that_may_begin_within_a_time_is_counted() {
     let mut cadence = Cadence::default();
     assert_eq!(
-        cadence.passes_within(ms(60), Instant::now()),
+        cadence.passes_within(ms(60), clock::now()),
         None,
         "no passes yet"
     );
-    let start = Instant::now();
+    let start = clock::now();
     let pass = ms(100);
     let now = looks(&mut cadence, start, pass, ms(4_060));
     // The next pass but one begins within 200 ms whatever the moment is, and the
--- a/crates/rebalance/tests/coordinator.rs
+++ b/crates/rebalance/tests/coordinator.rs
@@ -1,7 +1,8 @@
 //! What one coordinator does with the words of its ranks.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_rebalance::codec::Order;
 use cactusnotch_rebalance::coordinator::{Coordinator, Event};
 use cactusnotch_rebalance::message::{Phase, Standing};
@@ -75,7 +76,7 @@
 
 #[test]
 fn two_lives_never_give_one_version_to_two_maps() {
-    let now = Instant::now();
+    let now = clock::now();
     let (_, first) = begin(17, now);
     let (_, second) = begin(40_000, now);
     assert_ne!(first, second);
@@ -83,7 +84,7 @@
 
 #[test]
 fn words_from_before_this_life_do_not_count() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut lead = coordinator(9);
     lead.hear(standing(0, 9, Maps::default()), now);
     lead.hear(standing(1, 8, Maps::default()), now);
@@ -97,7 +98,7 @@
 
 #[test]
 fn the_group_is_held_only_after_all_ranks_have_loaded() {
-    let now = Instant::now();
+    let now = clock::now();
     let (mut lead, version) = begin(3, now);
     let loaded = Maps {
         step: 8,
@@ -146,7 +147,7 @@
 
 #[test]
 fn ranks_are_armed_once_the_one_that_has_held_the_group_is_there() {
-    let now = Instant::now();
+    let now = clock::now();
     let (mut lead, maps) = held(now);
     let there = |met| Standing {
         met,
@@ -174,7 +175,7 @@
 
 #[test]
 fn a_group_is_let_go_if_the_rank_that_has_held_it_is_silent() {
-    let now = Instant::now();
+    let now = clock::now();
     let (mut lead, maps) = held(now);
     assert_eq!(lead.calls(now), [1]);
     assert!(lead.calls(now).is_empty());
@@ -201,7 +202,7 @@
 
 #[test]
 fn a_round_goes_on_if_another_has_armed_the_leaders_rank() {
-    let now = Instant::now();
+    let now = clock::now();
     let (mut lead, maps) = held(now);
     let armed = Maps {
         armed: maps.prepared,
@@ -214,7 +215,7 @@
 
 #[test]
 fn a_round_that_does_not_load_is_given_up_for_a_higher_version() {
-    let now = Instant::now();
+    let now = clock::now();
     let (mut lead, version) = begin(3, now);
     let later = now + Duration::from_secs(4);
     for rank in 0..2 {
@@ -232,7 +233,7 @@
 
 #[test]
 fn a_group_found_held_is_armed_to_the_end_if_all_have_loaded() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut lead = coordinator(5);
     let loaded = Maps {
         step: 3,
@@ -260,7 +261,7 @@
 
 #[test]
 fn a_group_found_held_is_let_go_if_some_rank_has_not_loaded() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut lead = coordinator(5);
     let held = Maps {
         step: 3,
@@ -288,7 +289,7 @@
 
 #[test]
 fn a_round_that_brings_little_is_not_begun() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut lead = coordinator(7);
     for rank in 0..2 {
         lead.hear(standing(rank, 7, Maps::default()), now);
@@ -299,7 +300,7 @@
 
 #[test]
 fn a_round_that_loads_is_replaced_once_demand_turns() {
-    let start = Instant::now();
+    let start = clock::now();
     let (mut lead, version) = begin(7, start);
     let mut now = start;
     for _ in 0..4 {
--- a/crates/rebalance/tests/estimate.rs
+++ b/crates/rebalance/tests/estimate.rs
@@ -1,8 +1,9 @@
 //! The estimate of popularity follows a turn of demand at once, and smooths the
 //! noise of requests while there is none.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_rebalance::estimate::{Estimate, pack};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -56,7 +57,7 @@
 fn a_turn_of_demand_is_in_the_estimate_within_two_reports() {
     let mut rng = SmallRng::seed_from_u64(3);
     let mut estimate = Estimate::new(1, EXPERTS);
-    let mut now = Instant::now();
+    let mut now = clock::now();
     report(&mut estimate, &mut now, 20, || counts(0, 0.2, &mut rng));
     let turns = report(&mut estimate, &mut now, 2, || counts(8, 0.2, &mut rng));
     assert_eq!(turns, 1, "the turn is seen once");
@@ -71,7 +72,7 @@
 fn a_window_that_straddles_a_turn_does_not_hide_it() {
     let mut rng = SmallRng::seed_from_u64(4);
     let mut estimate = Estimate::new(1, EXPERTS);
-    let mut now = Instant::now();
+    let mut now = clock::now();
     report(&mut estimate, &mut now, 20, || counts(0, 0.2, &mut rng));
     let half = |rng: &mut SmallRng| {
         let (old, new) = (counts(0, 0.2, rng), counts(8, 0.2, rng));
@@ -95,7 +96,7 @@
     for seed in 0..50 {
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut estimate = Estimate::new(1, EXPERTS);
-        let mut now = Instant::now();
+        let mut now = clock::now();
         turns += report(&mut estimate, &mut now, 100, || counts(0, 0.3, &mut rng));
     }
     assert!(turns <= 5, "{turns} turns in 5,000 reports of one demand");
@@ -106,7 +107,7 @@
     for seed in 0..50 {
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut estimate = Estimate::new(1, EXPERTS);
-        let mut now = Instant::now();
+        let mut now = clock::now();
         report(&mut estimate, &mut now, 30, || counts(0, 0.8, &mut rng));
         let turns = report(&mut estimate, &mut now, 100, || counts(0, 0.8, &mut rng));
         assert!(
@@ -120,7 +121,7 @@
 fn the_estimate_of_a_steady_demand_has_less_noise_than_a_report() {
     let mut rng = SmallRng::seed_from_u64(5);
     let mut estimate = Estimate::new(1, EXPERTS);
-    let mut now = Instant::now();
+    let mut now = clock::now();
     report(&mut estimate, &mut now, 40, || counts(0, 0.8, &mut rng));
     let popular = &estimate.set(0)[..EXPERTS / 4];
     let mean = popular.iter().sum::<f64>() / 4.0;
--- a/crates/rebalance/tests/plan.rs
+++ b/crates/rebalance/tests/plan.rs
@@ -1,7 +1,8 @@
 //! Plans keep every expert held, stay within their bounds and lower the skew.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_rebalance::estimate::{Estimate, pack};
 use cactusnotch_rebalance::plan::{Group, Options, Plan, plan};
 use cactusnotch_rebalance::pressure::Pressure;
@@ -63,7 +64,7 @@
 fn estimate(shape: &Shape, counts: &[u64]) -> Estimate {
     let mut estimate = Estimate::new(shape.sets, shape.experts);
     let (units, bytes) = pack(counts, shape.experts);
-    estimate.add(&units, &bytes, Instant::now());
+    estimate.add(&units, &bytes, clock::now());
     estimate
 }
 
--- a/crates/rebalance/tests/price.rs
+++ b/crates/rebalance/tests/price.rs
@@ -6,8 +6,9 @@
 //! as many streams were on time. Where passes are near the pause a dearer copy cost
 //! up to a third of the streams.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_rebalance::estimate::{Estimate, pack};
 use cactusnotch_rebalance::plan::{Group, Options, plan};
 use cactusnotch_rebalance::pressure::Pressure;
@@ -95,7 +96,7 @@
     let counts: Vec<u64> = (0..16).map(|expert| 1_000 + 500 * (expert / 4)).collect();
     let mut estimate = Estimate::new(1, 16);
     let (units, bytes) = pack(&counts, 16);
-    estimate.add(&units, &bytes, Instant::now());
+    estimate.add(&units, &bytes, clock::now());
     let options = Options {
         per_rank: 4,
         price: PRICE,
--- a/crates/rebalance/tests/relay.rs
+++ b/crates/rebalance/tests/relay.rs
@@ -7,8 +7,9 @@
 //! and a group that forms has its first callers after 0.6 s.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_gateway::datagram;
 use cactusnotch_rebalance::Map;
 use cactusnotch_rebalance::estimate::pack;
@@ -142,7 +143,7 @@
         let map = map(size);
         let mut links = vec![Link::default(); usize::from(size)];
         let mut known = vec![0; usize::from(size)];
-        let (base, mut telling) = (Instant::now(), Telling::default());
+        let (base, mut telling) = (clock::now(), Telling::default());
         let (mut last, mut told) = (Duration::ZERO, 0);
         for look in 0..50 {
             let now = LOOK * look;
@@ -233,7 +234,7 @@
 
 #[test]
 fn a_relay_adds_up_what_its_branch_counts() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut gathering = Gathering::default();
     let (units, counts) = pack(&[10, 20, 255, 0, 510, 254], 3);
     gathering.add(&place(96), &units, &counts, now);
--- a/crates/rebalance/tests/slow_rank.rs
+++ b/crates/rebalance/tests/slow_rank.rs
@@ -5,8 +5,9 @@
 //! the order. Played days of it lost a sixth of their worth as long as maps took all
 //! ranks for equally fast: a pass went from 60 ms to 450 ms.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_rebalance::estimate::{Estimate, pack};
 use cactusnotch_rebalance::plan::{Group, Options, Plan, plan, skew_of};
 use cactusnotch_rebalance::pressure::Pressure;
@@ -66,7 +67,7 @@
         .collect();
     let mut estimate = Estimate::new(SHAPE.sets, SHAPE.experts);
     let (units, bytes) = pack(&counts, SHAPE.experts);
-    estimate.add(&units, &bytes, Instant::now());
+    estimate.add(&units, &bytes, clock::now());
     estimate
 }
 
--- a/crates/rebalance/tests/world/mod.rs
+++ b/crates/rebalance/tests/world/mod.rs
@@ -3,8 +3,9 @@
 mod endpoint;
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_rebalance::codec::Order;
 use cactusnotch_rebalance::coordinator::Event;
 use cactusnotch_rebalance::message::{Ask, Datagram, Part, Round, Standing};
@@ -126,7 +127,7 @@
             ranks,
             rng: SmallRng::seed_from_u64(seed),
             faults,
-            base: Instant::now(),
+            base: clock::now(),
             tick: 0,
             epoch: 1,
             step: 0,
--- a/crates/retry/src/deadline.rs
+++ b/crates/retry/src/deadline.rs
@@ -1,7 +1,8 @@
 //! The time that a request has left.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_derive::number;
 
 /// The time that a request has left, as it is sent over a hop.
--- a/crates/retry/src/hedge.rs
+++ b/crates/retry/src/hedge.rs
@@ -1,6 +1,8 @@
 //! The decision to try a slow request at a second endpoint meanwhile.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 use crate::{Budget, Deadline, Options};
 
--- a/crates/retry/src/retry.rs
+++ b/crates/retry/src/retry.rs
@@ -1,8 +1,9 @@
 //! The decision to try a request again.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_base::Outcome;
+use cactusnotch_base::clock::Instant;
 use rand::Rng;
 
 use crate::decision::Reason;
--- a/crates/retry/tests/retry.rs
+++ b/crates/retry/tests/retry.rs
@@ -1,8 +1,9 @@
 //! Budgets, deadlines and hedging through the public API.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_base::Outcome;
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_retry::deadline::Remaining;
 use cactusnotch_retry::decision::Reason;
 use cactusnotch_retry::hedge::Pending;
@@ -45,7 +46,7 @@
         let (ratio, burst) = (options.ratio, options.burst);
         let mut retry = Retry::new(options);
         let rng = &mut StdRng::seed_from_u64(seed);
-        let now = Instant::now();
+        let now = clock::now();
         let mut again = 0_u32;
         for (_, ran) in (0..requests).zip(outcomes.iter().cycle()) {
             retry.begin();
@@ -67,7 +68,7 @@
         first in 0_u64..20_000,
         hops in prop::collection::vec((0_u64..20_000, 0_u64..500, 0_u64..2_000), 1..8),
     ) {
-        let mut now = Instant::now();
+        let mut now = clock::now();
         let mut left = Remaining::new(Duration::from_millis(first));
         let end = now + left.get();
         for (most, margin, delay) in hops {
@@ -89,7 +90,7 @@
 #[test]
 fn only_what_is_safe_and_in_time_is_tried_again() {
     let rng = &mut StdRng::seed_from_u64(1);
-    let now = Instant::now();
+    let now = clock::now();
     let mut retry = Retry::new(Options::default());
     let base = failure(now);
     let unsafe_to_repeat = Failure {
@@ -153,7 +154,7 @@
 #[test]
 fn hedging_is_for_idempotent_work_and_has_its_own_budget() {
     let mut hedge = Hedge::new(&Options::default());
-    let started = Instant::now();
+    let started = clock::now();
     let pending = Pending {
         idempotent: true,
         hedged: false,
--- a/crates/route/examples/policies/policy.rs
+++ b/crates/route/examples/policies/policy.rs
@@ -1,7 +1,8 @@
 //! Ours and the baselines behind one interface.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::name::{DataCentre, Endpoint, Model};
 use cactusnotch_route::attempt::End;
 use cactusnotch_route::{Attempt, Member, Options, Report, Request, Router, Service, State};
@@ -168,7 +169,7 @@
             service,
             attempts: vec![None; jobs],
             deadline: scenario.refuse.then_some(scenario.deadline),
-            start: Instant::now(),
+            start: clock::now(),
         }
     }
 }
--- a/crates/route/examples/policies/subsets.rs
+++ b/crates/route/examples/policies/subsets.rs
@@ -1,7 +1,8 @@
 //! What bounded subsets cost in balance, in first-token time and in work.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_base::name::{DataCentre, Endpoint, Model};
 use cactusnotch_route::{Load, Member, Report, Request, Router, Service, State, subset};
 use rand::SeedableRng;
@@ -61,7 +62,7 @@
             );
         }
     }
-    let start = Instant::now();
+    let start = clock::now();
     let subset = subset::of(entries[7], &entries, &endpoints, 32);
     println!(
         "computing one entry's subset of {}: {:?}",
@@ -140,7 +141,7 @@
 
 fn time(size: usize, prefix: &[u64]) -> u128 {
     const ROUNDS: u32 = 100_000;
-    let now = Instant::now();
+    let now = clock::now();
     let service = Service::Model(Model::new("letters"));
     let mut router = Router::new(options());
     let members: Vec<Member> = names("s", size)
@@ -178,7 +179,7 @@
         tried: &[],
         may_probe: true,
     };
-    let start = Instant::now();
+    let start = clock::now();
     for round in 0..ROUNDS {
         let choice = router.choose(&request, now + Duration::from_micros(u64::from(round)), rng);
         std::hint::black_box(choice.is_ok());
--- a/crates/route/src/attempt.rs
+++ b/crates/route/src/attempt.rs
@@ -1,7 +1,8 @@
 //! A request on its way at an endpoint.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Endpoint;
 use cactusnotch_derive::record;
 
--- a/crates/route/src/average.rs
+++ b/crates/route/src/average.rs
@@ -1,6 +1,8 @@
 //! A smoothed measurement that is forgotten with time.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 /// The weight of a new sample.
 const GAIN: f64 = 0.2;
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -1,6 +1,8 @@
 //! Ejection of endpoints that fail, and their way back.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 use crate::Options;
 
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -1,8 +1,9 @@
 //! What one entry knows of its endpoints.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Endpoint;
 use rand::Rng;
 
--- a/crates/route/src/row.rs
+++ b/crates/route/src/row.rs
@@ -1,8 +1,8 @@
 //! What an entry knows of one endpoint.
 
 use std::f64::consts::LN_2;
-use std::time::Instant;
 
+use cactusnotch_base::clock::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::average::Average;
--- a/crates/route/src/selection.rs
+++ b/crates/route/src/selection.rs
@@ -1,8 +1,9 @@
 //! The choice among the endpoints of a service.
 
 use std::cmp::Reverse;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Endpoint;
 use rand::Rng;
 use rand::seq::SliceRandom;
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -1,7 +1,8 @@
 //! The routing decision through the public API.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_base::name::{DataCentre, Endpoint, Model};
 use cactusnotch_route::attempt::End;
 use cactusnotch_route::choice::{Error, Reason};
@@ -74,7 +75,7 @@
 
 #[test]
 fn an_avoided_endpoint_gets_work_only_if_no_other_has_any_to_take() {
-    let now = Instant::now();
+    let now = clock::now();
     let mut router = router(&home(2));
     let (slow, other) = (Endpoint::new("s00"), Endpoint::new("s01"));
     router.avoid(&slow, Some(now + Duration::from_secs(1)));
@@ -97,7 +98,7 @@
 /// to the mean of the others, who fill up meanwhile, so that it would look idle.
 #[test]
 fn an_endpoint_that_has_fallen_silent_gets_work_only_if_no_other_has_any_to_take() {
-    let now = Instant::now();
+    let now = clock::now();
     let silence = Duration::from_millis(800);
     let mut router = router(&home(2));
     router.set_options(Options {
@@ -151,7 +152,7 @@
         let members = home(12);
         let mut router = router(&members);
         let rng = &mut StdRng::seed_from_u64(seed);
-        let now = Instant::now();
+        let now = clock::now();
         let options = Options::default();
         let mut all = 0.0;
         for key in keys {
@@ -179,7 +180,7 @@
         let service = service();
         let members = home(states.len());
         let mut router = router(&members);
-        let now = Instant::now();
+        let now = clock::now();
         let mut out = Vec::new();
         let mut tried = Vec::new();
         for (member, state) in members.iter().zip(states) {
@@ -210,7 +211,7 @@
 fn a_prefix_stays_with_its_endpoint_until_that_is_loaded() {
     let service = service();
     let mut router = router(&home(12));
-    let now = Instant::now();
+    let now = clock::now();
     let rng = &mut StdRng::seed_from_u64(1);
     let prompt = vec![7; 2 * prefix::BLOCK_LEN + 5];
     let prefix = prefix::blocks(1, &prompt);
@@ -233,7 +234,7 @@
     let service = service();
     let members = [member("s0", "a"), member("s1", "b"), member("s2", "c")];
     let mut router = router(&members);
-    let now = Instant::now();
+    let now = clock::now();
     let rng = &mut StdRng::seed_from_u64(1);
     let request = request(&service, &[], &[]);
     let mut reasons = Vec::new();
@@ -263,7 +264,7 @@
     let service = service();
     let members = home(2);
     let mut router = router(&members);
-    let now = Instant::now();
+    let now = clock::now();
     let rng = &mut StdRng::seed_from_u64(1);
     let request = Request {
         tokens: 0,
@@ -297,7 +298,7 @@
     let members = home(2);
     let mut router = router(&members);
     let rng = &mut StdRng::seed_from_u64(1);
-    let mut now = Instant::now();
+    let mut now = clock::now();
     let request = request(&service, &[], &[]);
     let mut counts = [0, 0];
     for round in 0..200 {
@@ -327,7 +328,7 @@
     let members = home(3);
     let mut router = router(&members);
     let rng = &mut StdRng::seed_from_u64(1);
-    let mut now = Instant::now();
+    let mut now = clock::now();
     let tried: Vec<Endpoint> = members[1..].iter().map(|m| m.name.clone()).collect();
     let only = request(&service, &[], &tried);
     for _ in 0..3 {
@@ -367,7 +368,7 @@
     let members = home(2);
     let mut router = router(&members);
     let rng = &mut StdRng::seed_from_u64(1);
-    let now = Instant::now();
+    let now = clock::now();
     let unknown = router.choose(&request(&other, &[], &[]), now, rng);
     assert_eq!(unknown, Err(Error::Unknown));
     let tried: Vec<Endpoint> = members.iter().map(|m| m.name.clone()).collect();
@@ -420,7 +421,7 @@
     let service = service();
     let members = home(1);
     let mut router = router(&members);
-    let now = Instant::now();
+    let now = clock::now();
     let rng = &mut StdRng::seed_from_u64(1);
     let request = request(&service, &[], &[]);
     let of_four = |requests| Report {
--- a/crates/settings/examples/size.rs
+++ b/crates/settings/examples/size.rs
@@ -4,8 +4,9 @@
 mod support;
 
 use std::hint::black_box;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_base::number::Revision;
 use cactusnotch_settings::{Resolved, Tree, apply};
 
@@ -39,7 +40,7 @@
 }
 
 fn report_lookups(resolved: &Resolved) {
-    let started = Instant::now();
+    let started = clock::now();
     for _ in 0..LOOKUPS {
         let name = black_box("organisation-0637");
         black_box(resolved.organisation(name));
@@ -53,7 +54,7 @@
 fn report(name: &str, mut work: impl FnMut(usize)) {
     let mut times: Vec<Duration> = (0..ROUNDS)
         .map(|round| {
-            let started = Instant::now();
+            let started = clock::now();
             work(round);
             started.elapsed()
         })
--- a/crates/spread/src/bucket.rs
+++ b/crates/spread/src/bucket.rs
@@ -1,6 +1,6 @@
 //! A bound on bytes a second.
 
-use std::time::Instant;
+use cactusnotch_base::clock::Instant;
 
 /// A token bucket that may be overdrawn once by a large item and then waits
 /// until the debt is paid.
--- a/crates/spread/src/census.rs
+++ b/crates/spread/src/census.rs
@@ -1,8 +1,9 @@
 //! Who holds what, as one node can prove it.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::{DataCentre, Process};
 use cactusnotch_base::number::Sequence;
 use cactusnotch_member::{Fingerprint, Liveness, Record};
--- a/crates/spread/src/node.rs
+++ b/crates/spread/src/node.rs
@@ -7,9 +7,9 @@
 mod tick;
 
 use std::net::SocketAddr;
-use std::time::Instant;
 
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::Sequence;
 use cactusnotch_member::{Backoff, Liveness, Record, Registration, Roster, State};
--- a/crates/spread/src/node/enter.rs
+++ b/crates/spread/src/node/enter.rs
@@ -1,7 +1,8 @@
 //! How a process comes to serve.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_member::State;
 
 use crate::node::Node;
--- a/crates/spread/src/node/platform.rs
+++ b/crates/spread/src/node/platform.rs
@@ -1,7 +1,8 @@
 //! What a node asks of the platform.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_member::{Delta, Record, registration};
 use cactusnotch_objects::object::Version;
 use rand::Rng;
--- a/crates/spread/src/node/receive.rs
+++ b/crates/spread/src/node/receive.rs
@@ -1,7 +1,6 @@
 //! What a node makes of its peers' messages.
 
-use std::time::Instant;
-
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Process;
 use cactusnotch_member::Delta;
 
--- a/crates/spread/src/node/send.rs
+++ b/crates/spread/src/node/send.rs
@@ -1,7 +1,6 @@
 //! What a node tells its peers.
 
-use std::time::Instant;
-
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Process;
 
 use crate::command::Command;
--- a/crates/spread/src/node/tick.rs
+++ b/crates/spread/src/node/tick.rs
@@ -1,7 +1,8 @@
 //! What a node does as time passes.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Process;
 use rand::Rng;
 use rand::seq::IteratorRandom;
--- a/crates/spread/src/peer.rs
+++ b/crates/spread/src/peer.rs
@@ -1,7 +1,8 @@
 //! What a node knows of a peer.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::number::Sequence;
 use cactusnotch_objects::object::Version;
 
--- a/crates/spread/src/relay.rs
+++ b/crates/spread/src/relay.rs
@@ -1,7 +1,8 @@
 //! Pings on behalf of others.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Process;
 
 /// How long a target is listened for on behalf of another.
--- a/crates/spread/src/stamp.rs
+++ b/crates/spread/src/stamp.rs
@@ -1,6 +1,8 @@
 //! Numbers that stand for the instants at which pings were sent.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 /// Bits of a stamp that count milliseconds.
 const MILLIS: u32 = 40;
--- a/crates/spread/src/standing.rs
+++ b/crates/spread/src/standing.rs
@@ -1,7 +1,6 @@
 //! Whether a process may serve.
 
-use std::time::Instant;
-
+use cactusnotch_base::clock::Instant;
 use cactusnotch_derive::{number, record};
 use cactusnotch_objects::object::Version;
 
--- a/crates/spread/src/watch.rs
+++ b/crates/spread/src/watch.rs
@@ -1,8 +1,9 @@
 //! The calls to the platform that a node has open.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_member::Backoff;
 use rand::Rng;
 
--- a/crates/spread/tests/common/bench.rs
+++ b/crates/spread/tests/common/bench.rs
@@ -1,9 +1,10 @@
 //! One node, with its peers and the platform played by the test.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::number::{Incarnation, Sequence};
 use cactusnotch_member::registration::{Answer as Own, Call as OwnCall};
 use cactusnotch_member::{Delta, Fingerprint, Record, Role, Row, State};
@@ -68,7 +69,7 @@
 
     /// Returns a head that has just started.
     pub fn fresh(down: bool) -> Self {
-        let now = Instant::now();
+        let now = clock::now();
         let head = record("head", Role::Entry, 1);
         Self {
             node: Node::new(Options::default(), head, Table::new(), 3, now),
--- a/crates/spread/tests/common/mod.rs
+++ b/crates/spread/tests/common/mod.rs
@@ -10,9 +10,10 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::{Incarnation, Sequence};
 use cactusnotch_member::Record;
@@ -117,7 +118,7 @@
         let slots: Vec<Slot> = slots.collect();
         let names = slots.iter().enumerate();
         Self {
-            base: Instant::now(),
+            base: clock::now(),
             now: 0,
             rng: StdRng::seed_from_u64(seed),
             options,
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -14,8 +14,9 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_base::name::Model;
 use cactusnotch_order::Answer;
 use cactusnotch_order::model::State;
@@ -149,7 +150,7 @@
     /// Returns what the orders have left.
     #[must_use]
     pub fn served(&self) -> Answer<State> {
-        lock(&self.core.served).read(Instant::now())
+        lock(&self.core.served).read(clock::now())
     }
 
     /// Returns all runs, in the order in which they entered the queue.
--- a/crates/standins/src/engine/batch.rs
+++ b/crates/standins/src/engine/batch.rs
@@ -1,7 +1,8 @@
 //! The batch: which requests run, which wait, and what one step does.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::outcome::Key;
 use tokio::sync::mpsc::UnboundedSender;
 
--- a/crates/standins/src/engine/cache.rs
+++ b/crates/standins/src/engine/cache.rs
@@ -1,8 +1,9 @@
 //! The bounded cache of prompt prefixes and the events it gives.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::number::Sequence;
 use cactusnotch_derive::message;
 use rand::rngs::StdRng;
--- a/crates/standins/src/engine/call.rs
+++ b/crates/standins/src/engine/call.rs
@@ -1,8 +1,8 @@
 //! The engine's calls over HTTP.
 
 use std::sync::Arc;
-use std::time::Instant;
 
+use cactusnotch_base::clock;
 use cactusnotch_base::number::Sequence;
 use cactusnotch_base::outcome::Key;
 use hyper::body::Incoming;
@@ -35,10 +35,10 @@
         (&Method::POST, "/v1/completions") => complete(core, request, Call::Completion).await,
         (&Method::GET, "/load") => json(
             StatusCode::OK,
-            &lock(&core.batch).reports.read(Instant::now()),
+            &lock(&core.batch).reports.read(clock::now()),
         ),
         (&Method::GET, "/events") => events(&core, &request),
-        (&Method::GET, "/orders") => json(StatusCode::OK, &lock(&core.served).read(Instant::now())),
+        (&Method::GET, "/orders") => json(StatusCode::OK, &lock(&core.served).read(clock::now())),
         (&Method::POST, "/orders") => order(&core, request).await,
         _ => refusal(StatusCode::NOT_FOUND, "no such path"),
     };
@@ -102,7 +102,7 @@
 }
 
 fn serves(core: &Core, model: &str) -> bool {
-    !core.options.strict_models || lock(&core.served).serves(model, Instant::now())
+    !core.options.strict_models || lock(&core.served).serves(model, clock::now())
 }
 
 fn events(core: &Core, request: &Request<Incoming>) -> Reply {
@@ -112,7 +112,7 @@
     let lag = core.options.event_lag;
     let events = lock(&core.batch)
         .cache
-        .events(Sequence(after), lag, Instant::now());
+        .events(Sequence(after), lag, clock::now());
     json(StatusCode::OK, &events)
 }
 
@@ -121,7 +121,7 @@
         Ok(command) => command,
         Err(reply) => return *reply,
     };
-    let answer = lock(&core.served).apply(command, Instant::now());
+    let answer = lock(&core.served).apply(command, clock::now());
     json(web::status(answer.reply), &answer)
 }
 
--- a/crates/standins/src/engine/core.rs
+++ b/crates/standins/src/engine/core.rs
@@ -1,8 +1,9 @@
 //! What the step loop and the handlers share.
 
 use std::sync::Mutex;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use tokio::sync::{Notify, watch};
 
 use super::Options;
@@ -38,7 +39,7 @@
         };
         Self {
             options: options.clone(),
-            batch: Mutex::new(Batch::new(options, Instant::now())),
+            batch: Mutex::new(Batch::new(options, clock::now())),
             served: Mutex::new(Served::new(options)),
             pace: watch::channel(pace).0,
             arrived: Notify::new(),
@@ -48,14 +49,14 @@
     /// Queues a request and returns the number of its run, or nothing if the
     /// queue is full.
     pub(crate) fn submit(&self, entrant: Entrant) -> Option<usize> {
-        let run = lock(&self.batch).submit(entrant, Instant::now());
+        let run = lock(&self.batch).submit(entrant, clock::now());
         self.arrived.notify_one();
         run
     }
 
     /// Ends a run whose caller has gone.
     pub(crate) fn cancel(&self, run: usize) {
-        lock(&self.batch).cancel(run, Instant::now());
+        lock(&self.batch).cancel(run, clock::now());
     }
 
     /// Waits while the engine is frozen.
@@ -66,19 +67,19 @@
 
     /// Takes steps for as long as the engine runs.
     pub(crate) async fn run(&self) {
-        let mut due = Instant::now();
+        let mut due = clock::now();
         loop {
             self.thawed().await;
             if lock(&self.batch).is_idle() {
                 self.arrived.notified().await;
-                due = Instant::now();
+                due = clock::now();
                 continue;
             }
-            let step = lock(&self.batch).begin(Instant::now());
-            due = (due + self.stretched(step)).max(Instant::now());
-            tokio::time::sleep_until(due.into()).await;
+            let step = lock(&self.batch).begin(clock::now());
+            due = (due + self.stretched(step)).max(clock::now());
+            tokio::time::sleep(due.left()).await;
             self.thawed().await;
-            lock(&self.batch).finish(Instant::now());
+            lock(&self.batch).finish(clock::now());
         }
     }
 
--- a/crates/standins/src/engine/order.rs
+++ b/crates/standins/src/engine/order.rs
@@ -1,7 +1,8 @@
 //! Orders to an engine, and whether it checks who gives them.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Model;
 use cactusnotch_base::number::Fence;
 use cactusnotch_derive::message;
--- a/crates/standins/src/hosts.rs
+++ b/crates/standins/src/hosts.rs
@@ -5,8 +5,9 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_base::name::{self, DataCentre};
 use cactusnotch_derive::message;
 use http_body_util::Full;
@@ -86,7 +87,7 @@
     pub fn start(options: &Options) -> io::Result<Self> {
         let list = Arc::new(Mutex::new(List {
             hosts: options.hosts.clone(),
-            told: Past::new(options.lag, options.hosts.clone(), Instant::now()),
+            told: Past::new(options.lag, options.hosts.clone(), clock::now()),
         }));
         let shared = Arc::clone(&list);
         let server = Server::start(options.address, move |request| {
@@ -105,7 +106,7 @@
     /// Replaces the list.
     pub fn set(&self, hosts: Vec<Host>) {
         let mut list = lock(&self.list);
-        list.told.record(hosts.clone(), Instant::now());
+        list.told.record(hosts.clone(), clock::now());
         list.hosts = hosts;
     }
 
@@ -133,5 +134,5 @@
     if request.method() != Method::GET || request.uri().path() != "/hosts" {
         return refusal(StatusCode::NOT_FOUND, "no such path");
     }
-    json(StatusCode::OK, &lock(list).told.read(Instant::now()))
+    json(StatusCode::OK, &lock(list).told.read(clock::now()))
 }
--- a/crates/standins/src/objects.rs
+++ b/crates/standins/src/objects.rs
@@ -7,8 +7,9 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use call::Shared;
 pub use fault::{Anomaly, Calls, Loss, Outage};
 
@@ -95,7 +96,7 @@
 
     /// Limits the calls per second, or lifts the limit.
     pub fn set_rate(&self, per_second: Option<u32>) {
-        let rate = per_second.map(|rate| fault::Rate::new(rate, Instant::now()));
+        let rate = per_second.map(|rate| fault::Rate::new(rate, clock::now()));
         lock(&self.shared.state).faults.rate = rate;
     }
 
--- a/crates/standins/src/objects/call.rs
+++ b/crates/standins/src/objects/call.rs
@@ -1,8 +1,9 @@
 //! Calls of the object API and how they are answered.
 
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_objects::object::{Changes, Condition, Path, Version};
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
@@ -95,7 +96,7 @@
     async fn admit(&self, method: &str, kind: &str) -> Result<(), Box<Reply>> {
         let delay = {
             let faults = &mut lock(&self.state).faults;
-            if !faults.admit(method, kind, Instant::now()) {
+            if !faults.admit(method, kind, clock::now()) {
                 let detail = "too many calls";
                 return Err(Box::new(refusal(StatusCode::TOO_MANY_REQUESTS, detail)));
             }
--- a/crates/standins/src/objects/fault.rs
+++ b/crates/standins/src/objects/fault.rs
@@ -1,8 +1,9 @@
 //! The faults that a platform can be told to have.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_derive::record;
 
 /// Whether and how the platform fails to answer.
--- a/crates/standins/src/past.rs
+++ b/crates/standins/src/past.rs
@@ -1,7 +1,9 @@
 //! What is told only after a lag.
 
 use std::collections::VecDeque;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
 
 /// The states of the past, up to the age at which they are told.
 #[derive(Debug)]
--- a/crates/standins/src/proxy/pump.rs
+++ b/crates/standins/src/proxy/pump.rs
@@ -1,8 +1,9 @@
 //! Passing on the bytes of one direction of a connection.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use hyper::body::Bytes;
 use rand::Rng;
 use rand::rngs::StdRng;
@@ -51,7 +52,7 @@
         direction: pump.direction,
         extra: pump.extra,
         random,
-        last: Instant::now(),
+        last: clock::now(),
     };
     let read = read(arrival, reader, sender);
     tokio::try_join!(read, pump.write(chunks, writer)).map(|_| ())
@@ -76,7 +77,7 @@
         if !delay.is_zero() {
             self.shared.count(|counts| counts.delayed += 1);
         }
-        self.last = self.last.max(Instant::now() + delay);
+        self.last = self.last.max(clock::now() + delay);
         self.last
     }
 }
@@ -108,7 +109,7 @@
     ) -> Result<(), Cut> {
         let (mut passed, mut swallows) = (0, false);
         while let Some(Chunk { due, bytes }) = chunks.recv().await {
-            tokio::time::sleep_until(due.into()).await;
+            tokio::time::sleep(due.left()).await;
             self.thawed().await;
             swallows |= self.control.borrow().line(self.direction).half_open;
             if swallows {
--- a/crates/standins/src/ranks.rs
+++ b/crates/standins/src/ranks.rs
@@ -12,8 +12,9 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_base::number::{Epoch, Step};
 use cactusnotch_placement::{Cell, Map, Rank, Replica, Shape, Share};
 use cactusnotch_switch::engine::State;
@@ -180,7 +181,7 @@
 
     /// Stops a rank's work for `time`; it still answers orders.
     pub fn stall(&self, rank: Rank, time: Duration) {
-        let until = Instant::now() + time;
+        let until = clock::now() + time;
         lock(&self.core.state).members[rank.index()].fate.stalled = Some(until);
         self.core.changed.notify_all();
     }
@@ -206,9 +207,9 @@
     /// tells whether it has.
     #[must_use]
     pub fn wait_for(&self, step: Step, time: Duration) -> bool {
-        let until = Instant::now() + time;
+        let until = clock::now() + time;
         let mut state = lock(&self.core.state);
-        while state.step <= step && Instant::now() < until {
+        while state.step <= step && clock::now() < until {
             state = steps::wait(&self.core, state, Some(until));
         }
         state.step > step
--- a/crates/standins/src/ranks/call.rs
+++ b/crates/standins/src/ranks/call.rs
@@ -1,8 +1,8 @@
 //! The calls that a rank answers.
 
 use std::sync::Arc;
-use std::time::Instant;
 
+use cactusnotch_base::clock;
 use cactusnotch_base::number::Sequence;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
@@ -43,7 +43,7 @@
     let state = lock(&core.state);
     let reports = state.members[rank]
         .reports
-        .read(Sequence(after), Instant::now());
+        .read(Sequence(after), clock::now());
     drop(state);
     json(StatusCode::OK, &reports)
 }
--- a/crates/standins/src/ranks/group.rs
+++ b/crates/standins/src/ranks/group.rs
@@ -2,8 +2,9 @@
 
 use std::collections::VecDeque;
 use std::sync::{Condvar, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::number::{Incarnation, Step};
 use cactusnotch_derive::record;
 use cactusnotch_placement::{Map, Rank};
@@ -190,7 +191,7 @@
         Self {
             members: ranks.map(|rank| Member::new(options, Rank(rank))).collect(),
             step: Step(0),
-            ended: Instant::now(),
+            ended: clock::now(),
             taken: VecDeque::new(),
             mixed: Vec::new(),
             hot: Vec::new(),
--- a/crates/standins/src/ranks/loader.rs
+++ b/crates/standins/src/ranks/loader.rs
@@ -1,8 +1,9 @@
 //! The thread that loads one rank's weights, one expert after the other.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_placement::Cell;
 use cactusnotch_switch::engine::Expert;
 
@@ -64,10 +65,10 @@
 
 /// Lets time pass for as long as the task stands, and tells whether it does.
 fn pass(core: &Core, rank: usize, own: Task, time: Duration) -> bool {
-    let due = Instant::now() + time;
+    let due = clock::now() + time;
     let mut state = lock(&core.state);
     while !state.stopped && task(&state, rank) == Some(own) {
-        if Instant::now() >= due {
+        if clock::now() >= due {
             return true;
         }
         state = wait(core, state, Some(due));
--- a/crates/standins/src/ranks/rank.rs
+++ b/crates/standins/src/ranks/rank.rs
@@ -1,8 +1,7 @@
 //! One rank: what it holds and how orders change it.
 
-use std::time::Instant;
-
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::number::{Fence, Step};
 use cactusnotch_derive::message;
 use cactusnotch_order::{Answer, Reply};
--- a/crates/standins/src/ranks/reports.rs
+++ b/crates/standins/src/ranks/reports.rs
@@ -1,7 +1,8 @@
 //! The reports of a rank's token counts: late, and some of them lost.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::number::{Incarnation, Sequence, Step};
 use cactusnotch_placement::{Cell, Count, Map, Rank, Report};
 use cactusnotch_switch::map::Map as Name;
--- a/crates/standins/src/ranks/steps.rs
+++ b/crates/standins/src/ranks/steps.rs
@@ -1,7 +1,8 @@
 //! The thread that takes the group's steps.
 
 use std::sync::{MutexGuard, PoisonError};
-use std::time::Instant;
+
+use cactusnotch_base::clock::{self, Instant};
 
 use super::group::{Core, State};
 use crate::sync::lock;
@@ -10,7 +11,7 @@
 pub(crate) fn run(core: &Core) {
     let mut state = lock(&core.state);
     while !state.stopped {
-        let now = Instant::now();
+        let now = clock::now();
         state = if state.start(now) {
             core.changed.notify_all();
             take(core, state)
@@ -25,9 +26,9 @@
 fn take<'a>(core: &'a Core, mut state: MutexGuard<'a, State>) -> MutexGuard<'a, State> {
     let counts = state.counts(&core.options);
     let busy = state.busy(&core.options, &counts);
-    let due = Instant::now() + busy.iter().copied().max().unwrap_or_default();
+    let due = clock::now() + busy.iter().copied().max().unwrap_or_default();
     loop {
-        let now = Instant::now();
+        let now = clock::now();
         if state.stopped || !state.all_started() {
             return state;
         }
@@ -37,7 +38,7 @@
         }
         state = wait(core, state, Some(due));
     }
-    state.finish(&counts, busy, Instant::now());
+    state.finish(&counts, busy, clock::now());
     core.changed.notify_all();
     state
 }
@@ -52,7 +53,7 @@
         let woken = core.changed.wait(state);
         return woken.unwrap_or_else(PoisonError::into_inner);
     };
-    let left = until.saturating_duration_since(Instant::now());
+    let left = until.saturating_duration_since(clock::now());
     let woken = core.changed.wait_timeout(state, left);
     woken.unwrap_or_else(PoisonError::into_inner).0
 }
--- a/crates/standins/src/weights/call.rs
+++ b/crates/standins/src/weights/call.rs
@@ -1,8 +1,8 @@
 //! The weight store's one call.
 
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
 
+use cactusnotch_base::clock;
 use cactusnotch_placement::Cell;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
@@ -32,13 +32,13 @@
     let (&Method::GET, Some(cell)) = (request.method(), cell(request.uri())) else {
         return Ok(refusal(StatusCode::NOT_FOUND, "no such path"));
     };
-    let begun = lock(&pace).begin(Instant::now());
+    let begun = lock(&pace).begin(clock::now());
     let Some(due) = begun else {
         let detail = "too many calls wait";
         return Ok(refusal(StatusCode::TOO_MANY_REQUESTS, detail));
     };
     let guard = Guard(pace);
-    tokio::time::sleep_until(due.into()).await;
+    tokio::time::sleep(due.left()).await;
     let size = {
         let pace = &mut lock(&guard.0);
         pace.served();
--- a/crates/standins/src/weights/pace.rs
+++ b/crates/standins/src/weights/pace.rs
@@ -1,6 +1,8 @@
 //! When each call's weights are due.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use cactusnotch_base::clock::{self, Instant};
 
 use super::{Counts, Options};
 
@@ -23,7 +25,7 @@
             counts: Counts::default(),
             queue: options.queue,
             waiting: 0,
-            free: Instant::now(),
+            free: clock::now(),
         }
     }
 
--- a/crates/standins/tests/proxy.rs
+++ b/crates/standins/tests/proxy.rs
@@ -6,8 +6,9 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_standins::proxy::{Accept, Counts, Direction, Line, Options, Proxy};
 use wait::{LONG, until};
 
@@ -181,7 +182,7 @@
         ..Line::default()
     };
     proxy.set_line(Direction::Up, line);
-    let begun = Instant::now();
+    let begun = clock::now();
     assert_eq!(talk(&proxy, b"slow"), b"slow");
     assert!(begun.elapsed() >= delay && proxy.counts().delayed > 0);
     proxy.set_line(Direction::Up, Line::default());
--- a/crates/standins/tests/ranks.rs
+++ b/crates/standins/tests/ranks.rs
@@ -5,8 +5,9 @@
 use std::io::Write;
 use std::net::TcpStream;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_base::number::{Epoch, Fence, Sequence, Step};
 use cactusnotch_order::{Answer, Reply};
 use cactusnotch_placement::{Cell, Map, Rank, Replica, Report, Shape, Share};
@@ -281,7 +282,7 @@
         ..weights::Options::default()
     };
     let store = Weights::start(&options).unwrap();
-    let begun = Instant::now();
+    let begun = clock::now();
     let calls = (0..8).map(|expert| {
         let url = format!("http://{}/weights/1/{expert}", store.address());
         thread::spawn(move || {
--- a/crates/switch/examples/switch_cost.rs
+++ b/crates/switch/examples/switch_cost.rs
@@ -9,8 +9,9 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::Incarnation;
 use cactusnotch_objects::object::Version;
@@ -88,7 +89,7 @@
 
 impl Run {
     fn new(size: u16, loss: f64) -> Self {
-        let start = Instant::now();
+        let start = clock::now();
         let mut world = World::new(size, Options::default(), start);
         world.boot(1);
         let coordinator = world.start_coordinator(Options::default());
@@ -259,7 +260,7 @@
     }
     let mut member = Member::new(Rank(0), Process::new("agent-0"), Options::default());
     let version = Version(1);
-    member.step(rank::Event::Group { version, view }, Instant::now());
+    member.step(rank::Event::Group { version, view }, clock::now());
     member
 }
 
--- a/crates/switch/src/coordinator.rs
+++ b/crates/switch/src/coordinator.rs
@@ -4,9 +4,8 @@
 mod lease;
 mod round;
 
-use std::time::Instant;
-
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::{Fence, Sequence, Step};
 use cactusnotch_objects::object::Version;
--- a/crates/switch/src/coordinator/lease.rs
+++ b/crates/switch/src/coordinator/lease.rs
@@ -1,7 +1,6 @@
 //! Taking, renewing and losing the lease.
 
-use std::time::Instant;
-
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::number::{Fence, Sequence};
 use cactusnotch_objects::object::Version;
 
--- a/crates/switch/src/coordinator/round.rs
+++ b/crates/switch/src/coordinator/round.rs
@@ -1,8 +1,7 @@
 //! One switch, from the wanted map to the recorded one.
 
-use std::time::Instant;
-
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::number::Step;
 use cactusnotch_objects::object::Version;
 
--- a/crates/switch/src/rank.rs
+++ b/crates/switch/src/rank.rs
@@ -8,9 +8,9 @@
 mod promise;
 
 use std::cmp::Ordering;
-use std::time::Instant;
 
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::{Incarnation, Step};
 use cactusnotch_order::Sender;
--- a/crates/switch/src/rank/engine.rs
+++ b/crates/switch/src/rank/engine.rs
@@ -1,7 +1,6 @@
 //! Bringing the engine to what the agreement says.
 
-use std::time::Instant;
-
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::number::Step;
 use cactusnotch_order::{Answer, Command as OrderCommand, Event as OrderEvent, Sender, Settlement};
 
--- a/crates/switch/src/rank/enrol.rs
+++ b/crates/switch/src/rank/enrol.rs
@@ -1,8 +1,9 @@
 //! Taking the rank's seat and its engine.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
 use cactusnotch_objects::object::Version;
 use cactusnotch_order::{Event as OrderEvent, Sender};
 
--- a/crates/switch/src/rank/join.rs
+++ b/crates/switch/src/rank/join.rs
@@ -1,7 +1,6 @@
 //! Joining the group in a new view.
 
-use std::time::Instant;
-
+use cactusnotch_base::clock::Instant;
 use cactusnotch_objects::object::Version;
 
 use super::{Command, Member, Open, Phase, Retirement};
--- a/crates/switch/src/rank/outcome.rs
+++ b/crates/switch/src/rank/outcome.rs
@@ -1,7 +1,6 @@
 //! Learning how a proposal ended, and telling others.
 
-use std::time::Instant;
-
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::number::Step;
 
 use super::{Command, Member, Open, Phase};
--- a/crates/switch/src/rank/promise.rs
+++ b/crates/switch/src/rank/promise.rs
@@ -1,7 +1,6 @@
 //! Loading for a proposal and voting on it.
 
-use std::time::Instant;
-
+use cactusnotch_base::clock::Instant;
 use cactusnotch_order::Event as OrderEvent;
 
 use super::{Command, Member, Open, Prepared};
--- a/crates/switch/tests/explore.rs
+++ b/crates/switch/tests/explore.rs
@@ -4,8 +4,9 @@
 mod explorer;
 mod world;
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock;
 use cactusnotch_switch::{Options, coordinator};
 use explorer::{ALL, Faults, LOSING, MIXED, WAITED_OUT, explore};
 use world::{Packet, World};
@@ -20,7 +21,7 @@
 
 /// A group at its second step whose coordinator wants another map.
 fn preparing(size: u16, options: Options) -> World {
-    let mut world = World::new(size, options, Instant::now());
+    let mut world = World::new(size, options, clock::now());
     world.boot(1);
     let first = world.start_coordinator(options);
     world.settle();
--- a/crates/switch/tests/explorer/mod.rs
+++ b/crates/switch/tests/explorer/mod.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{HashSet, VecDeque};
 use std::rc::Rc;
-use std::time::Instant;
 
+use cactusnotch_base::clock;
 use cactusnotch_switch::{coordinator, rank};
 
 use crate::world::{Packet, Part, World};
@@ -272,7 +272,7 @@
     kinds: &'static [Replacement],
     every: usize,
 ) {
-    let began = Instant::now();
+    let began = clock::now();
     let way = Rc::new(Way {
         before: None,
         last: Happening::Start,
--- a/crates/switch/tests/larger.rs
+++ b/crates/switch/tests/larger.rs
@@ -3,8 +3,7 @@
 
 mod world;
 
-use std::time::Instant;
-
+use cactusnotch_base::clock;
 use cactusnotch_switch::coordinator::{self, Ending};
 use cactusnotch_switch::{Options, rank};
 use proptest::prelude::*;
@@ -33,7 +32,7 @@
             lead: 2,
             ..Options::default()
         };
-        let mut world = World::new(size, options, Instant::now());
+        let mut world = World::new(size, options, clock::now());
         world.boot(1);
         world.start_coordinator(options);
         world.settle();
--- a/crates/switch/tests/world/mod.rs
+++ b/crates/switch/tests/world/mod.rs
@@ -7,8 +7,9 @@
 mod part;
 
 use std::hash::Hash;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::name::Process;
 use cactusnotch_base::number::{Epoch, Step};
 use cactusnotch_objects::object::Version;
--- a/crates/telemetry/src/trace/span.rs
+++ b/crates/telemetry/src/trace/span.rs
@@ -1,8 +1,7 @@
 //! One hop of a request.
 
-use std::time::Instant;
-
 use cactusnotch_base::Clock;
+use cactusnotch_base::clock::Instant;
 use rand::Rng;
 
 use crate::trace::{Context, id};
