fix: what a suspended host knows is as old as the time asleep makes it

Cause: every age and deadline hung on the steady clock, which stands still while a host is suspended. The one instant of the workspace now reads the clock that counts the time asleep (CLOCK_BOOTTIME by nix), and the linter refuses the others. The runtime's timers stand still too: each process compares them with the clock (entries each 0.15 s, agents at each look), logs the sleep, and lets what waits for a moment look again; a request whose time has passed isn't sent on. Agents drop a hold that was asked for before the sleep.

--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -81,13 +81,13 @@
     type Output = Self;
 
     fn sub(self, step: Duration) -> Self {
-        Self(self.0 - step)
+        Self(self.0.saturating_sub(step))
     }
 }
 
 impl SubAssign<Duration> for Instant {
     fn sub_assign(&mut self, step: Duration) {
-        self.0 -= step;
+        self.0 = self.0.saturating_sub(step);
     }
 }
 
@@ -134,13 +134,14 @@
 /// Panics if the operating system has no such clock; Linux has had it since 2.6.39.
 #[must_use]
 pub fn now() -> Instant {
-    let time = clock_gettime(ClockId::CLOCK_MONOTONIC);
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME);
     let since_start = Duration::from(time.expect("Linux has this clock"));
-    Instant(BEFORE_START + since_start)
+    Instant(BEFORE_START + since_start + asleep())
 }
 
 /// Returns the current time of day.
 #[must_use]
+#[expect(clippy::disallowed_methods, reason = "this is the clock")]
 pub fn wall() -> SystemTime {
     SystemTime::now() + asleep()
 }
--- /dev/null
+++ b/crates/base/tests/clock.rs
@@ -0,0 +1,43 @@
+//! The clock that counts the time asleep.
+
+use std::time::Duration;
+
+use cactusnotch_base::clock::{self, Clock, Sleep, System};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+#[test]
+fn the_time_asleep_counts_in_ages_and_in_the_time_of_day() {
+    let sleep = Sleep::default();
+    sleep.set();
+    let (before, day_before) = (System.now(), System.wall());
+    sleep.pass(8 * SECOND);
+    assert!(before.elapsed() >= 8 * SECOND);
+    assert!(System.wall() >= day_before + 8 * SECOND);
+    assert_eq!((before + 8 * SECOND).left(), Duration::ZERO);
+}
+
+#[test]
+fn a_thread_whose_host_is_not_suspended_goes_on() {
+    let sleep = Sleep::default();
+    sleep.pass(1_000_000 * SECOND);
+    let before = clock::now();
+    std::thread::scope(|scope| {
+        let other = scope.spawn(|| {
+            sleep.set();
+            clock::now()
+        });
+        let asleep = other.join().expect("it reads the clock");
+        assert!(asleep.saturating_duration_since(before) >= 1_000_000 * SECOND);
+    });
+    assert!(before.elapsed() < 1_000_000 * SECOND);
+}
+
+#[test]
+fn moments_before_the_start_of_the_host_can_be_named() {
+    let now = clock::now();
+    let earlier = now.checked_sub(Duration::from_hours(24));
+    assert!(earlier.is_some_and(|earlier| now - earlier == Duration::from_hours(24)));
+    assert_eq!(now.saturating_duration_since(now + SECOND), Duration::ZERO);
+    assert_eq!(now.checked_duration_since(now + SECOND), None);
+}
--- a/crates/cactusnotch/src/command/settings/show.rs
+++ b/crates/cactusnotch/src/command/settings/show.rs
@@ -1,6 +1,6 @@
 //! The commands that show settings.
 
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 use cactusnotch_history::{Listing, Reader, Replica};
 use cactusnotch_objects::http::{Client, Options};
@@ -74,7 +74,7 @@
 /// Prints the last accepted edits.
 pub(crate) fn history(platform: &Platform, last: usize, json: bool) -> Result<(), Error> {
     let replica = read(platform)?;
-    let listing = Listing::new(&replica, last, SystemTime::now());
+    let listing = Listing::new(&replica, last, cactusnotch_base::clock::wall());
     if json {
         return print_json(&listing);
     }
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -27,7 +27,6 @@
 use crate::refusal::Refusal;
 use crate::request::{self, Call};
 use crate::route::Repeat;
-use crate::wake;
 
 /// The pieces of an answer that wait for a slow caller before the endpoint is
 /// made to wait.
@@ -83,7 +82,7 @@
     let until = flight.call.until;
     let driven = tokio::select! {
         driven = flight.drive::<D>() => Some(driven),
-        () = wake::due(until) => None,
+        () = knowledge.wake.due(until) => None,
     };
     let driven = driven.unwrap_or_else(|| Err(flight.course.time_up(flight.sending)));
     match driven {
@@ -121,6 +120,10 @@
     /// Sends the request to endpoints until one answers or none is left.
     async fn drive<D: Dialect>(&mut self) -> Result<Answered, Refusal> {
         loop {
+            // Timers stand still while the host sleeps.
+            if self.call.until.left().is_zero() {
+                return Err(self.course.time_up(false));
+            }
             let (endpoint, running) =
                 match exchange::choose(&self.knowledge, &self.call, &self.tried, clock::now()) {
                     Ok(chosen) => chosen,
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -34,6 +34,7 @@
 use crate::questions::Questions;
 use crate::record::Records;
 use crate::store::{Change, Item, Kind, Revision, Unreadable};
+use crate::wake::Wake;
 
 /// Everything that an entry believes, shared between its tasks.
 #[derive(Debug)]
@@ -67,6 +68,7 @@
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) alarms: Alarms,
     pub(crate) records: Records,
+    pub(crate) wake: Wake,
 }
 
 impl Knowledge {
@@ -96,6 +98,7 @@
             quarantine: RefCell::default(),
             alarms: Alarms::default(),
             records: Records::default(),
+            wake: Wake::default(),
         }
     }
 
--- a/crates/gateway/src/knowledge/suspects.rs
+++ b/crates/gateway/src/knowledge/suspects.rs
@@ -1,9 +1,9 @@
 //! What an entry knows of requests that end endpoints.
 
 use std::net::SocketAddr;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
-use cactusnotch_base::clock::Instant;
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_telemetry::metric;
 
 use super::Knowledge;
@@ -94,7 +94,7 @@
 
     /// Takes the store's record of a request that is held.
     pub(super) fn take_record(&self, hold: &Hold, now: Instant) {
-        let left = hold.until.duration_since(SystemTime::now());
+        let left = hold.until.duration_since(clock::wall());
         let Ok(left) = left else {
             if self.peers.borrow().ready_before(now) == 0 {
                 self.records.push(Write::Erase(hold.content));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -61,7 +61,7 @@
 mod server;
 pub mod share;
 mod stop;
-mod wake;
+pub mod wake;
 mod watcher;
 
 pub use configuration::Configuration;
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -21,7 +21,6 @@
 use crate::knowledge::Knowledge;
 use crate::request::Call;
 use crate::route::Repeat;
-use crate::wake;
 
 /// How an answer ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
@@ -126,7 +125,7 @@
                 biased;
                 () = self.sender.closed() => return Part::End(End::Left),
                 frame = body.frame() => frame,
-                () = wake::due(until) => return Part::End(End::TimeUp),
+                () = self.knowledge.wake.due(until) => return Part::End(End::TimeUp),
                 () = exchange::lost(&self.knowledge, &self.call, &self.tried, running.endpoint()),
                     if events.is_some() && self.course.may_repeat() =>
                 {
@@ -221,7 +220,7 @@
                 biased;
                 () = self.sender.closed() => return None,
                 sent = sending => sent,
-                () = wake::due(until) => return None,
+                () = self.knowledge.wake.due(until) => return None,
             };
             match sent {
                 Ok(reply) if reply.head.status.is_success() => {
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -6,7 +6,6 @@
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
-use std::time::SystemTime;
 
 use cactusnotch_base::clock;
 use http::StatusCode;
@@ -76,7 +75,7 @@
             let Some(left) = left else {
                 return Ok(());
             };
-            let until = SystemTime::now() + left;
+            let until = clock::wall() + left;
             (store.hold(&Hold { content, until }).await, "kept")
         }
         Write::Erase(content) => (store.release(content).await, "removed"),
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -308,6 +308,7 @@
     let mut store = Store::<C>::new(knowledge.options().store);
     loop {
         tokio::time::sleep(PROOF_LOOK).await;
+        knowledge.wake.look();
         let now = clock::now();
         let age = knowledge.freshness.borrow().age(now);
         // The configuration is listed first.
--- a/crates/history/tests/writer.rs
+++ b/crates/history/tests/writer.rs
@@ -7,7 +7,7 @@
     Answer, Digest, Entry, Listing, Offer, Options, Reader, Refusal, Replica, Verdict, Writer,
 };
 use cactusnotch_settings::{Edit, Key, Kind};
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 use support::{Fault, Memory, create, delete, edit, layout, relocate, set};
 
 fn options() -> Options {
@@ -159,7 +159,7 @@
         Ok(Answer::Applied { to: Revision(42) })
     );
     assert_eq!(
-        Listing::new(reader.replica(), 1, SystemTime::now()).rows[0].author,
+        Listing::new(reader.replica(), 1, cactusnotch_base::clock::wall()).rows[0].author,
         "inaki"
     );
 }
--- a/crates/link/src/reader.rs
+++ b/crates/link/src/reader.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cactusnotch_base::clock::{self, Instant};
 use futures_util::StreamExt;
 use futures_util::stream::SplitStream;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, interval};
+use tokio::time::interval;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::protocol::CloseFrame;
 use tokio_tungstenite::tungstenite::{self, Message};
@@ -132,7 +133,7 @@
     fn new(shared: &Shared) -> Self {
         Self {
             bytes: shared.stats.bytes_in(),
-            since: Instant::now(),
+            since: clock::now(),
         }
     }
 
--- a/crates/link/tests/handshake.rs
+++ b/crates/link/tests/handshake.rs
@@ -134,7 +134,7 @@
     };
     let (near, mut far) = duplex(PIPE);
     far.write_all(&[0, 0, 1]).await.unwrap();
-    let start = tokio::time::Instant::now();
+    let start = cactusnotch_base::clock::now();
     let error = refusal(accept_on(near, "snail", &options).await);
     assert!(matches!(error.cause, Cause::Timeout(_)), "{error}");
     assert_eq!(error.step, Step::Hello);
--- a/crates/link/tests/limits.rs
+++ b/crates/link/tests/limits.rs
@@ -10,7 +10,6 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::io::{DuplexStream, copy_bidirectional, duplex};
-use tokio::time::Instant;
 
 const PIPE: usize = 1 << 16;
 
@@ -57,7 +56,7 @@
     );
 
     cut.send(()).unwrap();
-    let start = Instant::now();
+    let start = cactusnotch_base::clock::now();
     let error = receiver.recv().await.unwrap().unwrap_err();
     assert!(
         matches!(error.cause, Cause::Closed(Reason::Idle(_))),
--- a/crates/rebalance/src/agent.rs
+++ b/crates/rebalance/src/agent.rs
@@ -15,6 +15,7 @@
 
 use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_gateway::endpoint::Born;
+use cactusnotch_gateway::wake::Wake;
 use cactusnotch_gateway::{datagram, peer, reload, serve_metrics, store, tcp};
 use cactusnotch_telemetry::Exporter;
 use derive_more::{Display, Error};
@@ -113,6 +114,7 @@
     /// Who completes a silent leader's round and asked for words, and when.
     finisher: Option<(SocketAddr, Instant)>,
     cadence: Cadence,
+    wake: Wake,
     lost: bool,
     /// When the endpoint started, as it said last.
     born: Option<Born>,
@@ -146,6 +148,7 @@
             asked: None,
             finisher: None,
             cadence: Cadence::default(),
+            wake: Wake::default(),
             lost: false,
             born: None,
             options,
@@ -191,7 +194,7 @@
     async fn work(mut self, sockets: Sockets) {
         let mut from_entries = [0; 512];
         let mut from_agents = vec![0; DATAGRAM_MAX];
-        let mut next = tokio::time::Instant::now();
+        let mut next = clock::now();
         loop {
             let now = tokio::select! {
                 biased;
@@ -200,7 +203,7 @@
                     if let Ok((length, from)) = received
                         && self.hear(&sockets, &from_agents[..length], from, now)
                     {
-                        next = tokio::time::Instant::now();
+                        next = clock::now();
                     }
                     continue;
                 }
@@ -210,11 +213,11 @@
                     }
                     continue;
                 }
-                () = tokio::time::sleep_until(next) => clock::now(),
+                () = tokio::time::sleep(next.left()) => clock::now(),
             };
             self.look(&sockets, now).await;
             let busy = self.rank.member.is_busy();
-            next = tokio::time::Instant::now() + if busy { LOOK_EVERY_BUSY } else { LOOK_EVERY };
+            next = clock::now() + if busy { LOOK_EVERY_BUSY } else { LOOK_EVERY };
         }
     }
 
@@ -255,6 +258,10 @@
 
     /// Reads the endpoint's state and goes on from it.
     async fn look(&mut self, sockets: &Sockets, now: Instant) {
+        if self.wake.look() {
+            // A hold never expires, and who asked for one has given it up or asks again.
+            self.asked = None;
+        }
         if let Some((ask, from)) = self.asked.take() {
             self.hold(sockets, ask, from).await;
         }
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -103,6 +103,8 @@
         "Time of a group's slowest rank over that of an even share at the usual pace, as the last round of its leader found it.";
     GROUP_SWITCHES = "cactusnotch_group_switches_total", Counter, Count, [],
         "Expert maps that came in force at this rank.";
+    HOST_SLEEPS = "cactusnotch_host_sleeps_total", Counter, Count, [],
+        "Times that a process noticed that its host had been suspended.";
     LINK_BYTES = "cactusnotch_link_bytes_total", Counter, Bytes, ["direction"],
         "Bytes on the links between processes, handshakes and framing included.";
     LINK_CLOSED = "cactusnotch_link_closed_total", Counter, Count, ["reason"],
