--- /dev/null
+++ b/crates/gateway/src/account.rs
@@ -0,0 +1,58 @@
+//! The lines that explain how requests ended.
+
+use cactusnotch_base::clock::{self, Instant};
+use cactusnotch_base::name;
+use cactusnotch_telemetry::metric;
+
+use crate::journal::millis;
+use crate::knowledge::Knowledge;
+use crate::refusal::Refusal;
+use crate::request::Call;
+
+/// Writes the line that explains how a request ended.
+pub(crate) fn ended(
+    knowledge: &Knowledge,
+    call: &Call,
+    tried: &[name::Endpoint],
+    status: u16,
+    outcome: &str,
+    resumed: u32,
+) {
+    let now = clock::now();
+    tracing::info!(
+        id = call.head.id.as_deref(),
+        route = call.judged.route.name,
+        organisation = call.judged.organisation.as_ref().map(|o| o.name.as_str()),
+        version = call.version,
+        patience_ms = call.head.patience.map(millis),
+        returned = call.has_returned,
+        key_age_ms = knowledge.freshness.borrow().age(now).map(millis),
+        endpoint = tried.last().map(name::Endpoint::as_str),
+        sends = tried.len(),
+        resumed,
+        status,
+        outcome,
+        ms = millis(now.saturating_duration_since(call.arrived)),
+        "request ended"
+    );
+    metrics::counter!(metric::GATEWAY_REQUESTS).increment(1);
+    metrics::histogram!(metric::GATEWAY_SECONDS)
+        .record(now.saturating_duration_since(call.arrived));
+}
+
+/// Writes the line that explains why a request was refused before an endpoint was chosen.
+pub(crate) fn refused(knowledge: &Knowledge, id: Option<&str>, refusal: Refusal, arrived: Instant) {
+    let now = clock::now();
+    let age = knowledge.freshness.borrow().age(now);
+    let version = knowledge.configuration().map(|c| c.version);
+    tracing::info!(
+        id,
+        version,
+        key_age_ms = age.map(millis),
+        status = refusal.status().as_u16(),
+        outcome = %refusal,
+        us = u64::try_from(now.saturating_duration_since(arrived).as_micros()).unwrap_or(u64::MAX),
+        "request refused"
+    );
+    metrics::counter!(metric::GATEWAY_REFUSALS).increment(1);
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,13 +1,11 @@
 //! One send of a request to one endpoint.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::name;
-use cactusnotch_route::{Attempt, attempt::End, choice};
-use cactusnotch_telemetry::metric;
+use cactusnotch_route::{attempt::End, choice};
 use http::response::Parts;
 use http::{Response, StatusCode, header};
 use hyper::body::Incoming;
@@ -19,107 +17,11 @@
 use crate::decide::{Course, Failure};
 use crate::dialect::Dialect;
 use crate::endpoint::Endpoint;
-use crate::journal::millis;
 use crate::knowledge::Knowledge;
 use crate::pool::{self, Kept, Lease, Reuse};
 use crate::request::Call;
 use crate::route::Repeat;
-
-/// An endpoint that holds the request, counted there until it is dropped.
-#[derive(Debug)]
-pub(crate) struct Running {
-    knowledge: Rc<Knowledge>,
-    /// The request's id, for the log.
-    id: Option<String>,
-    service: String,
-    address: SocketAddr,
-    attempt: Attempt,
-    end: End,
-    pieces: u32,
-    /// What was expected when the endpoint was chosen.
-    forecast: Forecast,
-    /// When it was sent, if it was.
-    sent: Option<Instant>,
-    /// How long its first piece took.
-    first: Option<Duration>,
-}
-
-impl Running {
-    /// Notes a piece of the answer.
-    pub(crate) fn piece(&mut self, now: Instant) {
-        self.pieces += 1;
-        if self.pieces == 1 {
-            self.first = self.sent.map(|sent| now.saturating_duration_since(sent));
-            self.knowledge
-                .fleet
-                .borrow_mut()
-                .first_piece(&self.service, &mut self.attempt, now);
-        }
-    }
-
-    /// Notes that the answer is whole.
-    pub(crate) const fn whole(&mut self) {
-        self.end = End::Answered {
-            pieces: self.pieces,
-        };
-    }
-
-    /// Notes that the endpoint failed.
-    pub(crate) const fn failed(&mut self) {
-        self.end = End::Failed;
-    }
-
-    /// Returns what there is to be examined when the connection of this run has broken: had
-    /// it given something for a while, it would not be what ends its endpoint.
-    pub(crate) fn cut(&self, now: Instant) -> Option<Cut> {
-        let sent = self.sent?;
-        let given = self.first.map(|first| sent + first);
-        if given.is_some_and(|given| now.saturating_duration_since(given) > HARMLESS) {
-            return None;
-        }
-        Some(Cut {
-            endpoint: self.endpoint().as_str().to_owned(),
-            address: self.address,
-            sent,
-        })
-    }
-
-    /// Writes the line that compares what was expected with what came.
-    fn log(&self, now: Instant) {
-        let Some(sent) = self.sent else {
-            return;
-        };
-        tracing::info!(
-            id = self.id,
-            endpoint = self.endpoint().as_str(),
-            fill = self.forecast.fill,
-            pass_ms = self.forecast.pass.map(millis),
-            wait_ms = millis(self.forecast.wait),
-            forecast_ms = millis(self.forecast.first),
-            first_ms = self.first.map(millis),
-            ms = millis(now.saturating_duration_since(sent)),
-            "send ended"
-        );
-        if let Some(first) = self.first {
-            let error = first.abs_diff(self.forecast.first);
-            metrics::histogram!(metric::GATEWAY_FORECAST_ERROR).record(error);
-        }
-    }
-
-    /// Returns the endpoint.
-    pub(crate) const fn endpoint(&self) -> &name::Endpoint {
-        self.attempt.endpoint()
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        let now = clock::now();
-        self.log(now);
-        let mut fleet = self.knowledge.fleet.borrow_mut();
-        fleet.finish(&self.service, &self.attempt, self.end, now);
-    }
-}
+use crate::running::Running;
 
 /// A sound head of an answer, with all that is needed to read the rest.
 #[derive(Debug)]
@@ -245,11 +147,6 @@
     }
 }
 
-/// How long after its first piece a run has shown that it does no harm: two passes of the
-/// longest that streams on time allow. Endpoints that a request ends do so 50 ms after they
-/// begin to run it.
-const HARMLESS: Duration = Duration::from_millis(250);
-
 /// Tells whether a request is let in.
 fn admits(knowledge: &Knowledge, call: &Call, forecast: &Forecast, now: Instant) -> bool {
     let route = &call.judged.route;
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cactusnotch_base::clock::{self, Instant};
+use cactusnotch_base::clock;
 use cactusnotch_base::name;
 use cactusnotch_telemetry::metric;
 use http::{Request, Response, header};
@@ -12,6 +12,7 @@
 use rand::Rng;
 use tokio::sync::mpsc;
 
+use crate::account;
 use crate::admission::RETURNED_WAIT;
 use crate::answer::{self, Read};
 use crate::body::Outgoing;
@@ -19,14 +20,14 @@
 use crate::decide::{Course, Failure, Next};
 use crate::dialect::Dialect;
 use crate::endpoint::Endpoint;
-use crate::exchange::{self, Failed, Reply, Running, Unserved};
+use crate::exchange::{self, Failed, Reply, Unserved};
 use crate::intake;
-use crate::journal::millis;
 use crate::knowledge::Knowledge;
 use crate::pump::Pump;
 use crate::refusal::Refusal;
 use crate::request::{self, Call};
 use crate::route::Repeat;
+use crate::running::Running;
 
 /// The pieces of an answer that wait for a slow caller before the endpoint is
 /// made to wait.
@@ -63,7 +64,7 @@
     let call = match intake::admit::<D>(&knowledge, incoming, arrived).await {
         Ok(call) => call,
         Err((refusal, id)) => {
-            refused(&knowledge, id.as_deref(), refusal, arrived);
+            account::refused(&knowledge, id.as_deref(), refusal, arrived);
             return own::<D>(&knowledge, refusal, Duration::ZERO);
         }
     };
@@ -300,7 +301,7 @@
         };
         tokio::task::spawn_local(async move {
             let (end, pump) = pump.run::<D>(reply, first).await;
-            log(
+            account::ended(
                 &pump.knowledge,
                 &pump.call,
                 &pump.tried,
@@ -326,57 +327,10 @@
     }
 
     fn log(&self, status: u16, outcome: &str) {
-        log(&self.knowledge, &self.call, &self.tried, status, outcome, 0);
+        account::ended(&self.knowledge, &self.call, &self.tried, status, outcome, 0);
     }
 }
 
-/// Writes the line that explains how a request ended.
-fn log(
-    knowledge: &Knowledge,
-    call: &Call,
-    tried: &[name::Endpoint],
-    status: u16,
-    outcome: &str,
-    resumed: u32,
-) {
-    let now = clock::now();
-    tracing::info!(
-        id = call.head.id.as_deref(),
-        route = call.judged.route.name,
-        organisation = call.judged.organisation.as_ref().map(|o| o.name.as_str()),
-        version = call.version,
-        patience_ms = call.head.patience.map(millis),
-        returned = call.has_returned,
-        key_age_ms = knowledge.freshness.borrow().age(now).map(millis),
-        endpoint = tried.last().map(name::Endpoint::as_str),
-        sends = tried.len(),
-        resumed,
-        status,
-        outcome,
-        ms = millis(now.saturating_duration_since(call.arrived)),
-        "request ended"
-    );
-    metrics::counter!(metric::GATEWAY_REQUESTS).increment(1);
-    metrics::histogram!(metric::GATEWAY_SECONDS)
-        .record(now.saturating_duration_since(call.arrived));
-}
-
-fn refused(knowledge: &Knowledge, id: Option<&str>, refusal: Refusal, arrived: Instant) {
-    let now = clock::now();
-    let age = knowledge.freshness.borrow().age(now);
-    let version = knowledge.configuration().map(|c| c.version);
-    tracing::info!(
-        id,
-        version,
-        key_age_ms = age.map(millis),
-        status = refusal.status().as_u16(),
-        outcome = %refusal,
-        us = u64::try_from(now.saturating_duration_since(arrived).as_micros()).unwrap_or(u64::MAX),
-        "request refused"
-    );
-    metrics::counter!(metric::GATEWAY_REFUSALS).increment(1);
-}
-
 fn own<D: Dialect>(knowledge: &Knowledge, refusal: Refusal, left: Duration) -> Response<Outgoing> {
     let mut response = refusal
         .response::<D>(refusal.pause(left, knowledge.rng.borrow_mut().random()))
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -1,10 +1,10 @@
 //! Everything that an entry believes, shared between its tasks.
 
 mod outage;
+mod proof;
 mod suspects;
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -27,7 +27,7 @@
 use crate::news::News;
 use crate::options::Options;
 use crate::patience::Patience;
-use crate::peer::{Changes, Entry, State};
+use crate::peer::{Changes, Entry};
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::quarantine::Quarantine;
@@ -130,49 +130,6 @@
         self.configuration.borrow().clone()
     }
 
-    /// Takes what another entry states of the store, and its proof if it is of
-    /// the same version.
-    pub(crate) fn take_proof(&self, state: &State, from: SocketAddr) {
-        self.news.reach(state.known);
-        let known = self.configuration.borrow().as_ref().map(|c| c.version);
-        if known.is_some_and(|known| known < state.version) {
-            self.news.outdate(state.version, from);
-        }
-        let same = known == Some(state.version);
-        let age = state
-            .proof_age
-            .filter(|_| same)
-            .map(|age| Duration::from_millis(age.into()));
-        let proved = age.and_then(|age| self.questions.borrow().proved(state.round, age));
-        if let Some(proved) = proved {
-            self.freshness.borrow_mut().renew(proved);
-        }
-    }
-
-    /// Tells whether the configuration is of `version` or a later one.
-    pub(crate) fn has_version(&self, version: u64) -> bool {
-        let known = self.configuration.borrow();
-        known.as_ref().is_some_and(|known| known.version >= version)
-    }
-
-    /// Returns the age from which this entry gets itself a proof: the first of
-    /// its data centre early, so that the others have it from there in time.
-    pub(crate) fn prove_after(&self, now: Instant) -> Duration {
-        let before = self.peers.borrow().ready_before(now);
-        let options = self.options.borrow();
-        let leaving = options.leaving.div_f64(PROVE_LEAVING);
-        let bound = options
-            .revocation
-            .map_or(leaving, |bound| bound.min(leaving));
-        let later = PROVE_STEP * f64::from(before.min(PROVE_STEPS));
-        let part = if before == 0 {
-            PROVE_FIRST
-        } else {
-            PROVE_OTHERS + later
-        };
-        bound.mul_f64(part)
-    }
-
     /// Tells whether callers should be sent here.
     pub(crate) fn ready(&self, now: Instant) -> bool {
         self.stopping.get().is_none()
@@ -401,18 +358,6 @@
     }
 }
 
-/// The parts of a bound from which an entry proves what it knows anew: the first
-/// ready one of a data centre, and the others, each later by a step. They ask
-/// each other every 0.5 s, so that they mostly have the first one's proof before
-/// theirs is as old. The bound is that on revoked keys, or less if an endpoint
-/// that leaves has to be known sooner: a proof also tells whether a watch hangs.
-const PROVE_FIRST: f64 = 0.18;
-const PROVE_OTHERS: f64 = 0.29;
-const PROVE_STEP: f64 = 0.015;
-const PROVE_STEPS: u32 = 3;
-/// The part of the bound within which all entries have a proof, the steps, a
-/// look and a call included.
-const PROVE_LEAVING: f64 = 0.4;
 /// The entries of a data centre that watch endpoints and configuration; the
 /// others are told by them. One may die without changes being missed meanwhile.
 const WATCHERS: u32 = 2;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod tcp;
 
 pub mod absence;
+mod account;
 pub mod admission;
 mod alarms;
 mod answer;
@@ -58,6 +59,7 @@
 mod record;
 pub mod refusal;
 mod request;
+mod running;
 mod server;
 pub mod share;
 mod stop;
