fix: crashes are told again half a second apart also when others are told of meanwhile

Each new alarm sent all that was due again, so that three times could fall into one moment, and one outage of a link. What is known already isn't told on, and that a suspect was served is told once: nothing hangs on it.

--- a/crates/gateway/src/alarms.rs
+++ b/crates/gateway/src/alarms.rs
@@ -64,7 +64,10 @@
 struct Due {
     alarm: Alarm,
     audience: Audience,
+    /// How often it is still to be told.
     times: u32,
+    /// Whether it has been told already.
+    told: bool,
 }
 
 /// What other entries are to be told.
@@ -80,6 +83,11 @@
         self.push(alarm, Audience::All, TIMES);
     }
 
+    /// Has all entries told once.
+    pub(crate) fn mention(&self, alarm: Alarm) {
+        self.push(alarm, Audience::All, 1);
+    }
+
     /// Has a few entries told.
     pub(crate) fn tell_few(&self, alarm: Alarm) {
         self.push(alarm, Audience::Few, 1);
@@ -95,6 +103,7 @@
             alarm,
             audience,
             times,
+            told: false,
         });
         self.raised.notify_one();
     }
@@ -105,15 +114,19 @@
     }
 }
 
-/// Tells what is due once, and keeps what is to be told again.
-pub(crate) fn tell(knowledge: &Knowledge, socket: &UdpSocket, now: Instant) {
+/// Tells what is new, or what is to be told `again` as well, and keeps what is due later.
+pub(crate) fn tell(knowledge: &Knowledge, socket: &UdpSocket, again: bool, now: Instant) {
     let due = std::mem::take(&mut *knowledge.alarms.due.borrow_mut());
     for mut due in due {
+        if due.told && !again {
+            knowledge.alarms.due.borrow_mut().push(due);
+            continue;
+        }
         let datagram = due.alarm.datagram(now);
         for entry in audience(knowledge, due.audience) {
             listing::send(socket, &datagram, entry);
         }
-        due.times -= 1;
+        (due.times, due.told) = (due.times - 1, true);
         if due.times > 0 {
             knowledge.alarms.due.borrow_mut().push(due);
         }
--- a/crates/gateway/src/knowledge/suspects.rs
+++ b/crates/gateway/src/knowledge/suspects.rs
@@ -36,9 +36,11 @@
         let Some(held) = self.clear(content) else {
             return;
         };
-        self.alarms.tell_all(Alarm::Served(content));
         if held {
+            self.alarms.tell_all(Alarm::Served(content));
             self.records.push(Write::Erase(content));
+        } else {
+            self.alarms.mention(Alarm::Served(content));
         }
     }
 
@@ -46,6 +48,9 @@
     /// told.
     pub(crate) fn note_crash(&self, content: Content, crash: &Crash, now: Instant) {
         let verdict = self.take_crash(content, crash, now);
+        if verdict == Verdict::Known {
+            return;
+        }
         self.alarms.tell_all(Alarm::Crash(content, crash.clone()));
         if verdict == Verdict::Held {
             self.keep_record(content);
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -44,11 +44,11 @@
                 Ok((length, from)) => take(&knowledge, &socket, &buffer[..length], from),
                 Err(error) => tracing::debug!(%error, "datagram not received"),
             },
-            () = knowledge.alarms.raised() => alarms::tell(&knowledge, &socket, clock::now()),
+            () = knowledge.alarms.raised() => alarms::tell(&knowledge, &socket, false, clock::now()),
             _ = looks.tick(), if seeking => seeking = seek(&knowledge, &socket),
             _ = ticks.tick() => {
                 knowledge.tick(clock::now());
-                alarms::tell(&knowledge, &socket, clock::now());
+                alarms::tell(&knowledge, &socket, true, clock::now());
                 seeking = true;
                 ask(&knowledge, &socket, round.is_multiple_of(SUBSCRIBE_EVERY));
                 round = round.wrapping_add(1);
