--- a/crates/lease/tests/holder.rs
+++ b/crates/lease/tests/holder.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-use cactusnotch_base::clock::Manual;
-use cactusnotch_base::clock::{self, Instant};
+use cactusnotch_base::clock::{self, Instant, Manual, Sleep};
 use cactusnotch_base::number::{Fence, Sequence};
 use cactusnotch_lease::call::{Answer, Call, Found, Ticket};
 use cactusnotch_lease::{Driver, Lease, Options, Record};
@@ -183,3 +182,15 @@
     assert!(driver.turn().unwrap());
     assert_eq!(driver.check().expect("settled").fence(), Fence(1));
 }
+
+#[test]
+fn a_holder_whose_host_was_suspended_past_its_lease_may_not_act() {
+    let sleep = Sleep::default();
+    sleep.set();
+    let lease = acquired(clock::now());
+    let guard = lease.check(clock::now()).expect("it holds the lease");
+    assert!(guard.check(clock::now()));
+    sleep.pass(second(10));
+    assert!(!guard.check(clock::now()));
+    assert!(lease.check(clock::now()).is_none());
+}
--- a/crates/link/src/link.rs
+++ b/crates/link/src/link.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_telemetry::metric;
 use futures_util::StreamExt;
 use serde::Serialize;
@@ -10,7 +9,7 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpStream, ToSocketAddrs};
 use tokio::sync::mpsc;
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
 
@@ -63,8 +62,8 @@
     options: &Options,
 ) -> Result<Link<M>, Error> {
     let peer: Arc<str> = address.to_string().into();
-    let deadline = clock::now() + options.handshake_timeout;
-    let connected = timeout(deadline.left(), TcpStream::connect(address)).await;
+    let deadline = deadline(options);
+    let connected = timeout_at(deadline, TcpStream::connect(address)).await;
     let stream = connected
         .unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
         .and_then(without_delay)
@@ -82,7 +81,7 @@
     let peer: Arc<str> = address.unwrap_or_else(|_| "unknown".to_owned()).into();
     let stream =
         without_delay(stream).map_err(|error| failed(Step::Connect, &peer, Cause::Io(error)))?;
-    let deadline = clock::now() + options.handshake_timeout;
+    let deadline = deadline(options);
     open(stream, peer, options, Side::Acceptor, deadline).await
 }
 
@@ -97,7 +96,7 @@
     M: Body,
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
 {
-    let deadline = clock::now() + options.handshake_timeout;
+    let deadline = deadline(options);
     open(stream, peer.into(), options, Side::Dialer, deadline).await
 }
 
@@ -112,10 +111,19 @@
     M: Body,
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
 {
-    let deadline = clock::now() + options.handshake_timeout;
+    let deadline = deadline(options);
     open(stream, peer.into(), options, Side::Acceptor, deadline).await
 }
 
+/// Returns until when a handshake that begins now may last.
+#[expect(
+    clippy::disallowed_methods,
+    reason = "a wait on the runtime's timers, which tests pause; nothing is believed by it"
+)]
+fn deadline(options: &Options) -> Instant {
+    Instant::now() + options.handshake_timeout
+}
+
 async fn open<M, S>(
     stream: S,
     peer: Arc<str>,
@@ -131,7 +139,7 @@
     let identity = prove(&mut stream, &peer, options, side, deadline)
         .await
         .inspect_err(count_failure)?;
-    let socket = timeout(deadline.left(), upgrade(stream, options, side))
+    let socket = timeout_at(deadline, upgrade(stream, options, side))
         .await
         .unwrap_or(Err(Cause::Timeout(options.handshake_timeout)))
         .map_err(|cause| failed(Step::Upgrade, &peer, cause))?;
--- a/crates/link/src/preface.rs
+++ b/crates/link/src/preface.rs
@@ -3,9 +3,8 @@
 
 use std::sync::Arc;
 
-use cactusnotch_base::clock::Instant;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
 use crate::error::{Cause, Error, Step};
 use crate::{Options, codec};
@@ -45,13 +44,13 @@
     }
 
     pub(crate) async fn write(&mut self, step: Step, bytes: &[u8]) -> Result<(), Error> {
-        let written = timeout(self.deadline.left(), put(self.stream, bytes)).await;
+        let written = timeout_at(self.deadline, put(self.stream, bytes)).await;
         self.in_time(step, written)
     }
 
     pub(crate) async fn read(&mut self, step: Step) -> Result<Vec<u8>, Error> {
         let limit = self.options.handshake_limit;
-        let bytes = timeout(self.deadline.left(), get(self.stream, limit)).await;
+        let bytes = timeout_at(self.deadline, get(self.stream, limit)).await;
         self.in_time(step, bytes)
     }
 
--- a/crates/link/src/reader.rs
+++ b/crates/link/src/reader.rs
@@ -3,12 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactusnotch_base::clock::{self, Instant};
 use futures_util::StreamExt;
 use futures_util::stream::SplitStream;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::mpsc;
-use tokio::time::interval;
+use tokio::time::{Instant, interval};
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::protocol::CloseFrame;
 use tokio_tungstenite::tungstenite::{self, Message};
@@ -130,10 +129,14 @@
 }
 
 impl Activity {
+    #[expect(
+        clippy::disallowed_methods,
+        reason = "a sleep is no silence of the peer: its pings wait to be read"
+    )]
     fn new(shared: &Shared) -> Self {
         Self {
             bytes: shared.stats.bytes_in(),
-            since: clock::now(),
+            since: Instant::now(),
         }
     }
 
--- a/crates/link/tests/handshake.rs
+++ b/crates/link/tests/handshake.rs
@@ -1,4 +1,8 @@
 //! Who is let in, and what becomes of the others.
+#![expect(
+    clippy::disallowed_methods,
+    reason = "the runtime's paused clock is what bounds are exact by"
+)]
 
 mod common;
 
@@ -134,7 +138,7 @@
     };
     let (near, mut far) = duplex(PIPE);
     far.write_all(&[0, 0, 1]).await.unwrap();
-    let start = cactusnotch_base::clock::now();
+    let start = tokio::time::Instant::now();
     let error = refusal(accept_on(near, "snail", &options).await);
     assert!(matches!(error.cause, Cause::Timeout(_)), "{error}");
     assert_eq!(error.step, Step::Hello);
--- a/crates/link/tests/limits.rs
+++ b/crates/link/tests/limits.rs
@@ -1,4 +1,8 @@
 //! What a link bears: silence, slow receivers and large messages.
+#![expect(
+    clippy::disallowed_methods,
+    reason = "the runtime's paused clock is what bounds are exact by"
+)]
 
 mod common;
 
@@ -10,6 +14,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::io::{DuplexStream, copy_bidirectional, duplex};
+use tokio::time::Instant;
 
 const PIPE: usize = 1 << 16;
 
@@ -56,7 +61,7 @@
     );
 
     cut.send(()).unwrap();
-    let start = cactusnotch_base::clock::now();
+    let start = Instant::now();
     let error = receiver.recv().await.unwrap().unwrap_err();
     assert!(
         matches!(error.cause, Cause::Closed(Reason::Idle(_))),
