fix: an answer that is ready goes before the end of its time

The wait for a request's time, which replaced the runtime's timeout, drew by chance which of two events at the same moment counts; the timeout looked at the answer first. Found in reading the diff; no run showed it, and no test draws that moment.

--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -82,6 +82,8 @@
     };
     let until = flight.call.until;
     let driven = tokio::select! {
+        // An answer that is ready goes before the end of the time.
+        biased;
         driven = flight.drive::<D>() => Some(driven),
         () = knowledge.wake.due(until) => None,
     };
