refactor: one way to say that a run's connection has broken

Three places marked the run as failed, made the failure and added what is to be examined; Failed::broken does that now. The time left for a refusal is asked of the instant.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -186,17 +186,9 @@
     let Some(channel) = lease.channel() else {
         return Err(Failed::new(Failure::Unsent, "no connection"));
     };
-    let response = channel.send(request).await.map_err(|error| {
-        let failure = match error {
-            channel::Error::Unsent { .. } => Failure::Unsent,
-            _ => Failure::InDoubt,
-        };
-        let mut failed = Failed::new(failure, &error.to_string());
-        if failure == Failure::InDoubt {
-            running.failed();
-            failed.cut = running.cut(clock::now());
-        }
-        failed
+    let response = channel.send(request).await.map_err(|error| match error {
+        channel::Error::Unsent { .. } => Failed::new(Failure::Unsent, &error.to_string()),
+        _ => Failed::broken(&mut running, &error.to_string()),
     })?;
     check::<D>(call, response, lease, running)
 }
@@ -291,6 +283,15 @@
             cut: None,
         }
     }
+
+    /// Returns that the connection of a run has broken, so that whether it ran is open.
+    pub(crate) fn broken(running: &mut Running, cause: &str) -> Self {
+        running.failed();
+        Self {
+            cut: running.cut(clock::now()),
+            ..Self::new(Failure::InDoubt, cause)
+        }
+    }
 }
 
 /// Tells whether an answer is the endpoint's own failure of a request that
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -199,10 +199,7 @@
             Read::Whole(bytes) => bytes,
             Read::Beginning(bytes) => return Ok(Answered::Pieces(Box::new(reply), bytes)),
             Read::Broken(error) => {
-                reply.running.failed();
-                let mut failed = Failed::new(Failure::InDoubt, &error.to_string());
-                failed.cut = reply.running.cut(clock::now());
-                return Err(failed);
+                return Err(Failed::broken(&mut reply.running, &error.to_string()));
             }
         };
         let status = reply.head.status;
@@ -324,7 +321,7 @@
             return passed_on(&self.knowledge, head, Outgoing::Whole(Some(body)));
         }
         self.log(refusal.status().as_u16(), &refusal.to_string());
-        let left = self.call.until.saturating_duration_since(clock::now());
+        let left = self.call.until.left();
         own::<D>(&self.knowledge, refusal, left)
     }
 
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -137,10 +137,7 @@
             let data = match frame {
                 None => break,
                 Some(Err(error)) => {
-                    running.failed();
-                    let mut failed = Failed::new(Failure::InDoubt, &error.to_string());
-                    failed.cut = running.cut(clock::now());
-                    return Part::Broken(failed);
+                    return Part::Broken(Failed::broken(&mut running, &error.to_string()));
                 }
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
