--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -3,8 +3,7 @@
 use std::net::SocketAddr;
 
 use cactusnotch_derive::{message, number};
-
-use crate::store::Revision;
+use cactusnotch_position::Position;
 
 /// When an endpoint started, in Unix milliseconds of its own clock.
 #[number]
@@ -31,19 +30,27 @@
     pub slots: u32,
     /// Whether it takes no new requests since it is about to leave.
     pub leaving: bool,
-    /// The store's revision at which this incarnation registered itself.
-    pub registered: Revision,
+    /// The position at which this incarnation registered itself.
+    pub registered: Position,
 }
 
 impl Endpoint {
     /// Tells whether `other` has ended since this one lives: an address is used by one
-    /// process at a time, and a registration tells of one life.
+    /// process at a time, and a registration tells of one life. Of registrations that were
+    /// read in two eras of the store neither is the later one.
     #[must_use]
     pub fn supersedes(&self, other: &Self) -> bool {
         let at_address = self.address == other.address && self.registered > other.registered;
         self.id != other.id && (at_address || self.follows(other))
     }
 
+    /// Tells whether this is known to leave though the `copy` that the store came back from
+    /// doesn't say so: it was made before.
+    #[must_use]
+    pub fn leaves_beyond(&self, copy: &Self) -> bool {
+        self.leaving && self.registered.era() < copy.registered.era()
+    }
+
     /// Tells whether this is a later life of the same registration.
     fn follows(&self, other: &Self) -> bool {
         self.instance == other.instance && self.born > other.born
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -128,7 +128,7 @@
         tokio::task::spawn_local(server::questions::<D>(Rc::clone(&knowledge), readiness));
         tokio::task::spawn_local(server::questions::<D>(Rc::clone(&knowledge), directory));
         tokio::task::spawn_local(server::metrics(self.exporter, metrics));
-        tokio::task::spawn_local(handout::run(Rc::clone(&knowledge), handouts));
+        tokio::task::spawn_local(handout::run::<C>(Rc::clone(&knowledge), handouts));
         tokio::task::spawn_local(listing::run(Rc::clone(&knowledge), Rc::clone(&socket)));
         Ok((knowledge, socket, closing))
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The endpoints that an entry knows, and the choice among them.
 
+mod departed;
 mod lives;
 mod row;
 mod sharing;
@@ -14,6 +15,7 @@
 };
 use rand::rngs::SmallRng;
 
+use self::departed::Departed;
 use self::row::{Row, SILENCE, WORD_TIME};
 use crate::configuration::{Engine, Service};
 use crate::endpoint::Endpoint;
@@ -57,6 +59,7 @@
     shared: Table<String, u64>,
     /// When the first of the missing endpoints is to be dropped.
     expires: Option<Instant>,
+    departed: Departed,
 }
 
 impl Fleet {
@@ -68,6 +71,7 @@
             ranked: Vec::new(),
             shared: Table::new(),
             expires: None,
+            departed: Departed::default(),
         }
     }
 
@@ -121,9 +125,18 @@
     /// Takes an endpoint's registration; returns whether anything changed. Of two at one
     /// address the later one lives: the other's registration lapses only seconds after
     /// its end, and what is sent there meanwhile is refused.
-    pub(crate) fn insert(&mut self, endpoint: Endpoint, now: Instant) -> bool {
+    pub(crate) fn insert(&mut self, mut endpoint: Endpoint, now: Instant) -> bool {
+        if self.departed.doubts(&endpoint, now) {
+            tracing::info!(
+                endpoint = endpoint.id,
+                registered = %endpoint.registered,
+                "registration of an ended life in an older copy not taken yet"
+            );
+            return false;
+        }
         if let Some(known) = self.rows.get_mut(&endpoint.id) {
             known.rival = None;
+            endpoint.leaving |= known.endpoint.leaves_beyond(&endpoint);
             if known.endpoint == endpoint && known.missing_until.is_none() {
                 return false;
             }
@@ -133,7 +146,7 @@
         {
             return false;
         }
-        self.end_former_lives(&endpoint);
+        self.end_former_lives(&endpoint, now);
         let service = endpoint.service.clone();
         let ranked = self.ranked.binary_search(&service).is_ok();
         // One that is new to a shared service is used once it was chosen.
@@ -160,9 +173,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &gone {
-            if let Some(row) = self.rows.remove(id) {
-                self.refresh(&row.endpoint.service);
-            }
+            self.end(id, now);
         }
         self.expires = self.rows.values().filter_map(|row| row.missing_until).min();
         gone
--- /dev/null
+++ b/crates/gateway/src/fleet/departed.rs
@@ -0,0 +1,88 @@
+//! Lives of endpoints that have ended, which a store that came back from an older copy names
+//! once more.
+
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
+use cactusnotch_position::Position;
+
+use crate::endpoint::Endpoint;
+
+/// How long an ended life is remembered: copies that a store comes back from are some seconds
+/// old, and a store may be away for as long before.
+const MEMORY_TIME: Duration = Duration::from_mins(1);
+/// The most lives that are remembered: all of 1,300 servers may be replaced within that time.
+const ROWS_MAX: usize = 2_048;
+/// How long a life is not taken that has ended before the store came back: the store drops
+/// it after three heartbeats of 1.2 s without one, and one more is for a store that is slow. One
+/// that is named still writes to the store, so it lives.
+const DOUBT_TIME: Duration = Duration::from_millis(4_800);
+
+#[derive(Debug)]
+struct Row {
+    id: String,
+    registered: Position,
+    until: Instant,
+}
+
+/// The lives of endpoints that have ended.
+#[derive(Debug, Default)]
+pub(super) struct Departed {
+    /// In the order of their ends.
+    rows: Vec<Row>,
+    /// Those that the store names again, with when they are taken.
+    doubted: Vec<(Endpoint, Instant)>,
+}
+
+impl Departed {
+    /// Takes that a life has ended.
+    pub(super) fn note(&mut self, endpoint: &Endpoint, now: Instant) {
+        self.rows.retain(|row| row.until > now);
+        if self.rows.len() >= ROWS_MAX {
+            self.rows.remove(0);
+        }
+        self.rows.push(Row {
+            id: endpoint.id.clone(),
+            registered: endpoint.registered,
+            until: now + MEMORY_TIME,
+        });
+    }
+
+    /// Tells whether a registration may be one that was gone already, and comes from the copy
+    /// that the store came back from; it is taken later if it stays.
+    pub(super) fn doubts(&mut self, endpoint: &Endpoint, now: Instant) -> bool {
+        let is_of_copy = |row: &&Row| {
+            row.id == endpoint.id
+                && row.until > now
+                && row.registered.era() < endpoint.registered.era()
+                && row.registered.may_be_same(endpoint.registered)
+        };
+        if !self.rows.iter().any(|row| is_of_copy(&row)) {
+            return false;
+        }
+        let known = self
+            .doubted
+            .iter_mut()
+            .find(|(known, _)| known.id == endpoint.id);
+        match known {
+            Some((known, _)) => known.clone_from(endpoint),
+            None => self.doubted.push((endpoint.clone(), now + DOUBT_TIME)),
+        }
+        true
+    }
+
+    /// Takes that the store no longer names an endpoint.
+    pub(super) fn forget(&mut self, instance: &str) {
+        self.doubted.retain(|(known, _)| known.instance != instance);
+    }
+
+    /// Returns those that have been named for so long that they live.
+    pub(super) fn settle(&mut self, now: Instant) -> Vec<Endpoint> {
+        let due = |(_, at): &(Endpoint, Instant)| *at <= now;
+        let settled: Vec<_> = self.doubted.extract_if(.., |row| due(row)).collect();
+        for (endpoint, _) in &settled {
+            self.rows.retain(|row| row.id != endpoint.id);
+        }
+        settled.into_iter().map(|(endpoint, _)| endpoint).collect()
+    }
+}
--- a/crates/gateway/src/fleet/lives.rs
+++ b/crates/gateway/src/fleet/lives.rs
@@ -15,17 +15,17 @@
 impl Fleet {
     /// Drops the lives that have ended since `endpoint` lives, with all that is believed
     /// of them.
-    pub(super) fn end_former_lives(&mut self, endpoint: &Endpoint) {
+    pub(super) fn end_former_lives(&mut self, endpoint: &Endpoint, now: Instant) {
         let ended = self.iter().filter(|other| endpoint.supersedes(other));
         let ended: Vec<_> = ended.map(|other| other.id.clone()).collect();
         for id in ended {
             tracing::info!(
                 endpoint = id,
                 by = endpoint.id,
-                revision = endpoint.registered.0,
+                registered = %endpoint.registered,
                 "endpoint superseded by a later life"
             );
-            self.end(&id);
+            self.end(&id, now);
         }
     }
 
@@ -63,14 +63,23 @@
                 known,
                 "endpoint's earlier start taken"
             );
-            self.end(&known);
+            self.end(&known, now);
+            self.insert(endpoint, now);
+        }
+        for endpoint in self.departed.settle(now) {
+            tracing::info!(
+                endpoint = endpoint.id,
+                registered = %endpoint.registered,
+                "endpoint that an older copy named stays registered, and is taken"
+            );
             self.insert(endpoint, now);
         }
     }
 
     /// Takes that the store no longer names an endpoint, which is used until
     /// `until` if the store may have lost it.
-    pub(crate) fn remove(&mut self, instance: &str, until: Option<Instant>) {
+    pub(crate) fn remove(&mut self, instance: &str, until: Option<Instant>, now: Instant) {
+        self.departed.forget(instance);
         let lives = self.iter().filter(|endpoint| endpoint.instance == instance);
         let lives: Vec<_> = lives.map(|endpoint| endpoint.id.clone()).collect();
         for id in lives {
@@ -81,13 +90,14 @@
                 row.missing_until = Some(until);
                 self.expires = Some(self.expires.map_or(until, |known| known.min(until)));
             } else {
-                self.end(&id);
+                self.end(&id, now);
             }
         }
     }
 
-    fn end(&mut self, id: &str) {
+    pub(super) fn end(&mut self, id: &str, now: Instant) {
         if let Some(row) = self.rows.remove(id) {
+            self.departed.note(&row.endpoint, now);
             self.refresh(&row.endpoint.service);
         }
     }
--- a/crates/gateway/src/handout.rs
+++ b/crates/gateway/src/handout.rs
@@ -8,39 +8,42 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use cactusnotch_position::Era;
 use http::{Response, StatusCode};
 use http_body_util::Full;
 use tokio::net::TcpListener;
 
 use crate::knowledge::Knowledge;
 use crate::server;
+use crate::store::Codec;
 
 /// The store's last answer that held a configuration.
 #[derive(Debug, Default)]
-pub(crate) struct Handout(RefCell<Option<Bytes>>);
+pub(crate) struct Handout(RefCell<Option<(Era, Bytes)>>);
 
 impl Handout {
-    /// Takes a newer answer.
-    pub(crate) fn set(&self, body: Bytes) {
-        *self.0.borrow_mut() = Some(body);
+    /// Takes a newer answer, which was given in `era`.
+    pub(crate) fn set(&self, era: Era, body: Bytes) {
+        *self.0.borrow_mut() = Some((era, body));
     }
 
-    fn response(&self) -> Response<Full<Bytes>> {
-        let body = self.0.borrow().clone();
-        let status = body
-            .as_ref()
-            .map_or(StatusCode::NOT_FOUND, |_| StatusCode::OK);
-        let mut response = Response::new(Full::new(body.unwrap_or_default()));
-        *response.status_mut() = status;
+    fn response<C: Codec>(&self) -> Response<Full<Bytes>> {
+        let Some((era, body)) = self.0.borrow().clone() else {
+            let mut response = Response::default();
+            *response.status_mut() = StatusCode::NOT_FOUND;
+            return response;
+        };
+        let mut response = Response::new(Full::new(body));
+        C::state_era(era, response.headers_mut());
         response
     }
 }
 
 /// Hands the newest configuration out for as long as the process lives.
-pub(crate) async fn run(knowledge: Rc<Knowledge>, listener: TcpListener) {
+pub(crate) async fn run<C: Codec>(knowledge: Rc<Knowledge>, listener: TcpListener) {
     server::accept(listener, |stream| {
         let knowledge = Rc::clone(&knowledge);
-        server::answer(stream, move |_| knowledge.handout.response())
+        server::answer(stream, move |_| knowledge.handout.response::<C>())
     })
     .await;
 }
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -1,5 +1,6 @@
 //! Everything that an entry believes, shared between its tasks.
 
+mod era;
 mod outage;
 mod proof;
 mod suspects;
@@ -9,6 +10,7 @@
 use std::time::Duration;
 
 use cactusnotch_base::clock::Instant;
+use cactusnotch_position::{Era, Eras, Position};
 use cactusnotch_telemetry::metric;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -30,10 +32,11 @@
 use crate::peer::{Changes, Entry};
 use crate::peers::Peers;
 use crate::pool::Pool;
+use crate::proof::Shown;
 use crate::quarantine::Quarantine;
 use crate::questions::Questions;
 use crate::record::Records;
-use crate::store::{Change, Item, Kind, Revision, Unreadable};
+use crate::store::{Change, Codec, Item, Kind, Store, Unreadable};
 use crate::wake::Wake;
 
 /// Everything that an entry believes, shared between its tasks.
@@ -45,8 +48,12 @@
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) peers: RefCell<Peers>,
     pub(crate) questions: RefCell<Questions>,
-    /// The store's revision that the configuration was last read at.
-    pub(crate) revision: Cell<Revision>,
+    /// The eras of the store, which all its clients share.
+    pub(crate) eras: Rc<Eras>,
+    /// The position that the configuration was last read at.
+    pub(crate) position: Cell<Position>,
+    /// The newest configuration that the store has shown.
+    pub(crate) shown: Cell<Shown>,
     pub(crate) news: News,
     pub(crate) handout: Handout,
     pub(crate) pool: Pool,
@@ -63,6 +70,10 @@
     pub(crate) link: RefCell<Link>,
     /// Told when the store answers again.
     answered: Notify,
+    /// Told when this entry is missing from a listing of entries.
+    pub(crate) unregistered: Notify,
+    /// The era that beliefs and tasks were last fitted to.
+    fitted: Cell<Era>,
     complaints: RefCell<Complaints>,
     /// The requests under which endpoints have ended.
     pub(crate) quarantine: RefCell<Quarantine>,
@@ -83,9 +94,13 @@
             complaints: RefCell::default(),
             link: RefCell::default(),
             answered: Notify::new(),
+            unregistered: Notify::new(),
+            fitted: Cell::default(),
             configuration: RefCell::default(),
             questions: RefCell::default(),
-            revision: Cell::default(),
+            eras: Rc::default(),
+            position: Cell::default(),
+            shown: Cell::default(),
             news: News::default(),
             handout: Handout::default(),
             pool: Pool::default(),
@@ -115,6 +130,11 @@
         *self.options.borrow_mut() = Rc::new(options);
     }
 
+    /// Returns a client of the store.
+    pub(crate) fn store<C: Codec>(&self) -> Store<C> {
+        Store::new(self.options.borrow().store, Rc::clone(&self.eras))
+    }
+
     /// Returns this entry as others know it.
     pub(crate) fn entry(&self) -> Entry {
         let options = self.options.borrow();
@@ -143,7 +163,7 @@
         &self,
         kind: Kind,
         changes: Vec<Change>,
-        revision: Revision,
+        position: Position,
         now: Instant,
     ) {
         let named = |name: &str| changes.iter().any(|change| change.name == name);
@@ -159,19 +179,22 @@
                 for instance in gone {
                     tracing::info!(
                         endpoint = instance,
-                        revision = revision.0,
+                        %position,
                         "endpoint missing from the listing"
                     );
-                    fleet.remove(&instance, self.absence.get().kept_until(now));
+                    fleet.remove(&instance, self.absence.get().kept_until(now), now);
                 }
                 self.listed.set((true, self.listed.get().1));
             }
             Kind::Entries => {
                 self.listed.set((self.listed.get().0, true));
+                if !named(&self.options.borrow().host) {
+                    self.unregistered.notify_one();
+                }
             }
         }
         for change in changes {
-            self.apply(kind, change, revision, now);
+            self.apply(kind, change, position, now);
         }
         if kind == Kind::Entries {
             self.complete_records(now);
@@ -179,11 +202,11 @@
     }
 
     /// Takes one change.
-    pub(crate) fn apply(&self, kind: Kind, change: Change, revision: Revision, now: Instant) {
+    pub(crate) fn apply(&self, kind: Kind, change: Change, position: Position, now: Instant) {
         let Change { name, item } = change;
         match item {
-            Err(error) => self.take_unreadable(kind, &name, revision, &error),
-            Ok(Some(Item::Configuration(new))) => self.take_configuration(*new, revision),
+            Err(error) => self.take_unreadable(kind, &name, position, &error, now),
+            Ok(Some(Item::Configuration(new))) => self.take_configuration(*new, position),
             Ok(Some(Item::Endpoint(endpoint))) => {
                 let (leaving, service) = (endpoint.leaving, endpoint.service.clone());
                 let id = endpoint.id.clone();
@@ -192,55 +215,63 @@
                         endpoint = id,
                         service,
                         leaving,
-                        revision = revision.0,
+                        %position,
                         "endpoint known"
                     );
                 }
             }
             Ok(Some(Item::Entry(entry))) => self.peers.borrow_mut().insert(entry),
             Ok(Some(Item::Hold(hold))) => self.take_record(&hold, now),
-            Ok(None) => self.forget(kind, &name, revision, now),
+            Ok(None) => self.forget(kind, &name, position, now),
         }
     }
 
     /// Takes that an object can't be read, which another writer may have written. It names
     /// no endpoint or entry that could be used; of configurations the last good one stays.
-    fn take_unreadable(&self, kind: Kind, name: &str, revision: Revision, error: &Unreadable) {
+    fn take_unreadable(
+        &self,
+        kind: Kind,
+        name: &str,
+        position: Position,
+        error: &Unreadable,
+        now: Instant,
+    ) {
         if self.complaints.borrow_mut().is_new(name, &error.detail) {
             metrics::counter!(metric::GATEWAY_UNREADABLE).increment(1);
-            tracing::error!(%kind, name, revision = revision.0, %error, "object not taken");
+            tracing::error!(%kind, name, %position, %error, "object not taken");
         }
         match kind {
             Kind::Configuration => {}
-            Kind::Endpoints => self.fleet.borrow_mut().remove(name, None),
+            Kind::Endpoints => self.fleet.borrow_mut().remove(name, None, now),
             Kind::Entries => self.peers.borrow_mut().remove(name),
         }
     }
 
-    fn forget(&self, kind: Kind, name: &str, revision: Revision, now: Instant) {
+    fn forget(&self, kind: Kind, name: &str, position: Position, now: Instant) {
         match kind {
             Kind::Configuration => {
                 tracing::error!(
                     name,
-                    revision = revision.0,
+                    %position,
                     "configuration removed, the last one stays"
                 );
             }
             Kind::Endpoints => {
                 tracing::info!(
                     endpoint = name,
-                    revision = revision.0,
+                    %position,
                     "endpoint no longer registered"
                 );
                 self.fleet
                     .borrow_mut()
-                    .remove(name, self.absence.get().kept_until(now));
+                    .remove(name, self.absence.get().kept_until(now), now);
             }
             Kind::Entries => self.peers.borrow_mut().remove(name),
         }
     }
 
-    fn take_configuration(&self, new: Configuration, revision: Revision) {
+    fn take_configuration(&self, new: Configuration, position: Position) {
+        self.note_shown(position, new.version);
         let known = self
             .configuration
             .borrow()
@@ -253,7 +284,7 @@
             tracing::warn!(
                 version = new.version,
                 known,
-                revision = revision.0,
+                %position,
                 "older configuration not taken"
             );
             return;
@@ -263,7 +294,7 @@
         tracing::info!(
             version = new.version,
             before = known,
-            revision = revision.0,
+            %position,
             "configuration in force"
         );
         *self.configuration.borrow_mut() = Some(Rc::new(new));
@@ -284,7 +315,7 @@
             endpoints,
         } = changes;
         if !self.news.progress().continues(from, to) {
-            self.news.reach(to);
+            self.hear_position(to, now);
             return;
         }
         let returned =
@@ -302,8 +333,8 @@
     /// Returns changes of endpoints for other entries.
     pub(crate) fn passed_on(
         &self,
-        from: Revision,
-        to: Revision,
+        from: Position,
+        to: Position,
         endpoints: Vec<(String, Option<Endpoint>)>,
         now: Instant,
     ) -> Changes {
--- /dev/null
+++ b/crates/gateway/src/knowledge/era.rs
@@ -0,0 +1,65 @@
+//! What an entry does when the store came back from an older copy.
+
+use cactusnotch_base::clock::Instant;
+use cactusnotch_position::Position;
+use cactusnotch_telemetry::metric;
+
+use super::Knowledge;
+
+impl Knowledge {
+    /// Takes that another entry knows the store up to `position`. Of a newer era that is a
+    /// reason to ask the store.
+    pub(crate) fn hear_position(&self, position: Position, now: Instant) {
+        self.eras.hear(position.era(), now);
+        self.news.reach(position);
+    }
+
+    /// Takes an answer of the store of a new era: what is missing from the copy may be written
+    /// again, as after an outage, and what this entry had written may be gone.
+    pub(super) fn fit_to_era(&self, now: Instant) {
+        let era = self.eras.current();
+        if era == self.fitted.get() {
+            return;
+        }
+        self.fitted.set(era);
+        let Some(since) = self.eras.young_since() else {
+            return;
+        };
+        metrics::counter!(metric::GATEWAY_ERAS).increment(1);
+        tracing::info!(
+            era = era.0,
+            endpoints_known = %self.news.progress().known(),
+            configuration_known = %self.position.get(),
+            ms = crate::journal::millis(now.saturating_duration_since(since)),
+            "beliefs fitted to an era of the store"
+        );
+        self.store_returned(since);
+        self.quarantine.borrow_mut().forget_records();
+    }
+
+    /// Takes that the store has shown a version of the configuration at `position`.
+    pub(super) fn note_shown(&self, position: Position, version: u64) {
+        let mut shown = self.shown.get();
+        shown.take(position.era(), version);
+        self.shown.set(shown);
+    }
+
+    /// Takes an answer of the store, up to `position`, to what was asked at `asked`: it proves
+    /// that the configuration is the newest one, unless the store may have lost that.
+    pub(crate) fn prove(&self, position: Position, asked: Instant) {
+        self.position.set(self.position.get().newest(position));
+        self.news.reach(position);
+        let known = self
+            .configuration
+            .borrow()
+            .as_ref()
+            .map_or(0, |c| c.version);
+        let era = position.era();
+        let young_since = self.eras.young_since();
+        if self.shown.get().proves(known, era, asked, young_since) {
+            self.freshness.borrow_mut().renew(asked);
+        } else {
+            tracing::info!(%position, known, shown = ?self.shown.get(), "answer proves nothing yet");
+        }
+    }
+}
--- a/crates/gateway/src/knowledge/outage.rs
+++ b/crates/gateway/src/knowledge/outage.rs
@@ -48,6 +48,7 @@
 
     /// Notes that the store has answered.
     pub(crate) fn store_answers(&self, kind: Kind, now: Instant) {
+        self.fit_to_era(now);
         let Some(lost) = self.link.borrow_mut().answer(now) else {
             return;
         };
--- a/crates/gateway/src/knowledge/proof.rs
+++ b/crates/gateway/src/knowledge/proof.rs
@@ -11,8 +11,8 @@
 impl Knowledge {
     /// Takes what another entry states of the store, and its proof if it is of
     /// the same version.
-    pub(crate) fn take_proof(&self, state: &State, from: SocketAddr) {
-        self.news.reach(state.known);
+    pub(crate) fn take_proof(&self, state: &State, from: SocketAddr, now: Instant) {
+        self.hear_position(state.known, now);
         let known = self.configuration.borrow().as_ref().map(|c| c.version);
         if known.is_some_and(|known| known < state.version) {
             self.news.outdate(state.version, from);
--- a/crates/gateway/src/knowledge/suspects.rs
+++ b/crates/gateway/src/knowledge/suspects.rs
@@ -106,6 +106,11 @@
             }
             return;
         };
+        // A listing that was old, or a copy from before the record was removed.
+        if self.quarantine.borrow().is_cleared(hold.content, now) {
+            self.records.push(Write::Erase(hold.content));
+            return;
+        }
         self.hold(hold.content, left, "the store has it on record", now);
         self.quarantine.borrow_mut().check(hold.content, true);
     }
@@ -145,7 +150,7 @@
     }
 
     fn clear(&self, content: Content) -> Option<bool> {
-        let held = self.quarantine.borrow_mut().clear(content)?;
+        let held = self.quarantine.borrow_mut().clear(content, clock::now())?;
         tracing::info!(%content, held, "request cleared: it was served");
         self.gauge_held();
         Some(held)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -52,7 +52,7 @@
 pub mod patience;
 pub mod peers;
 mod pool;
-pub mod progress;
+pub mod proof;
 mod pump;
 pub mod quarantine;
 pub mod questions;
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -72,7 +72,7 @@
         }
         Ok(Datagram::State(state)) => {
             hear(knowledge, from, state.ready, now);
-            knowledge.take_proof(&state, from);
+            knowledge.take_proof(&state, from, now);
             knowledge.hear_of_return(&state, now);
         }
         Ok(Datagram::Load(load)) => take_load(knowledge, &load, now),
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -4,11 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cactusnotch_position::{Position, Progress};
 use tokio::sync::Notify;
 
-use crate::progress::Progress;
-use crate::store::Revision;
-
 /// How long an entry that is behind the store waits before it asks: its watch,
 /// or the datagram of an entry that watches, brings the changes as a rule.
 const LAG: Duration = Duration::from_millis(200);
@@ -31,17 +29,17 @@
         self.progress.get()
     }
 
-    /// Notes that endpoints are known up to `revision`.
-    pub(crate) fn know(&self, revision: Revision) {
+    /// Notes that endpoints are known up to `position`.
+    pub(crate) fn know(&self, position: Position) {
         let mut progress = self.progress.get();
-        progress.know(revision);
+        progress.know(position);
         self.progress.set(progress);
     }
 
-    /// Notes that the store has reached `revision`.
-    pub(crate) fn reach(&self, revision: Revision) {
+    /// Notes that the store has reached `position`.
+    pub(crate) fn reach(&self, position: Position) {
         let mut progress = self.progress.get();
-        progress.reach(revision);
+        progress.reach(position);
         self.progress.set(progress);
         if progress.is_behind() {
             self.behind.notify_one();
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 
 use cactusnotch_derive::message;
+use cactusnotch_position::Position;
 
 use crate::content::Content;
 use crate::endpoint::Born;
-use crate::store::Revision;
 use crate::{Endpoint, Pace};
 
 /// What an agent measured of its own endpoint.
@@ -93,13 +93,13 @@
     pub left: u32,
 }
 
-/// All changes of endpoints in a span of the store's revisions, in their order.
+/// All changes of endpoints between two positions of the store, in their order.
 #[message]
 pub struct Changes {
-    /// The revision after which they begin.
-    pub from: Revision,
-    /// The revision up to which there are no others.
-    pub to: Revision,
+    /// The position after which they begin.
+    pub from: Position,
+    /// The position up to which there are no others.
+    pub to: Position,
     /// How long ago the store came back from an outage, in milliseconds, if the
     /// sender saw one.
     pub returned_ago: Option<u32>,
@@ -119,8 +119,8 @@
     pub version: u64,
     /// How old its proof of that version is, in milliseconds, if it has one.
     pub proof_age: Option<u32>,
-    /// The revision up to which it knows endpoints.
-    pub known: Revision,
+    /// The position up to which it knows endpoints.
+    pub known: Position,
     /// How long ago the store came back for it after an outage, in milliseconds.
     pub returned_ago: Option<u32>,
 }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -23,6 +23,9 @@
 /// How long an end is remembered of a request that is not held. Callers come again within
 /// seconds; their users, within minutes.
 const SUSPECT_TIME: Duration = Duration::from_mins(10);
+/// How long it is remembered that a request is no longer held: copies that a store comes back
+/// from, and listings that may be old, are some seconds old.
+const CLEARED_TIME: Duration = Duration::from_mins(2);
 /// The most requests that are remembered: the loss of all of 1,300 servers leaves some 2,500
 /// that had just begun.
 const ROWS_MAX: usize = 4_096;
@@ -97,6 +100,9 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     rows: Table<Content, Row>,
+    /// Requests that were held and served since, with when that is forgotten: the store may
+    /// show their records once more.
+    cleared: Table<Content, Instant>,
 }
 
 impl Quarantine {
@@ -137,6 +143,7 @@
             return Verdict::Suspected;
         }
         row.hold(now + HOLD_TIME);
+        self.cleared.remove(&content);
         Verdict::Held
     }
 
@@ -162,9 +169,26 @@
 
     /// Takes that the request was served whole, so that it was not what ended endpoints;
     /// returns whether it was held, or `None` if nothing was remembered of it.
-    pub fn clear(&mut self, content: Content) -> Option<bool> {
+    pub fn clear(&mut self, content: Content, now: Instant) -> Option<bool> {
         let row = self.rows.remove(&content)?;
-        Some(row.held_until.is_some())
+        let was_held = row.held_until.is_some();
+        if was_held {
+            self.cleared.insert(content, now + CLEARED_TIME);
+        }
+        Some(was_held)
+    }
+
+    /// Tells whether the request was held and has been served since, not long ago.
+    #[must_use]
+    pub fn is_cleared(&self, content: Content, now: Instant) -> bool {
+        self.cleared.get(&content).is_some_and(|until| *until > now)
+    }
+
+    /// Takes that the store came back from an older copy, which may lack all records.
+    pub fn forget_records(&mut self) {
+        for (_, row) in self.rows.iter_mut() {
+            row.recorded = false;
+        }
     }
 
     /// Takes that the store's record names the request or not; returns whether it is to be
@@ -188,6 +212,7 @@
     /// Forgets what is past its time.
     pub fn expire(&mut self, now: Instant) {
         self.rows.retain(|_, row| row.until > now);
+        self.cleared.retain(|_, until| *until > now);
     }
 
     /// Makes room for a request, by the one that would be forgotten first.
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -52,7 +52,7 @@
 
 /// Writes and removes records for as long as the process lives.
 pub(crate) async fn run<C: Codec>(knowledge: Rc<Knowledge>) {
-    let mut store = Store::<C>::new(knowledge.options().store);
+    let mut store = knowledge.store::<C>();
     loop {
         let write = knowledge.records.next().await;
         while let Err(error) = carry_out(&knowledge, &mut store, write).await {
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -11,7 +11,7 @@
 
 use crate::knowledge::Knowledge;
 use crate::listing;
-use crate::store::{Codec, Store};
+use crate::store::Codec;
 
 /// How long requests are still taken after a stop was asked for: some callers
 /// keep a list of addresses three times as long as it says. Later ones are
@@ -43,13 +43,7 @@
     knowledge.stopping.set(Some(began));
     tracing::info!(in_flight = knowledge.in_flight.get(), "stop asked for");
     listing::announce_stop(&knowledge, &socket);
-    let host = options.host.clone();
-    let mut store = Store::<C>::new(options.store);
-    tokio::task::spawn_local(async move {
-        if let Err(error) = store.withdraw(&host).await {
-            tracing::warn!(%error, "entry not withdrawn");
-        }
-    });
+    tokio::task::spawn_local(withdraw::<C>(Rc::clone(&knowledge)));
     tokio::time::sleep(FAREWELL.min(options.grace / 2)).await;
     knowledge.closing.set(true);
     closing.send_replace(true);
@@ -61,3 +55,15 @@
     tracing::info!(in_flight = knowledge.in_flight.get(), "stopped");
     Ok(())
 }
+
+/// Takes this entry out of the store, and again if that came back from an older copy.
+async fn withdraw<C: Codec>(knowledge: Rc<Knowledge>) {
+    let mut store = knowledge.store::<C>();
+    let host = knowledge.entry().host;
+    loop {
+        if let Err(error) = store.withdraw(&host).await {
+            tracing::warn!(%error, "entry not withdrawn");
+        }
+        knowledge.eras.changed().await;
+    }
+}
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,15 +1,19 @@
 //! The platform's store as an entry or an agent uses it.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
-use cactusnotch_derive::{number, record};
+use cactusnotch_base::clock;
+use cactusnotch_derive::record;
+use cactusnotch_position::eras::Seen;
+use cactusnotch_position::{Era, Eras, Position};
 use derive_more::{Display, Error};
-use http::{Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
 
 use crate::channel;
-use crate::client::{Client, Failure};
+use crate::client::Client;
 use crate::content::Content;
 use crate::peer::Entry;
 use crate::{Configuration, Endpoint};
@@ -23,10 +27,6 @@
 /// page about as much again.
 const ANSWER_MAX: usize = 4 << 20;
 
-/// A number of the store's order of all changes.
-#[number]
-pub struct Revision(pub u64);
-
 /// A kind of objects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Kind {
@@ -89,8 +89,8 @@
 pub struct Answer {
     /// The objects or changes in order.
     pub changes: Vec<Change>,
-    /// The store's revision up to which they are complete.
-    pub revision: Revision,
+    /// The position up to which they are complete.
+    pub position: Position,
     /// Whether more objects follow the last of these.
     pub more: bool,
 }
@@ -102,7 +102,7 @@
     fn list(kind: Kind, after: Option<&str>, stale: bool) -> Request<Bytes>;
 
     /// Writes the call that waits for changes after `from`.
-    fn watch(kind: Kind, from: Revision, wait: Duration) -> Request<Bytes>;
+    fn watch(kind: Kind, from: Position, wait: Duration) -> Request<Bytes>;
 
     /// Writes the call that creates an entry's object.
     fn create(entry: &Entry) -> Request<Bytes>;
@@ -119,19 +119,26 @@
     /// Writes the call that removes the record of a held request.
     fn release(content: Content) -> Request<Bytes>;
 
-    /// Reads the answer to a listing.
+    /// Reads the era that the store states in the head of an answer, the first one if it
+    /// states none; `None` if that can't be read.
+    fn era(head: &HeaderMap) -> Option<Era>;
+
+    /// Writes an era into the head of an answer, as the store does.
+    fn state_era(era: Era, head: &mut HeaderMap);
+
+    /// Reads the answer to a listing, which was given in `era`.
     ///
     /// # Errors
     ///
     /// Returns why the whole answer can't be read.
-    fn listed(kind: Kind, body: &[u8]) -> Result<Answer, Unreadable>;
+    fn listed(kind: Kind, era: Era, body: &[u8]) -> Result<Answer, Unreadable>;
 
-    /// Reads the answer to a watch.
+    /// Reads the answer to a watch, which was given in `era`.
     ///
     /// # Errors
     ///
     /// Returns why the whole answer can't be read.
-    fn watched(kind: Kind, body: &[u8]) -> Result<Answer, Unreadable>;
+    fn watched(kind: Kind, era: Era, body: &[u8]) -> Result<Answer, Unreadable>;
 }
 
 /// An answer to a watch, and how it was written.
@@ -158,40 +165,40 @@
     /// The answer can't be read.
     #[display("unreadable answer: {_0}")]
     Unreadable(Unreadable),
-}
-
-impl From<Failure> for Error {
-    fn from(failure: Failure) -> Self {
-        match failure {
-            Failure::Silent(error) => Self::Channel(error),
-            Failure::Refused(StatusCode::GONE) => Self::HistoryGone,
-            Failure::Refused(status) => Self::Refused(status),
-        }
-    }
+    /// The answer's era can't be read, so that nothing in it has a place.
+    #[display("the answer's era can't be read")]
+    EraUnreadable,
+    /// The answer is of an era that has ended: what it says may be gone.
+    #[display("the answer is of an era of the store that has ended")]
+    EraEnded,
 }
 
 /// A connection to the store, opened when it is needed.
 #[derive(Debug)]
 pub struct Store<C> {
     client: Client,
+    eras: Rc<Eras>,
     codec: std::marker::PhantomData<C>,
 }
 
 impl<C: Codec> Store<C> {
-    /// Creates a client of the store at `address`.
+    /// Creates a client of the store at `address`, which takes the eras of its answers into
+    /// `eras`.
     #[must_use]
-    pub const fn new(address: SocketAddr) -> Self {
+    pub const fn new(address: SocketAddr, eras: Rc<Eras>) -> Self {
         Self {
             client: Client::new(address, CONNECT_TIMEOUT, ANSWER_MAX),
+            eras,
             codec: std::marker::PhantomData,
         }
     }
 
-    /// Lists all objects of a kind, with the revision that the list shows.
+    /// Lists all objects of a kind, with the position that the list shows.
     ///
     /// # Errors
     ///
-    /// Returns why a call failed.
+    /// Returns why a call failed; [`Error::HistoryGone`] if the store came back from an older
+    /// copy between two pages.
     pub async fn list(&mut self, kind: Kind, stale: bool) -> Result<Answer, Error> {
         let mut whole = self.page(kind, None, stale).await?;
         while whole.more {
@@ -203,6 +210,9 @@
                 return Err(Error::Unreadable(Unreadable { kind, detail }));
             };
             let page = self.page(kind, Some(&after), stale).await?;
+            if page.position.era() != whole.position.era() {
+                return Err(Error::HistoryGone);
+            }
             // Changes between two pages are seen by a watch from the first.
             whole.more = page.more && !page.changes.is_empty();
             whole.changes.extend(page.changes);
@@ -216,8 +226,8 @@
         after: Option<&str>,
         stale: bool,
     ) -> Result<Answer, Error> {
-        let body = self.call(C::list(kind, after, stale), CALL_TIMEOUT).await?;
-        C::listed(kind, &body).map_err(Error::Unreadable)
+        let (era, body) = self.call(C::list(kind, after, stale), CALL_TIMEOUT).await?;
+        C::listed(kind, era, &body).map_err(Error::Unreadable)
     }
 
     /// Waits at most `wait` for changes after `from`.
@@ -229,13 +239,38 @@
     pub async fn watch(
         &mut self,
         kind: Kind,
-        from: Revision,
+        from: Position,
         wait: Duration,
     ) -> Result<Watched, Error> {
-        let body = self
-            .call(C::watch(kind, from, wait), wait + CALL_TIMEOUT)
+        let watched = self
+            .watched(kind, C::watch(kind, from, wait), wait + CALL_TIMEOUT)
             .await?;
-        let answer = C::watched(kind, &body).map_err(Error::Unreadable)?;
+        // The same revision stands for another change there.
+        if watched.answer.position.era() != from.era() {
+            return Err(Error::HistoryGone);
+        }
+        Ok(watched)
+    }
+
+    /// Asks another entry, which this client leads to, for the store's last answer on `kind`
+    /// that it hands out, in whichever era that was given.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none.
+    pub async fn handed_out(&mut self, kind: Kind) -> Result<Watched, Error> {
+        let call = C::watch(kind, Position::default(), Duration::ZERO);
+        self.watched(kind, call, CALL_TIMEOUT).await
+    }
+
+    async fn watched(
+        &mut self,
+        kind: Kind,
+        call: Request<Bytes>,
+        limit: Duration,
+    ) -> Result<Watched, Error> {
+        let (era, body) = self.call(call, limit).await?;
+        let answer = C::watched(kind, era, &body).map_err(Error::Unreadable)?;
         Ok(Watched { answer, body })
     }
 
@@ -280,7 +315,22 @@
         self.call(C::release(content), CALL_TIMEOUT).await.map(drop)
     }
 
-    async fn call(&mut self, request: Request<Bytes>, limit: Duration) -> Result<Bytes, Error> {
-        self.client.body(request, limit).await.map_err(Error::from)
+    /// Makes a call; returns the body of a success and the era in which it was given.
+    async fn call(
+        &mut self,
+        request: Request<Bytes>,
+        limit: Duration,
+    ) -> Result<(Era, Bytes), Error> {
+        let answer = self.client.call(request, limit).await;
+        let answer = answer.map_err(Error::Channel)?;
+        let era = C::era(answer.headers()).ok_or(Error::EraUnreadable)?;
+        if self.eras.see(era, clock::now()) == Seen::Ended {
+            return Err(Error::EraEnded);
+        }
+        match answer.status() {
+            status if status.is_success() => Ok((era, answer.into_body())),
+            StatusCode::GONE => Err(Error::HistoryGone),
+            status => Err(Error::Refused(status)),
+        }
     }
 }
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use cactusnotch_base::clock::{self, Instant};
+use cactusnotch_position::Position;
 use rand::Rng;
 use tokio::net::UdpSocket;
 
 use crate::endpoint::Endpoint;
 use crate::knowledge::Knowledge;
 use crate::listing;
-use crate::store::{Change, Codec, Error, Item, Kind, Revision, Store, Watched};
+use crate::store::{Change, Codec, Error, Item, Kind, Store, Watched};
 
 /// The longest wait of one watch. A store that turns a host away may leave a
 /// watch hanging and the connection sound; calls that don't wait show that, so
@@ -34,6 +35,13 @@
 /// routes has some 0.4 MB (worked out), which an entry's link of 40 Mbit/s carries in a tenth
 /// of a second; it has to be in force within two seconds.
 const HANDOUT_SPREAD: Duration = Duration::from_millis(400);
+/// The time over which entries list endpoints anew once the store came back from an older
+/// copy. With the time to notice it they are known within the three seconds that an entry has
+/// to know which have left, and 380 entries with a thousand endpoints stay within the calls
+/// that the store takes.
+const RELIST_SPREAD: Duration = Duration::from_secs(1);
+/// The time over which entries register themselves anew after that.
+const REGISTER_SPREAD: Duration = Duration::from_secs(2);
 /// When entries are listed: soon after the start, when all have registered,
 /// and then rarely, since entries also make themselves known to each other. A
 /// stale listing costs a tenth of a call.
@@ -42,7 +50,7 @@
 
 /// Follows the objects of `kind` for as long as the process lives.
 pub(crate) async fn run<C: Codec>(knowledge: Rc<Knowledge>, socket: Rc<UdpSocket>, kind: Kind) {
-    let mut watching = Store::<C>::new(knowledge.options().store);
+    let mut watching = knowledge.store::<C>();
     let mut follower = Follower::<C>::new(&knowledge, &socket, kind);
     loop {
         let step = if follower.listed {
@@ -81,7 +89,7 @@
             knowledge,
             socket,
             kind,
-            store: Store::new(knowledge.options().store),
+            store: knowledge.store(),
             listed: false,
             started: clock::now(),
         }
@@ -89,6 +97,11 @@
 
     /// Goes on from what is known, by one answer of the store or some time.
     async fn follow(&mut self, watching: &mut Store<C>) -> Result<(), Error> {
+        if self.kind == Kind::Endpoints && self.is_outdated() {
+            self.wait_for_place().await;
+            self.listed = false;
+            return Ok(());
+        }
         if self.knowledge.link.borrow().is_lost() {
             self.knowledge.turn().await;
             return self.catch_up().await.map(drop);
@@ -101,45 +114,62 @@
         }
     }
 
+    /// Tells whether what is known was read in an era of the store that has ended, or may
+    /// have been.
+    fn is_outdated(&self) -> bool {
+        let eras = &self.knowledge.eras;
+        self.known().era() != eras.current() || eras.is_in_doubt()
+    }
+
+    /// Waits until it is this entry's turn to list what others list too: those that watch for
+    /// others go first.
+    async fn wait_for_place(&self) {
+        if self.knowledge.watches(clock::now()) {
+            return;
+        }
+        let jitter: f64 = self.knowledge.rng.borrow_mut().random();
+        tokio::time::sleep(RELIST_SPREAD.mul_f64(jitter)).await;
+    }
+
     async fn list(&mut self) -> Result<(), Error> {
         self.knowledge.turn().await;
         let asked = clock::now();
         let listing = self.store.list(self.kind, false).await?;
         let now = clock::now();
         self.knowledge.store_answers(self.kind, now);
-        let revision = listing.revision;
-        if revision < self.known() {
+        let position = listing.position;
+        if position < self.known() {
             // Others have told more meanwhile.
             return Ok(());
         }
         self.knowledge
-            .replace(self.kind, listing.changes, revision, now);
-        self.note(revision, asked);
+            .replace(self.kind, listing.changes, position, now);
+        self.note(position, asked);
         self.listed = true;
         Ok(())
     }
 
-    /// Returns the revision up to which the objects are known.
-    const fn known(&self) -> Revision {
+    /// Returns the position up to which the objects are known.
+    const fn known(&self) -> Position {
         match self.kind {
             Kind::Endpoints => self.knowledge.news.progress().known(),
-            Kind::Configuration | Kind::Entries => self.knowledge.revision.get(),
+            Kind::Configuration | Kind::Entries => self.knowledge.position.get(),
         }
     }
 
-    /// Notes that the objects are known up to `revision`, by an answer to what
+    /// Notes that the objects are known up to `position`, by an answer to what
     /// was asked at `asked`.
-    fn note(&self, revision: Revision, asked: Instant) {
+    fn note(&self, position: Position, asked: Instant) {
         match self.kind {
-            Kind::Endpoints => self.knowledge.news.know(revision),
-            Kind::Configuration => prove(self.knowledge, revision, asked),
+            Kind::Endpoints => self.knowledge.news.know(position),
+            Kind::Configuration => self.knowledge.prove(position, asked),
             Kind::Entries => {}
         }
     }
 
     /// Tells whether others have told all that is in an answer for the changes
     /// after `from` up to `to`, and maybe more, which it would take back.
-    fn is_outrun(&self, from: Revision, to: Revision) -> bool {
+    fn is_outrun(&self, from: Position, to: Position) -> bool {
         let progress = self.knowledge.news.progress();
         let new = progress.known() == to || progress.continues(from, to);
         self.kind == Kind::Endpoints && !new
@@ -147,6 +177,10 @@
 
     /// Waits for one answer of a watch.
     async fn watch(&mut self, watching: &mut Store<C>) -> Result<(), Error> {
+        if self.is_outdated() {
+            self.listed = false;
+            return Ok(());
+        }
         let (from, asked) = (self.known(), clock::now());
         let waiting = watching.watch(self.kind, from, WATCH_MAX);
         tokio::pin!(waiting);
@@ -158,6 +192,7 @@
                     }
                     return Ok(());
                 }
+                () = self.knowledge.eras.changed() => return Ok(()),
                 () = news(self.knowledge, self.kind) => {
                     if self.catch_up().await? {
                         tracing::info!(kind = %self.kind, "a watch missed changes, watching anew");
@@ -177,6 +212,7 @@
                 }
                 self.catch_up().await.map(drop)
             }
+            () = self.knowledge.eras.changed() => Ok(()),
             () = tokio::time::sleep(ROLE_LOOK) => Ok(()),
         }
     }
@@ -190,17 +226,19 @@
         let Some((version, from)) = self.knowledge.news.newest() else {
             return false;
         };
-        let mut other = Store::<C>::new(from);
-        match other.watch(self.kind, self.known(), NO_WAIT).await {
+        // It may have been given in another era; of versions the larger is always the newer.
+        let mut other = Store::<C>::new(from, Rc::default());
+        match other.handed_out(self.kind).await {
             Ok(Watched { answer, body }) => {
                 let now = clock::now();
+                let era = answer.position.era();
                 for change in answer.changes {
                     self.knowledge
-                        .apply(self.kind, change, answer.revision, now);
+                        .apply(self.kind, change, answer.position, now);
                 }
-                self.knowledge.handout.set(body);
-                let revision = self.knowledge.revision.get().max(answer.revision);
-                self.knowledge.revision.set(revision);
+                self.knowledge.handout.set(era, body);
+                let position = self.knowledge.position.get().newest(answer.position);
+                self.knowledge.position.set(position);
                 listing::announce(self.knowledge, self.socket);
             }
             Err(error) => tracing::info!(%from, %error, "configuration not had from another entry"),
@@ -210,6 +248,10 @@
 
     /// Asks for the changes since what is known; returns whether there are any.
     async fn catch_up(&mut self) -> Result<bool, Error> {
+        if self.is_outdated() {
+            self.listed = false;
+            return Ok(false);
+        }
         let (from, asked) = (self.known(), clock::now());
         let answer = self.store.watch(self.kind, from, NO_WAIT).await?;
         Ok(self.take(from, answer, asked))
@@ -217,29 +259,29 @@
 
     /// Takes the changes after `from` and passes them on; returns whether there
     /// are any.
-    fn take(&mut self, from: Revision, watched: Watched, asked: Instant) -> bool {
+    fn take(&mut self, from: Position, watched: Watched, asked: Instant) -> bool {
         let now = clock::now();
         self.knowledge.store_answers(self.kind, now);
         let Watched { answer, body } = watched;
         let changed = !answer.changes.is_empty();
-        if self.is_outrun(from, answer.revision) {
+        if self.is_outrun(from, answer.position) {
             return changed;
         }
         let endpoints = endpoints(&answer.changes);
         for change in answer.changes {
             self.knowledge
-                .apply(self.kind, change, answer.revision, now);
+                .apply(self.kind, change, answer.position, now);
         }
-        self.note(answer.revision, asked);
+        self.note(answer.position, asked);
         match self.kind {
             Kind::Endpoints if self.knowledge.watches(now) => {
                 let passed_on = self
                     .knowledge
-                    .passed_on(from, answer.revision, endpoints, now);
+                    .passed_on(from, answer.position, endpoints, now);
                 listing::pass_on(self.knowledge, self.socket, passed_on);
             }
             Kind::Configuration if changed => {
-                self.knowledge.handout.set(body);
+                self.knowledge.handout.set(answer.position.era(), body);
                 listing::announce(self.knowledge, self.socket);
             }
             _ => {}
@@ -267,7 +309,7 @@
 
 /// Lists the other entries now and then.
 pub(crate) async fn entries<C: Codec>(knowledge: Rc<Knowledge>) {
-    let mut store = Store::<C>::new(knowledge.options().store);
+    let mut store = knowledge.store::<C>();
     tokio::time::sleep(ENTRIES_FIRST).await;
     // Those that have just registered are missing from a stale listing.
     let mut stale = false;
@@ -279,7 +321,7 @@
             Ok(listing) => knowledge.replace(
                 Kind::Entries,
                 listing.changes,
-                listing.revision,
+                listing.position,
                 clock::now(),
             ),
             Err(error) => {
@@ -289,23 +331,22 @@
                 continue;
             }
         }
-        tokio::time::sleep(ENTRIES_EVERY).await;
+        let first = knowledge.peers.borrow().ready_before(clock::now()) == 0;
+        tokio::select! {
+            // It writes what is missing then for all of its data centre.
+            () = knowledge.eras.changed(), if first => {
+                tokio::time::sleep(REGISTER_SPREAD).await;
+                stale = false;
+            }
+            () = tokio::time::sleep(ENTRIES_EVERY) => {}
+        }
     }
 }
 
-/// Notes that the configuration is as the store had it at `asked` or later.
-fn prove(knowledge: &Knowledge, revision: Revision, asked: Instant) {
-    knowledge
-        .revision
-        .set(knowledge.revision.get().max(revision));
-    knowledge.news.reach(revision);
-    knowledge.freshness.borrow_mut().renew(asked);
-}
-
 /// Keeps the proof of the configuration fresh, by own calls or by those of
 /// other entries.
 pub(crate) async fn keep_proof<C: Codec>(knowledge: Rc<Knowledge>) {
-    let mut store = Store::<C>::new(knowledge.options().store);
+    let mut store = knowledge.store::<C>();
     loop {
         tokio::time::sleep(PROOF_LOOK).await;
         knowledge.wake.look();
@@ -330,11 +371,17 @@
 async fn renew<C: Codec>(knowledge: &Knowledge, store: &mut Store<C>) -> Result<(), Error> {
     let kind = Kind::Configuration;
     let asked = clock::now();
-    let answer = match store.watch(kind, knowledge.revision.get(), NO_WAIT).await {
+    let from = knowledge.position.get();
+    let watched = if from.era() == knowledge.eras.current() {
+        store.watch(kind, from, NO_WAIT).await
+    } else {
+        Err(Error::HistoryGone)
+    };
+    let answer = match watched {
         Err(Error::HistoryGone) => store.list(kind, false).await?,
         Ok(Watched { answer, body }) => {
             if !answer.changes.is_empty() {
-                knowledge.handout.set(body);
+                knowledge.handout.set(answer.position.era(), body);
             }
             answer
         }
@@ -342,20 +389,35 @@
     };
     let now = clock::now();
     for change in answer.changes {
-        knowledge.apply(kind, change, answer.revision, now);
+        knowledge.apply(kind, change, answer.position, now);
     }
-    prove(knowledge, answer.revision, asked);
+    knowledge.prove(answer.position, asked);
     Ok(())
 }
 
-/// Makes this entry known to the others.
+/// Makes this entry known to the others, and again whenever the store may have lost that.
 pub(crate) async fn register<C: Codec>(knowledge: Rc<Knowledge>) {
-    let entry = knowledge.entry();
-    let mut store = Store::<C>::new(knowledge.options().store);
-    while let Err(error) = store.register(&entry).await {
-        tracing::warn!(%error, "entry not registered yet");
-        knowledge.store_fails(Kind::Entries, &error, clock::now());
-        knowledge.turn().await;
+    let mut store = knowledge.store::<C>();
+    loop {
+        let entry = knowledge.entry();
+        let era = knowledge.eras.current();
+        if let Err(error) = store.register(&entry).await {
+            tracing::warn!(%error, "entry not registered yet");
+            knowledge.store_fails(Kind::Entries, &error, clock::now());
+            knowledge.turn().await;
+            continue;
+        }
+        tracing::info!(host = entry.host, era = era.0, "entry registered");
+        while era == knowledge.eras.current() {
+            tokio::select! {
+                () = knowledge.eras.changed() => {}
+                () = knowledge.unregistered.notified() => break,
+            }
+        }
+        let jitter: f64 = knowledge.rng.borrow_mut().random();
+        tokio::time::sleep(REGISTER_SPREAD.mul_f64(jitter)).await;
+        if knowledge.stopping.get().is_some() {
+            return;
+        }
     }
-    tracing::info!(host = entry.host, "entry registered");
 }
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -98,8 +98,8 @@
 fn a_request_that_is_served_is_suspected_no_more() {
     let (start, mut quarantine) = (clock::now(), Quarantine::default());
     take(&mut quarantine, 1, &crash(start, "a", 1_000, 50));
-    assert_eq!(quarantine.clear(content(1)), Some(false));
-    assert_eq!(quarantine.clear(content(1)), None);
+    assert_eq!(quarantine.clear(content(1), start), Some(false));
+    assert_eq!(quarantine.clear(content(1), start), None);
     let later = crash(start, "b", 9_000, 50);
     assert_eq!(take(&mut quarantine, 1, &later), Verdict::Suspected);
 }
@@ -176,3 +176,28 @@
         }
     }
 }
+
+#[test]
+fn a_record_from_before_a_request_was_served_does_not_hold_it_again() {
+    let (start, mut quarantine) = (clock::now(), Quarantine::default());
+    quarantine.hold(content(1), HOLD_TIME, start);
+    assert!(!quarantine.is_cleared(content(1), start));
+    assert_eq!(quarantine.clear(content(1), start), Some(true));
+    assert!(quarantine.is_cleared(content(1), start + 30 * SECOND));
+    assert!(!quarantine.is_cleared(content(1), start + 600 * SECOND));
+    // It ends endpoints all the same, later.
+    take(&mut quarantine, 1, &crash(start, "a", 9_000, 50));
+    take(&mut quarantine, 1, &crash(start, "b", 12_000, 50));
+    assert_eq!(quarantine.held(), 1);
+    assert!(!quarantine.is_cleared(content(1), start + 13 * SECOND));
+}
+
+#[test]
+fn records_are_written_again_once_the_store_may_have_lost_them() {
+    let (start, mut quarantine) = (clock::now(), Quarantine::default());
+    quarantine.hold(content(1), HOLD_TIME, start);
+    assert!(!quarantine.check(content(1), true));
+    assert!(!quarantine.check(content(1), false));
+    quarantine.forget_records();
+    assert!(quarantine.check(content(1), false));
+}
--- /dev/null
+++ b/crates/position/src/eras.rs
@@ -0,0 +1,113 @@
+//! The eras of a store, as one process sees them.
+
+use std::cell::Cell;
+
+use cactusnotch_base::clock::Instant;
+use tokio::sync::Notify;
+
+use crate::era::Era;
+
+/// What an answer of the store says of its era.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Seen {
+    /// It is of the newest era.
+    Current,
+    /// It is of a newer era than all before: the store came back from an older copy.
+    Newer,
+    /// It is of an era that has ended, so that what it says may be gone.
+    Ended,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Current {
+    era: Era,
+    /// When this process heard of it first.
+    since: Instant,
+    /// Whether it may have begun shortly before, so that not all that is gone with the era
+    /// before has been written again.
+    may_be_young: bool,
+}
+
+/// The eras of a store, as one process sees them. Only the store's own answers end an era;
+/// what others tell is a reason to ask the store.
+#[derive(Debug, Default)]
+pub struct Eras {
+    current: Cell<Option<Current>>,
+    /// What another process has told last, and when.
+    told: Cell<Option<(Era, Instant)>>,
+    /// Whether the store is to be asked for the sake of that.
+    in_doubt: Cell<bool>,
+    changed: Notify,
+}
+
+impl Eras {
+    /// Takes the era that an answer of the store names.
+    pub fn see(&self, era: Era, now: Instant) -> Seen {
+        self.in_doubt.set(false);
+        let known = self.current.get();
+        match known {
+            Some(known) if era < known.era => return Seen::Ended,
+            Some(known) if era == known.era => return Seen::Current,
+            _ => {}
+        }
+        let told = self.told.get().filter(|(told, _)| *told == era);
+        self.current.set(Some(Current {
+            era,
+            since: told.map_or(now, |(_, at)| at),
+            may_be_young: known.is_some() || era > Era::default(),
+        }));
+        let Some(known) = known else {
+            return Seen::Current;
+        };
+        tracing::warn!(
+            era = era.0,
+            before = known.era.0,
+            "store came back from an older copy"
+        );
+        self.changed.notify_waiters();
+        Seen::Newer
+    }
+
+    /// Takes that another process has seen `era`, which is in doubt until the store is asked.
+    pub fn hear(&self, era: Era, now: Instant) {
+        let is_told = self.told.get().is_some_and(|(told, _)| told == era);
+        if era <= self.current() || is_told {
+            return;
+        }
+        tracing::info!(
+            era = era.0,
+            known = self.current().0,
+            "another process knows a newer era of the store"
+        );
+        self.told.set(Some((era, now)));
+        self.in_doubt.set(true);
+        self.changed.notify_waiters();
+    }
+
+    /// Tells whether the store is to be asked, since another process knows a newer era.
+    #[must_use]
+    pub const fn is_in_doubt(&self) -> bool {
+        self.in_doubt.get()
+    }
+
+    /// Returns the newest era.
+    #[must_use]
+    pub fn current(&self) -> Era {
+        self.current
+            .get()
+            .map_or_else(Era::default, |known| known.era)
+    }
+
+    /// Returns since when the store is known to be in this era, if it may have come back from
+    /// an older copy shortly before.
+    #[must_use]
+    pub fn young_since(&self) -> Option<Instant> {
+        let known = self.current.get()?;
+        known.may_be_young.then_some(known.since)
+    }
+
+    /// Waits until the store has come back from an older copy, or may have.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+}
--- a/crates/gateway/src/progress.rs
+++ b/crates/position/src/progress.rs
@@ -1,6 +1,6 @@
 //! How far an entry's knowledge of endpoints reaches, and how far the store is.
 
-use crate::store::Revision;
+use crate::position::Position;
 
 /// How far an entry's knowledge of endpoints reaches, and how far the store is
 /// known to be.
@@ -11,32 +11,35 @@
 /// for what it lacks.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Progress {
-    known: Revision,
-    reached: Revision,
+    known: Position,
+    reached: Position,
 }
 
 impl Progress {
-    /// Returns the revision up to which all changes of endpoints are known.
+    /// Returns the position up to which all changes of endpoints are known.
     #[must_use]
-    pub const fn known(&self) -> Revision {
+    pub const fn known(&self) -> Position {
         self.known
     }
 
-    /// Returns the revision that the store has surely reached.
+    /// Returns the position that the store has surely reached.
     #[must_use]
-    pub const fn reached(&self) -> Revision {
+    pub const fn reached(&self) -> Position {
         self.reached
     }
 
-    /// Notes that all changes up to `revision` are known.
-    pub fn know(&mut self, revision: Revision) {
-        self.known = self.known.max(revision);
-        self.reach(revision);
+    /// Notes that all changes up to `position` are known. Of a newer era it takes the place
+    /// of all before.
+    pub fn know(&mut self, position: Position) {
+        self.known = self.known.newest(position);
+        self.reached = self.reached.newest(self.known);
     }
 
-    /// Notes that the store has reached `revision`.
-    pub fn reach(&mut self, revision: Revision) {
-        self.reached = self.reached.max(revision);
+    /// Notes that the store has reached `position`, if that is of the known era.
+    pub fn reach(&mut self, position: Position) {
+        if position > self.reached {
+            self.reached = position;
+        }
     }
 
     /// Tells whether the store has gone on beyond what is known.
@@ -49,7 +52,7 @@
     /// what is known. Some of them may be known already: a change states the
     /// whole endpoint, and later ones are among them.
     #[must_use]
-    pub fn continues(&self, from: Revision, to: Revision) -> bool {
+    pub fn continues(&self, from: Position, to: Position) -> bool {
         from <= self.known && self.known < to
     }
 }
--- /dev/null
+++ b/crates/position/tests/progress.rs
@@ -0,0 +1,87 @@
+//! What an entry knows of endpoints never skips a change, whatever it is told.
+
+use cactusnotch_position::{Era, Position, Progress};
+use proptest::prelude::*;
+
+/// Returns the position of `revision` in the first era.
+const fn at(revision: u64) -> Position {
+    Position::new(Era(0), revision)
+}
+
+#[test]
+fn changes_are_taken_only_if_none_is_missing_before_them() {
+    let mut progress = Progress::default();
+    progress.know(at(10));
+    assert!(!progress.is_behind());
+    assert!(progress.continues(at(10), at(12)));
+    assert!(progress.continues(at(7), at(12)), "some are known already");
+    assert!(!progress.continues(at(11), at(12)), "one may be missing");
+    assert!(!progress.continues(at(7), at(10)), "nothing is new");
+}
+
+proptest! {
+    /// Batches of changes arrive in any order, late, doubled or not at all:
+    /// what is known is always a prefix of what has changed.
+    #[test]
+    fn what_is_known_is_complete(
+        batches in proptest::collection::vec((0_u64..40, 1_u64..6), 0..60),
+        changed in proptest::collection::vec(any::<bool>(), 48),
+    ) {
+        let mut progress = Progress::default();
+        let mut seen = vec![false; changed.len()];
+        for (from, length) in batches {
+            let to = from + length;
+            if progress.continues(at(from), at(to)) {
+                for change in from + 1..=to {
+                    seen[usize::try_from(change).expect("small")] = true;
+                }
+                progress.know(at(to));
+            } else {
+                progress.reach(at(to));
+            }
+            let known = (0..changed.len()).find(|&known| at(known as u64) == progress.known());
+            let known = known.expect("it is one of these");
+            let missing = (1..=known).find(|&at| changed[at] && !seen[at]);
+            prop_assert_eq!(missing, None);
+            prop_assert_eq!(progress.is_behind(), progress.known() < progress.reached());
+        }
+    }
+}
+
+#[test]
+fn an_answer_that_others_have_outrun_takes_nothing_back() {
+    let mut progress = Progress::default();
+    progress.know(at(10));
+    // A watch from 10 is answered at 11 while a datagram brings all up to 12.
+    assert!(progress.continues(at(10), at(12)));
+    progress.know(at(12));
+    assert!(!progress.continues(at(10), at(11)));
+}
+
+#[test]
+fn positions_of_two_eras_are_in_no_order() {
+    let (before, after) = (Position::new(Era(1), 50), Position::new(Era(2), 20));
+    assert_eq!(before.partial_cmp(&after), None);
+    assert_ne!(Position::new(Era(1), 20), after);
+}
+
+#[test]
+fn what_is_known_of_an_era_that_has_ended_leads_nowhere() {
+    let mut progress = Progress::default();
+    progress.know(Position::new(Era(1), 50));
+    let again = Position::new(Era(2), 40);
+    assert!(!progress.continues(Position::new(Era(2), 30), again));
+    progress.reach(again);
+    assert!(!progress.is_behind(), "the era isn't known yet");
+    progress.know(Position::new(Era(2), 30));
+    assert_eq!(progress.known(), Position::new(Era(2), 30));
+    progress.reach(again);
+    assert!(progress.is_behind());
+    assert!(progress.continues(Position::new(Era(2), 30), again));
+    progress.know(Position::new(Era(1), 60));
+    assert_eq!(
+        progress.known(),
+        Position::new(Era(2), 30),
+        "an answer that was late"
+    );
+}
--- a/crates/rebalance/src/neighbours.rs
+++ b/crates/rebalance/src/neighbours.rs
@@ -1,6 +1,7 @@
 //! Where the other agents of a service are.
 
 use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 use std::time::Duration;
 
 use cactusnotch_base::clock::Instant;
@@ -31,9 +32,9 @@
 }
 
 impl<C: Codec> Neighbours<C> {
-    pub(crate) const fn new(store: SocketAddr, service: String, own: SocketAddr) -> Self {
+    pub(crate) fn new(store: SocketAddr, service: String, own: SocketAddr) -> Self {
         Self {
-            store: Store::new(store),
+            store: Store::new(store, Rc::default()),
             service,
             port: own.port(),
             own,
--- a/crates/rebalance/tests/datagrams.rs
+++ b/crates/rebalance/tests/datagrams.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use cactusnotch_gateway::endpoint::{Born, Endpoint};
-use cactusnotch_gateway::store::Revision;
 use cactusnotch_gateway::{Pace, datagram, peer};
+use cactusnotch_position::{Era, Position};
 use cactusnotch_rebalance::estimate::pack;
 use cactusnotch_rebalance::map::Move;
 use cactusnotch_rebalance::message::{Ask, Choices, Datagram, Part, Phase, Relay, Round, Standing};
@@ -103,7 +103,7 @@
         data_centre: "z".to_owned(),
         slots: 6,
         leaving: false,
-        registered: Revision(3),
+        registered: Position::new(Era(1), 3),
     };
     vec![
         peer::Datagram::Subscribe,
@@ -117,12 +117,12 @@
             round: 7,
             version: 3,
             proof_age: Some(4),
-            known: Revision(9),
+            known: Position::new(Era(1), 9),
             returned_ago: None,
         }),
         peer::Datagram::Changes(peer::Changes {
-            from: Revision(1),
-            to: Revision(2),
+            from: Position::new(Era(1), 1),
+            to: Position::new(Era(1), 2),
             returned_ago: Some(1),
             endpoints: vec![("i".to_owned(), Some(endpoint)), ("j".to_owned(), None)],
         }),
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -91,6 +91,8 @@
         "Time from a request's arrival to the end of its answer.";
     GATEWAY_REQUESTS = "cactusnotch_gateway_requests_total", Counter, Count, [],
         "Requests that were let in and have ended.";
+    GATEWAY_ERAS = "cactusnotch_gateway_store_eras_total", Counter, Count, [],
+        "Times that the store was found to have come back from an older copy, or to have done so before the start.";
     GATEWAY_MOVED = "cactusnotch_gateway_streams_moved_total", Counter, Count, [],
         "Streams that were moved away from an endpoint far slower than others.";
     GATEWAY_UNREADABLE = "cactusnotch_gateway_unreadable_objects_total", Counter, Count, [],
