--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -74,6 +74,8 @@
     pub(crate) unregistered: Notify,
     /// The era that beliefs and tasks were last fitted to.
     fitted: Cell<Era>,
+    /// Until when no answer of the store can prove the configuration.
+    unproved_until: Cell<Option<Instant>>,
     complaints: RefCell<Complaints>,
     /// The requests under which endpoints have ended.
     pub(crate) quarantine: RefCell<Quarantine>,
@@ -96,6 +98,7 @@
             answered: Notify::new(),
             unregistered: Notify::new(),
             fitted: Cell::default(),
+            unproved_until: Cell::default(),
             configuration: RefCell::default(),
             questions: RefCell::default(),
             eras: Rc::default(),
--- a/crates/gateway/src/knowledge/era.rs
+++ b/crates/gateway/src/knowledge/era.rs
@@ -1,10 +1,20 @@
 //! What an entry does when the store came back from an older copy.
 
+use std::time::Duration;
+
 use cactusnotch_base::clock::Instant;
 use cactusnotch_position::Position;
 use cactusnotch_telemetry::metric;
+use rand::Rng;
 
 use super::Knowledge;
+use crate::proof::REWRITE_TIME;
+
+/// How long an entry waits until it asks for a proof again which the store could not give,
+/// since operators have not written again what it has lost.
+const PROOF_PAUSE: Duration = Duration::from_millis(500);
+/// The time over which entries ask that rely on others: these tell them within half a second.
+const PROOF_SPREAD: Duration = Duration::from_millis(700);
 
 impl Knowledge {
     /// Takes that another entry knows the store up to `position`. Of a newer era that is a
@@ -56,10 +66,26 @@
             .map_or(0, |c| c.version);
         let era = position.era();
         let young_since = self.eras.young_since();
-        if self.shown.get().proves(known, era, asked, young_since) {
+        let shown = self.shown.get();
+        if shown.proves(known, era, asked, young_since) {
             self.freshness.borrow_mut().renew(asked);
-        } else {
-            tracing::info!(%position, known, shown = ?self.shown.get(), "answer proves nothing yet");
+            return;
         }
+        tracing::info!(%position, known, ?shown, "answer proves nothing yet");
+        let settled = young_since.map(|since| since + REWRITE_TIME);
+        let jitter: f64 = self.rng.borrow_mut().random();
+        let spread = if self.watches(asked) {
+            Duration::ZERO
+        } else {
+            PROOF_SPREAD.mul_f64(jitter)
+        };
+        let soonest = settled.unwrap_or(asked).max(asked + PROOF_PAUSE);
+        self.unproved_until.set(Some(soonest + spread));
+    }
+
+    /// Tells whether an answer to what is asked now may prove the configuration: the store may
+    /// just have come back from an older copy.
+    pub(crate) fn may_prove(&self, now: Instant) -> bool {
+        self.unproved_until.get().is_none_or(|until| until <= now)
     }
 }
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -353,7 +353,7 @@
         let now = clock::now();
         let age = knowledge.freshness.borrow().age(now);
         // The configuration is listed first.
-        if age.is_none_or(|age| age < knowledge.prove_after(now)) {
+        if age.is_none_or(|age| age < knowledge.prove_after(now)) || !knowledge.may_prove(now) {
             continue;
         }
         if knowledge.link.borrow_mut().wait(now).is_some() {
