fix: a doubted life that the next listing lacks is never taken, one that is known isn't doubted

A life that lapsed and came back under its registration was doubted at the next era though it was known and used, and one that was doubted and missing from a later listing was taken once its time had passed.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -126,7 +126,7 @@
     /// address the later one lives: the other's registration lapses only seconds after
     /// its end, and what is sent there meanwhile is refused.
     pub(crate) fn insert(&mut self, mut endpoint: Endpoint, now: Instant) -> bool {
-        if self.departed.doubts(&endpoint, now) {
+        if !self.rows.contains(&endpoint.id) && self.departed.doubts(&endpoint, now) {
             tracing::info!(
                 endpoint = endpoint.id,
                 registered = %endpoint.registered,
--- a/crates/gateway/src/fleet/departed.rs
+++ b/crates/gateway/src/fleet/departed.rs
@@ -76,6 +76,11 @@
         self.doubted.retain(|(known, _)| known.instance != instance);
     }
 
+    /// Keeps what is doubted only if the store still names it.
+    pub(super) fn keep(&mut self, named: impl Fn(&str) -> bool) {
+        self.doubted.retain(|(known, _)| named(&known.instance));
+    }
+
     /// Returns those that have been named for so long that they live.
     pub(super) fn settle(&mut self, now: Instant) -> Vec<Endpoint> {
         let due = |(_, at): &(Endpoint, Instant)| *at <= now;
--- a/crates/gateway/src/fleet/lives.rs
+++ b/crates/gateway/src/fleet/lives.rs
@@ -76,6 +76,12 @@
         }
     }
 
+    /// Takes that the store's listing names these registrations and no others: what was
+    /// doubted and is missing has ended.
+    pub(crate) fn settle_doubts(&mut self, named: impl Fn(&str) -> bool) {
+        self.departed.keep(named);
+    }
+
     /// Takes that the store no longer names an endpoint, which is used until
     /// `until` if the store may have lost it.
     pub(crate) fn remove(&mut self, instance: &str, until: Option<Instant>, now: Instant) {
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -174,6 +174,7 @@
             Kind::Configuration => {}
             Kind::Endpoints => {
                 let mut fleet = self.fleet.borrow_mut();
+                fleet.settle_doubts(named);
                 let gone: Vec<_> = fleet
                     .iter()
                     .map(|endpoint| endpoint.instance.clone())
