perf: the map is told at half of the link that the settings state

The relays' rate and burst fitted links of 6 Mbit/s (375,000 B/s, 24,000 B); hosts here have 8, elsewhere 20 or 1,000. Both follow from the settings now, and are as before where they say nothing.

--- a/crates/rebalance/src/agent.rs
+++ b/crates/rebalance/src/agent.rs
@@ -61,6 +61,8 @@
     pub metrics: SocketAddr,
     /// Where the platform's store is.
     pub store: SocketAddr,
+    /// The bytes a second that the host's link carries.
+    pub link: u32,
 }
 
 /// Why an agent can't start.
@@ -144,7 +146,7 @@
             leading: None,
             relay: None,
             gathering: Gathering::default(),
-            telling: Telling::default(),
+            telling: Telling::new(options.link),
             asked: None,
             finisher: None,
             cadence: Cadence::default(),
--- a/crates/rebalance/src/relay.rs
+++ b/crates/rebalance/src/relay.rs
@@ -26,11 +26,13 @@
 pub const RELAY_TIME: Duration = Duration::from_millis(1_700);
 /// How often the map in force is told to ranks that lack it, from beginning to beginning.
 pub const MAP_EVERY: Duration = Duration::from_millis(600);
-/// The most that is sent at once: a host's link holds about 75 KB back at 6 Mbit/s and
-/// drops what comes after, so that the end of a long train never arrives.
-const BURST: f64 = 24_000.0;
-/// The bytes a second that the map is told with: half of what such a link carries.
-const RATE: f64 = 375_000.0;
+/// The part of a host's link that telling the map takes; the rest is for rounds, counts and
+/// loads.
+const LINK_PART: f64 = 0.5;
+/// The most that is sent at once, in the time that the link takes for it: it holds about a
+/// tenth of a second back and drops what comes after, so that the end of a long train never
+/// arrives.
+const BURST_TIME: Duration = Duration::from_millis(32);
 
 /// A rank that rank 0 has heard.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -96,8 +98,10 @@
 }
 
 /// How far rank 0 is in telling the map in force, set by set.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Telling {
+    /// The bytes a second that the host's link carries.
+    link: f64,
     /// The set that is told next; none is left if there is no such set.
     next: Option<usize>,
     begun: Option<Instant>,
@@ -106,6 +110,17 @@
 }
 
 impl Telling {
+    /// Creates the telling of a host whose link carries `link` bytes a second.
+    #[must_use]
+    pub fn new(link: u32) -> Self {
+        Self {
+            link: f64::from(link),
+            next: None,
+            begun: None,
+            left: None,
+        }
+    }
+
     /// Returns the set that is to be told now, if any of `sets` is: one after the other as
     /// the link carries them, and all anew after [`MAP_EVERY`].
     pub fn next(&mut self, sets: usize, now: Instant) -> Option<usize> {
@@ -134,9 +149,10 @@
     }
 
     fn has_room(&mut self, now: Instant) -> bool {
-        let left = self.left.map_or(BURST, |(left, at)| {
+        let burst = self.link * BURST_TIME.as_secs_f64();
+        let left = self.left.map_or(burst, |(left, at)| {
             let age = now.saturating_duration_since(at).as_secs_f64();
-            (left + age * RATE).min(BURST)
+            (left + age * self.link * LINK_PART).min(burst)
         });
         self.left = Some((left, now));
         left > 0.0
