--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -15,7 +15,7 @@
 use crate::knowledge::Knowledge;
 use crate::options::Options;
 use crate::store::{Codec, Kind};
-use crate::{handout, listing, record, reload, server, stop, tcp, watcher};
+use crate::{handout, listing, record, registration, reload, renewal, server, stop, tcp, watcher};
 
 /// Why an entry can't start or go on.
 #[derive(Debug, Display, Error)]
@@ -120,9 +120,9 @@
             let (knowledge, socket) = (Rc::clone(&knowledge), Rc::clone(&socket));
             tokio::task::spawn_local(watcher::run::<C>(knowledge, socket, kind));
         }
-        tokio::task::spawn_local(watcher::keep_proof::<C>(Rc::clone(&knowledge)));
-        tokio::task::spawn_local(watcher::entries::<C>(Rc::clone(&knowledge)));
-        tokio::task::spawn_local(watcher::register::<C>(Rc::clone(&knowledge)));
+        tokio::task::spawn_local(renewal::run::<C>(Rc::clone(&knowledge)));
+        tokio::task::spawn_local(registration::list::<C>(Rc::clone(&knowledge)));
+        tokio::task::spawn_local(registration::run::<C>(Rc::clone(&knowledge)));
         tokio::task::spawn_local(record::run::<C>(Rc::clone(&knowledge)));
         tokio::task::spawn_local(server::callers::<D>(Rc::clone(&knowledge), callers, closed));
         tokio::task::spawn_local(server::questions::<D>(Rc::clone(&knowledge), readiness));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -58,6 +58,8 @@
 pub mod questions;
 mod record;
 pub mod refusal;
+mod registration;
+mod renewal;
 mod request;
 mod running;
 mod server;
--- /dev/null
+++ b/crates/gateway/src/registration.rs
@@ -0,0 +1,82 @@
+//! How entries make themselves known to each other by the store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use cactusnotch_base::clock;
+use rand::Rng;
+
+use crate::knowledge::Knowledge;
+use crate::store::{Codec, Kind};
+
+/// The time over which entries register themselves anew once the store came back from an older
+/// copy.
+const REGISTER_SPREAD: Duration = Duration::from_secs(2);
+/// When entries are listed: soon after the start, when all have registered,
+/// and then rarely, since entries also make themselves known to each other. A
+/// stale listing costs a tenth of a call.
+const ENTRIES_FIRST: Duration = Duration::from_millis(600);
+const ENTRIES_EVERY: Duration = Duration::from_secs(12);
+
+/// Makes this entry known to the others, and again whenever the store may have lost that.
+pub(crate) async fn run<C: Codec>(knowledge: Rc<Knowledge>) {
+    let mut store = knowledge.store::<C>();
+    loop {
+        let entry = knowledge.entry();
+        let era = knowledge.eras.current();
+        if let Err(error) = store.register(&entry).await {
+            tracing::warn!(%error, "entry not registered yet");
+            knowledge.store_fails(Kind::Entries, &error, clock::now());
+            knowledge.turn().await;
+            continue;
+        }
+        tracing::info!(host = entry.host, era = era.0, "entry registered");
+        while era == knowledge.eras.current() {
+            tokio::select! {
+                () = knowledge.eras.changed() => {}
+                () = knowledge.unregistered.notified() => break,
+            }
+        }
+        let jitter: f64 = knowledge.rng.borrow_mut().random();
+        tokio::time::sleep(REGISTER_SPREAD.mul_f64(jitter)).await;
+        if knowledge.stopping.get().is_some() {
+            return;
+        }
+    }
+}
+
+/// Lists the other entries now and then.
+pub(crate) async fn list<C: Codec>(knowledge: Rc<Knowledge>) {
+    let mut store = knowledge.store::<C>();
+    tokio::time::sleep(ENTRIES_FIRST).await;
+    // Those that have just registered are missing from a stale listing.
+    let mut stale = false;
+    loop {
+        match store
+            .list(Kind::Entries, std::mem::replace(&mut stale, true))
+            .await
+        {
+            Ok(listing) => knowledge.replace(
+                Kind::Entries,
+                listing.changes,
+                listing.position,
+                clock::now(),
+            ),
+            Err(error) => {
+                tracing::warn!(%error, "entries not listed");
+                knowledge.store_fails(Kind::Entries, &error, clock::now());
+                knowledge.turn().await;
+                continue;
+            }
+        }
+        let first = knowledge.peers.borrow().ready_before(clock::now()) == 0;
+        tokio::select! {
+            // It writes what is missing then for all of its data centre.
+            () = knowledge.eras.changed(), if first => {
+                tokio::time::sleep(REGISTER_SPREAD).await;
+                stale = false;
+            }
+            () = tokio::time::sleep(ENTRIES_EVERY) => {}
+        }
+    }
+}
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -22,10 +22,8 @@
 const ACQUAINTED: Duration = Duration::from_millis(1_500);
 /// How often an entry that is told by others looks whether it is to watch.
 const ROLE_LOOK: Duration = Duration::from_millis(600);
-/// How often the age of the proof is looked at.
-const PROOF_LOOK: Duration = Duration::from_millis(150);
 /// The wait of a watch that is only to prove what is known.
-const NO_WAIT: Duration = Duration::from_millis(1);
+pub(crate) const NO_WAIT: Duration = Duration::from_millis(1);
 /// The least time between two watches of a kind. A watch returns with the
 /// first change, and when many endpoints come at once each would be a call of
 /// its own; within this time they come together. It is far below the time
@@ -40,13 +38,6 @@
 /// to know which have left, and 380 entries with a thousand endpoints stay within the calls
 /// that the store takes.
 const RELIST_SPREAD: Duration = Duration::from_secs(1);
-/// The time over which entries register themselves anew after that.
-const REGISTER_SPREAD: Duration = Duration::from_secs(2);
-/// When entries are listed: soon after the start, when all have registered,
-/// and then rarely, since entries also make themselves known to each other. A
-/// stale listing costs a tenth of a call.
-const ENTRIES_FIRST: Duration = Duration::from_millis(600);
-const ENTRIES_EVERY: Duration = Duration::from_secs(12);
 
 /// Follows the objects of `kind` for as long as the process lives.
 pub(crate) async fn run<C: Codec>(knowledge: Rc<Knowledge>, socket: Rc<UdpSocket>, kind: Kind) {
@@ -306,118 +297,3 @@
     };
     changes.iter().map(endpoint).collect()
 }
-
-/// Lists the other entries now and then.
-pub(crate) async fn entries<C: Codec>(knowledge: Rc<Knowledge>) {
-    let mut store = knowledge.store::<C>();
-    tokio::time::sleep(ENTRIES_FIRST).await;
-    // Those that have just registered are missing from a stale listing.
-    let mut stale = false;
-    loop {
-        match store
-            .list(Kind::Entries, std::mem::replace(&mut stale, true))
-            .await
-        {
-            Ok(listing) => knowledge.replace(
-                Kind::Entries,
-                listing.changes,
-                listing.position,
-                clock::now(),
-            ),
-            Err(error) => {
-                tracing::warn!(%error, "entries not listed");
-                knowledge.store_fails(Kind::Entries, &error, clock::now());
-                knowledge.turn().await;
-                continue;
-            }
-        }
-        let first = knowledge.peers.borrow().ready_before(clock::now()) == 0;
-        tokio::select! {
-            // It writes what is missing then for all of its data centre.
-            () = knowledge.eras.changed(), if first => {
-                tokio::time::sleep(REGISTER_SPREAD).await;
-                stale = false;
-            }
-            () = tokio::time::sleep(ENTRIES_EVERY) => {}
-        }
-    }
-}
-
-/// Keeps the proof of the configuration fresh, by own calls or by those of
-/// other entries.
-pub(crate) async fn keep_proof<C: Codec>(knowledge: Rc<Knowledge>) {
-    let mut store = knowledge.store::<C>();
-    loop {
-        tokio::time::sleep(PROOF_LOOK).await;
-        knowledge.wake.look();
-        let now = clock::now();
-        let age = knowledge.freshness.borrow().age(now);
-        // The configuration is listed first.
-        if age.is_none_or(|age| age < knowledge.prove_after(now)) || !knowledge.may_prove(now) {
-            continue;
-        }
-        if knowledge.link.borrow_mut().wait(now).is_some() {
-            continue;
-        }
-        match renew(&knowledge, &mut store).await {
-            Ok(()) => knowledge.store_answers(Kind::Configuration, clock::now()),
-            Err(error) => {
-                knowledge.store_fails(Kind::Configuration, &error, clock::now());
-            }
-        }
-    }
-}
-
-async fn renew<C: Codec>(knowledge: &Knowledge, store: &mut Store<C>) -> Result<(), Error> {
-    let kind = Kind::Configuration;
-    let asked = clock::now();
-    let from = knowledge.position.get();
-    let watched = if from.era() == knowledge.eras.current() {
-        store.watch(kind, from, NO_WAIT).await
-    } else {
-        Err(Error::HistoryGone)
-    };
-    let answer = match watched {
-        Err(Error::HistoryGone) => store.list(kind, false).await?,
-        Ok(Watched { answer, body }) => {
-            if !answer.changes.is_empty() {
-                knowledge.handout.set(answer.position.era(), body);
-            }
-            answer
-        }
-        Err(error) => return Err(error),
-    };
-    let now = clock::now();
-    for change in answer.changes {
-        knowledge.apply(kind, change, answer.position, now);
-    }
-    knowledge.prove(answer.position, asked);
-    Ok(())
-}
-
-/// Makes this entry known to the others, and again whenever the store may have lost that.
-pub(crate) async fn register<C: Codec>(knowledge: Rc<Knowledge>) {
-    let mut store = knowledge.store::<C>();
-    loop {
-        let entry = knowledge.entry();
-        let era = knowledge.eras.current();
-        if let Err(error) = store.register(&entry).await {
-            tracing::warn!(%error, "entry not registered yet");
-            knowledge.store_fails(Kind::Entries, &error, clock::now());
-            knowledge.turn().await;
-            continue;
-        }
-        tracing::info!(host = entry.host, era = era.0, "entry registered");
-        while era == knowledge.eras.current() {
-            tokio::select! {
-                () = knowledge.eras.changed() => {}
-                () = knowledge.unregistered.notified() => break,
-            }
-        }
-        let jitter: f64 = knowledge.rng.borrow_mut().random();
-        tokio::time::sleep(REGISTER_SPREAD.mul_f64(jitter)).await;
-        if knowledge.stopping.get().is_some() {
-            return;
-        }
-    }
-}
