fix: an entry that starts alone in a later era of the store becomes ready

Ruled out: a store that lacks the configuration (it shows the newest version), an ended era. The renewal asks now as soon as the store can give a proof. The test, an entry started again with nobody beside it, is red for 20 s without.

--- a/crates/gateway/src/knowledge/era.rs
+++ b/crates/gateway/src/knowledge/era.rs
@@ -83,9 +83,13 @@
         self.unproved_until.set(Some(soonest + spread));
     }
 
-    /// Tells whether an answer to what is asked now may prove the configuration: the store may
-    /// just have come back from an older copy.
-    pub(crate) fn may_prove(&self, now: Instant) -> bool {
-        self.unproved_until.get().is_none_or(|until| until <= now)
+    /// Tells whether the store is to be asked for a proof: the last one is old, or there is
+    /// none since the configuration was listed in a young era. It isn't asked before it can
+    /// give one.
+    pub(crate) fn needs_proof(&self, now: Instant) -> bool {
+        let unproved_until = self.unproved_until.get();
+        let age = self.freshness.borrow().age(now);
+        let is_due = age.map_or(unproved_until.is_some(), |age| age >= self.prove_after(now));
+        is_due && unproved_until.is_none_or(|until| until <= now)
     }
 }
--- a/crates/gateway/src/renewal.rs
+++ b/crates/gateway/src/renewal.rs
@@ -20,9 +20,7 @@
         tokio::time::sleep(PROOF_LOOK).await;
         knowledge.wake.look();
         let now = clock::now();
-        let age = knowledge.freshness.borrow().age(now);
-        // The configuration is listed first.
-        if age.is_none_or(|age| age < knowledge.prove_after(now)) || !knowledge.may_prove(now) {
+        if !knowledge.needs_proof(now) {
             continue;
         }
         if knowledge.link.borrow_mut().wait(now).is_some() {
