--- a/crates/gateway/src/fleet/departed.rs
+++ b/crates/gateway/src/fleet/departed.rs
@@ -51,13 +51,13 @@
     /// Tells whether a registration may be one that was gone already, and comes from the copy
     /// that the store came back from; it is taken later if it stays.
     pub(super) fn doubts(&mut self, endpoint: &Endpoint, now: Instant) -> bool {
-        let is_of_copy = |row: &&Row| {
+        let is_of_copy = |row: &Row| {
             row.id == endpoint.id
                 && row.until > now
                 && row.registered.era() < endpoint.registered.era()
                 && row.registered.may_be_same(endpoint.registered)
         };
-        if !self.rows.iter().any(|row| is_of_copy(&row)) {
+        if !self.rows.iter().any(is_of_copy) {
             return false;
         }
         let known = self
@@ -71,11 +71,6 @@
         true
     }
 
-    /// Takes that the store no longer names an endpoint.
-    pub(super) fn forget(&mut self, instance: &str) {
-        self.doubted.retain(|(known, _)| known.instance != instance);
-    }
-
     /// Keeps what is doubted only if the store still names it.
     pub(super) fn keep(&mut self, named: impl Fn(&str) -> bool) {
         self.doubted.retain(|(known, _)| named(&known.instance));
@@ -84,10 +79,11 @@
     /// Returns those that have been named for so long that they live.
     pub(super) fn settle(&mut self, now: Instant) -> Vec<Endpoint> {
         let due = |(_, at): &(Endpoint, Instant)| *at <= now;
-        let settled: Vec<_> = self.doubted.extract_if(.., |row| due(row)).collect();
-        for (endpoint, _) in &settled {
+        let settled = self.doubted.extract_if(.., |row| due(row));
+        let settled: Vec<_> = settled.map(|(endpoint, _)| endpoint).collect();
+        for endpoint in &settled {
             self.rows.retain(|row| row.id != endpoint.id);
         }
-        settled.into_iter().map(|(endpoint, _)| endpoint).collect()
+        settled
     }
 }
--- a/crates/gateway/src/fleet/lives.rs
+++ b/crates/gateway/src/fleet/lives.rs
@@ -85,7 +85,7 @@
     /// Takes that the store no longer names an endpoint, which is used until
     /// `until` if the store may have lost it.
     pub(crate) fn remove(&mut self, instance: &str, until: Option<Instant>, now: Instant) {
-        self.departed.forget(instance);
+        self.departed.keep(|named| named != instance);
         let lives = self.iter().filter(|endpoint| endpoint.instance == instance);
         let lives: Vec<_> = lives.map(|endpoint| endpoint.id.clone()).collect();
         for id in lives {
--- a/crates/gateway/src/knowledge/era.rs
+++ b/crates/gateway/src/knowledge/era.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 
 use super::Knowledge;
+use crate::journal::millis;
 use crate::proof::REWRITE_TIME;
 
 /// How long an entry waits until it asks for a proof again which the store could not give,
@@ -40,7 +41,7 @@
             era = era.0,
             endpoints_known = %self.news.progress().known(),
             configuration_known = %self.position.get(),
-            ms = crate::journal::millis(now.saturating_duration_since(since)),
+            ms = millis(now.saturating_duration_since(since)),
             "beliefs fitted to an era of the store"
         );
         self.store_returned(since);
