feat: entries log what an endpoint says of itself in its answers

Cause: nothing in the logs tells which endpoints named a limit, when, and which one, so that whether nobody reads it or nobody keeps it can't be told apart. Nothing is decided from it yet.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -7,6 +7,8 @@
 use cactusnotch_derive::record;
 use http::{HeaderMap, Uri};
 
+use crate::statement::Statement;
+
 /// What a caller's headers say, in the product's terms.
 #[record]
 #[derive(Default)]
@@ -39,7 +41,7 @@
 }
 
 /// What an endpoint's answer says beside its status.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Verdict {
     /// Whether it is the answer to another request.
     pub foreign: bool,
@@ -47,6 +49,8 @@
     pub refused: bool,
     /// Whether the endpoint signed it.
     pub signed: bool,
+    /// What the endpoint says of itself.
+    pub statement: Statement,
 }
 
 /// A caller's question for addresses.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -229,6 +229,9 @@
 ) -> Result<Reply, Failed> {
     let (head, body) = response.into_parts();
     let verdict = D::verdict(&head.headers, head.status, call.head.id.as_deref());
+    let mut fleet = running.knowledge.fleet.borrow_mut();
+    fleet.take_statement(running.endpoint().as_str(), verdict.statement, clock::now());
+    drop(fleet);
     if verdict.refused && !verdict.foreign {
         let cause = format!("the endpoint refused with {}", head.status);
         return Err(Failed::new(Failure::Refused, &cause));
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -20,6 +20,7 @@
 use crate::configuration::{Engine, Service};
 use crate::endpoint::Endpoint;
 use crate::peer::Load;
+use crate::statement::Statement;
 
 /// The endpoints that are drawn and compared for a request: with all compared,
 /// many entries send to the same idlest one at once.
@@ -189,6 +190,13 @@
         self.rows.values().map(|row| &row.endpoint)
     }
 
+    /// Takes what an endpoint says of itself in an answer.
+    pub(crate) fn take_statement(&mut self, id: &str, statement: Statement, now: Instant) {
+        if let Some(row) = self.rows.get_mut(id) {
+            row.take_statement(statement, now);
+        }
+    }
+
     /// Tells whether an endpoint may get a request now.
     pub(crate) fn takes_work(&self, id: &str) -> bool {
         self.get(id).is_some_and(|endpoint| !endpoint.leaving)
--- a/crates/gateway/src/fleet/row.rs
+++ b/crates/gateway/src/fleet/row.rs
@@ -5,8 +5,10 @@
 use cactusnotch_base::clock::Instant;
 
 use crate::endpoint::Endpoint;
+use crate::journal::millis;
 use crate::pace::Pace;
 use crate::peer::Load;
+use crate::statement::Statement;
 
 /// How long an agent's word on passes counts; agents repeat it four times a
 /// second.
@@ -38,6 +40,8 @@
     pub(crate) rival: Option<(Endpoint, Instant)>,
     /// Until when it is used though the store no longer names it.
     pub(crate) missing_until: Option<Instant>,
+    /// What it has said of itself last, and when that was heard.
+    said: (Statement, Instant),
 }
 
 impl Row {
@@ -54,6 +58,21 @@
             sought_until: ranked.then(|| now + SEEK_TIME),
             rival: None,
             missing_until: None,
+            said: (Statement::default(), now),
+        }
+    }
+
+    /// Takes what it says of itself in an answer.
+    pub(crate) fn take_statement(&mut self, statement: Statement, now: Instant) {
+        let (before, at) = std::mem::replace(&mut self.said, (statement, now));
+        if before != statement {
+            tracing::info!(
+                endpoint = self.endpoint.id,
+                ?statement,
+                ?before,
+                before_ms = millis(now.saturating_duration_since(at)),
+                "endpoint says something else of itself"
+            );
         }
     }
 
