feat: the log names the rest that an endpoint asks for as it turns a request away

Cause: a 503 of an endpoint stands in the log without the time that it names, so that a request sent there within that time looks like any other.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,11 +17,13 @@
 use crate::decide::{Course, Failure};
 use crate::dialect::Dialect;
 use crate::endpoint::Endpoint;
+use crate::journal::millis;
 use crate::knowledge::Knowledge;
 use crate::pool::{self, Kept, Lease, Reuse};
 use crate::request::Call;
 use crate::route::Repeat;
 use crate::running::Running;
+use crate::statement::Stated;
 
 /// A sound head of an answer, with all that is needed to read the rest.
 #[derive(Debug)]
@@ -236,7 +238,16 @@
         .knowledge
         .take_statement(endpoint, &verdict, sent, clock::now());
     if verdict.refused && !verdict.foreign {
-        let cause = format!("the endpoint refused with {}", head.status);
+        let cause = match verdict.statement.rest {
+            Stated::Value(rest) => format!(
+                "the endpoint refused with {} and asks for {} ms of rest",
+                head.status,
+                millis(rest)
+            ),
+            Stated::Nothing | Stated::Unreadable => {
+                format!("the endpoint refused with {}", head.status)
+            }
+        };
         return Err(Failed::new(Failure::Refused, &cause));
     }
     let doubt = if verdict.foreign {
--- a/crates/gateway/src/statement.rs
+++ b/crates/gateway/src/statement.rs
@@ -1,5 +1,7 @@
 //! What an endpoint says of itself in the head of an answer.
 
+use std::time::Duration;
+
 use crate::rate::Rate;
 
 /// A value in the head of an answer.
@@ -19,4 +21,8 @@
 pub struct Statement {
     /// The requests that it takes from all entries together, for as long as it says so.
     pub limit: Stated<Rate>,
+    /// How long it wants no request from this entry, said as it turns one away.
+    pub rest: Stated<Duration>,
+    /// Whether it takes no new requests since it is about to leave.
+    pub leaving: bool,
 }
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -34,6 +34,7 @@
 fn names(limit: f64) -> Statement {
     Statement {
         limit: Stated::Value(rate(limit)),
+        ..Statement::default()
     }
 }
 
@@ -441,6 +442,7 @@
     let nothing = Statement::default();
     let unreadable = Statement {
         limit: Stated::Unreadable,
+        ..Statement::default()
     };
     throttles.take(ENDPOINT, &names(1.0), true, at(0), at(100));
     // Sent before the limit was heard of; turned away; unreadable.
