fix: endpoints get the rest that they ask for, and nothing once they say that they leave

Callers saw a sixth to two thirds of all streams refused or late for eight seconds, while eleven of sixteen servers turned nothing away. Cause: a refusal sent the request on to another endpoint and left nothing at the one that gave it. That one answers within milliseconds and is reported idle, so that it is the least loaded of those drawn, and gets three times the share of one that serves. That an endpoint leaves was taken from the store alone.

An entry remembers the rest by the endpoint's name; the longest that was asked for counts, ten minutes at most, over listings, connections, reloads and the endpoint's restart, which costs a few seconds of one endpoint. Then one request is sent; the others follow once it is answered without another rest, or a second later. If all endpoints rest the request is refused at once, with the time until the first rest ends. A life that has said that it leaves stays so, whatever listings, outages and later eras of the store say; the next life doesn't. All sends ask in one place.

Ruled out: setting the endpoint aside as after failures (too short, ignored if many are, and ended by any success); telling others of a rest (it is this entry's).

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,10 +1,12 @@
 //! The endpoints that an entry knows, and the choice among them.
 
+mod barrier;
 mod departed;
-mod limits;
+mod farewells;
 mod lives;
 mod row;
 mod sharing;
+mod statements;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,12 +18,15 @@
 };
 use rand::rngs::SmallRng;
 
+pub(crate) use self::barrier::Barrier;
 use self::departed::Departed;
-pub(crate) use self::limits::Barrier;
+use self::farewells::Farewells;
 use self::row::{Row, SILENCE, WORD_TIME};
+pub(crate) use self::statements::Update;
 use crate::configuration::{Engine, Service};
 use crate::endpoint::Endpoint;
 use crate::peer::Load;
+use crate::rest::Rests;
 use crate::throttles::Throttles;
 
 /// The endpoints that are drawn and compared for a request: with all compared,
@@ -63,7 +68,9 @@
     /// When the first of the missing endpoints is to be dropped.
     expires: Option<Instant>,
     departed: Departed,
+    farewells: Farewells,
     throttles: Throttles,
+    rests: Rests,
 }
 
 impl Fleet {
@@ -76,7 +83,9 @@
             shared: Table::new(),
             expires: None,
             departed: Departed::default(),
+            farewells: Farewells::default(),
             throttles: Throttles::new(host),
+            rests: Rests::default(),
         }
     }
 
@@ -139,6 +148,7 @@
             );
             return false;
         }
+        endpoint.leaving |= self.farewells.covers(&endpoint);
         if let Some(known) = self.rows.get_mut(&endpoint.id) {
             known.rival = None;
             endpoint.leaving |= known.endpoint.leaves_beyond(&endpoint);
@@ -343,25 +353,25 @@
 
     /// Gives the router of a service its endpoints anew.
     fn refresh(&mut self, service: &str) {
+        let own = sharing::used(&self.rows).filter(|e| e.service == service);
+        let own: Vec<_> = own
+            .map(|e| (member(e), e.leaving, self.withheld(&e.instance)))
+            .collect();
         let Some(router) = self.routers.get_mut(service) else {
             return;
         };
-        let rows = &self.rows;
-        let own = || sharing::used(rows).filter(|e| e.service == service);
-        let members: Vec<_> = own().map(member).collect();
-        let known: Vec<_> = members
-            .iter()
-            .map(|member| router.state(&member.name))
-            .collect();
+        let known = own.iter().map(|(member, ..)| router.state(&member.name));
+        let known: Vec<_> = known.collect();
+        let members: Vec<_> = own.iter().map(|(member, ..)| member.clone()).collect();
         router.set_members(&members);
-        for ((endpoint, member), known) in own().zip(&members).zip(known) {
+        for ((member, leaving, withheld), known) in own.iter().zip(known) {
             let state = match known {
-                _ if endpoint.leaving => State::Leaving,
+                _ if *leaving => State::Leaving,
                 Some(State::Unreachable) => State::Unreachable,
                 _ => State::Serving,
             };
             router.set_state(&member.name, state);
-            router.withhold(&member.name, self.throttles.withheld(&endpoint.instance));
+            router.withhold(&member.name, *withheld);
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/fleet/barrier.rs
@@ -0,0 +1,116 @@
+//! Which endpoints get no request for now.
+
+use cactusnotch_base::clock::Instant;
+use cactusnotch_base::name;
+use cactusnotch_route::Withheld;
+
+use super::Fleet;
+use crate::endpoint::Endpoint;
+use crate::rate::Rate;
+
+/// Why an endpoint that was chosen gets no request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub(crate) enum Barred {
+    /// It is leaving.
+    #[display("the endpoint began to leave")]
+    Leaving,
+    /// It has asked for rest.
+    #[display("the endpoint rests")]
+    Resting,
+    /// This entry has used its part of the limit.
+    #[display("the endpoint is at its limit")]
+    Limited,
+}
+
+/// The endpoints of a service that get no request for now.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct Barrier {
+    /// Those that rest.
+    pub(crate) resting: usize,
+    /// Those at their limit.
+    pub(crate) limited: usize,
+    /// Those of them whose limit this entry shares.
+    pub(crate) shared: usize,
+    /// The requests a second that all entries together may send to all endpoints that have a
+    /// limit.
+    pub(crate) rate: f64,
+}
+
+impl Fleet {
+    /// Takes that a request is about to be sent to an endpoint, if that may get one. All
+    /// requests come by here, repeated and resumed ones as well.
+    pub(crate) fn admit(&mut self, endpoint: &Endpoint, now: Instant) -> Result<(), Barred> {
+        let instance = endpoint.instance.as_str();
+        if let Some(barred) = self.barred(endpoint, now) {
+            return Err(barred);
+        }
+        self.throttles.send(instance, now);
+        self.rests.send(instance, now);
+        self.withhold(&endpoint.service, &endpoint.id, instance);
+        Ok(())
+    }
+
+    /// Returns why an endpoint gets no request now, if it gets none.
+    fn barred(&self, endpoint: &Endpoint, now: Instant) -> Option<Barred> {
+        let holds = |withheld: Option<Withheld>| withheld.is_some_and(|w| w.holds(now));
+        let instance = endpoint.instance.as_str();
+        if !self.takes_work(&endpoint.id) {
+            Some(Barred::Leaving)
+        } else if holds(self.rests.withheld(instance)) {
+            Some(Barred::Resting)
+        } else if holds(self.throttles.withheld(instance)) {
+            Some(Barred::Limited)
+        } else {
+            None
+        }
+    }
+
+    /// Returns which endpoints of a service get no request for now.
+    pub(crate) fn barrier(&self, service: &str, now: Instant) -> Barrier {
+        let mut barrier = Barrier::default();
+        for endpoint in self.iter().filter(|endpoint| endpoint.service == service) {
+            let instance = endpoint.instance.as_str();
+            let limit = self.throttles.limit(instance);
+            barrier.rate += limit.map_or(0.0, Rate::per_second);
+            match self.barred(endpoint, now) {
+                Some(Barred::Resting) => barrier.resting += 1,
+                Some(Barred::Limited) => {
+                    barrier.limited += 1;
+                    barrier.shared += usize::from(self.throttles.shares(instance));
+                }
+                Some(Barred::Leaving) | None => {}
+            }
+        }
+        barrier
+    }
+
+    /// Tells whether this entry shares the limit of an endpoint.
+    pub(crate) fn shares_limit(&self, instance: &str) -> bool {
+        self.throttles.shares(instance)
+    }
+
+    /// Returns how many endpoints have a limit.
+    pub(crate) fn limited(&self) -> usize {
+        self.throttles.limited()
+    }
+
+    /// Returns how many endpoints rest.
+    pub(crate) fn resting(&self, now: Instant) -> usize {
+        self.rests.resting(now)
+    }
+
+    /// Returns until when an endpoint gets no request.
+    pub(super) fn withheld(&self, instance: &str) -> Option<Withheld> {
+        self.throttles
+            .withheld(instance)
+            .max(self.rests.withheld(instance))
+    }
+
+    /// Has the router withhold requests from an endpoint for as long as that has said.
+    pub(super) fn withhold(&mut self, service: &str, id: &str, instance: &str) {
+        let withheld = self.withheld(instance);
+        if let Some(router) = self.routers.get_mut(service) {
+            router.withhold(&name::Endpoint::new(id), withheld);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/fleet/statements.rs
@@ -0,0 +1,124 @@
+//! What endpoints say of themselves, and what other entries say of it.
+
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
+
+use super::Fleet;
+use crate::endpoint::Endpoint;
+use crate::statement::{Stated, Statement};
+use crate::throttles::{Change, Word};
+
+/// What an answer has changed in what is believed of its endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct Update {
+    /// Its limit.
+    pub(crate) limit: Option<Change>,
+    /// The rest that it is granted from now on.
+    pub(crate) rest: Option<Duration>,
+    /// Whether its rest is over.
+    pub(crate) is_rested: bool,
+    /// Whether it leaves.
+    pub(crate) leaves: bool,
+}
+
+impl Fleet {
+    /// Takes what an endpoint says of itself in its answer to a request that was sent at
+    /// `sent`, and whether it `ran` that.
+    pub(crate) fn take_statement(
+        &mut self,
+        endpoint: &Endpoint,
+        statement: &Statement,
+        ran: bool,
+        sent: Instant,
+        now: Instant,
+    ) -> Update {
+        let instance = endpoint.instance.as_str();
+        let mut update = Update {
+            limit: self.throttles.take(instance, statement, ran, sent, now),
+            leaves: statement.leaving && self.take_farewell(endpoint, now),
+            ..Update::default()
+        };
+        match statement.rest {
+            Stated::Value(rest) => update.rest = self.rests.ask(instance, rest, now),
+            Stated::Nothing => update.is_rested = self.rests.answer(instance, sent),
+            Stated::Unreadable => {}
+        }
+        if update != Update::default() {
+            self.fit(instance);
+        }
+        update
+    }
+
+    /// Takes what another entry says of an endpoint's limit.
+    pub(crate) fn hear_word(&mut self, word: &Word, now: Instant) -> Option<Change> {
+        let throttles = &mut self.throttles;
+        let change = throttles.hear(&word.endpoint, word.limit, word.at, now)?;
+        self.fit(&word.endpoint);
+        Some(change)
+    }
+
+    /// Returns what other entries may need to know of limits.
+    pub(crate) fn words(&self, now: Instant) -> impl Iterator<Item = Word> {
+        self.throttles.words(now)
+    }
+
+    /// Takes the hosts of all entries, which share limits.
+    pub(crate) fn set_entries(&mut self, entries: &[&str], now: Instant) {
+        if self.throttles.set_entries(entries, now) {
+            self.fit_all();
+        }
+    }
+
+    /// Forgets limits and rests of which nothing has been heard for long.
+    pub(crate) fn expire_statements(&mut self, now: Instant) {
+        let limits = self.throttles.expire(now);
+        let rests = self.rests.expire(now);
+        if limits || rests {
+            self.fit_all();
+        }
+    }
+
+    /// Takes that an endpoint says that it leaves; tells whether that was not known.
+    fn take_farewell(&mut self, endpoint: &Endpoint, now: Instant) -> bool {
+        let is_new = self.farewells.note(endpoint, now);
+        let known = self.rows.get_mut(&endpoint.id);
+        let Some(row) = known.filter(|row| !row.endpoint.leaving) else {
+            return is_new;
+        };
+        row.endpoint.leaving = true;
+        self.refresh(&endpoint.service);
+        true
+    }
+
+    /// Fits the choice of all endpoints to what they have said.
+    fn fit_all(&mut self) {
+        let known = self.iter().map(|endpoint| endpoint.instance.clone());
+        let known: Vec<_> = known.collect();
+        for instance in known {
+            self.fit(&instance);
+        }
+    }
+
+    /// Fits the choice of an endpoint to what it has said. One whose limit this entry shares is
+    /// used for as long, also if it belongs to a large service and wasn't chosen: few others
+    /// share it.
+    fn fit(&mut self, instance: &str) {
+        let is_shared = self.throttles.shares(instance);
+        let mut changed = None;
+        for (_, row) in self.rows.iter_mut() {
+            if row.endpoint.instance == instance && row.shares_limit != is_shared {
+                row.shares_limit = is_shared;
+                changed = Some(row.endpoint.service.clone());
+            }
+        }
+        if let Some(service) = changed {
+            self.refresh(&service);
+        }
+        let lives = self.iter().filter(|endpoint| endpoint.instance == instance);
+        let lives: Vec<_> = lives.map(|e| (e.service.clone(), e.id.clone())).collect();
+        for (service, id) in lives {
+            self.withhold(&service, &id, instance);
+        }
+    }
+}
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -1,9 +1,9 @@
 //! Everything that an entry believes, shared between its tasks.
 
 mod era;
-mod limits;
 mod outage;
 mod proof;
+mod statements;
 mod suspects;
 
 use std::cell::{Cell, RefCell};
@@ -213,13 +213,13 @@
             Err(error) => self.take_unreadable(kind, &name, position, &error, now),
             Ok(Some(Item::Configuration(new))) => self.take_configuration(*new, position),
             Ok(Some(Item::Endpoint(endpoint))) => {
-                let (leaving, service) = (endpoint.leaving, endpoint.service.clone());
-                let id = endpoint.id.clone();
-                if self.fleet.borrow_mut().insert(endpoint, now) {
+                let (service, id) = (endpoint.service.clone(), endpoint.id.clone());
+                let mut fleet = self.fleet.borrow_mut();
+                if fleet.insert(endpoint, now) {
                     tracing::info!(
                         endpoint = id,
                         service,
-                        leaving,
+                        leaving = !fleet.takes_work(&id),
                         %position,
                         "endpoint known"
                     );
@@ -376,7 +376,7 @@
         self.share();
         let entries = self.peers.borrow().count();
         let known = self.listed.get().1;
-        self.divide_limits(known, now);
+        self.tend_statements(known, now);
         let slack = self.options.borrow().retry_slack;
         let allowance = if known { slack / (2 * entries) } else { 0 };
         self.budgets.borrow_mut().allow(allowance);
--- a/crates/gateway/src/knowledge/limits.rs
+++ b/crates/gateway/src/knowledge/statements.rs
@@ -1,4 +1,4 @@
-//! What an entry does about endpoints that name a limit.
+//! What an entry does about what endpoints say of themselves.
 
 use std::time::Duration;
 
@@ -11,10 +11,10 @@
 use crate::allotment;
 use crate::dialect::Verdict;
 use crate::endpoint::Endpoint;
-use crate::fleet::Barrier;
+use crate::fleet::{Barrier, Update};
 use crate::journal::millis;
 use crate::rate::Rate;
-use crate::statement::Stated;
+use crate::statement::{Stated, Statement};
 use crate::throttles::{Change, Word};
 
 /// The most words that are told at once: with some 50 bytes each, a datagram each half second
@@ -23,7 +23,7 @@
 
 impl Knowledge {
     /// Takes what an endpoint says of itself in its answer to a request that was sent at
-    /// `sent`, and has other entries told what is new.
+    /// `sent`, and has other entries told what is new of its limit.
     pub(crate) fn take_statement(
         &self,
         endpoint: &Endpoint,
@@ -31,17 +31,16 @@
         sent: Option<Instant>,
         now: Instant,
     ) {
-        let statement = &verdict.statement;
-        if statement.limit == Stated::Unreadable {
-            self.complain_of_limit(endpoint);
-        }
+        self.complain(endpoint, &verdict.statement);
         let ran = verdict.signed && !verdict.refused && !verdict.foreign;
         let sent = sent.unwrap_or(now);
         let mut fleet = self.fleet.borrow_mut();
-        let Some(change) = fleet.take_statement(endpoint, statement, ran, sent, now) else {
+        let update = fleet.take_statement(endpoint, &verdict.statement, ran, sent, now);
+        drop(fleet);
+        note(endpoint, &update, &verdict.statement);
+        let Some(change) = update.limit else {
             return;
         };
-        drop(fleet);
         let word = Word {
             endpoint: endpoint.instance.clone(),
             limit: change.after,
@@ -85,34 +84,41 @@
     ) -> Duration {
         let now = clock::now();
         let fleet = self.fleet.borrow();
-        let Barrier { limited, shared } = fleet.barrier(service, now);
-        let sum = fleet.limit_sum(service);
-        let own = first.filter(|_| shared > 0);
+        let Barrier {
+            resting,
+            limited,
+            shared,
+            rate,
+        } = fleet.barrier(service, now);
+        let own = first.filter(|_| resting + shared > 0);
+        let own = own.map(|first| first.saturating_duration_since(now));
         // Another entry that the caller comes to may have what this one lacks.
-        let spacing = || Rate::new(sum).map_or(Duration::ZERO, allotment::spacing);
-        let wait = own.map_or_else(spacing, |first| first.saturating_duration_since(now));
+        let other = Rate::new(rate).filter(|_| limited > shared);
+        let other = other.map(allotment::spacing);
+        let wait = own.into_iter().chain(other).min().unwrap_or_default();
         tracing::info!(
             id,
             service,
+            resting,
             limited,
             shared,
-            limit_sum = sum,
+            rate,
             wait_ms = millis(wait),
-            "request kept from endpoints at their limits"
+            "request kept from endpoints that take no more"
         );
         metrics::counter!(metric::GATEWAY_THROTTLED).increment(1);
         wait
     }
 
-    /// Divides limits among the entries that are known, if all are known.
-    pub(super) fn divide_limits(&self, known: bool, now: Instant) {
+    /// Forgets what is past its time, and divides limits among the entries if all are known.
+    pub(super) fn tend_statements(&self, known: bool, now: Instant) {
         let mut fleet = self.fleet.borrow_mut();
-        fleet.expire_limits(now);
+        fleet.expire_statements(now);
         if known {
             fleet.set_entries(&self.peers.borrow().hosts(), now);
         }
         drop(fleet);
-        self.gauge_limits();
+        self.gauge(now);
     }
 
     fn note_limit(&self, word: &Word, change: Change, source: &str, now: Instant) {
@@ -130,21 +136,55 @@
             shared,
             "endpoint's limit"
         );
-        self.gauge_limits();
     }
 
-    fn complain_of_limit(&self, endpoint: &Endpoint) {
-        let mut complaints = self.complaints.borrow_mut();
-        if complaints.is_new(&endpoint.instance, UNREADABLE) {
-            tracing::warn!(endpoint = endpoint.instance, UNREADABLE);
+    /// Writes once for each endpoint what it says that can't be read.
+    fn complain(&self, endpoint: &Endpoint, statement: &Statement) {
+        let limit = (statement.limit == Stated::Unreadable).then_some("limit");
+        let rest = (statement.rest == Stated::Unreadable).then_some("rest");
+        for what in limit.into_iter().chain(rest) {
+            if self
+                .complaints
+                .borrow_mut()
+                .is_new(&endpoint.instance, what)
+            {
+                let endpoint = endpoint.id.as_str();
+                tracing::warn!(
+                    endpoint,
+                    what,
+                    "endpoint says something of itself that is no number"
+                );
+            }
         }
     }
 
-    fn gauge_limits(&self) {
-        let limited = self.fleet.borrow().limited();
-        let limited = u32::try_from(limited).unwrap_or(u32::MAX);
-        metrics::gauge!(metric::GATEWAY_LIMITED).set(limited);
+    fn gauge(&self, now: Instant) {
+        let fleet = self.fleet.borrow();
+        let number = |endpoints: usize| u32::try_from(endpoints).unwrap_or(u32::MAX);
+        metrics::gauge!(metric::GATEWAY_LIMITED).set(number(fleet.limited()));
+        metrics::gauge!(metric::GATEWAY_RESTING).set(number(fleet.resting(now)));
     }
 }
 
-const UNREADABLE: &str = "endpoint names a limit that is no number, which changes nothing";
+/// Writes what an answer has changed of an endpoint's rest and leaving.
+fn note(endpoint: &Endpoint, update: &Update, statement: &Statement) {
+    let endpoint = endpoint.id.as_str();
+    if let Some(rest) = update.rest {
+        let asked_ms = match statement.rest {
+            Stated::Value(asked) => Some(millis(asked)),
+            Stated::Nothing | Stated::Unreadable => None,
+        };
+        tracing::info!(
+            endpoint,
+            ms = millis(rest),
+            asked_ms,
+            "endpoint asks for rest"
+        );
+    }
+    if update.is_rested {
+        tracing::info!(endpoint, "endpoint's rest is over");
+    }
+    if update.leaves {
+        tracing::info!(endpoint, "endpoint says that it leaves");
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -63,6 +63,7 @@
 mod registration;
 mod renewal;
 mod request;
+pub mod rest;
 mod running;
 mod server;
 pub mod share;
--- a/crates/gateway/src/throttles.rs
+++ b/crates/gateway/src/throttles.rs
@@ -163,16 +163,11 @@
         self.rows.get(endpoint)?.withheld()
     }
 
-    /// Takes that a request is sent to an endpoint; returns whether it may be.
-    pub fn send(&mut self, endpoint: &str, now: Instant) -> bool {
-        let Some(row) = self.rows.get_mut(endpoint) else {
-            return true;
-        };
-        if row.withheld().is_some_and(|withheld| withheld.holds(now)) {
-            return false;
+    /// Takes that a request is sent to an endpoint.
+    pub fn send(&mut self, endpoint: &str, now: Instant) {
+        if let Some(row) = self.rows.get_mut(endpoint) {
+            row.send(now);
         }
-        row.send(now);
-        true
     }
 
     /// Returns what other entries may need to know.
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -50,6 +50,16 @@
     throttles
 }
 
+/// Sends a request if the endpoint may have one; returns whether it may.
+fn send(throttles: &mut Throttles, now: Instant) -> bool {
+    let withheld = throttles.withheld(ENDPOINT);
+    let may = !withheld.is_some_and(|withheld| withheld.holds(now));
+    if may {
+        throttles.send(ENDPOINT, now);
+    }
+    may
+}
+
 #[test]
 fn parts_add_up_to_the_limit() {
     for entries in SIZES {
@@ -79,9 +89,9 @@
     let mut alone = Throttles::new("edge-0");
     alone.take(ENDPOINT, &names(5.0), true, now, now);
     assert_eq!(alone.withheld(ENDPOINT), Some(Withheld::Indefinitely));
-    assert!(!alone.send(ENDPOINT, now + 60 * SECOND));
+    assert!(!send(&mut alone, now + 60 * SECOND));
     alone.set_entries(&["edge-0"], now + SECOND);
-    assert!(alone.send(ENDPOINT, now + 2 * SECOND));
+    assert!(send(&mut alone, now + 2 * SECOND));
 }
 
 /// One entry of a run.
@@ -194,7 +204,7 @@
         let wants = self
             .rng
             .random_bool((self.demand * STEP.as_secs_f64()).min(1.0));
-        if wants && entry.throttles.send(ENDPOINT, now) {
+        if wants && send(&mut entry.throttles, now) {
             entry.arriving.push((now + TRANSIT, now));
         }
         if let Some(word) = told {
@@ -428,8 +438,7 @@
         throttles.hear(ENDPOINT, Some(rate(2.0)), now, now);
     }
     let late = now + 40 * SECOND;
-    let sent =
-        |throttles: &mut Throttles| (0..10).filter(|_| throttles.send(ENDPOINT, late)).count();
+    let sent = |throttles: &mut Throttles| (0..10).filter(|_| send(throttles, late)).count();
     let at_once: Vec<_> = all.iter_mut().map(sent).collect();
     assert_eq!(at_once, [1; 6]);
 }
@@ -485,7 +494,7 @@
     let host = hosts.iter().find(without).expect("nine of 149 share it");
     let mut throttles = throttles(host, &hosts, now);
     throttles.hear(ENDPOINT, Some(rate(1.0)), now, now);
-    assert!(!throttles.send(ENDPOINT, now + 59 * SECOND));
+    assert!(!send(&mut throttles, now + 59 * SECOND));
     // A word in between, which changes nothing else.
     throttles.hear(
         ENDPOINT,
@@ -493,10 +502,10 @@
         now + 30 * SECOND,
         now + 30 * SECOND,
     );
-    assert!(!throttles.send(ENDPOINT, now + 70 * SECOND));
+    assert!(!send(&mut throttles, now + 70 * SECOND));
     let late = now + 90 * SECOND + 149 * SECOND;
-    assert!(throttles.send(ENDPOINT, late));
-    assert!(!throttles.send(ENDPOINT, late + 100 * SECOND));
+    assert!(send(&mut throttles, late));
+    assert!(!send(&mut throttles, late + 100 * SECOND));
 }
 
 #[test]
--- a/crates/route/src/withheld.rs
+++ b/crates/route/src/withheld.rs
@@ -2,8 +2,9 @@
 
 use cactusnotch_base::clock::Instant;
 
-/// Until when an endpoint that serves gets no request from this entry.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// Until when an endpoint that serves gets no request from this entry. The longer of two is
+/// the greater one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Withheld {
     /// Until that moment.
     Until(Instant),
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -93,6 +93,8 @@
         "Time from a request's arrival to the end of its answer.";
     GATEWAY_REQUESTS = "cactusnotch_gateway_requests_total", Counter, Count, [],
         "Requests that were let in and have ended.";
+    GATEWAY_RESTING = "cactusnotch_gateway_resting_endpoints", Gauge, Count, [],
+        "Endpoints that this entry sends nothing to, since they have asked it for rest.";
     GATEWAY_ERAS = "cactusnotch_gateway_store_eras_total", Counter, Count, [],
         "Times that the store was found to have come back from an older copy, or to have done so before the start.";
     GATEWAY_MOVED = "cactusnotch_gateway_streams_moved_total", Counter, Count, [],
