refactor: what endpoints in need take is decided in a crate of its own

Below the entry that calls endpoints directly and the agent that stands beside one: both hear what endpoints say of themselves, and one copy decides.

--- a/crates/gateway/src/alarms.rs
+++ b/crates/gateway/src/alarms.rs
@@ -14,8 +14,8 @@
 use crate::listing;
 use crate::peer::{self, Datagram};
 use crate::quarantine::Crash;
-use crate::rate::Rate;
-use crate::throttles::Word;
+use cactusnotch_throttle::Rate;
+use cactusnotch_throttle::limits::Word;
 
 /// How often the entry that saw a crash tells all others, half a second apart: where one
 /// datagram in 30 is lost, one entry in 27,000 hears of it only from others.
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -7,7 +7,7 @@
 use cactusnotch_derive::record;
 use http::{HeaderMap, Uri};
 
-use crate::statement::Statement;
+use cactusnotch_throttle::Statement;
 
 /// What a caller's headers say, in the product's terms.
 #[record]
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -23,7 +23,7 @@
 use crate::request::Call;
 use crate::route::Repeat;
 use crate::running::Running;
-use crate::statement::Stated;
+use cactusnotch_throttle::Stated;
 
 /// A sound head of an answer, with all that is needed to read the rest.
 #[derive(Debug)]
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -26,8 +26,7 @@
 use crate::configuration::{Engine, Service};
 use crate::endpoint::Endpoint;
 use crate::peer::Load;
-use crate::rest::Rests;
-use crate::throttles::Throttles;
+use cactusnotch_throttle::{Limits, Rests};
 
 /// The endpoints that are drawn and compared for a request: with all compared,
 /// many entries send to the same idlest one at once.
@@ -69,7 +68,7 @@
     expires: Option<Instant>,
     departed: Departed,
     farewells: Farewells,
-    throttles: Throttles,
+    limits: Limits,
     rests: Rests,
 }
 
@@ -84,7 +83,7 @@
             expires: None,
             departed: Departed::default(),
             farewells: Farewells::default(),
-            throttles: Throttles::new(host),
+            limits: Limits::new(host),
             rests: Rests::default(),
         }
     }
@@ -166,7 +165,7 @@
         let ranked = self.ranked.binary_search(&service).is_ok();
         // One that is new to a shared service is used once it was chosen.
         let used = !self.shared.contains(&service);
-        let shares_limit = self.throttles.shares(&endpoint.instance);
+        let shares_limit = self.limits.shares(&endpoint.instance);
         let id = endpoint.id.clone();
         let row = self
             .rows
--- a/crates/gateway/src/fleet/barrier.rs
+++ b/crates/gateway/src/fleet/barrier.rs
@@ -6,7 +6,7 @@
 
 use super::Fleet;
 use crate::endpoint::Endpoint;
-use crate::rate::Rate;
+use cactusnotch_throttle::Rate;
 
 /// Why an endpoint that was chosen gets no request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
@@ -44,7 +44,7 @@
         if let Some(barred) = self.barred(endpoint, now) {
             return Err(barred);
         }
-        self.throttles.send(instance, now);
+        self.limits.send(instance, now);
         self.rests.send(instance, now);
         self.withhold(&endpoint.service, &endpoint.id, instance);
         Ok(())
@@ -58,7 +58,7 @@
             Some(Barred::Leaving)
         } else if holds(self.rests.withheld(instance)) {
             Some(Barred::Resting)
-        } else if holds(self.throttles.withheld(instance)) {
+        } else if holds(self.limits.withheld(instance)) {
             Some(Barred::Limited)
         } else {
             None
@@ -70,13 +70,13 @@
         let mut barrier = Barrier::default();
         for endpoint in self.iter().filter(|endpoint| endpoint.service == service) {
             let instance = endpoint.instance.as_str();
-            let limit = self.throttles.limit(instance);
+            let limit = self.limits.rate(instance);
             barrier.rate += limit.map_or(0.0, Rate::per_second);
             match self.barred(endpoint, now) {
                 Some(Barred::Resting) => barrier.resting += 1,
                 Some(Barred::Limited) => {
                     barrier.limited += 1;
-                    barrier.shared += usize::from(self.throttles.shares(instance));
+                    barrier.shared += usize::from(self.limits.shares(instance));
                 }
                 Some(Barred::Leaving) | None => {}
             }
@@ -86,12 +86,12 @@
 
     /// Tells whether this entry shares the limit of an endpoint.
     pub(crate) fn shares_limit(&self, instance: &str) -> bool {
-        self.throttles.shares(instance)
+        self.limits.shares(instance)
     }
 
     /// Returns how many endpoints have a limit.
     pub(crate) fn limited(&self) -> usize {
-        self.throttles.limited()
+        self.limits.limited()
     }
 
     /// Returns how many endpoints rest.
@@ -101,7 +101,7 @@
 
     /// Returns until when an endpoint gets no request.
     pub(super) fn withheld(&self, instance: &str) -> Option<Withheld> {
-        self.throttles
+        self.limits
             .withheld(instance)
             .max(self.rests.withheld(instance))
     }
--- a/crates/gateway/src/fleet/statements.rs
+++ b/crates/gateway/src/fleet/statements.rs
@@ -6,8 +6,8 @@
 
 use super::Fleet;
 use crate::endpoint::Endpoint;
-use crate::statement::{Stated, Statement};
-use crate::throttles::{Change, Word};
+use cactusnotch_throttle::limits::{Change, Word};
+use cactusnotch_throttle::{Stated, Statement};
 
 /// What an answer has changed in what is believed of its endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -35,7 +35,7 @@
     ) -> Update {
         let instance = endpoint.instance.as_str();
         let mut update = Update {
-            limit: self.throttles.take(instance, statement, ran, sent, now),
+            limit: self.limits.take(instance, statement, ran, sent, now),
             leaves: statement.leaving && self.take_farewell(endpoint, now),
             ..Update::default()
         };
@@ -52,27 +52,27 @@
 
     /// Takes what another entry says of an endpoint's limit.
     pub(crate) fn hear_word(&mut self, word: &Word, now: Instant) -> Option<Change> {
-        let throttles = &mut self.throttles;
-        let change = throttles.hear(&word.endpoint, word.limit, word.at, now)?;
+        let limits = &mut self.limits;
+        let change = limits.hear(&word.endpoint, word.limit, word.at, now)?;
         self.fit(&word.endpoint);
         Some(change)
     }
 
     /// Returns what other entries may need to know of limits.
     pub(crate) fn words(&self, now: Instant) -> impl Iterator<Item = Word> {
-        self.throttles.words(now)
+        self.limits.words(now)
     }
 
     /// Takes the hosts of all entries, which share limits.
     pub(crate) fn set_entries(&mut self, entries: &[&str], now: Instant) {
-        if self.throttles.set_entries(entries, now) {
+        if self.limits.set_entries(entries, now) {
             self.fit_all();
         }
     }
 
     /// Forgets limits and rests of which nothing has been heard for long.
     pub(crate) fn expire_statements(&mut self, now: Instant) {
-        let limits = self.throttles.expire(now);
+        let limits = self.limits.expire(now);
         let rests = self.rests.expire(now);
         if limits || rests {
             self.fit_all();
@@ -104,7 +104,7 @@
     /// used for as long, also if it belongs to a large service and wasn't chosen: few others
     /// share it.
     fn fit(&mut self, instance: &str) {
-        let is_shared = self.throttles.shares(instance);
+        let is_shared = self.limits.shares(instance);
         let mut changed = None;
         for (_, row) in self.rows.iter_mut() {
             if row.endpoint.instance == instance && row.shares_limit != is_shared {
--- a/crates/gateway/src/knowledge/statements.rs
+++ b/crates/gateway/src/knowledge/statements.rs
@@ -8,14 +8,14 @@
 
 use super::Knowledge;
 use crate::alarms::Alarm;
-use crate::allotment;
 use crate::dialect::Verdict;
 use crate::endpoint::Endpoint;
 use crate::fleet::{Barrier, Update};
 use crate::journal::millis;
-use crate::rate::Rate;
-use crate::statement::{Stated, Statement};
-use crate::throttles::{Change, Word};
+use cactusnotch_throttle::Rate;
+use cactusnotch_throttle::allotment;
+use cactusnotch_throttle::limits::{Change, Word};
+use cactusnotch_throttle::{Stated, Statement};
 
 /// The most words that are told at once: with some 50 bytes each, a datagram each half second
 /// that takes a quarter of what an entry may spend on control.
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -9,9 +9,9 @@
 
 use crate::content::Content;
 use crate::endpoint::Born;
-use crate::rate::Rate;
-use crate::throttles::Word;
 use crate::{Endpoint, Pace};
+use cactusnotch_throttle::Rate;
+use cactusnotch_throttle::limits::Word;
 
 /// What an agent measured of its own endpoint.
 #[message]
--- a/crates/gateway/src/allotment.rs
+++ b/crates/throttle/src/allotment.rs
@@ -11,7 +11,7 @@
 use cactusnotch_derive::record;
 use cactusnotch_route::rendezvous;
 
-use crate::rate::Rate;
+use crate::Rate;
 
 /// What an endpoint that names a limit bears in any [`WINDOW`]: half more than the limit
 /// allows, and [`SLACK`] requests.
--- a/crates/gateway/src/throttle.rs
+++ b/crates/throttle/src/limit.rs
@@ -5,8 +5,8 @@
 use cactusnotch_base::clock::Instant;
 use cactusnotch_route::Withheld;
 
-use crate::allotment::Allotment;
-use crate::rate::Rate;
+use crate::Allotment;
+use crate::Rate;
 
 /// How long a word on a limit counts without another one. Holders hear the endpoint's answers
 /// and pass them on; an entry that has been told nothing for so long asks the endpoint itself.
@@ -14,8 +14,9 @@
 
 /// The rate limit of one endpoint, as an entry believes it.
 #[derive(Debug, Clone)]
-pub struct Throttle {
-    limit: Option<Rate>,
+pub struct Limit {
+    /// The requests a second, none once the limit is over.
+    rate: Option<Rate>,
     /// When the newest word was given: on a limit, when the answer came; on none, when the
     /// request was sent that was answered without one.
     at: Instant,
@@ -26,11 +27,11 @@
     last: Option<Instant>,
 }
 
-impl Throttle {
+impl Limit {
     /// Creates what the first word says.
-    pub(crate) const fn new(limit: Option<Rate>, at: Instant) -> Self {
+    pub(crate) const fn new(rate: Option<Rate>, at: Instant) -> Self {
         Self {
-            limit,
+            rate,
             at,
             allotment: None,
             since: at,
@@ -38,10 +39,10 @@
         }
     }
 
-    /// Returns the limit.
+    /// Returns the requests a second, none if the limit is over.
     #[must_use]
-    pub const fn limit(&self) -> Option<Rate> {
-        self.limit
+    pub const fn rate(&self) -> Option<Rate> {
+        self.rate
     }
 
     /// Returns when the newest word was given.
@@ -53,15 +54,15 @@
     /// Tells whether this entry shares the limit.
     #[must_use]
     pub fn is_shared(&self) -> bool {
-        self.limit.is_some() && self.allotment.is_some_and(|allotment| allotment.is_holder)
+        self.rate.is_some() && self.allotment.is_some_and(|allotment| allotment.is_holder)
     }
 
     /// Takes a word that is newer than the known one; of two at one moment the one on a limit
     /// counts.
-    pub(crate) fn hear(&mut self, limit: Option<Rate>, at: Instant) -> bool {
-        let is_newer = at > self.at || (at == self.at && limit.is_some());
+    pub(crate) fn hear(&mut self, rate: Option<Rate>, at: Instant) -> bool {
+        let is_newer = at > self.at || (at == self.at && rate.is_some());
         if is_newer {
-            (self.limit, self.at) = (limit, at);
+            (self.rate, self.at) = (rate, at);
         }
         is_newer
     }
@@ -79,7 +80,7 @@
     /// Returns until when the endpoint gets no request.
     #[must_use]
     pub fn withheld(&self) -> Option<Withheld> {
-        self.limit?;
+        self.rate?;
         let Some(allotment) = self.allotment else {
             return Some(Withheld::Indefinitely);
         };
--- a/crates/gateway/src/throttles.rs
+++ b/crates/throttle/src/limits.rs
@@ -6,10 +6,8 @@
 use cactusnotch_base::clock::Instant;
 use cactusnotch_route::Withheld;
 
-use crate::allotment::Allotment;
-use crate::rate::Rate;
-use crate::statement::{Stated, Statement};
-use crate::throttle::{Throttle, WORD_TIME};
+use crate::limit::{Limit, WORD_TIME};
+use crate::{Allotment, Rate, Stated, Statement};
 
 /// How long a limit is believed of an endpoint that gets no request.
 const FORGET_TIME: Duration = Duration::from_mins(10);
@@ -18,11 +16,11 @@
 
 /// The endpoints that take fewer requests than usual, by their names.
 #[derive(Debug, Default)]
-pub struct Throttles {
+pub struct Limits {
     host: String,
     /// The hosts of all entries, none before they are known.
     entries: Vec<String>,
-    rows: Table<String, Throttle>,
+    rows: Table<String, Limit>,
 }
 
 /// A limit that is believed from now on instead of another.
@@ -57,7 +55,7 @@
     pub at: Instant,
 }
 
-impl Throttles {
+impl Limits {
     /// Creates the table of the entry on `host`.
     #[must_use]
     pub fn new(host: &str) -> Self {
@@ -77,7 +75,7 @@
         }
         self.entries = entries;
         for (endpoint, row) in self.rows.iter_mut() {
-            let allotment = allotment(&self.host, &self.entries, endpoint, row.limit());
+            let allotment = allotment(&self.host, &self.entries, endpoint, row.rate());
             row.set_allotment(allotment, now);
         }
         true
@@ -115,14 +113,14 @@
         if now.saturating_duration_since(at) > WORD_TIME {
             return None;
         }
-        let before = self.limit(endpoint);
+        let before = self.rate(endpoint);
         if let Some(row) = self.rows.get_mut(endpoint) {
             if !row.hear(limit, at) {
                 return None;
             }
         } else {
             self.make_room();
-            let row = Throttle::new(limit, at);
+            let row = Limit::new(limit, at);
             self.rows.insert(endpoint.to_owned(), row);
         }
         if before == limit {
@@ -140,21 +138,21 @@
 
     /// Returns the limit of an endpoint, if it has one.
     #[must_use]
-    pub fn limit(&self, endpoint: &str) -> Option<Rate> {
-        self.rows.get(endpoint)?.limit()
+    pub fn rate(&self, endpoint: &str) -> Option<Rate> {
+        self.rows.get(endpoint)?.rate()
     }
 
     /// Returns how many endpoints have a limit.
     #[must_use]
     pub fn limited(&self) -> usize {
         let rows = self.rows.values();
-        rows.filter(|row| row.limit().is_some()).count()
+        rows.filter(|row| row.rate().is_some()).count()
     }
 
     /// Tells whether this entry shares the limit of an endpoint.
     #[must_use]
     pub fn shares(&self, endpoint: &str) -> bool {
-        self.rows.get(endpoint).is_some_and(Throttle::is_shared)
+        self.rows.get(endpoint).is_some_and(Limit::is_shared)
     }
 
     /// Returns until when an endpoint gets no request from this entry.
@@ -176,7 +174,7 @@
         let rows = self.rows.iter().filter(move |(_, row)| is_new(row.at()));
         rows.map(|(endpoint, row)| Word {
             endpoint: endpoint.clone(),
-            limit: row.limit(),
+            limit: row.rate(),
             at: row.at(),
         })
     }
@@ -185,7 +183,7 @@
     pub fn expire(&mut self, now: Instant) -> bool {
         let before = self.rows.len();
         self.rows.retain(|_, row| {
-            let most = if row.limit().is_some() {
+            let most = if row.rate().is_some() {
                 FORGET_TIME
             } else {
                 WORD_TIME
--- a/crates/gateway/src/statement.rs
+++ b/crates/throttle/src/statement.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::rate::Rate;
+use crate::Rate;
 
 /// A value in the head of an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
--- a/crates/gateway/tests/limits.rs
+++ b/crates/throttle/tests/limits.rs
@@ -7,11 +7,9 @@
 use std::time::Duration;
 
 use cactusnotch_base::clock::{self, Instant};
-use cactusnotch_gateway::allotment::Allotment;
-use cactusnotch_gateway::rate::Rate;
-use cactusnotch_gateway::statement::{Stated, Statement};
-use cactusnotch_gateway::throttles::{Throttles, Word};
 use cactusnotch_route::Withheld;
+use cactusnotch_throttle::limits::Word;
+use cactusnotch_throttle::{Allotment, Limits, Rate, Stated, Statement};
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
@@ -43,19 +41,19 @@
     6.0 * limit + 5.0
 }
 
-fn throttles(host: &str, entries: &[String], now: Instant) -> Throttles {
-    let mut throttles = Throttles::new(host);
+fn limits(host: &str, entries: &[String], now: Instant) -> Limits {
+    let mut limits = Limits::new(host);
     let entries: Vec<_> = entries.iter().map(String::as_str).collect();
-    throttles.set_entries(&entries, now);
-    throttles
+    limits.set_entries(&entries, now);
+    limits
 }
 
 /// Sends a request if the endpoint may have one; returns whether it may.
-fn send(throttles: &mut Throttles, now: Instant) -> bool {
-    let withheld = throttles.withheld(ENDPOINT);
+fn send(limits: &mut Limits, now: Instant) -> bool {
+    let withheld = limits.withheld(ENDPOINT);
     let may = !withheld.is_some_and(|withheld| withheld.holds(now));
     if may {
-        throttles.send(ENDPOINT, now);
+        limits.send(ENDPOINT, now);
     }
     may
 }
@@ -86,7 +84,7 @@
 fn an_entry_that_is_not_listed_has_no_part() {
     let now = clock::now();
     assert_eq!(Allotment::of("new", &hosts(6), ENDPOINT, rate(1.0)), None);
-    let mut alone = Throttles::new("edge-0");
+    let mut alone = Limits::new("edge-0");
     alone.take(ENDPOINT, &names(5.0), true, now, now);
     assert_eq!(alone.withheld(ENDPOINT), Some(Withheld::Indefinitely));
     assert!(!send(&mut alone, now + 60 * SECOND));
@@ -97,7 +95,7 @@
 /// One entry of a run.
 struct Entry {
     host: String,
-    throttles: Throttles,
+    limits: Limits,
     /// The requests under way: when they arrive at the endpoint or when their answers come.
     arriving: Vec<(Instant, Instant)>,
     answers: Vec<(Instant, Instant, Statement)>,
@@ -131,7 +129,7 @@
         let hosts = hosts(entries);
         let entry = |host: &String| Entry {
             host: host.clone(),
-            throttles: throttles(host, &hosts, start),
+            limits: limits(host, &hosts, start),
             arriving: Vec::new(),
             answers: Vec::new(),
             words: Vec::new(),
@@ -171,9 +169,7 @@
     fn step(&mut self, at: usize, said: Statement) {
         let (now, entry) = (self.now, &mut self.entries[at]);
         for (_, word) in entry.words.extract_if(.., |(due, _)| *due <= now) {
-            entry
-                .throttles
-                .hear(&word.endpoint, word.limit, word.at, now);
+            entry.limits.hear(&word.endpoint, word.limit, word.at, now);
         }
         let arriving: Vec<_> = entry
             .arriving
@@ -190,7 +186,7 @@
             .collect();
         let mut told = None;
         for (_, sent, said) in answers {
-            let change = entry.throttles.take(ENDPOINT, &said, true, sent, now);
+            let change = entry.limits.take(ENDPOINT, &said, true, sent, now);
             if let Some(change) = change.filter(|change| change.is_urgent()) {
                 let at = if change.after.is_some() { now } else { sent };
                 let (endpoint, limit) = (ENDPOINT.to_owned(), change.after);
@@ -204,7 +200,7 @@
         let wants = self
             .rng
             .random_bool((self.demand * STEP.as_secs_f64()).min(1.0));
-        if wants && send(&mut entry.throttles, now) {
+        if wants && send(&mut entry.limits, now) {
             entry.arriving.push((now + TRANSIT, now));
         }
         if let Some(word) = told {
@@ -229,7 +225,7 @@
             let to = (0..self.entries.len())
                 .filter(|&to| to != at)
                 .choose(&mut self.rng);
-            let words: Vec<_> = self.entries[at].throttles.words(self.now).collect();
+            let words: Vec<_> = self.entries[at].limits.words(self.now).collect();
             for word in words {
                 if let Some(to) = to {
                     self.tell(at, to, &word);
@@ -256,7 +252,7 @@
     }
 
     fn all_may_send(&self) -> bool {
-        let free = |entry: &Entry| entry.throttles.withheld(ENDPOINT).is_none();
+        let free = |entry: &Entry| entry.limits.withheld(ENDPOINT).is_none();
         self.entries.iter().all(free)
     }
 }
@@ -345,7 +341,7 @@
         let mut run = Run::new(entries, 4);
         run.loss = 0.5;
         run.pass(20 * SECOND, |_| Some(1.0));
-        let limited = |entry: &Entry| entry.throttles.limit(ENDPOINT) == Some(rate(1.0));
+        let limited = |entry: &Entry| entry.limits.rate(ENDPOINT) == Some(rate(1.0));
         assert!(run.entries.iter().all(limited));
         run.pass(20 * SECOND, |_| None);
         assert!(run.all_may_send());
@@ -384,9 +380,9 @@
         run.pass(10 * SECOND, |_| Some(1.0));
         let now = run.now;
         let host = run.entries[at].host.clone();
-        run.entries[at].throttles = throttles(&host, &hosts(6), now);
+        run.entries[at].limits = limits(&host, &hosts(6), now);
         run.pass(SECOND, |_| Some(1.0));
-        assert_eq!(run.entries[at].throttles.limit(ENDPOINT), Some(rate(1.0)));
+        assert_eq!(run.entries[at].limits.rate(ENDPOINT), Some(rate(1.0)));
     }
     let most = run.most(3 * SECOND);
     assert!(most <= borne(1.0), "{most} in 4 s");
@@ -405,11 +401,11 @@
                 let list: Vec<_> = all[1..].iter().map(String::as_str).collect();
                 let list: Vec<_> = list.into_iter().chain([newcomer]).collect();
                 newcomer.clone_into(&mut run.entries[0].host);
-                let mut throttles = Throttles::new(newcomer);
-                throttles.set_entries(&list, run.now);
+                let mut limits = Limits::new(newcomer);
+                limits.set_entries(&list, run.now);
                 let entry = Entry {
                     host: newcomer.to_owned(),
-                    throttles,
+                    limits,
                     arriving: Vec::new(),
                     answers: Vec::new(),
                     words: Vec::new(),
@@ -428,12 +424,12 @@
 
 /// Sends as many requests as may be sent at one moment, after a pause in which none was wanted;
 /// returns how many.
-fn burst(all: &mut [Throttles], limit: f64, now: Instant) -> usize {
+fn burst(all: &mut [Limits], limit: f64, now: Instant) -> usize {
     let late = now + 40 * SECOND;
-    for throttles in &mut *all {
-        throttles.hear(ENDPOINT, Some(rate(limit)), now, now);
+    for limits in &mut *all {
+        limits.hear(ENDPOINT, Some(rate(limit)), now, now);
     }
-    let at_once = |throttles: &mut Throttles| (0..10).filter(|_| send(throttles, late)).count();
+    let at_once = |limits: &mut Limits| (0..10).filter(|_| send(limits, late)).count();
     all.iter_mut().map(at_once).sum()
 }
 
@@ -443,7 +439,7 @@
     for entries in SIZES {
         for limit in LIMITS {
             let hosts = hosts(entries);
-            let new = |host: &String| throttles(host, &hosts, now);
+            let new = |host: &String| limits(host, &hosts, now);
             let mut all: Vec<_> = hosts.iter().map(new).collect();
             let burst = burst(&mut all, limit, now);
             let most = f64::from(u32::try_from(burst).expect("some hundreds"));
@@ -463,14 +459,11 @@
     for entries in SIZES {
         for limit in LIMITS {
             let known = hosts(entries);
-            let mut all: Vec<_> = known
-                .iter()
-                .map(|host| throttles(host, &known, now))
-                .collect();
+            let mut all: Vec<_> = known.iter().map(|host| limits(host, &known, now)).collect();
             for newcomer in ["edge-x", "edge-y"] {
                 let mut list = known.clone();
                 list.push(newcomer.to_owned());
-                all.push(throttles(newcomer, &list, now));
+                all.push(limits(newcomer, &list, now));
             }
             let burst = burst(&mut all, limit, now);
             let most = f64::from(u32::try_from(burst).expect("some hundreds"));
@@ -485,38 +478,35 @@
 #[test]
 fn only_an_answer_to_what_ran_ends_a_limit_and_only_if_it_was_sent_after_it() {
     let now = clock::now();
-    let mut throttles = throttles("edge-0", &hosts(1), now);
+    let mut limits = limits("edge-0", &hosts(1), now);
     let at = |millis| now + Duration::from_millis(millis);
     let nothing = Statement::default();
     let unreadable = Statement {
         limit: Stated::Unreadable,
         ..Statement::default()
     };
-    throttles.take(ENDPOINT, &names(1.0), true, at(0), at(100));
+    limits.take(ENDPOINT, &names(1.0), true, at(0), at(100));
     // Sent before the limit was heard of; turned away; unreadable.
+    assert_eq!(limits.take(ENDPOINT, &nothing, true, at(50), at(200)), None);
     assert_eq!(
-        throttles.take(ENDPOINT, &nothing, true, at(50), at(200)),
-        None
-    );
-    assert_eq!(
-        throttles.take(ENDPOINT, &nothing, false, at(150), at(200)),
+        limits.take(ENDPOINT, &nothing, false, at(150), at(200)),
         None
     );
     assert_eq!(
-        throttles.take(ENDPOINT, &unreadable, true, at(150), at(200)),
+        limits.take(ENDPOINT, &unreadable, true, at(150), at(200)),
         None
     );
-    assert_eq!(throttles.limit(ENDPOINT), Some(rate(1.0)));
-    let change = throttles.take(ENDPOINT, &nothing, true, at(150), at(250));
+    assert_eq!(limits.rate(ENDPOINT), Some(rate(1.0)));
+    let change = limits.take(ENDPOINT, &nothing, true, at(150), at(250));
     assert_eq!(change.map(|change| change.after), Some(None));
     // A word of before is known to be old.
     assert_eq!(
-        throttles.hear(ENDPOINT, Some(rate(1.0)), at(120), at(300)),
+        limits.hear(ENDPOINT, Some(rate(1.0)), at(120), at(300)),
         None
     );
-    assert_eq!(throttles.limit(ENDPOINT), None);
+    assert_eq!(limits.rate(ENDPOINT), None);
     assert!(
-        throttles
+        limits
             .hear(ENDPOINT, Some(rate(2.0)), at(280), at(300))
             .is_some()
     );
@@ -531,35 +521,35 @@
         part.is_some_and(|part| !part.is_holder)
     };
     let host = hosts.iter().find(without).expect("nine of 149 share it");
-    let mut throttles = throttles(host, &hosts, now);
-    throttles.hear(ENDPOINT, Some(rate(1.0)), now, now);
-    assert!(!send(&mut throttles, now + 59 * SECOND));
+    let mut limits = limits(host, &hosts, now);
+    limits.hear(ENDPOINT, Some(rate(1.0)), now, now);
+    assert!(!send(&mut limits, now + 59 * SECOND));
     // A word in between, which changes nothing else.
-    throttles.hear(
+    limits.hear(
         ENDPOINT,
         Some(rate(1.0)),
         now + 30 * SECOND,
         now + 30 * SECOND,
     );
-    assert!(!send(&mut throttles, now + 70 * SECOND));
+    assert!(!send(&mut limits, now + 70 * SECOND));
     let late = now + 90 * SECOND + 149 * SECOND;
-    assert!(send(&mut throttles, late));
-    assert!(!send(&mut throttles, late + 100 * SECOND));
+    assert!(send(&mut limits, late));
+    assert!(!send(&mut limits, late + 100 * SECOND));
 }
 
 #[test]
 fn old_words_and_endpoints_without_requests_are_forgotten() {
     let now = clock::now();
-    let mut throttles = throttles("edge-0", &hosts(6), now);
+    let mut limits = limits("edge-0", &hosts(6), now);
     let late = now + 61 * SECOND;
-    assert_eq!(throttles.hear(ENDPOINT, Some(rate(1.0)), now, late), None);
-    throttles.hear(ENDPOINT, Some(rate(1.0)), late, late);
-    assert_eq!(throttles.words(late).count(), 1);
-    assert_eq!(throttles.words(late + 61 * SECOND).count(), 0);
-    assert!(!throttles.expire(late + 61 * SECOND));
-    assert!(throttles.expire(late + 601 * SECOND));
+    assert_eq!(limits.hear(ENDPOINT, Some(rate(1.0)), now, late), None);
+    limits.hear(ENDPOINT, Some(rate(1.0)), late, late);
+    assert_eq!(limits.words(late).count(), 1);
+    assert_eq!(limits.words(late + 61 * SECOND).count(), 0);
+    assert!(!limits.expire(late + 61 * SECOND));
+    assert!(limits.expire(late + 601 * SECOND));
     for number in 0..5_000 {
-        throttles.hear(&format!("i-{number}"), Some(rate(1.0)), late, late);
+        limits.hear(&format!("i-{number}"), Some(rate(1.0)), late, late);
     }
-    assert!(throttles.limited() < 3_000, "what is remembered is bounded");
+    assert!(limits.limited() < 3_000, "what is remembered is bounded");
 }
--- a/crates/gateway/tests/rests.rs
+++ b/crates/throttle/tests/rests.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use cactusnotch_base::clock::{self, Instant};
-use cactusnotch_gateway::rest::{REST_MAX, Rests};
+use cactusnotch_throttle::Rests;
+use cactusnotch_throttle::rests::REST_MAX;
 
 const ENDPOINT: &str = "i-1";
 
