--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -8,6 +8,7 @@
 mod chat;
 mod core;
 mod load;
+mod need;
 mod order;
 mod run;
 
@@ -16,7 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactusnotch_base::clock;
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::name::Model;
 use cactusnotch_order::Answer;
 use cactusnotch_order::model::State;
@@ -25,6 +26,7 @@
 pub use cache::{BLOCK, Change, Event, blocks};
 pub use chat::{DEFAULT_MAX_TOKENS, Message, prompt};
 pub use load::Load;
+pub use need::Need;
 pub use order::{Command, Fencing};
 pub use run::{End, Run};
 
@@ -141,6 +143,17 @@
         self.core.pace.send_modify(|pace| pace.frozen = false);
     }
 
+    /// Sets what the engine says of itself from now on.
+    pub fn need(&self, need: Need) {
+        *lock(&self.core.need) = need;
+    }
+
+    /// Returns when completions were asked for, refused ones included.
+    #[must_use]
+    pub fn calls(&self) -> Vec<Instant> {
+        lock(&self.core.calls).clone()
+    }
+
     /// Returns the load as it is, without the lag of the reports.
     #[must_use]
     pub fn load(&self) -> Load {
--- a/crates/standins/src/engine/call.rs
+++ b/crates/standins/src/engine/call.rs
@@ -31,8 +31,8 @@
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
     let reply = match (&method, path.as_str()) {
-        (&Method::POST, "/v1/chat/completions") => complete(core, request, Call::Chat).await,
-        (&Method::POST, "/v1/completions") => complete(core, request, Call::Completion).await,
+        (&Method::POST, "/v1/chat/completions") => take(core, request, Call::Chat).await,
+        (&Method::POST, "/v1/completions") => take(core, request, Call::Completion).await,
         (&Method::GET, "/load") => json(
             StatusCode::OK,
             &lock(&core.batch).reports.read(clock::now()),
@@ -45,6 +45,19 @@
     Ok(reply)
 }
 
+/// Takes a completion, and says what the engine needs.
+async fn take(core: Arc<Core>, request: Request<Incoming>, call: Call) -> Reply {
+    lock(&core.calls).push(clock::now());
+    let need = *lock(&core.need);
+    let mut reply = if need.rest.is_some() {
+        refusal(StatusCode::TOO_MANY_REQUESTS, "the engine needs rest")
+    } else {
+        complete(core, request, call).await
+    };
+    need.write(reply.headers_mut());
+    reply
+}
+
 async fn complete(core: Arc<Core>, request: Request<Incoming>, call: Call) -> Reply {
     let headers = request.headers().clone();
     let body: Body = match read(request).await {
--- a/crates/standins/src/engine/core.rs
+++ b/crates/standins/src/engine/core.rs
@@ -3,12 +3,12 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use cactusnotch_base::clock;
+use cactusnotch_base::clock::{self, Instant};
 use tokio::sync::{Notify, watch};
 
-use super::Options;
 use super::batch::{Batch, Entrant};
 use super::order::Served;
+use super::{Need, Options};
 use crate::sync::lock;
 
 /// The largest time that a step is stretched to.
@@ -28,6 +28,10 @@
     pub(crate) batch: Mutex<Batch>,
     pub(crate) served: Mutex<Served>,
     pub(crate) pace: watch::Sender<Pace>,
+    /// What the engine says of itself.
+    pub(crate) need: Mutex<Need>,
+    /// When completions were asked for.
+    pub(crate) calls: Mutex<Vec<Instant>>,
     arrived: Notify,
 }
 
@@ -42,6 +46,8 @@
             batch: Mutex::new(Batch::new(options, clock::now())),
             served: Mutex::new(Served::new(options)),
             pace: watch::channel(pace).0,
+            need: Mutex::default(),
+            calls: Mutex::default(),
             arrived: Notify::new(),
         }
     }
