fix: an agent gives its engine the limit and the rest that it asks for, and stops with it

The agent beside an engine read from the head of an answer its status and its kind, so that an engine in need got what came: 240 calls in four seconds at a limit of two a second (17 are borne), three within three seconds of rest (two are borne), 180 later than two seconds after it had said that it leaves.

All requests to an engine come by its agent, which has the whole limit: the crate that decides for entries decides for it as for a single one. The ledger refuses a run that is too many as not run, so that the entry goes elsewhere; what runs or is known is served on. Announcements say for how long nothing is taken, entries withhold requests and count no room there. An engine that leaves drains its agent, which stops then: it would know nothing of a process that comes after.

--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -2,18 +2,28 @@
 
 use bytes::Bytes;
 use cactusnotch_ledger::Attempt;
+use cactusnotch_throttle::{Stated, Statement};
 use cactusnotch_wire::{Call, Head};
 use derive_more::{Display, Error};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::{Request, Response, StatusCode};
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 
 use crate::events::Events;
 
+/// The requests a second that the endpoint takes.
+const RATE_LIMIT: HeaderName = HeaderName::from_static("rate-limit");
+
+/// Whether the endpoint takes no new requests since it is about to leave.
+const LEAVING: HeaderName = HeaderName::from_static("leaving");
+
+/// What an endpoint that is leaving writes.
+const LEAVES: &str = "1";
+
 /// The media type of an answer that comes as a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -41,6 +51,15 @@
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
+/// What the endpoint answers to a call.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    /// What it says of itself.
+    pub(crate) statement: Statement,
+    /// The answer, unless it did not take the call.
+    pub(crate) answer: Result<Answer, Error>,
+}
+
 /// An answer as it comes from the endpoint.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -64,17 +83,20 @@
         }
     }
 
-    /// Makes a call and returns the answer once its head has come.
+    /// Makes a call and returns the reply once its head has come.
     pub(crate) async fn call(
         &self,
         attempt: Attempt,
         key: &str,
         call: &Call,
         trace: &str,
-    ) -> Result<Answer, Error> {
+    ) -> Result<Reply, Error> {
         let request = self.request(attempt, key, call, trace)?;
         match self.client.request(request).await {
-            Ok(response) => Answer::new(response),
+            Ok(response) => Ok(Reply {
+                statement: statement(response.headers(), response.status()),
+                answer: Answer::new(response),
+            }),
             Err(error) if error.is_connect() => Err(unstarted(&error)),
             Err(error) => Err(failed(&error)),
         }
@@ -170,6 +192,25 @@
     }
 }
 
+/// Reads what the endpoint says of itself.
+fn statement(headers: &HeaderMap, status: StatusCode) -> Statement {
+    let all = |name| {
+        headers
+            .get_all(name)
+            .iter()
+            .map(|value| value.to_str().ok())
+    };
+    Statement {
+        limit: Statement::read_limit(all(RATE_LIMIT)),
+        rest: if status == StatusCode::TOO_MANY_REQUESTS {
+            Statement::read_rest(all(RETRY_AFTER))
+        } else {
+            Stated::Nothing
+        },
+        leaving: all(LEAVING).any(|value| value == Some(LEAVES)),
+    }
+}
+
 fn unstarted(error: &impl std::fmt::Display) -> Error {
     Error::Unstarted {
         detail: error.to_string(),
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod engine;
 mod events;
+mod needs;
 mod options;
 mod rank;
 mod server;
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -173,11 +173,12 @@
     tracing::info!(peers = %server.address(), "agent started");
     let mut terminate =
         signal(SignalKind::terminate()).map_err(Failure::at("start of the signals"))?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = tokio::signal::ctrl_c() => {}
-    }
-    tracing::info!("agent told to stop");
+    let cause = tokio::select! {
+        _ = terminate.recv() => "agent told to stop",
+        _ = tokio::signal::ctrl_c() => "agent told to stop",
+        () = server.left() => "agent stops with its endpoint",
+    };
+    tracing::info!("{cause}");
     server.stop().await;
     tracing::info!("agent stopped");
     Ok(())
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -103,6 +103,12 @@
         self.shared.part.status()
     }
 
+    /// Waits until the endpoint has said that it leaves. The agent takes no new work from then
+    /// on, and is to be stopped: it knows nothing of a process that comes after.
+    pub async fn left(&self) {
+        self.shared.state.left().await;
+    }
+
     /// Refuses new work from now on and waits until all runs have ended.
     pub async fn drain(&self) {
         self.shared.node.leave();
@@ -264,7 +270,11 @@
         shared.state.clock().clone(),
     );
     let trace = span.context().to_string();
-    let mut answer = shared.engine.call(attempt, key, call, &trace).await?;
+    let sent = shared.state.clock().now();
+    let reply = shared.engine.call(attempt, key, call, &trace).await?;
+    let ran = reply.answer.is_ok();
+    shared.state.take_statement(&reply.statement, ran, sent);
+    let mut answer = reply.answer?;
     while let Some(data) = answer.next().await? {
         shared.state.step(Event::Piece { attempt, data });
     }
--- a/crates/agent/src/state.rs
+++ b/crates/agent/src/state.rs
@@ -1,15 +1,20 @@
 //! The ledger of an agent with the connections and runs around it.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
+use cactusnotch_base::clock::Instant;
 use cactusnotch_base::{Clock, Table};
 use cactusnotch_ledger::{Attempt, Command, Event, Ledger, Link, Reply};
 use cactusnotch_link::{Role, Sender};
 use cactusnotch_telemetry::metric;
+use cactusnotch_throttle::Statement;
 use cactusnotch_wire::{Announcement, Body};
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
+use crate::needs::Needs;
+
 /// A link from an entry.
 #[derive(Debug)]
 struct Peer {
@@ -32,6 +37,7 @@
     runs: Table<Attempt, Run>,
     next_link: Link,
     slots: u32,
+    needs: Needs,
 }
 
 /// The ledger of an agent with the connections and runs around it.
@@ -43,11 +49,14 @@
     clock: C,
     inner: Arc<Mutex<Inner>>,
     drained: watch::Sender<bool>,
+    /// Whether the endpoint has said that it leaves.
+    leaving: watch::Sender<bool>,
 }
 
 impl<C: Clock> State<C> {
     pub(crate) fn new(ledger: Ledger, slots: u32, clock: C) -> Self {
         let inner = Inner {
+            needs: Needs::new(ledger.endpoint(), clock.now()),
             ledger,
             peers: Table::new(),
             runs: Table::new(),
@@ -58,6 +67,7 @@
             clock,
             inner: Arc::new(Mutex::new(inner)),
             drained: watch::Sender::new(false),
+            leaving: watch::Sender::new(false),
         }
     }
 
@@ -97,6 +107,27 @@
         start
     }
 
+    /// Takes what the endpoint says of itself in its answer to a call made at `sent`, which it
+    /// `ran` or not.
+    pub(crate) fn take_statement(&self, statement: &Statement, ran: bool, sent: Instant) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        if inner.needs.take(statement, ran, sent, now) {
+            self.announce_to_all(&mut inner);
+        }
+        drop(inner);
+        if statement.leaving && !self.leaving.send_replace(true) {
+            tracing::info!("endpoint says that it leaves");
+            self.step(Event::Drain);
+        }
+    }
+
+    /// Waits until the endpoint has said that it leaves.
+    pub(crate) async fn left(&self) {
+        // The sender lives in `self`, so the wait cannot fail.
+        let _ = self.leaving.subscribe().wait_for(|leaving| *leaving).await;
+    }
+
     /// Tells every entry the endpoint's condition.
     pub(crate) fn announce(&self) {
         self.announce_to_all(&mut self.lock());
@@ -128,12 +159,22 @@
             _ => None,
         };
         let mut start = None;
-        for command in inner.ledger.step(event, self.clock.now()) {
+        let now = self.clock.now();
+        let mut commands = Vec::new();
+        if arrival.is_some() {
+            let throttled = inner.needs.withheld(now).is_some();
+            commands = inner.ledger.step(Event::Throttle(throttled), now);
+        }
+        commands.append(&mut inner.ledger.step(event, now));
+        for command in commands {
             match command {
                 Command::Send { link, reply } => inner.reply(link, reply),
                 Command::Start(attempt) => {
                     start = Some(attempt);
                     inner.begin(attempt, arrival.unwrap_or_default());
+                    if inner.needs.start(now) {
+                        self.announce_to_all(inner);
+                    }
                 }
                 Command::Stop(attempt) => inner.stop(attempt),
                 Command::Drained => {
@@ -156,11 +197,13 @@
     }
 
     fn announcement(&self, inner: &Inner, link: Link) -> Announcement {
+        let now = self.clock.now();
         Announcement {
             endpoint: inner.ledger.endpoint().clone(),
             incarnation: inner.ledger.incarnation(),
-            age: inner.ledger.age(self.clock.now()),
+            age: inner.ledger.age(now),
             draining: inner.ledger.is_draining(),
+            withheld: inner.needs.withheld(now).map(millis),
             slots: inner.slots,
             requests: u32::try_from(inner.ledger.running()).unwrap_or(u32::MAX),
             mine: inner.peers.get(&link).map_or(0, |peer| peer.runs),
@@ -218,3 +261,8 @@
         }
     }
 }
+
+/// Returns a time in whole milliseconds, at least one.
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX).max(1)
+}
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -156,7 +156,7 @@
     let now = shared.clock.now();
     let (room, run) = {
         let router = shared.router();
-        (router.room(service, AHEAD), router.residence(service))
+        (router.room(service, AHEAD, now), router.residence(service))
     };
     let request = Request {
         organisation: name,
@@ -192,8 +192,8 @@
 
 /// Starts what may start of a service and refuses what is hopeless.
 fn poll<C: Clock>(shared: &Arc<Shared<C>>, service: &Service) {
-    let room = shared.router().room(service, AHEAD);
     let now = shared.clock.now();
+    let room = shared.router().room(service, AHEAD, now);
     let (answers, messages) = {
         let mut inner = shared.admission.lock();
         // No request starts under a revision whose caps are not known here.
--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -9,7 +9,7 @@
 use cactusnotch_base::{Clock, Table};
 use cactusnotch_ledger::Terms;
 use cactusnotch_link::{Receiver, Sender, dial};
-use cactusnotch_route::{Report, State};
+use cactusnotch_route::{Report, State, Withheld};
 use cactusnotch_telemetry::metric;
 use cactusnotch_wire::{Announcement, Body};
 use tokio::task::JoinHandle;
@@ -227,7 +227,9 @@
         sharers: stated.entries,
         age: Duration::ZERO,
     };
+    let until = |millis: u32| Withheld::Until(now + Duration::from_millis(millis.into()));
     let mut router = shared.router();
+    router.withhold(endpoint, stated.withheld.map(until));
     if is_new {
         router.set_state(endpoint, state);
         tracing::info!(%endpoint, %state, "link to the agent made");
--- a/crates/lab/tests/needs.rs
+++ b/crates/lab/tests/needs.rs
@@ -167,3 +167,28 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_says_that_it_leaves_gets_nothing_more() {
+    check(|cluster| {
+        let leaving = &cluster.engines[0];
+        leaving.need(Need {
+            leaving: true,
+            ..Need::default()
+        });
+        let begun = clock::now();
+        let outcomes = with_callers(cluster, || thread::sleep(Duration::from_secs(5)));
+        let calls = leaving.calls();
+        let told = calls.iter().find(|at| **at >= begun).expect("it was met");
+        let late = calls
+            .iter()
+            .filter(|at| **at > *told + Duration::from_secs(2));
+        assert_eq!(late.count(), 0, "calls two seconds after it had said so");
+        let (whole, all) = (whole(&outcomes), outcomes.len());
+        assert!(
+            whole * 10 > all * 9,
+            "{whole} of {all}: the other one has room"
+        );
+    })
+    .await;
+}
--- a/crates/ledger/src/admission.rs
+++ b/crates/ledger/src/admission.rs
@@ -93,6 +93,9 @@
         if self.draining {
             return Err(Refusal::not_run(Reason::Draining));
         }
+        if self.throttled {
+            return Err(Refusal::not_run(Reason::Throttled));
+        }
         if run.identity.bytes() > self.options.key_bytes {
             return Err(Refusal::not_run(Reason::Oversized));
         }
--- a/crates/ledger/src/event.rs
+++ b/crates/ledger/src/event.rs
@@ -32,6 +32,8 @@
     Unstarted(Attempt),
     /// The agent is to leave; there is no way back.
     Drain,
+    /// The endpoint takes no new runs for now, or takes them again.
+    Throttle(bool),
     /// Time has passed.
     Tick,
 }
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -21,6 +21,8 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) started: Instant,
     pub(crate) draining: bool,
+    /// Whether the endpoint takes no new runs for now.
+    pub(crate) throttled: bool,
     pub(crate) running: Table<Attempt, Row>,
     /// The non-idempotent runs that ended.
     pub(crate) once: Generations<Attempt, Row>,
@@ -50,6 +52,7 @@
             incarnation,
             started: now,
             draining: false,
+            throttled: false,
             running: Table::new(),
             once: Generations::new(options.lifetime / PERIODS),
             repeatable: Generations::new(options.repeatable_lifetime / PERIODS),
@@ -134,6 +137,7 @@
             }
             Event::Unstarted(attempt) => self.unstarted(attempt, age, &mut commands),
             Event::Drain => self.draining = true,
+            Event::Throttle(throttled) => self.throttled = throttled,
             Event::Tick => {}
         }
         if looks_around {
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -104,6 +104,9 @@
     /// The agent takes no new work, since it is leaving.
     #[display("the endpoint is leaving")]
     Draining,
+    /// The endpoint takes no more requests for now, as it says itself.
+    #[display("the endpoint takes no more requests for now")]
+    Throttled,
     /// The agent can remember no more keys.
     #[display("the agent remembers as many requests as it can")]
     Full,
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -285,6 +285,19 @@
     assert_eq!(commands.last(), Some(&Command::Drained));
 }
 
+#[test]
+fn a_throttled_agent_refuses_new_work_until_it_takes_it_again() {
+    let mut agent = Agent::new(Options::default());
+    agent.start(1, "key");
+    assert_eq!(agent.step(Event::Throttle(true)), []);
+    let refused = refusal(&agent.ask(Request::Run(agent.run(2, "other"))));
+    assert_eq!(refused, Some((Outcome::NotRun, Reason::Throttled)));
+    // What runs has been let in before.
+    assert_eq!(refusal(&agent.ask(Request::Run(agent.run(3, "key")))), None);
+    assert_eq!(agent.step(Event::Throttle(false)), []);
+    agent.start(4, "third");
+}
+
 #[test]
 fn answers_are_kept_within_the_bytes_and_runs_are_remembered_all_the_same() {
     let mut agent = Agent::new(Options {
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -132,14 +132,16 @@
 
     /// Returns how many more requests this entry may send to the endpoints of
     /// a service at once, if each may hold `ahead` times as many as it has
-    /// slots. It is never less than an equal part among the entries.
+    /// slots. It is never less than an equal part among the entries; one that is withheld
+    /// has none.
     #[must_use]
-    pub fn room(&self, service: &Service, ahead: f64) -> u32 {
+    pub fn room(&self, service: &Service, ahead: f64, now: Instant) -> u32 {
         let Some(pool) = self.pools.get(service) else {
             return 0;
         };
         let rows = pool.members.iter().map(|&at| &self.rows[at]);
         let serving = rows.filter(|row| row.state == State::Serving);
+        let serving = serving.filter(|row| row.withheld(now).is_none());
         whole(serving.map(|row| row.room(ahead)).sum())
     }
 
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -310,12 +310,12 @@
         router.start(&choice, &request, now);
         reasons.push((choice.endpoint.as_str().to_owned(), choice.reason));
     }
-    assert_eq!(router.room(&service, 1.0), 0, "all is full");
+    assert_eq!(router.room(&service, 1.0, now), 0, "all is full");
     router.set_state(&members[0].name, State::Leaving);
     router.report(&members[1].name, &report(0, Duration::ZERO), now);
     router.set_members(&[members.as_slice(), &[member("s3", "a")]].concat());
     router.set_state(&Endpoint::new("s3"), State::Serving);
-    assert_eq!(router.room(&service, 1.0), SLOTS, "s3 is free");
+    assert_eq!(router.room(&service, 1.0, now), SLOTS, "s3 is free");
     reasons.dedup();
     reasons.pop();
     let expected = [
@@ -497,10 +497,22 @@
     };
     let name = &members[0].name;
     router.report(name, &of_four(SLOTS), now);
-    assert_eq!(router.room(&service, 1.0), SLOTS / 4, "others hold all");
+    assert_eq!(
+        router.room(&service, 1.0, now),
+        SLOTS / 4,
+        "others hold all"
+    );
     let choice = router.choose(&request, now, rng).expect("serving");
     router.start(&choice, &request, now);
-    assert_eq!(router.room(&service, 1.0), SLOTS / 4 - 1, "own work counts");
+    assert_eq!(
+        router.room(&service, 1.0, now),
+        SLOTS / 4 - 1,
+        "own work counts"
+    );
     router.report(name, &of_four(2), now);
-    assert_eq!(router.room(&service, 1.0), SLOTS - 3, "others left more");
+    assert_eq!(
+        router.room(&service, 1.0, now),
+        SLOTS - 3,
+        "others left more"
+    );
 }
--- a/crates/wire/src/announcement.rs
+++ b/crates/wire/src/announcement.rs
@@ -22,6 +22,9 @@
     /// Whether the agent refuses new work since it is leaving.
     #[serde(rename = "d")]
     pub draining: bool,
+    /// For how many milliseconds the endpoint takes no new work, if it takes none.
+    #[serde(rename = "w", default)]
+    pub withheld: Option<u32>,
     /// The requests that the endpoint can run at once.
     #[serde(rename = "s")]
     pub slots: u32,
