fix: entries that start in an era that has settled prove keys without waiting for two seconds

Callers at such entries were refused for two seconds after each start, on stores that have ever come back from an older copy. Cause: nothing says whether an era has just begun, so that each process that starts takes it for young. Now the first entry of a data centre that proves the configuration in an era that was young writes that down beside the entries' registrations, and one that starts and can prove nothing lists these at once. The record names its era: one that a copy holds is of an earlier one, and says nothing.

Ruled out: the age of registrations (a time of day of another host); other entries' word alone (there may be none). One call for each era and data centre, and one listing of entries sooner.

The test is red before and green now.

--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -77,6 +77,8 @@
     fitted: Cell<Era>,
     /// Until when no answer of the store can prove the configuration.
     unproved_until: Cell<Option<Instant>>,
+    /// Told when an answer proves nothing, since the era of the store may be young.
+    pub(crate) unsettled: Notify,
     complaints: RefCell<Complaints>,
     /// The requests under which endpoints have ended.
     pub(crate) quarantine: RefCell<Quarantine>,
@@ -100,6 +102,7 @@
             unregistered: Notify::new(),
             fitted: Cell::default(),
             unproved_until: Cell::default(),
+            unsettled: Notify::new(),
             configuration: RefCell::default(),
             questions: RefCell::default(),
             eras: Rc::default(),
@@ -227,6 +230,7 @@
             }
             Ok(Some(Item::Entry(entry))) => self.peers.borrow_mut().insert(entry),
             Ok(Some(Item::Hold(hold))) => self.take_record(&hold, now),
+            Ok(Some(Item::Settled(era))) => self.take_settled(era, now),
             Ok(None) => self.forget(kind, &name, position, now),
         }
     }
--- a/crates/gateway/src/knowledge/era.rs
+++ b/crates/gateway/src/knowledge/era.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use cactusnotch_base::clock::Instant;
-use cactusnotch_position::Position;
+use cactusnotch_position::{Era, Position};
 use cactusnotch_telemetry::metric;
 use rand::Rng;
 
 use super::Knowledge;
 use crate::journal::millis;
 use crate::proof::REWRITE_TIME;
+use crate::record::Write;
 
 /// How long an entry waits until it asks for a proof again which the store could not give,
 /// since operators have not written again what it has lost.
@@ -70,8 +71,10 @@
         let shown = self.shown.get();
         if shown.proves(known, era, asked, young_since) {
             self.freshness.borrow_mut().renew(asked);
+            self.settle_era(era, asked);
             return;
         }
+        self.unsettled.notify_one();
         tracing::info!(%position, known, ?shown, "answer proves nothing yet");
         let settled = young_since.map(|since| since + REWRITE_TIME);
         let jitter: f64 = self.rng.borrow_mut().random();
@@ -84,6 +87,26 @@
         self.unproved_until.set(Some(soonest + spread));
     }
 
+    /// Takes that the configuration has been proved in `era`: one that was young has settled,
+    /// which the first entry of a data centre writes down for those that start.
+    fn settle_era(&self, era: Era, now: Instant) {
+        if self.eras.settle(era) && self.peers.borrow().ready_before(now) == 0 {
+            self.records.push(Write::Settle(era));
+        }
+    }
+
+    /// Takes the store's record that an entry has proved the configuration in `era`. One of an
+    /// era that has ended comes from a copy, and says nothing.
+    pub(super) fn take_settled(&self, era: Era, now: Instant) {
+        if !self.eras.settle(era) {
+            return;
+        }
+        tracing::info!(era = era.0, "era of the store is no young one");
+        if self.unproved_until.get().is_some() {
+            self.unproved_until.set(Some(now));
+        }
+    }
+
     /// Tells whether the store is to be asked for a proof: the last one is old, or there is
     /// none since the configuration was listed in a young era. It isn't asked before it can
     /// give one.
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -1,13 +1,15 @@
-//! The store's records of requests that are held.
+//! The store's records of what entries that start have to know.
 //!
-//! All entries may end at once, and callers come again to those that start: what only
-//! entries remember would let such a request end as many endpoints as before.
+//! All entries may end at once. Callers come again to those that start, and what only entries
+//! remember would let a request that was held end as many endpoints as before; and an entry
+//! that starts can't tell by itself whether the store has just come back from an older copy.
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
 
 use cactusnotch_base::clock;
+use cactusnotch_position::Era;
 use http::StatusCode;
 use tokio::sync::Notify;
 
@@ -22,6 +24,8 @@
     Keep(Content),
     /// Removes it.
     Erase(Content),
+    /// Writes that an era of the store has settled.
+    Settle(Era),
 }
 
 /// What is to be done to records.
@@ -56,7 +60,7 @@
     loop {
         let write = knowledge.records.next().await;
         while let Err(error) = carry_out(&knowledge, &mut store, write).await {
-            tracing::warn!(?write, %error, "record of a held request not written yet");
+            tracing::warn!(?write, %error, "record not written yet");
             knowledge.store_fails(Kind::Entries, &error, clock::now());
             knowledge.turn().await;
         }
@@ -68,26 +72,46 @@
     store: &mut Store<C>,
     write: Write,
 ) -> Result<(), Error> {
-    let (done, what) = match write {
+    let done = match write {
         Write::Keep(content) => {
-            let left = knowledge.quarantine.borrow().holds(content, clock::now());
-            // It may have been cleared meanwhile.
-            let Some(left) = left else {
-                return Ok(());
-            };
-            let until = clock::wall() + left;
-            (store.hold(&Hold { content, until }).await, "kept")
+            keep(knowledge, store, content).await?;
+            "record of a held request kept"
+        }
+        Write::Erase(content) => {
+            done_before(store.release(content).await)?;
+            "record of a held request removed"
+        }
+        // Another one may have begun meanwhile.
+        Write::Settle(era) if era != knowledge.eras.current() => return Ok(()),
+        Write::Settle(era) => {
+            store.settle(era).await?;
+            "record of a settled era kept"
         }
-        Write::Erase(content) => (store.release(content).await, "removed"),
     };
-    match done {
-        // Another entry was first.
-        Ok(()) | Err(Error::Refused(StatusCode::CONFLICT | StatusCode::NOT_FOUND)) => {}
-        Err(error) => return Err(error),
-    }
-    if let Write::Keep(content) = write {
-        knowledge.quarantine.borrow_mut().check(content, true);
-    }
-    tracing::info!(?write, "record of a held request {what}");
+    tracing::info!(?write, "{done}");
+    Ok(())
+}
+
+async fn keep<C: Codec>(
+    knowledge: &Knowledge,
+    store: &mut Store<C>,
+    content: Content,
+) -> Result<(), Error> {
+    let left = knowledge.quarantine.borrow().holds(content, clock::now());
+    // It may have been cleared meanwhile.
+    let Some(left) = left else {
+        return Ok(());
+    };
+    let until = clock::wall() + left;
+    done_before(store.hold(&Hold { content, until }).await)?;
+    knowledge.quarantine.borrow_mut().check(content, true);
     Ok(())
 }
+
+/// Takes it for done if another entry was first.
+fn done_before(result: Result<(), Error>) -> Result<(), Error> {
+    match result {
+        Err(Error::Refused(StatusCode::CONFLICT | StatusCode::NOT_FOUND)) => Ok(()),
+        result => result,
+    }
+}
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -48,7 +48,11 @@
 /// Lists the other entries now and then.
 pub(crate) async fn list<C: Codec>(knowledge: Rc<Knowledge>) {
     let mut store = knowledge.store::<C>();
-    tokio::time::sleep(ENTRIES_FIRST).await;
+    tokio::select! {
+        () = tokio::time::sleep(ENTRIES_FIRST) => {}
+        // The listing has the record that tells whether the era of the store is young.
+        () = knowledge.unsettled.notified() => {}
+    }
     // Those that have just registered are missing from a stale listing.
     let mut stale = false;
     loop {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -52,6 +52,8 @@
     Entry(Entry),
     /// A record that a request is held.
     Hold(Hold),
+    /// The record of the newest era in which an entry has proved the configuration.
+    Settled(Era),
 }
 
 /// A record that a request is kept from endpoints, since it ends them.
@@ -119,6 +121,12 @@
     /// Writes the call that removes the record of a held request.
     fn release(content: Content) -> Request<Bytes>;
 
+    /// Writes the call that creates the record of a settled era.
+    fn create_settled(era: Era) -> Request<Bytes>;
+
+    /// Writes the call that replaces the record of a settled era.
+    fn replace_settled(era: Era) -> Request<Bytes>;
+
     /// Reads the era that the store states in the head of an answer, the first one if it
     /// states none; `None` if that can't be read.
     fn era(head: &HeaderMap) -> Option<Era>;
@@ -280,9 +288,24 @@
     ///
     /// Returns why it could not be made known; it may be known all the same.
     pub async fn register(&mut self, entry: &Entry) -> Result<(), Error> {
-        match self.call(C::create(entry), CALL_TIMEOUT).await {
+        self.put(C::create(entry), C::replace(entry)).await
+    }
+
+    /// Writes the record of an era in which an entry has proved the configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it could not be written; it may be written all the same.
+    pub async fn settle(&mut self, era: Era) -> Result<(), Error> {
+        self.put(C::create_settled(era), C::replace_settled(era))
+            .await
+    }
+
+    /// Creates an object, or replaces the one that stands there.
+    async fn put(&mut self, create: Request<Bytes>, replace: Request<Bytes>) -> Result<(), Error> {
+        match self.call(create, CALL_TIMEOUT).await {
             Err(Error::Refused(StatusCode::CONFLICT)) => {
-                self.call(C::replace(entry), CALL_TIMEOUT).await.map(drop)
+                self.call(replace, CALL_TIMEOUT).await.map(drop)
             }
             result => result.map(drop),
         }
--- a/crates/position/src/eras.rs
+++ b/crates/position/src/eras.rs
@@ -84,6 +84,20 @@
         self.changed.notify_waiters();
     }
 
+    /// Takes that `era` is known to have lasted so long that what was lost with the era before
+    /// has been written again; returns whether that was not known of the current one.
+    pub fn settle(&self, era: Era) -> bool {
+        let current = self.current.get();
+        let Some(known) = current.filter(|known| known.era == era && known.may_be_young) else {
+            return false;
+        };
+        self.current.set(Some(Current {
+            may_be_young: false,
+            ..known
+        }));
+        true
+    }
+
     /// Tells whether the store is to be asked, since another process knows a newer era.
     #[must_use]
     pub const fn is_in_doubt(&self) -> bool {
--- a/crates/position/tests/eras.rs
+++ b/crates/position/tests/eras.rs
@@ -48,6 +48,21 @@
     assert_eq!(eras.young_since(), Some(now));
 }
 
+#[test]
+fn an_era_is_young_until_it_is_known_to_have_settled_and_no_other_is_settled_with_it() {
+    let (eras, now) = start();
+    eras.see(Era(2), now);
+    assert!(!eras.settle(Era(1)));
+    assert!(!eras.settle(Era(3)), "nothing is known of it");
+    assert_eq!(eras.young_since(), Some(now));
+    assert!(eras.settle(Era(2)));
+    assert!(!eras.settle(Era(2)), "it is known");
+    assert_eq!(eras.young_since(), None);
+    assert_eq!(eras.see(Era(2), now), Seen::Current);
+    assert_eq!(eras.see(Era(3), now), Seen::Newer);
+    assert_eq!(eras.young_since(), Some(now));
+}
+
 #[test]
 fn what_others_tell_is_a_reason_to_ask_and_no_more() {
     let (eras, now) = start();
