fix: every answer of the store lets all tasks of an entry go on

Cause: while the store is lost one task asks at a time, and reserves the time of a call. The tasks that register and list entries took their turns, were answered and told nobody, so that the configuration and the endpoints waited for up to a second each time.

Ruled out: the pauses of an entry that relies on others (0.4 s here). No test is red without it but by the clock: the new one checks that the entry goes on.

--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -31,6 +31,7 @@
             continue;
         }
         tracing::info!(host = entry.host, era = era.0, "entry registered");
+        knowledge.store_answers(Kind::Entries, clock::now());
         while era == knowledge.eras.current() {
             tokio::select! {
                 () = knowledge.eras.changed() => {}
@@ -60,12 +61,11 @@
             .list(Kind::Entries, std::mem::replace(&mut stale, true))
             .await
         {
-            Ok(listing) => knowledge.replace(
-                Kind::Entries,
-                listing.changes,
-                listing.position,
-                clock::now(),
-            ),
+            Ok(listing) => {
+                let now = clock::now();
+                knowledge.store_answers(Kind::Entries, now);
+                knowledge.replace(Kind::Entries, listing.changes, listing.position, now);
+            }
             Err(error) => {
                 tracing::warn!(%error, "entries not listed");
                 knowledge.store_fails(Kind::Entries, &error, clock::now());
