fix: an era of the store is young from when the store serves in it

Callers could be served with a key that had been taken away: a store that is away refuses calls and names its new era as it does, and the two seconds in which operators write again what it has lost counted from there. An entry that started then believed the copy as soon as the store was back.

Now they count from the first call that was served in the era, by this entry or by one that has told of it, and anew after an outage within them. Ruled out: counting from the first success alone (a store that is away again meanwhile can't be written to).

--- a/crates/gateway/src/knowledge/outage.rs
+++ b/crates/gateway/src/knowledge/outage.rs
@@ -80,5 +80,6 @@
         let mut absence = self.absence.get();
         absence.end(now);
         self.absence.set(absence);
+        self.eras.return_at(now);
     }
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -347,10 +347,15 @@
         let answer = self.client.call(request, limit).await;
         let answer = answer.map_err(Error::Channel)?;
         let era = C::era(answer.headers()).ok_or(Error::EraUnreadable)?;
-        if self.eras.see(era, clock::now()) == Seen::Ended {
+        let (now, status) = (clock::now(), answer.status());
+        if self.eras.see(era, now) == Seen::Ended {
             return Err(Error::EraEnded);
         }
-        match answer.status() {
+        let is_away = status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS;
+        if !is_away {
+            self.eras.serve(now);
+        }
+        match status {
             status if status.is_success() => Ok((era, answer.into_body())),
             StatusCode::GONE => Err(Error::HistoryGone),
             status => Err(Error::Refused(status)),
--- a/crates/position/src/eras.rs
+++ b/crates/position/src/eras.rs
@@ -22,7 +22,10 @@
 struct Current {
     era: Era,
     /// When this process heard of it first.
-    since: Instant,
+    heard: Instant,
+    /// Since when the store serves in it, as far as that is known: one that is away refuses
+    /// calls in its new era already, and nobody can write to it.
+    serving: Option<Instant>,
     /// Whether it may have begun shortly before, so that not all that is gone with the era
     /// before has been written again.
     may_be_young: bool,
@@ -53,7 +56,8 @@
         let told = self.told.get().filter(|(told, _)| *told == era);
         self.current.set(Some(Current {
             era,
-            since: told.map_or(now, |(_, at)| at),
+            heard: told.map_or(now, |(_, at)| at),
+            serving: None,
             may_be_young: known.is_some() || era > Era::default(),
         }));
         let Some(known) = known else {
@@ -68,7 +72,28 @@
         Seen::Newer
     }
 
-    /// Takes that another process has seen `era`, which is in doubt until the store is asked.
+    /// Takes that the store has served a call in the current era. Another process may have
+    /// told before that it was served in it.
+    pub fn serve(&self, now: Instant) {
+        let current = self.current.get();
+        let Some(known) = current.filter(|known| known.serving.is_none()) else {
+            return;
+        };
+        let told = self.told.get().filter(|(told, _)| *told == known.era);
+        let serving = Some(told.map_or(now, |(_, at)| at));
+        self.current.set(Some(Current { serving, ..known }));
+    }
+
+    /// Takes that the store serves again after an outage: what it lost when an era began that
+    /// is young still can be written again from now on.
+    pub fn return_at(&self, now: Instant) {
+        if let Some(known) = self.current.get().filter(|known| known.may_be_young) {
+            let serving = known.serving.max(Some(now));
+            self.current.set(Some(Current { serving, ..known }));
+        }
+    }
+
+    /// Takes that another process was served in `era`, which is in doubt until the store is asked.
     pub fn hear(&self, era: Era, now: Instant) {
         let is_told = self.told.get().is_some_and(|(told, _)| told == era);
         if era <= self.current() || is_told {
@@ -112,12 +137,13 @@
             .map_or_else(Era::default, |known| known.era)
     }
 
-    /// Returns since when the store is known to be in this era, if it may have come back from
-    /// an older copy shortly before.
+    /// Returns since when the store is known to serve in this era, if it may have come back
+    /// from an older copy shortly before.
     #[must_use]
     pub fn young_since(&self) -> Option<Instant> {
         let known = self.current.get()?;
-        known.may_be_young.then_some(known.since)
+        let since = known.serving.unwrap_or(known.heard);
+        known.may_be_young.then_some(since)
     }
 
     /// Waits until the store has come back from an older copy, or may have.
--- a/crates/position/tests/eras.rs
+++ b/crates/position/tests/eras.rs
@@ -63,6 +63,27 @@
     assert_eq!(eras.young_since(), Some(now));
 }
 
+/// Grounds: a store that is away for seconds refuses calls, and states its new era as it does.
+#[test]
+fn an_era_is_young_from_when_the_store_serves_in_it() {
+    let (eras, now) = start();
+    let at = |seconds| now + Duration::from_secs(seconds);
+    eras.see(Era(0), at(0));
+    eras.see(Era(1), at(1));
+    eras.see(Era(1), at(3));
+    eras.see(Era(1), at(4));
+    eras.serve(at(4));
+    assert_eq!(eras.young_since(), Some(at(4)));
+    eras.serve(at(5));
+    assert_eq!(eras.young_since(), Some(at(4)));
+    // It was away once more before all was written again.
+    eras.return_at(at(7));
+    assert_eq!(eras.young_since(), Some(at(7)));
+    assert!(eras.settle(Era(1)));
+    eras.return_at(at(60));
+    assert_eq!(eras.young_since(), None);
+}
+
 #[test]
 fn what_others_tell_is_a_reason_to_ask_and_no_more() {
     let (eras, now) = start();
