fix: nothing is sent to data centres that operators have emptied

Entries read the operators' evacuations: the first ready entry of a data centre watches them and tells the others at once; each state that entries exchange carries the evacuated data centres with the store's position and the age of their confirmation, and an entry that has none for 0.6 of the bound asks the store itself, so that a watch that hangs or a first entry that is cut off delays nobody beyond it. Of two states of one era the later counts; what an older copy of the store lacks is kept for the two seconds in which operators can write it again. An entry that starts serves nothing before it knows them. The choice and the place that all sends pass keep requests away, repeats and resumed streams as well.

Ruled out: one watch of each entry (72 waiting calls instead of three); evacuations as part of the configuration (another object, of which the operators' version says nothing).

Calls, worked out: one listing an entry at its start, and for each data centre one watch each 0.3 of the bound (1.5 s at 5 s).

--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -116,7 +116,11 @@
         tracing::info!(host = self.options.host, data_centre = self.options.data_centre, listen = %front, "entry started");
         let knowledge = Rc::new(Knowledge::new(self.options));
         let (closing, closed) = watch::channel(false);
-        for kind in [Kind::Configuration, Kind::Endpoints] {
+        let followed = knowledge.options().evacuation.map(|_| Kind::Evacuations);
+        for kind in [Kind::Configuration, Kind::Endpoints]
+            .into_iter()
+            .chain(followed)
+        {
             let (knowledge, socket) = (Rc::clone(&knowledge), Rc::clone(&socket));
             tokio::task::spawn_local(watcher::run::<C>(knowledge, socket, kind));
         }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -70,6 +70,8 @@
     farewells: Farewells,
     limits: Limits,
     rests: Rests,
+    /// The data centres whose endpoints get nothing.
+    evacuated: Vec<String>,
 }
 
 impl Fleet {
@@ -85,6 +87,7 @@
             farewells: Farewells::default(),
             limits: Limits::new(host),
             rests: Rests::default(),
+            evacuated: Vec::new(),
         }
     }
 
@@ -208,7 +211,27 @@
 
     /// Tells whether an endpoint may get a request now.
     pub(crate) fn takes_work(&self, id: &str) -> bool {
-        self.get(id).is_some_and(|endpoint| !endpoint.leaving)
+        self.get(id).is_some_and(|e| self.takes_new_work(e))
+    }
+
+    /// Tells whether an endpoint takes new work: it is not leaving, nor is its data centre
+    /// evacuated.
+    pub(super) fn takes_new_work(&self, endpoint: &Endpoint) -> bool {
+        !endpoint.leaving && !self.is_evacuated(endpoint)
+    }
+
+    /// Tells whether the data centre of an endpoint is evacuated.
+    pub(super) fn is_evacuated(&self, endpoint: &Endpoint) -> bool {
+        self.evacuated.contains(&endpoint.data_centre)
+    }
+
+    /// Takes the data centres whose endpoints get nothing from now on.
+    pub(crate) fn set_evacuated(&mut self, data_centres: Vec<String>) {
+        self.evacuated = data_centres;
+        let services: Vec<_> = self.routers.keys().cloned().collect();
+        for service in services {
+            self.refresh(&service);
+        }
     }
 
     /// Chooses an endpoint of `service` for a request and counts it there.
@@ -341,10 +364,10 @@
             return;
         };
         let name = name::Endpoint::new(row.endpoint.id.clone());
-        let leaving = row.endpoint.leaving;
+        let takes_work = self.takes_new_work(&row.endpoint);
         if let Some(router) = self.routers.get_mut(&row.endpoint.service) {
             router.report(&name, report, now);
-            if !leaving {
+            if takes_work {
                 router.set_state(&name, report.state);
             }
         }
@@ -354,7 +377,13 @@
     fn refresh(&mut self, service: &str) {
         let own = sharing::used(&self.rows).filter(|e| e.service == service);
         let own: Vec<_> = own
-            .map(|e| (member(e), e.leaving, self.withheld(&e.instance)))
+            .map(|e| {
+                (
+                    member(e),
+                    !self.takes_new_work(e),
+                    self.withheld(&e.instance),
+                )
+            })
             .collect();
         let Some(router) = self.routers.get_mut(service) else {
             return;
--- a/crates/gateway/src/fleet/barrier.rs
+++ b/crates/gateway/src/fleet/barrier.rs
@@ -14,6 +14,9 @@
     /// It is leaving.
     #[display("the endpoint began to leave")]
     Leaving,
+    /// Its data centre is evacuated.
+    #[display("the endpoint's data centre is evacuated")]
+    Evacuated,
     /// It has asked for rest.
     #[display("the endpoint rests")]
     Resting,
@@ -54,7 +57,9 @@
     fn barred(&self, endpoint: &Endpoint, now: Instant) -> Option<Barred> {
         let holds = |withheld: Option<Withheld>| withheld.is_some_and(|w| w.holds(now));
         let instance = endpoint.instance.as_str();
-        if !self.takes_work(&endpoint.id) {
+        if self.is_evacuated(endpoint) {
+            Some(Barred::Evacuated)
+        } else if !self.takes_work(&endpoint.id) {
             Some(Barred::Leaving)
         } else if holds(self.rests.withheld(instance)) {
             Some(Barred::Resting)
@@ -78,7 +83,7 @@
                     barrier.limited += 1;
                     barrier.shared += usize::from(self.limits.shares(instance));
                 }
-                Some(Barred::Leaving) | None => {}
+                Some(Barred::Leaving | Barred::Evacuated) | None => {}
             }
         }
         barrier
--- a/crates/gateway/src/fleet/sharing.rs
+++ b/crates/gateway/src/fleet/sharing.rs
@@ -19,7 +19,7 @@
     }
 
     fn share_one(&mut self, service: &str, me: &str, entries: &[&str]) {
-        let lasting = |e: &&Endpoint| e.service == service && !e.leaving;
+        let lasting = |e: &&Endpoint| e.service == service && self.takes_new_work(e);
         let endpoints: Vec<_> = self.iter().filter(lasting).map(|e| e.id.as_str()).collect();
         let fingerprint = fingerprint(entries, &endpoints);
         if self.shared.get(service) == Some(&fingerprint) {
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -243,15 +243,15 @@
 
     /// Returns the answer when no endpoint can be chosen.
     fn unserved(&self, error: &choice::Error) -> Refusal {
-        tracing::debug!(%error, "no endpoint chosen");
+        let id = self.call.head.id.as_deref();
+        let service = self.call.judged.service.as_str();
+        let evacuated = self.knowledge.evacuations.borrow().names().count();
+        tracing::info!(id, service, %error, evacuated, "no endpoint chosen");
         let given_up = self.course.given_up();
         let choice::Error::Withheld { first, .. } = *error else {
             return given_up;
         };
-        let id = self.call.head.id.as_deref();
-        let wait = self
-            .knowledge
-            .throttled(id, &self.call.judged.service, first);
+        let wait = self.knowledge.throttled(id, service, first);
         match given_up {
             Refusal::NotRun => Refusal::Throttled { wait },
             in_doubt => in_doubt,
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -37,6 +37,9 @@
     if knowledge.closing.get() {
         return Err(fail(Refusal::Stopping));
     }
+    if knowledge.lacks_evacuations() {
+        return Err(fail(Refusal::NotFresh));
+    }
     let now = clock::now();
     let fresh = knowledge.freshness.borrow().holds(now);
     let configuration = knowledge
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -1,6 +1,7 @@
 //! Everything that an entry believes, shared between its tasks.
 
 mod era;
+mod evacuations;
 mod outage;
 mod proof;
 mod statements;
@@ -23,6 +24,7 @@
 use crate::complaints::Complaints;
 use crate::configuration::Configuration;
 use crate::endpoint::Endpoint;
+use crate::evacuations::Evacuations;
 use crate::fleet::Fleet;
 use crate::freshness::Freshness;
 use crate::handout::Handout;
@@ -48,6 +50,7 @@
     pub(crate) freshness: RefCell<Freshness>,
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) peers: RefCell<Peers>,
+    pub(crate) evacuations: RefCell<Evacuations>,
     pub(crate) questions: RefCell<Questions>,
     /// The eras of the store, which all its clients share.
     pub(crate) eras: Rc<Eras>,
@@ -105,6 +108,7 @@
             unsettled: Notify::new(),
             configuration: RefCell::default(),
             questions: RefCell::default(),
+            evacuations: RefCell::default(),
             eras: Rc::default(),
             position: Cell::default(),
             shown: Cell::default(),
@@ -134,7 +138,15 @@
         self.budgets
             .borrow_mut()
             .set(options.retry_ratio, options.retry_window);
-        *self.options.borrow_mut() = Rc::new(options);
+        let mut known = self.options.borrow_mut();
+        // Whether evacuations are followed is decided at the start.
+        let evacuation = known
+            .evacuation
+            .map(|before| options.evacuation.unwrap_or(before));
+        *known = Rc::new(Options {
+            evacuation,
+            ..options
+        });
     }
 
     /// Returns a client of the store.
@@ -162,6 +174,7 @@
         self.stopping.get().is_none()
             && self.listed.get().0
             && self.configuration.borrow().is_some()
+            && !self.lacks_evacuations()
             && self.freshness.borrow().holds(now)
     }
 
@@ -200,6 +213,10 @@
                     self.unregistered.notify_one();
                 }
             }
+            Kind::Evacuations => {
+                self.replace_evacuations(&changes, position, now);
+                return;
+            }
         }
         for change in changes {
             self.apply(kind, change, position, now);
@@ -231,6 +248,7 @@
             Ok(Some(Item::Entry(entry))) => self.peers.borrow_mut().insert(entry),
             Ok(Some(Item::Hold(hold))) => self.take_record(&hold, now),
             Ok(Some(Item::Settled(era))) => self.take_settled(era, now),
+            Ok(Some(Item::Evacuation)) => self.set_evacuated(&name, true, now),
             Ok(None) => self.forget(kind, &name, position, now),
         }
     }
@@ -250,7 +268,7 @@
             tracing::error!(%kind, name, %position, %error, "object not taken");
         }
         match kind {
-            Kind::Configuration => {}
+            Kind::Configuration | Kind::Evacuations => {}
             Kind::Endpoints => self.fleet.borrow_mut().remove(name, None, now),
             Kind::Entries => self.peers.borrow_mut().remove(name),
         }
@@ -276,6 +294,7 @@
                     .remove(name, self.absence.get().kept_until(now), now);
             }
             Kind::Entries => self.peers.borrow_mut().remove(name),
+            Kind::Evacuations => self.set_evacuated(name, false, now),
         }
     }
 
@@ -314,6 +333,11 @@
         self.peers.borrow().ready_before(now) < WATCHERS
     }
 
+    /// Tells whether this entry watches evacuations for its data centre.
+    pub(crate) fn watches_evacuations(&self, now: Instant) -> bool {
+        self.peers.borrow().ready_before(now) == 0
+    }
+
     /// Takes changes of endpoints that another entry passes on, if none is
     /// missing before them.
     pub(crate) fn take_changes(&self, changes: Changes, now: Instant) {
@@ -374,6 +398,7 @@
     pub(crate) fn tick(&self, now: Instant) {
         self.drop_missing(now);
         self.forget_suspects(now);
+        self.expire_evacuations(now);
         for host in self.peers.borrow_mut().expire(now) {
             tracing::info!(host, "entry has fallen silent");
         }
--- /dev/null
+++ b/crates/gateway/src/knowledge/evacuations.rs
@@ -0,0 +1,142 @@
+//! What an entry does about data centres that operators have emptied.
+
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
+use cactusnotch_position::Position;
+use cactusnotch_telemetry::metric;
+
+use super::Knowledge;
+use crate::evacuations::Word;
+use crate::journal::millis;
+use crate::peer::{Evacuated, State};
+use crate::proof::REWRITE_TIME;
+use crate::store::Change;
+
+/// The part of the bound after which a watch returns though nothing has changed, which
+/// confirms what is known.
+const WATCH_PART: f64 = 0.3;
+/// The part of the bound from which an entry that has no confirmation from others asks the
+/// store itself. Others ask each other twice a second; what is left of the bound covers the
+/// next look and a call that gets no answer.
+const CONFIRM_PART: f64 = 0.6;
+
+impl Knowledge {
+    /// Tells whether evacuations are to be known and aren't.
+    pub(crate) fn lacks_evacuations(&self) -> bool {
+        self.options.borrow().evacuation.is_some() && !self.evacuations.borrow().are_known()
+    }
+
+    /// Returns how long a watch of evacuations may wait.
+    pub(crate) fn evacuation_watch(&self) -> Duration {
+        self.evacuation_part(WATCH_PART)
+    }
+
+    /// Tells whether it is this entry's to ask the store whether what it knows of evacuations
+    /// is still so.
+    pub(crate) fn needs_confirmation(&self, now: Instant) -> bool {
+        let age = self.evacuations.borrow().age(now);
+        age.is_none_or(|age| age >= self.evacuation_part(CONFIRM_PART))
+    }
+
+    fn evacuation_part(&self, part: f64) -> Duration {
+        let bound = self.options.borrow().evacuation.unwrap_or_default();
+        bound.mul_f64(part)
+    }
+
+    /// Takes a listing of evacuations.
+    pub(super) fn replace_evacuations(&self, changes: &[Change], position: Position, now: Instant) {
+        let all = changes.iter().map(|change| change.name.clone());
+        let names: Vec<_> = all.filter(|name| !name.is_empty()).collect();
+        let rewritten = self.eras.young_since().map(|since| since + REWRITE_TIME);
+        let rewritten = rewritten.filter(|&until| until > now);
+        self.change_evacuations("the store", now, |evacuations| {
+            evacuations.replace(&names, position, rewritten);
+        });
+    }
+
+    /// Takes that a data centre is evacuated, or that this was taken back.
+    pub(super) fn set_evacuated(&self, name: &str, is_evacuated: bool, now: Instant) {
+        self.change_evacuations("the store", now, |evacuations| {
+            if is_evacuated {
+                evacuations.insert(name);
+            } else {
+                evacuations.remove(name);
+            }
+        });
+    }
+
+    /// Takes what another entry states of evacuations.
+    pub(crate) fn hear_evacuations(&self, state: &State, now: Instant) {
+        let Some(Evacuated {
+            position,
+            data_centres,
+            age,
+        }) = &state.evacuated
+        else {
+            return;
+        };
+        if position.era() != self.eras.current() {
+            return;
+        }
+        let age = age.map(|age| Duration::from_millis(age.into()));
+        let confirmed = age.and_then(|age| self.questions.borrow().proved(state.round, age));
+        let word = Word {
+            position: *position,
+            data_centres: data_centres.clone(),
+        };
+        self.change_evacuations("another entry", now, |evacuations| {
+            evacuations.hear(&word, confirmed);
+        });
+    }
+
+    /// Returns what other entries are told of evacuations.
+    pub(crate) fn evacuated(&self, now: Instant) -> Option<Evacuated> {
+        let evacuations = self.evacuations.borrow();
+        let Word {
+            position,
+            data_centres,
+        } = evacuations.word()?;
+        let age = evacuations.age(now);
+        Some(Evacuated {
+            position,
+            data_centres,
+            age: age.and_then(|age| u32::try_from(age.as_millis()).ok()),
+        })
+    }
+
+    /// Ends evacuations that the store has lost and that nobody has written again.
+    pub(super) fn expire_evacuations(&self, now: Instant) {
+        self.change_evacuations("an older copy of the store", now, |evacuations| {
+            drop(evacuations.expire(now));
+        });
+    }
+
+    /// Changes what is believed of evacuations, and fits the choice of endpoints to it.
+    fn change_evacuations(
+        &self,
+        source: &str,
+        now: Instant,
+        change: impl FnOnce(&mut crate::evacuations::Evacuations),
+    ) {
+        let mut evacuations = self.evacuations.borrow_mut();
+        let before: Vec<_> = evacuations.names().map(str::to_owned).collect();
+        change(&mut evacuations);
+        let after: Vec<_> = evacuations.names().map(str::to_owned).collect();
+        if before == after {
+            return;
+        }
+        let (position, age) = (evacuations.position(), evacuations.age(now));
+        drop(evacuations);
+        let age_ms = age.map(millis);
+        for data_centre in after.iter().filter(|name| !before.contains(name)) {
+            tracing::info!(data_centre, source, %position, age_ms, "data centre evacuated");
+        }
+        for data_centre in before.iter().filter(|name| !after.contains(name)) {
+            tracing::info!(data_centre, source, %position, age_ms, "evacuation of a data centre over");
+        }
+        let count = u32::try_from(after.len()).unwrap_or(u32::MAX);
+        metrics::gauge!(metric::GATEWAY_EVACUATED).set(count);
+        self.fleet.borrow_mut().set_evacuated(after);
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod connection;
 mod crash;
 pub mod decide;
+pub mod evacuations;
 pub mod events;
 mod exchange;
 mod fleet;
--- a/crates/gateway/src/listing.rs
+++ b/crates/gateway/src/listing.rs
@@ -75,6 +75,7 @@
             hear(knowledge, from, state.ready, now);
             knowledge.take_proof(&state, from, now);
             knowledge.hear_of_return(&state, now);
+            knowledge.hear_evacuations(&state, now);
         }
         Ok(Datagram::Load(load)) => take_load(knowledge, &load, now),
         Ok(Datagram::Changes(changes)) => knowledge.take_changes(changes, now),
@@ -109,6 +110,7 @@
         // Only what can be passed on: others would ask the store for the rest.
         known: knowledge.news.progress().known(),
         returned_ago: knowledge.returned_ago(now),
+        evacuated: knowledge.evacuated(now),
     }
 }
 
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -29,6 +29,9 @@
     pub revocation: Option<Duration>,
     /// The time within which an endpoint that leaves has to be known.
     pub leaving: Duration,
+    /// The time within which a data centre that operators evacuate gets nothing more; `None`
+    /// if they evacuate none.
+    pub evacuation: Option<Duration>,
     /// The time that a stop may take.
     pub grace: Duration,
     /// Repeated sends allowed for each request.
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -140,9 +140,21 @@
     pub endpoints: Vec<(String, Option<Endpoint>)>,
 }
 
+/// What an entry knows of the data centres that operators have emptied.
+#[message]
+#[derive(Eq)]
+pub struct Evacuated {
+    /// The position of the store at which these were read.
+    pub position: Position,
+    /// The data centres that are evacuated.
+    pub data_centres: Vec<String>,
+    /// How long ago the store was asked whose answer confirmed them, in milliseconds.
+    pub age: Option<u32>,
+}
+
 /// How an entry is.
 #[message]
-#[derive(Copy, Eq)]
+#[derive(Eq)]
 pub struct State {
     /// Whether it takes callers' requests.
     pub ready: bool,
@@ -156,4 +168,6 @@
     pub known: Position,
     /// How long ago the store came back for it after an outage, in milliseconds.
     pub returned_ago: Option<u32>,
+    /// What it knows of evacuated data centres, if it follows them.
+    pub evacuated: Option<Evacuated>,
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -39,6 +39,9 @@
     /// Entries, which register themselves, and what they keep for each other.
     #[display("entries")]
     Entries,
+    /// The data centres that operators have emptied.
+    #[display("evacuations")]
+    Evacuations,
 }
 
 /// The content of an object.
@@ -54,6 +57,8 @@
     Hold(Hold),
     /// The record of the newest era in which an entry has proved the configuration.
     Settled(Era),
+    /// The object's name is that of a data centre which operators have emptied.
+    Evacuation,
 }
 
 /// A record that a request is kept from endpoints, since it ends them.
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -22,6 +22,9 @@
 const ACQUAINTED: Duration = Duration::from_millis(1_500);
 /// How often an entry that is told by others looks whether it is to watch.
 const ROLE_LOOK: Duration = Duration::from_millis(600);
+/// How often an entry that is told of evacuations by others looks whether they still confirm
+/// them.
+const CONFIRM_LOOK: Duration = Duration::from_millis(200);
 /// The wait of a watch that is only to prove what is known.
 pub(crate) const NO_WAIT: Duration = Duration::from_millis(1);
 /// The least time between two watches of a kind. A watch returns with the
@@ -88,7 +91,7 @@
 
     /// Goes on from what is known, by one answer of the store or some time.
     async fn follow(&mut self, watching: &mut Store<C>) -> Result<(), Error> {
-        if self.kind == Kind::Endpoints && self.is_outdated() {
+        if self.kind != Kind::Configuration && self.is_outdated() {
             self.wait_for_place().await;
             self.listed = false;
             return Ok(());
@@ -98,13 +101,29 @@
             return self.catch_up().await.map(drop);
         }
         let acquainted = self.started.elapsed() >= ACQUAINTED;
-        if acquainted && self.knowledge.watches(clock::now()) {
+        if acquainted && self.watches() {
             self.watch(watching).await
         } else {
             self.listen().await
         }
     }
 
+    /// Tells whether this entry watches for others.
+    fn watches(&self) -> bool {
+        match self.kind {
+            Kind::Evacuations => self.knowledge.watches_evacuations(clock::now()),
+            _ => self.knowledge.watches(clock::now()),
+        }
+    }
+
+    /// Returns the longest wait of a watch.
+    fn watch_time(&self) -> Duration {
+        match self.kind {
+            Kind::Evacuations => self.knowledge.evacuation_watch().min(WATCH_MAX),
+            _ => WATCH_MAX,
+        }
+    }
+
     /// Tells whether what is known was read in an era of the store that has ended, or may
     /// have been.
     fn is_outdated(&self) -> bool {
@@ -141,10 +160,11 @@
     }
 
     /// Returns the position up to which the objects are known.
-    const fn known(&self) -> Position {
+    fn known(&self) -> Position {
         match self.kind {
             Kind::Endpoints => self.knowledge.news.progress().known(),
             Kind::Configuration | Kind::Entries => self.knowledge.position.get(),
+            Kind::Evacuations => self.knowledge.evacuations.borrow().position(),
         }
     }
 
@@ -155,15 +175,24 @@
             Kind::Endpoints => self.knowledge.news.know(position),
             Kind::Configuration => self.knowledge.prove(position, asked),
             Kind::Entries => {}
+            Kind::Evacuations => {
+                let mut evacuations = self.knowledge.evacuations.borrow_mut();
+                evacuations.confirm(position, asked);
+            }
         }
     }
 
     /// Tells whether others have told all that is in an answer for the changes
     /// after `from` up to `to`, and maybe more, which it would take back.
     fn is_outrun(&self, from: Position, to: Position) -> bool {
-        let progress = self.knowledge.news.progress();
-        let new = progress.known() == to || progress.continues(from, to);
-        self.kind == Kind::Endpoints && !new
+        match self.kind {
+            Kind::Endpoints => {
+                let progress = self.knowledge.news.progress();
+                progress.known() != to && !progress.continues(from, to)
+            }
+            Kind::Evacuations => to < self.known(),
+            Kind::Configuration | Kind::Entries => false,
+        }
     }
 
     /// Waits for one answer of a watch.
@@ -173,7 +202,7 @@
             return Ok(());
         }
         let (from, asked) = (self.known(), clock::now());
-        let waiting = watching.watch(self.kind, from, WATCH_MAX);
+        let waiting = watching.watch(self.kind, from, self.watch_time());
         tokio::pin!(waiting);
         loop {
             tokio::select! {
@@ -184,7 +213,7 @@
                     return Ok(());
                 }
                 () = self.knowledge.eras.changed() => return Ok(()),
-                () = news(self.knowledge, self.kind) => {
+                () = news(self.knowledge, self.kind), if self.kind != Kind::Evacuations => {
                     if self.catch_up().await? {
                         tracing::info!(kind = %self.kind, "a watch missed changes, watching anew");
                         return Ok(());
@@ -196,6 +225,9 @@
 
     /// Waits for what others tell, and asks the store if they tell too little.
     async fn listen(&mut self) -> Result<(), Error> {
+        if self.kind == Kind::Evacuations {
+            return self.listen_to_evacuations().await;
+        }
         tokio::select! {
             () = news(self.knowledge, self.kind) => {
                 if self.kind == Kind::Configuration && self.take_from_another().await {
@@ -208,6 +240,18 @@
         }
     }
 
+    /// Waits for what others tell of evacuations, and asks the store if they confirm nothing.
+    async fn listen_to_evacuations(&mut self) -> Result<(), Error> {
+        if self.knowledge.needs_confirmation(clock::now()) {
+            return self.catch_up().await.map(drop);
+        }
+        tokio::select! {
+            () = self.knowledge.eras.changed() => {}
+            () = tokio::time::sleep(CONFIRM_LOOK) => {}
+        }
+        Ok(())
+    }
+
     /// Takes a newer configuration from the entry that has told of it; returns whether it
     /// is known then. It proves nothing: proofs count for the version that they name.
     async fn take_from_another(&mut self) -> bool {
@@ -275,6 +319,7 @@
                 self.knowledge.handout.set(answer.position.era(), body);
                 listing::announce(self.knowledge, self.socket);
             }
+            Kind::Evacuations if changed => listing::announce(self.knowledge, self.socket),
             _ => {}
         }
         changed
@@ -285,7 +330,9 @@
 async fn news(knowledge: &Knowledge, kind: Kind) {
     match kind {
         Kind::Endpoints => knowledge.news.behind().await,
-        Kind::Configuration | Kind::Entries => knowledge.news.outdated().await,
+        Kind::Configuration | Kind::Entries | Kind::Evacuations => {
+            knowledge.news.outdated().await;
+        }
     }
 }
 
--- a/crates/rebalance/tests/datagrams.rs
+++ b/crates/rebalance/tests/datagrams.rs
@@ -113,6 +113,7 @@
             round: 7,
         },
         peer::Datagram::State(peer::State {
+            evacuated: None,
             ready: true,
             round: 7,
             version: 3,
