fix: cold endpoints get no more than they bear from all entries together

Cause: a cold endpoint is the idlest, each entry prefers it, and nobody read that it is cold.

All sends ask for it in the one place. An entry that doesn't know the others sends nothing to a cold endpoint.

Ruled out: equal parts for all entries (one request of each at once: 72 in a second).

--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cactusnotch_derive::record;
+use cactusnotch_throttle::Rate;
 
 use crate::route::Route;
 
@@ -73,6 +74,17 @@
     pub connections: u32,
     /// How its endpoints work if they are model servers.
     pub engine: Option<Engine>,
+    /// What its endpoints take after their start, if that is bounded.
+    pub cold: Option<ColdStart>,
+}
+
+/// What endpoints take after their start.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdStart {
+    /// How long they are cold.
+    pub time: Duration,
+    /// The requests a second that one takes then from all entries together.
+    pub rate: Rate,
 }
 
 /// One version of the operators' configuration, with its look-ups.
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -30,6 +30,9 @@
     pub slots: u32,
     /// Whether it takes no new requests since it is about to leave.
     pub leaving: bool,
+    /// How much longer it is cold, in milliseconds, as its registration says: it takes few
+    /// requests a second until then. Zero once it is warm.
+    pub cold_ms: u32,
     /// The position at which this incarnation registered itself.
     pub registered: Position,
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The endpoints that an entry knows, and the choice among them.
 
 mod barrier;
+mod cold;
 mod departed;
 mod farewells;
 mod lives;
@@ -23,10 +24,10 @@
 use self::farewells::Farewells;
 use self::row::{Row, SILENCE, WORD_TIME};
 pub(crate) use self::statements::Update;
-use crate::configuration::{Engine, Service};
+use crate::configuration::{ColdStart, Engine, Service};
 use crate::endpoint::Endpoint;
 use crate::peer::Load;
-use cactusnotch_throttle::{Limits, Rests};
+use cactusnotch_throttle::{Cold, Limits, Rests, Tolerance};
 
 /// The endpoints that are drawn and compared for a request: with all compared,
 /// many entries send to the same idlest one at once.
@@ -70,12 +71,15 @@
     farewells: Farewells,
     limits: Limits,
     rests: Rests,
+    cold: Cold,
+    /// What endpoints take after their start, by service.
+    cold_starts: Table<String, ColdStart>,
     /// The data centres whose endpoints get nothing.
     evacuated: Vec<String>,
 }
 
 impl Fleet {
-    pub(crate) fn new(host: &str, data_centre: &str) -> Self {
+    pub(crate) fn new(host: &str, data_centre: &str, cold: Tolerance) -> Self {
         Self {
             data_centre: name::DataCentre::new(data_centre),
             rows: Table::new(),
@@ -87,12 +91,14 @@
             farewells: Farewells::default(),
             limits: Limits::new(host),
             rests: Rests::default(),
+            cold: Cold::new(cold, host),
+            cold_starts: Table::new(),
             evacuated: Vec::new(),
         }
     }
 
     /// Takes the services of a configuration.
-    pub(crate) fn configure(&mut self, services: &[Service]) {
+    pub(crate) fn configure(&mut self, services: &[Service], now: Instant) {
         self.routers
             .retain(|name, _| services.iter().any(|service| service.name == *name));
         for service in services {
@@ -115,6 +121,7 @@
             .iter()
             .map(|service| service.name.clone())
             .collect();
+        self.set_cold_starts(services, now);
         for service in &names {
             self.refresh(service);
         }
@@ -157,6 +164,11 @@
             if known.endpoint == endpoint && known.missing_until.is_none() {
                 return false;
             }
+            let before = std::mem::replace(&mut known.endpoint.cold_ms, endpoint.cold_ms);
+            if before != endpoint.cold_ms {
+                self.take_coldness(&endpoint, now);
+                return self.insert(endpoint, now);
+            }
         }
         if self.is_of_former_life(&endpoint, now)
             || self.iter().any(|other| other.supersedes(&endpoint))
@@ -174,7 +186,8 @@
             .rows
             .get_or_insert_with(id, || Row::new(endpoint.clone(), ranked, used, now));
         row.shares_limit = shares_limit;
-        row.register(endpoint);
+        row.register(endpoint.clone());
+        self.take_coldness(&endpoint, now);
         self.refresh(&service);
         true
     }
@@ -295,6 +308,8 @@
             .iter_mut()
             .find(|(_, row)| row.endpoint.address == load.endpoint)?;
         if row.is_of_other_life(load) {
+            let endpoint = row.endpoint.clone();
+            self.hear_of_start(&endpoint, load, now);
             return None;
         }
         row.hear(load, now);
--- a/crates/gateway/src/fleet/barrier.rs
+++ b/crates/gateway/src/fleet/barrier.rs
@@ -23,6 +23,9 @@
     /// This entry has used its part of the limit.
     #[display("the endpoint is at its limit")]
     Limited,
+    /// This entry has used its part of what a cold endpoint takes.
+    #[display("the endpoint is cold and takes no more")]
+    Cold,
 }
 
 /// The endpoints of a service that get no request for now.
@@ -32,10 +35,12 @@
     pub(crate) resting: usize,
     /// Those at their limit.
     pub(crate) limited: usize,
-    /// Those of them whose limit this entry shares.
+    /// Those that are cold.
+    pub(crate) cold: usize,
+    /// Those at their limit or cold whose requests this entry shares.
     pub(crate) shared: usize,
     /// The requests a second that all entries together may send to all endpoints that have a
-    /// limit.
+    /// limit or are cold.
     pub(crate) rate: f64,
 }
 
@@ -48,6 +53,7 @@
             return Err(barred);
         }
         self.limits.send(instance, now);
+        self.cold.send(instance, now);
         self.rests.send(instance, now);
         self.withhold(&endpoint.service, &endpoint.id, instance);
         Ok(())
@@ -65,6 +71,8 @@
             Some(Barred::Resting)
         } else if holds(self.limits.withheld(instance)) {
             Some(Barred::Limited)
+        } else if holds(self.cold.withheld(instance)) {
+            Some(Barred::Cold)
         } else {
             None
         }
@@ -76,6 +84,7 @@
         for endpoint in self.iter().filter(|endpoint| endpoint.service == service) {
             let instance = endpoint.instance.as_str();
             let limit = self.limits.rate(instance);
+            let limit = limit.or_else(|| self.cold.rate(instance));
             barrier.rate += limit.map_or(0.0, Rate::per_second);
             match self.barred(endpoint, now) {
                 Some(Barred::Resting) => barrier.resting += 1,
@@ -83,6 +92,10 @@
                     barrier.limited += 1;
                     barrier.shared += usize::from(self.limits.shares(instance));
                 }
+                Some(Barred::Cold) => {
+                    barrier.cold += 1;
+                    barrier.shared += usize::from(self.cold.shares(instance));
+                }
                 Some(Barred::Leaving | Barred::Evacuated) | None => {}
             }
         }
@@ -109,6 +122,7 @@
         self.limits
             .withheld(instance)
             .max(self.rests.withheld(instance))
+            .max(self.cold.withheld(instance))
     }
 
     /// Has the router withhold requests from an endpoint for as long as that has said.
--- /dev/null
+++ b/crates/gateway/src/fleet/cold.rs
@@ -0,0 +1,96 @@
+//! Endpoints that take few requests a second since they have started lately.
+
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
+use cactusnotch_throttle::Rate;
+
+use super::Fleet;
+use crate::configuration::{ColdStart, Service};
+use crate::endpoint::Endpoint;
+use crate::journal::millis;
+use crate::peer::Load;
+
+impl Fleet {
+    /// Takes what the operators state of endpoints that start.
+    pub(super) fn set_cold_starts(&mut self, services: &[Service], now: Instant) {
+        self.cold_starts.retain(|_, _| false);
+        for service in services {
+            if let Some(cold) = service.cold {
+                self.cold_starts.insert(service.name.clone(), cold);
+            }
+        }
+        let cold: Vec<_> = self.iter().filter(|e| e.cold_ms > 0).cloned().collect();
+        for endpoint in cold {
+            // One that was known before the services were stays cold for longer rather than
+            // for less.
+            if !self.is_cold(&endpoint.instance) {
+                self.take_coldness(&endpoint, now);
+            }
+        }
+    }
+
+    /// Takes how long an endpoint stays cold, as it has registered itself.
+    pub(super) fn take_coldness(&mut self, endpoint: &Endpoint, now: Instant) {
+        if endpoint.cold_ms == 0 {
+            self.end_coldness(&endpoint.instance, "its registration", now);
+            return;
+        }
+        let left = Duration::from_millis(endpoint.cold_ms.into());
+        self.begin_coldness(endpoint, left, "its registration", now);
+    }
+
+    /// Takes that the agent of an endpoint tells of a later life than the one that is known:
+    /// it has just started, whatever its registration will say.
+    pub(super) fn hear_of_start(&mut self, endpoint: &Endpoint, load: &Load, now: Instant) {
+        if load.born <= endpoint.born || self.is_cold(&endpoint.instance) {
+            return;
+        }
+        if let Some(ColdStart { time, .. }) = self.cold_starts.get(&endpoint.service).copied() {
+            self.begin_coldness(endpoint, time, "its agent", now);
+        }
+    }
+
+    /// Ends the coldness of endpoints whose time is over.
+    pub(super) fn expire_coldness(&mut self, now: Instant) {
+        for instance in self.cold.expire(now) {
+            tracing::info!(endpoint = instance, source = "its time", "endpoint is warm");
+            self.fit(&instance);
+        }
+    }
+
+    /// Returns how many endpoints are cold.
+    pub(crate) fn cold(&self) -> usize {
+        self.cold.len()
+    }
+
+    /// Tells whether an endpoint is cold.
+    pub(super) fn is_cold(&self, instance: &str) -> bool {
+        self.cold.rate(instance).is_some()
+    }
+
+    fn begin_coldness(&mut self, endpoint: &Endpoint, left: Duration, source: &str, now: Instant) {
+        let Some(ColdStart { rate, .. }) = self.cold_starts.get(&endpoint.service).copied() else {
+            return;
+        };
+        let instance = endpoint.instance.as_str();
+        if self.cold.begin(instance, left, rate, now) {
+            tracing::info!(
+                endpoint = endpoint.id,
+                rate = Rate::per_second(rate),
+                ms = millis(left),
+                source,
+                shared = self.cold.shares(instance),
+                "endpoint is cold"
+            );
+            self.fit(instance);
+        }
+    }
+
+    fn end_coldness(&mut self, instance: &str, source: &str, now: Instant) {
+        if self.cold.end(instance, now) {
+            tracing::info!(endpoint = instance, source, "endpoint is warm");
+            self.fit(instance);
+        }
+    }
+}
--- a/crates/gateway/src/fleet/statements.rs
+++ b/crates/gateway/src/fleet/statements.rs
@@ -65,7 +65,9 @@
 
     /// Takes the hosts of all entries, which share limits.
     pub(crate) fn set_entries(&mut self, entries: &[&str], now: Instant) {
-        if self.limits.set_entries(entries, now) {
+        let limits = self.limits.set_entries(entries, now);
+        let cold = self.cold.set_entries(entries, now);
+        if limits || cold {
             self.fit_all();
         }
     }
@@ -74,6 +76,7 @@
     pub(crate) fn expire_statements(&mut self, now: Instant) {
         let limits = self.limits.expire(now);
         let rests = self.rests.expire(now);
+        self.expire_coldness(now);
         if limits || rests {
             self.fit_all();
         }
@@ -103,7 +106,7 @@
     /// Fits the choice of an endpoint to what it has said. One whose limit this entry shares is
     /// used for as long, also if it belongs to a large service and wasn't chosen: few others
     /// share it.
-    fn fit(&mut self, instance: &str) {
+    pub(super) fn fit(&mut self, instance: &str) {
         let is_shared = self.limits.shares(instance);
         let mut changed = None;
         for (_, row) in self.rows.iter_mut() {
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cactusnotch_base::clock::Instant;
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_position::{Era, Eras, Position};
 use cactusnotch_telemetry::metric;
 use rand::SeedableRng;
@@ -94,7 +94,11 @@
     pub(crate) fn new(options: Options) -> Self {
         Self {
             freshness: RefCell::new(Freshness::new(options.revocation)),
-            fleet: RefCell::new(Fleet::new(&options.host, &options.data_centre)),
+            fleet: RefCell::new(Fleet::new(
+                &options.host,
+                &options.data_centre,
+                options.cold,
+            )),
             peers: RefCell::new(Peers::new(&options.host, &options.data_centre)),
             budgets: RefCell::new(Budgets::new(options.retry_ratio, options.retry_window)),
             options: RefCell::new(Rc::new(options)),
@@ -317,7 +321,9 @@
             );
             return;
         }
-        self.fleet.borrow_mut().configure(new.services());
+        self.fleet
+            .borrow_mut()
+            .configure(new.services(), clock::now());
         self.patience.borrow_mut().keep(new.routes());
         tracing::info!(
             version = new.version,
--- a/crates/gateway/src/knowledge/statements.rs
+++ b/crates/gateway/src/knowledge/statements.rs
@@ -87,13 +87,14 @@
         let Barrier {
             resting,
             limited,
+            cold,
             shared,
             rate,
         } = fleet.barrier(service, now);
         let own = first.filter(|_| resting + shared > 0);
         let own = own.map(|first| first.saturating_duration_since(now));
         // Another entry that the caller comes to may have what this one lacks.
-        let other = Rate::new(rate).filter(|_| limited > shared);
+        let other = Rate::new(rate).filter(|_| limited + cold > shared);
         let other = other.map(allotment::spacing);
         let wait = own.into_iter().chain(other).min().unwrap_or_default();
         tracing::info!(
@@ -101,6 +102,7 @@
             service,
             resting,
             limited,
+            cold,
             shared,
             rate,
             wait_ms = millis(wait),
@@ -162,6 +164,7 @@
         let fleet = self.fleet.borrow();
         let number = |endpoints: usize| u32::try_from(endpoints).unwrap_or(u32::MAX);
         metrics::gauge!(metric::GATEWAY_LIMITED).set(number(fleet.limited()));
+        metrics::gauge!(metric::GATEWAY_COLD).set(number(fleet.cold()));
         metrics::gauge!(metric::GATEWAY_RESTING).set(number(fleet.resting(now)));
     }
 }
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cactusnotch_throttle::Tolerance;
+
 /// Settings that an entry gets from its host, not from the operators' tree.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Options {
@@ -32,6 +34,8 @@
     /// The time within which a data centre that operators evacuate gets nothing more; `None`
     /// if they evacuate none.
     pub evacuation: Option<Duration>,
+    /// What an endpoint bears while it is cold, beyond the rate that operators state.
+    pub cold: Tolerance,
     /// The time that a stop may take.
     pub grace: Duration,
     /// Repeated sends allowed for each request.
--- a/crates/rebalance/tests/datagrams.rs
+++ b/crates/rebalance/tests/datagrams.rs
@@ -95,6 +95,7 @@
         peers: agent(),
     };
     let endpoint = Endpoint {
+        cold_ms: 0,
         id: "i@1".to_owned(),
         instance: "i".to_owned(),
         born: Some(Born(1)),
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -81,6 +81,8 @@
         "Endpoints that this entry saw end under a request which had given nothing yet, one for each such request.";
     GATEWAY_FORECAST_ERROR = "cactusnotch_gateway_forecast_error_seconds", Histogram, Seconds, [],
         "Time by which the first event of a stream came sooner or later than was expected when it was sent.";
+    GATEWAY_COLD = "cactusnotch_gateway_cold_endpoints", Gauge, Count, [],
+        "Endpoints that take few requests, since they have started lately.";
     GATEWAY_EVACUATED = "cactusnotch_gateway_evacuated_data_centres", Gauge, Count, [],
         "Data centres that operators have emptied, whose endpoints get nothing.";
     GATEWAY_HELD = "cactusnotch_gateway_held_requests", Gauge, Count, [],
--- a/crates/throttle/src/allotment.rs
+++ b/crates/throttle/src/allotment.rs
@@ -11,13 +11,8 @@
 use cactusnotch_derive::record;
 use cactusnotch_route::rendezvous;
 
-use crate::Rate;
+use crate::{Rate, Tolerance};
 
-/// What an endpoint that names a limit bears in any [`WINDOW`]: half more than the limit
-/// allows, and [`SLACK`] requests.
-const TOLERANCE: f64 = 1.5;
-const SLACK: f64 = 5.0;
-const WINDOW: Duration = Duration::from_secs(4);
 /// The entries beyond the holders that may believe to be holders: lists of entries differ by
 /// few for a while.
 const SPARE: usize = 2;
@@ -41,13 +36,25 @@
 
 impl Allotment {
     /// Returns the part of `rate` at `endpoint` that the entry `me` of `entries` has, or `None`
-    /// if it is none of them.
+    /// if it is none of them. The endpoint bears what endpoints do that name a limit.
     #[must_use]
     pub fn of<S: AsRef<str>>(me: &str, entries: &[S], endpoint: &str, rate: Rate) -> Option<Self> {
+        Self::within(Tolerance::LIMITED, me, entries, endpoint, rate)
+    }
+
+    /// Returns the same at an endpoint that bears what `tolerance` says.
+    #[must_use]
+    pub fn within<S: AsRef<str>>(
+        tolerance: Tolerance,
+        me: &str,
+        entries: &[S],
+        endpoint: &str,
+        rate: Rate,
+    ) -> Option<Self> {
         if !entries.iter().any(|entry| entry.as_ref() == me) {
             return None;
         }
-        let holders = holders(entries.len(), rate);
+        let holders = holders(tolerance, entries.len(), rate);
         let rank = rendezvous::rank(me, entries, endpoint);
         let is_holder = rank < holders;
         let spacing = spacing(rate);
@@ -72,19 +79,19 @@
 
 /// Returns how many of `entries` share the requests that an endpoint takes: as many as stay
 /// within what it bears, with [`SPARE`] more, however their requests coincide.
-fn holders(entries: usize, rate: Rate) -> usize {
-    let borne = TOLERANCE * rate.per_second() * WINDOW.as_secs_f64() + SLACK;
+fn holders(tolerance: Tolerance, entries: usize, rate: Rate) -> usize {
+    let borne = tolerance.borne(rate);
     let fits = |&holders: &usize, spare: usize| {
-        f64::from(number(holders + spare)) * most(holders, rate) <= borne
+        f64::from(number(holders + spare)) * most(tolerance, holders, rate) <= borne
     };
     let with_spare = |spare| (1..=entries).rev().find(|holders| fits(holders, spare));
     (0..=SPARE).rev().find_map(with_spare).unwrap_or(1)
 }
 
 /// Returns the most requests that one of `holders` can send within a window.
-fn most(holders: usize, rate: Rate) -> f64 {
+fn most(tolerance: Tolerance, holders: usize, rate: Rate) -> f64 {
     let part = asked(rate) / f64::from(number(holders));
-    (part * WINDOW.as_secs_f64()).floor() + 1.0
+    (part * tolerance.window.as_secs_f64()).floor() + 1.0
 }
 
 fn number(entries: usize) -> u32 {
--- a/crates/throttle/src/limits.rs
+++ b/crates/throttle/src/limits.rs
@@ -7,7 +7,7 @@
 use cactusnotch_route::Withheld;
 
 use crate::limit::{Limit, WORD_TIME};
-use crate::{Allotment, Rate, Stated, Statement};
+use crate::{Allotment, Rate, Stated, Statement, Tolerance};
 
 /// How long a limit is believed of an endpoint that gets no request.
 const FORGET_TIME: Duration = Duration::from_mins(10);
@@ -15,9 +15,10 @@
 const ROWS_MAX: usize = 2_048;
 
 /// The endpoints that take fewer requests than usual, by their names.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Limits {
     host: String,
+    tolerance: Tolerance,
     /// The hosts of all entries, none before they are known.
     entries: Vec<String>,
     rows: Table<String, Limit>,
@@ -59,9 +60,17 @@
     /// Creates the table of the entry on `host`.
     #[must_use]
     pub fn new(host: &str) -> Self {
+        Self::within(Tolerance::LIMITED, host)
+    }
+
+    /// Creates the table of the entry on `host` for endpoints that bear what `tolerance` says.
+    #[must_use]
+    pub fn within(tolerance: Tolerance, host: &str) -> Self {
         Self {
             host: host.to_owned(),
-            ..Self::default()
+            tolerance,
+            entries: Vec::new(),
+            rows: Table::new(),
         }
     }
 
@@ -74,9 +83,10 @@
             return false;
         }
         self.entries = entries;
+        let (tolerance, host, entries) = (self.tolerance, &self.host, &self.entries);
         for (endpoint, row) in self.rows.iter_mut() {
-            let allotment = allotment(&self.host, &self.entries, endpoint, row.rate());
-            row.set_allotment(allotment, now);
+            let part = |rate| Allotment::within(tolerance, host, entries, endpoint, rate);
+            row.set_allotment(row.rate().and_then(part), now);
         }
         true
     }
@@ -126,7 +136,9 @@
         if before == limit {
             return None;
         }
-        let allotment = allotment(&self.host, &self.entries, endpoint, limit);
+        let (tolerance, host, entries) = (self.tolerance, &self.host, &self.entries);
+        let part = |rate| Allotment::within(tolerance, host, entries, endpoint, rate);
+        let allotment = limit.and_then(part);
         if let Some(row) = self.rows.get_mut(endpoint) {
             row.set_allotment(allotment, at);
         }
@@ -204,13 +216,3 @@
         }
     }
 }
-
-/// Returns this entry's part of a limit.
-fn allotment(
-    host: &str,
-    entries: &[String],
-    endpoint: &str,
-    limit: Option<Rate>,
-) -> Option<Allotment> {
-    Allotment::of(host, entries, endpoint, limit?)
-}
