fix: requests of routes and organisations stay in their regions

Requests of a route that is bound to some regions were sent to the nearest endpoint wherever it stood, and callers to the nearest entry. The adapter decodes the regions of routes, organisations and data centres; a request's are those that both allow, and the choice passes over endpoints elsewhere. What has none at home is refused at once, with a line that names its regions. Callers of a host with bound routes are told of entries in these regions or their own, and of no others.

Ruled out: a router for each set of regions (loads would be learned apart).

--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -171,6 +171,7 @@
             prefix: &self.job.prefix,
             tried: avoid,
             may_probe: true,
+            within: None,
         };
         let now = self.now();
         let mut router = self.shared.router();
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -28,6 +28,8 @@
     pub name: String,
     /// Its rank, which goes before that of a route; lower ones go first.
     pub priority: Option<u32>,
+    /// The regions whose endpoints may get its requests, none for all regions.
+    pub homes: Vec<String>,
 }
 
 /// The size of a group's expert maps and what a move costs.
@@ -176,6 +178,17 @@
         None
     }
 
+    /// Returns the regions of all routes of a host that are bound to some, `None` if none is.
+    #[must_use]
+    pub fn homes(&self, host: &str) -> Option<Vec<&str>> {
+        let first = self
+            .routes
+            .partition_point(|route| route.host.as_str() < host);
+        let of_host = self.routes[first..].iter().take_while(|r| r.host == host);
+        let homes: Vec<_> = of_host.flat_map(|r| &r.homes).map(String::as_str).collect();
+        (!homes.is_empty()).then_some(homes)
+    }
+
     /// Returns all routes in order of host and prefix.
     #[must_use]
     pub fn routes(&self) -> &[Route] {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -56,6 +56,10 @@
 /// A caller's question for addresses.
 #[record]
 pub struct Question {
+    /// The host that the caller will ask for.
+    pub host: Option<String>,
+    /// The region of the caller.
+    pub region: Option<String>,
     /// The data centre of the caller.
     pub data_centre: Option<String>,
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,6 +17,7 @@
 use crate::decide::{Course, Failure};
 use crate::dialect::Dialect;
 use crate::endpoint::Endpoint;
+use crate::fleet::Wish;
 use crate::journal::millis;
 use crate::knowledge::Knowledge;
 use crate::pool::{self, Kept, Lease, Reuse};
@@ -65,15 +66,21 @@
     now: Instant,
 ) -> Result<(Endpoint, Running), Unserved> {
     let service = &call.judged.service;
-    let may_probe = call.judged.route.repeat == Repeat::Idempotent;
-    let tokens = call.head.prompt_tokens;
+    let homes = call.judged.homes.as_ref();
+    let within = homes.map(|homes| knowledge.options().regions.data_centres(homes));
+    let wish = Wish {
+        tokens: call.head.prompt_tokens,
+        tried,
+        may_probe: call.judged.route.repeat == Repeat::Idempotent,
+        within: within.as_deref(),
+    };
     if knowledge.holds(call, now).is_some() {
         return Err(Unserved::Held);
     }
     knowledge.drop_missing(now);
     let mut fleet = knowledge.fleet.borrow_mut();
     let mut rng = knowledge.rng.borrow_mut();
-    let chosen = fleet.start(service, tokens, tried, may_probe, now, &mut rng);
+    let chosen = fleet.start(service, &wish, now, &mut rng);
     let (choice, attempt) = chosen.map_err(Unserved::None)?;
     let endpoint = fleet.get(choice.endpoint.as_str()).cloned();
     drop(fleet);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -54,6 +54,19 @@
     pub(crate) slower: f64,
 }
 
+/// What a request wants of its endpoint beside the service.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Wish<'a> {
+    /// The tokens of its prompt.
+    pub(crate) tokens: u32,
+    /// The endpoints that it has been sent to.
+    pub(crate) tried: &'a [name::Endpoint],
+    /// Whether it may try an endpoint that has failed.
+    pub(crate) may_probe: bool,
+    /// The data centres that it may be sent to, `None` for all.
+    pub(crate) within: Option<&'a [name::DataCentre]>,
+}
+
 /// The endpoints that an entry knows.
 #[derive(Debug)]
 pub(crate) struct Fleet {
@@ -251,19 +264,18 @@
     pub(crate) fn start(
         &mut self,
         service: &str,
-        tokens: u32,
-        tried: &[name::Endpoint],
-        may_probe: bool,
+        wish: &Wish<'_>,
         now: Instant,
         rng: &mut SmallRng,
     ) -> Result<(Choice, Attempt), choice::Error> {
         let kind = kind(service);
         let request = Request {
             service: &kind,
-            tokens,
+            tokens: wish.tokens,
             prefix: &[],
-            tried,
-            may_probe,
+            tried: wish.tried,
+            may_probe: wish.may_probe,
+            within: wish.within,
         };
         let router = self
             .routers
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -246,7 +246,8 @@
         let id = self.call.head.id.as_deref();
         let service = self.call.judged.service.as_str();
         let evacuated = self.knowledge.evacuations.borrow().names().count();
-        tracing::info!(id, service, %error, evacuated, "no endpoint chosen");
+        let homes = self.call.judged.homes.as_ref().map(|homes| homes.join(","));
+        tracing::info!(id, service, %error, evacuated, homes, "no endpoint chosen");
         let given_up = self.course.given_up();
         let choice::Error::Withheld { first, .. } = *error else {
             return given_up;
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -5,6 +5,8 @@
 
 use cactusnotch_throttle::Tolerance;
 
+use crate::regions::Regions;
+
 /// Settings that an entry gets from its host, not from the operators' tree.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Options {
@@ -12,6 +14,8 @@
     pub host: String,
     /// The data centre of the host.
     pub data_centre: String,
+    /// The regions of all data centres.
+    pub regions: Regions,
     /// Where callers connect.
     pub listen: SocketAddr,
     /// Where it is asked whether it is ready.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -189,7 +189,20 @@
         own: Option<SocketAddr>,
         now: Instant,
     ) -> Vec<SocketAddr> {
-        let ready = || self.rows.values().filter(|row| row.ready(now));
+        self.list_within(data_centre, own, |_| true, now)
+    }
+
+    /// Returns the same, of other entries those in data centres that `is_home` allows.
+    #[must_use]
+    pub fn list_within(
+        &self,
+        data_centre: Option<&str>,
+        own: Option<SocketAddr>,
+        is_home: impl Fn(&str) -> bool,
+        now: Instant,
+    ) -> Vec<SocketAddr> {
+        let allowed = |row: &&Row| row.ready(now) && is_home(&row.entry.data_centre);
+        let ready = || self.rows.values().filter(allowed);
         let home = data_centre.is_none_or(|wanted| wanted == self.data_centre);
         let near = |row: &&Row| data_centre.is_none_or(|wanted| row.entry.data_centre == wanted);
         let mut list: Vec<_> = ready().filter(near).map(|row| row.entry.listen).collect();
--- /dev/null
+++ b/crates/gateway/src/regions.rs
@@ -0,0 +1,41 @@
+//! Which data centres stand in which region.
+
+use cactusnotch_base::{Table, name};
+use cactusnotch_derive::record;
+
+/// Which data centres stand in which region.
+#[record]
+#[derive(Default)]
+pub struct Regions {
+    by_data_centre: Table<String, String>,
+}
+
+impl Regions {
+    /// Tells whether a data centre stands in one of some regions. One that is in no known
+    /// region doesn't.
+    #[must_use]
+    pub fn are_home<S: AsRef<str>>(&self, regions: &[S], data_centre: &str) -> bool {
+        let region = self.by_data_centre.get(data_centre);
+        region.is_some_and(|region| regions.iter().any(|home| home.as_ref() == region))
+    }
+
+    /// Returns the data centres that stand in some regions.
+    #[must_use]
+    pub fn data_centres<S: AsRef<str>>(&self, regions: &[S]) -> Vec<name::DataCentre> {
+        let names = self.by_data_centre.keys();
+        let home = names.filter(|data_centre| self.are_home(regions, data_centre));
+        home.map(|data_centre| name::DataCentre::new(data_centre.clone()))
+            .collect()
+    }
+}
+
+impl FromIterator<(String, String)> for Regions {
+    /// Collects data centres with their regions.
+    fn from_iter<I: IntoIterator<Item = (String, String)>>(pairs: I) -> Self {
+        let mut by_data_centre = Table::new();
+        for (data_centre, region) in pairs {
+            by_data_centre.insert(data_centre, region);
+        }
+        Self { by_data_centre }
+    }
+}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -44,6 +44,8 @@
     pub(crate) route: Route,
     pub(crate) service: String,
     pub(crate) organisation: Option<Organisation>,
+    /// The regions whose endpoints may get it, `None` for all.
+    pub(crate) homes: Option<Vec<String>>,
 }
 
 /// A caller's request, read whole and judged.
@@ -82,13 +84,29 @@
         None => return Err(Refusal::NoKey),
     };
     let service = route.service(draw).ok_or(Refusal::NoRoute)?;
+    let bound = organisation.map_or_else(Vec::new, |o| o.homes.clone());
     Ok(Judged {
+        homes: both(&route.homes, &bound),
         service: service.to_owned(),
         organisation: organisation.cloned(),
         route: route.clone(),
     })
 }
 
+/// Returns the regions that both a route and an organisation allow, each of which allows all
+/// if it names none; `None` for all.
+fn both(route: &[String], organisation: &[String]) -> Option<Vec<String>> {
+    match (route.is_empty(), organisation.is_empty()) {
+        (true, true) => None,
+        (true, false) => Some(organisation.to_vec()),
+        (false, true) => Some(route.to_vec()),
+        (false, false) => {
+            let common = route.iter().filter(|region| organisation.contains(region));
+            Some(common.cloned().collect())
+        }
+    }
+}
+
 /// Drops the headers that concern one connection only.
 pub(crate) fn strip(headers: &mut HeaderMap) {
     let named: Vec<_> = headers
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -51,6 +51,8 @@
     pub attempts: u32,
     /// Whether requests need no key.
     pub anonymous: bool,
+    /// The regions whose endpoints may get its requests, none for all regions.
+    pub homes: Vec<String>,
     /// The services that take its requests.
     pub backends: Vec<Backend>,
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -18,7 +18,7 @@
 use tokio::sync::watch;
 
 use crate::connection;
-use crate::dialect::Dialect;
+use crate::dialect::{Dialect, Question};
 use crate::knowledge::Knowledge;
 use crate::tcp;
 
@@ -98,6 +98,15 @@
     }
 }
 
+/// Returns the regions whose entries a caller may be sent to, `None` for all: those of the
+/// host's routes, if any is bound to some, and the caller's own.
+fn homes(knowledge: &Knowledge, question: &Question) -> Option<Vec<String>> {
+    let configuration = knowledge.configuration()?;
+    let homes = configuration.homes(question.host.as_deref()?)?;
+    let homes = homes.into_iter().chain(question.region.as_deref());
+    Some(homes.map(str::to_owned).collect())
+}
+
 fn question<D: Dialect>(
     knowledge: &Knowledge,
     request: &Request<Incoming>,
@@ -120,10 +129,16 @@
     };
     let options = knowledge.options();
     let serving = knowledge.stopping.get().is_none() && knowledge.configuration().is_some();
-    let ready = knowledge.ready(now).then_some(options.listen);
+    let homes = homes(knowledge, &question);
+    let is_home = |data_centre: &str| {
+        let regions = homes.as_ref();
+        regions.is_none_or(|homes| options.regions.are_home(homes, data_centre))
+    };
+    let own_is_home = is_home(&options.data_centre);
+    let ready = (knowledge.ready(now) && own_is_home).then_some(options.listen);
     let peers = knowledge.peers.borrow();
-    let mut list = peers.list(question.data_centre.as_deref(), ready, now);
-    if list.is_empty() && serving {
+    let mut list = peers.list_within(question.data_centre.as_deref(), ready, is_home, now);
+    if list.is_empty() && serving && own_is_home {
         // While the store is away no entry is ready, and each still serves
         // what needs no fresh proof.
         list.push(options.listen);
--- a/crates/gateway/tests/patience.rs
+++ b/crates/gateway/tests/patience.rs
@@ -22,6 +22,7 @@
         priority: 0,
         attempts: 2,
         anonymous: false,
+        homes: Vec::new(),
         backends: Vec::new(),
     }
 }
--- a/crates/route/examples/policies/policy.rs
+++ b/crates/route/examples/policies/policy.rs
@@ -191,6 +191,7 @@
             prefix: prefix.as_slice(),
             tried: &tried,
             may_probe: tried.is_empty(),
+            within: None,
         };
         let now = self.start + now;
         let router = &mut self.routers[job.entry];
--- a/crates/route/examples/policies/subsets.rs
+++ b/crates/route/examples/policies/subsets.rs
@@ -178,6 +178,7 @@
         prefix,
         tried: &[],
         may_probe: true,
+        within: None,
     };
     let start = clock::now();
     for round in 0..ROUNDS {
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -1,6 +1,6 @@
 //! The routing decision's view of a request.
 
-use cactusnotch_base::name::Endpoint;
+use cactusnotch_base::name::{DataCentre, Endpoint};
 
 use crate::Service;
 
@@ -18,4 +18,6 @@
     /// Whether the request may be used to try an ejected endpoint; it should
     /// be idempotent for that.
     pub may_probe: bool,
+    /// The data centres whose endpoints may get it, `None` for all.
+    pub within: Option<&'a [DataCentre]>,
 }
--- a/crates/route/src/selection.rs
+++ b/crates/route/src/selection.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cactusnotch_base::clock::Instant;
-use cactusnotch_base::name::Endpoint;
+use cactusnotch_base::name::DataCentre;
 use rand::Rng;
 use rand::seq::SliceRandom;
 
@@ -66,7 +66,7 @@
         request: &Request<'_>,
         rng: &mut impl Rng,
     ) -> Result<Pick, Error> {
-        self.collect(members, request.tried)?;
+        self.collect(members, request)?;
         if request.may_probe
             && let Some(due) = self.candidates.iter().find(|c| c.fitness == Fitness::Due)
         {
@@ -84,13 +84,18 @@
         Ok(self.pick(chosen, reason, request))
     }
 
-    /// Collects the endpoints that take work and have not been tried.
-    fn collect(&mut self, members: &[usize], tried: &[Endpoint]) -> Result<(), Error> {
+    /// Collects the endpoints that take work, may get the request and have not been tried.
+    fn collect(&mut self, members: &[usize], request: &Request<'_>) -> Result<(), Error> {
         let mut tally = Tally::default();
         let mut mean = Mean::default();
         self.candidates.clear();
         for &at in members {
             let row = &self.rows[at];
+            let is_within =
+                |data_centres: &[DataCentre]| data_centres.contains(&row.member.data_centre);
+            if !request.within.is_none_or(is_within) {
+                continue;
+            }
             match row.state {
                 State::Leaving => tally.leaving += 1,
                 State::Unreachable => tally.unreachable += 1,
@@ -103,7 +108,7 @@
                         self.now,
                     );
                     mean.add(fresh, row.slots, others);
-                    if tried.contains(&row.member.name) {
+                    if request.tried.contains(&row.member.name) {
                         continue;
                     }
                     if let Some(withheld) = row.withheld(self.now) {
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -57,6 +57,7 @@
         prefix,
         tried,
         may_probe: true,
+        within: None,
     }
 }
 
