perf: a watch of evacuations waits for 0.4 of the bound, and others ask after 0.64 of it

A watch returns at once when something changes; its end only confirms what is known. Worked out at a bound of 5 s: a watch each 2 s in a data centre, others' knowledge at most 2.6 s old (two questions a second), their own question at 3.2 s, and with a look and a call without an answer 4.4 s.

--- a/crates/gateway/src/knowledge/evacuations.rs
+++ b/crates/gateway/src/knowledge/evacuations.rs
@@ -15,11 +15,11 @@
 
 /// The part of the bound after which a watch returns though nothing has changed, which
 /// confirms what is known.
-const WATCH_PART: f64 = 0.3;
+const WATCH_PART: f64 = 0.4;
 /// The part of the bound from which an entry that has no confirmation from others asks the
 /// store itself. Others ask each other twice a second; what is left of the bound covers the
 /// next look and a call that gets no answer.
-const CONFIRM_PART: f64 = 0.6;
+const CONFIRM_PART: f64 = 0.64;
 
 impl Knowledge {
     /// Tells whether evacuations are to be known and aren't.
