fix: what an entry holds for its callers is bounded by its host's memory

An answer could wait in sixteen pieces of up to 64 KB for a caller that reads nothing, and bodies were read whole, for as many callers as came: an entry beyond its host's memory is killed with all that it serves.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -7,7 +7,8 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::sync::mpsc;
+
+use crate::pieces;
 
 /// The answer can't be completed. The connection is then cut, so that the
 /// answer does not look whole.
@@ -28,7 +29,7 @@
     Whole(Option<Bytes>),
     /// Pieces as they come; `left` is the stated length that is still due.
     Pieces {
-        receiver: mpsc::Receiver<Result<Bytes, Broken>>,
+        receiver: pieces::Receiver,
         left: Option<u64>,
     },
 }
@@ -49,7 +50,7 @@
                     .map(|b| Ok(Frame::data(b))),
             ),
             Self::Pieces { receiver, left } => receiver.poll_recv(context).map(|piece| {
-                let piece = piece?;
+                let piece = piece?.bytes;
                 if let (Ok(bytes), Some(left)) = (&piece, left) {
                     *left = left.saturating_sub(bytes.len() as u64);
                 }
--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -13,6 +13,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::task::AbortHandle;
 
+use crate::memory::ANSWER_BYTES;
 use crate::tcp;
 
 /// Why a call got no answer.
@@ -189,4 +190,4 @@
 
 /// The bytes of an answer that a connection buffers at most; the least that
 /// the library takes is 8 KB, and heads here stay far below.
-const MAX_BUFFER: usize = 64 * 1024;
+const MAX_BUFFER: usize = ANSWER_BYTES as usize;
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -11,7 +11,6 @@
 use http::{Request, Response, header};
 use hyper::body::Incoming;
 use rand::Rng;
-use tokio::sync::mpsc;
 
 use crate::account;
 use crate::admission::RETURNED_WAIT;
@@ -24,16 +23,13 @@
 use crate::exchange::{self, Failed, Reply, Unserved};
 use crate::intake;
 use crate::knowledge::Knowledge;
+use crate::pieces;
 use crate::pump::Pump;
 use crate::refusal::Refusal;
 use crate::request::{self, Call};
 use crate::route::Repeat;
 use crate::running::Running;
 
-/// The pieces of an answer that wait for a slow caller before the endpoint is
-/// made to wait.
-const PIECES_AHEAD: usize = 16;
-
 /// How often it is looked whether there is room.
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
 
@@ -300,7 +296,7 @@
         first: Bytes,
         guard: InFlight,
     ) -> Response<Outgoing> {
-        let (sender, receiver) = mpsc::channel(PIECES_AHEAD);
+        let (sender, receiver) = pieces::channel();
         let head = reply.head.clone();
         let length = head.headers.get(header::CONTENT_LENGTH);
         let left = length.and_then(|length| length.to_str().ok()?.parse().ok());
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use cactusnotch_base::clock::{self, Instant};
 use http::{Request, header};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -13,6 +13,7 @@
 
 use crate::dialect::Dialect;
 use crate::knowledge::Knowledge;
+use crate::memory::{Held, Memory};
 use crate::refusal::Refusal;
 use crate::request::{self, Call};
 
@@ -33,7 +34,12 @@
     let patience = configuration
         .as_ref()
         .map_or(BODY_TIME, |c| c.limits.idle_time);
-    let body = read_body(body, limit, patience).await.map_err(fail)?;
+    let mut room = knowledge
+        .memory
+        .begin()
+        .ok_or_else(|| fail(Refusal::NoMemory))?;
+    let body = read_body(body, limit, patience, &knowledge.memory, &mut room);
+    let body = body.await.map_err(fail)?;
     if knowledge.closing.get() {
         return Err(fail(Refusal::Stopping));
     }
@@ -78,6 +84,7 @@
         target,
         headers,
         body,
+        room,
         head,
         judged,
         has_returned,
@@ -93,12 +100,33 @@
 const BODY_MAX: usize = 1 << 20;
 const BODY_TIME: Duration = Duration::from_secs(15);
 
-async fn read_body(body: Incoming, limit: usize, patience: Duration) -> Result<Bytes, Refusal> {
-    let whole = tokio::time::timeout(patience, Limited::new(body, limit).collect()).await;
-    match whole {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge),
-        Ok(Err(_)) => Err(Refusal::Malformed),
-        Err(_) => Err(Refusal::SlowBody),
-    }
+/// Reads a body piece by piece, each of which is counted in `held`.
+async fn read_body(
+    body: Incoming,
+    limit: usize,
+    patience: Duration,
+    memory: &Memory,
+    held: &mut Held,
+) -> Result<Bytes, Refusal> {
+    let mut body = Limited::new(body, limit);
+    let read = async {
+        let mut whole = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| {
+                if error.is::<LengthLimitError>() {
+                    Refusal::TooLarge
+                } else {
+                    Refusal::Malformed
+                }
+            })?;
+            let data = frame.into_data().unwrap_or_default();
+            if !memory.add(held, data.len()) {
+                return Err(Refusal::NoMemory);
+            }
+            whole.extend_from_slice(&data);
+        }
+        Ok(whole.freeze())
+    };
+    let whole = tokio::time::timeout(patience, read).await;
+    whole.unwrap_or(Err(Refusal::SlowBody))
 }
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -29,6 +29,7 @@
 use crate::freshness::Freshness;
 use crate::handout::Handout;
 use crate::link::Link;
+use crate::memory::Memory;
 use crate::news::News;
 use crate::options::Options;
 use crate::patience::Patience;
@@ -61,6 +62,7 @@
     pub(crate) news: News,
     pub(crate) handout: Handout,
     pub(crate) pool: Pool,
+    pub(crate) memory: Memory,
     pub(crate) budgets: RefCell<Budgets>,
     pub(crate) patience: RefCell<Patience>,
     pub(crate) rng: RefCell<SmallRng>,
@@ -92,6 +94,7 @@
 
 impl Knowledge {
     pub(crate) fn new(options: Options) -> Self {
+        let memory = Memory::of_host(options.memory);
         Self {
             freshness: RefCell::new(Freshness::new(options.revocation)),
             fleet: RefCell::new(Fleet::new(
@@ -118,6 +121,7 @@
             shown: Cell::default(),
             news: News::default(),
             handout: Handout::default(),
+            memory,
             pool: Pool::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
             in_flight: Cell::new(0),
--- a/crates/gateway/src/knowledge/evacuations.rs
+++ b/crates/gateway/src/knowledge/evacuations.rs
@@ -13,9 +13,9 @@
 use crate::proof::REWRITE_TIME;
 use crate::store::Change;
 
-/// The part of the bound after which a watch returns though nothing has changed, which
-/// confirms what is known.
-const WATCH_PART: f64 = 0.4;
+/// The part of the bound after which the entry that watches for its data centre asks the store
+/// whether what is known is still so, since its watch may hang.
+const PROOF_PART: f64 = 0.32;
 /// The part of the bound from which an entry that has no confirmation from others asks the
 /// store itself. Others ask each other twice a second; what is left of the bound covers the
 /// next look and a call that gets no answer.
@@ -27,9 +27,9 @@
         self.options.borrow().evacuation.is_some() && !self.evacuations.borrow().are_known()
     }
 
-    /// Returns how long a watch of evacuations may wait.
-    pub(crate) fn evacuation_watch(&self) -> Duration {
-        self.evacuation_part(WATCH_PART)
+    /// Returns how long the entry that watches evacuations leaves between two proofs.
+    pub(crate) fn evacuation_proof(&self) -> Duration {
+        self.evacuation_part(PROOF_PART)
     }
 
     /// Tells whether it is this entry's to ask the store whether what it knows of evacuations
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -33,6 +33,8 @@
     /// The longest time for which a taken-away key may still work; `None` if
     /// that isn't bounded.
     pub revocation: Option<Duration>,
+    /// The memory of the host, in bytes.
+    pub memory: u64,
     /// The time within which an endpoint that leaves has to be known.
     pub leaving: Duration,
     /// The time within which a data centre that operators evacuate gets nothing more; `None`
--- /dev/null
+++ b/crates/gateway/src/pieces.rs
@@ -0,0 +1,79 @@
+//! The pieces of an answer that wait for their caller, bounded by their bytes.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use crate::body::Broken;
+use crate::memory::ANSWER_BYTES;
+
+/// A piece, which counts until the caller's connection takes it.
+#[derive(Debug)]
+pub(crate) struct Piece {
+    pub(crate) bytes: Result<Bytes, Broken>,
+    _room: Option<OwnedSemaphorePermit>,
+}
+
+/// Where the pieces of an answer are put.
+#[derive(Debug)]
+pub(crate) struct Sender {
+    room: Arc<Semaphore>,
+    pieces: UnboundedSender<Piece>,
+}
+
+/// Where the caller's connection takes them.
+pub(crate) type Receiver = UnboundedReceiver<Piece>;
+
+/// The caller's connection has ended.
+#[derive(Debug)]
+pub(crate) struct Left;
+
+/// Returns the two ends of an answer.
+pub(crate) fn channel() -> (Sender, Receiver) {
+    let (pieces, receiver) = unbounded_channel();
+    let room = Arc::new(Semaphore::new(ANSWER_BYTES as usize));
+    (Sender { room, pieces }, receiver)
+}
+
+impl Sender {
+    /// Waits for room and puts a piece.
+    ///
+    /// # Errors
+    ///
+    /// Returns that the caller has left.
+    pub(crate) async fn send(&self, bytes: Bytes) -> Result<(), Left> {
+        let size = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
+        let room = Arc::clone(&self.room).acquire_many_owned(size.min(ANSWER_BYTES));
+        let room = tokio::select! {
+            biased;
+            room = room => room.map_err(|_| Left)?,
+            () = self.closed() => return Err(Left),
+        };
+        self.put(Ok(bytes), Some(room))
+    }
+
+    /// Puts the sign that the answer broke off.
+    ///
+    /// # Errors
+    ///
+    /// Returns that the caller has left.
+    pub(crate) fn break_off(&self) -> Result<(), Left> {
+        self.put(Err(Broken), None)
+    }
+
+    /// Waits until the caller has left.
+    pub(crate) async fn closed(&self) {
+        self.pieces.closed().await;
+    }
+
+    fn put(
+        &self,
+        bytes: Result<Bytes, Broken>,
+        room: Option<OwnedSemaphorePermit>,
+    ) -> Result<(), Left> {
+        let piece = Piece { bytes, _room: room };
+        self.pieces.send(piece).map_err(|_| Left)
+    }
+}
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -10,15 +10,14 @@
 use http::header;
 use http::response::Parts;
 use http_body_util::BodyExt;
-use tokio::sync::mpsc::Sender;
 
-use crate::body::Broken;
 use crate::crash;
 use crate::decide::{Course, Failure, Next};
 use crate::dialect::Dialect;
 use crate::events::Events;
 use crate::exchange::{self, Failed, Reply};
 use crate::knowledge::Knowledge;
+use crate::pieces::Sender;
 use crate::request::Call;
 use crate::route::Repeat;
 
@@ -45,7 +44,7 @@
     pub(crate) call: Call,
     pub(crate) course: Course,
     pub(crate) tried: Vec<name::Endpoint>,
-    pub(crate) sender: Sender<Result<Bytes, Broken>>,
+    pub(crate) sender: Sender,
     /// How often a stream was continued at another endpoint.
     pub(crate) resumed: u32,
 }
@@ -81,31 +80,31 @@
         let resumable =
             self.call.judged.route.repeat == Repeat::Resume && is_open_stream(&reply.head);
         let mut events = resumable.then(|| Events::new(self.call.head.last_event));
-        if !first.is_empty() && self.sender.send(Ok(first)).await.is_err() {
+        if !first.is_empty() && self.sender.send(first).await.is_err() {
             return (End::Left, self);
         }
         loop {
             let mut failed = match self.part(reply, events.as_mut()).await {
-                Part::End(end) => return (self.close(end).await, self),
+                Part::End(end) => return (self.close(end), self),
                 Part::Broken(failed) => failed,
             };
             self.examine(&mut failed).await;
             let Some(events) = events.as_mut() else {
-                return (self.close(End::Broken).await, self);
+                return (self.close(End::Broken), self);
             };
             events.drop_partial();
             match self.resume::<D>(events.last(), failed).await {
                 Some(next) => reply = next,
-                None => return (self.close(End::Broken).await, self),
+                None => return (self.close(End::Broken), self),
             }
         }
     }
 
     /// Tells the caller by a cut connection if the answer is not whole.
-    async fn close(&self, end: End) -> End {
+    fn close(&self, end: End) -> End {
         if matches!(end, End::TimeUp | End::Broken) {
             // A caller that has left meanwhile needs no sign.
-            let _: Result<(), _> = self.sender.send(Err(Broken)).await;
+            let _: Result<(), _> = self.sender.break_off();
         }
         end
     }
@@ -146,7 +145,7 @@
                 Some(events) => events.push(&data),
                 None => data,
             };
-            if !data.is_empty() && self.sender.send(Ok(data)).await.is_err() {
+            if !data.is_empty() && self.sender.send(data).await.is_err() {
                 return Part::End(End::Left);
             }
             if events.is_some() && self.leaves(running.endpoint()) {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -53,6 +53,9 @@
         /// The time until the first of them may get a request.
         wait: Duration,
     },
+    /// This entry has no memory for it.
+    #[display("the entry has no memory for the request")]
+    NoMemory,
     /// The request has ended endpoints that ran it, and has not been sent to another.
     #[display("the request ends the endpoints that run it")]
     Held,
@@ -82,6 +85,7 @@
             | Self::Busy
             | Self::Throttled { .. }
             | Self::Held
+            | Self::NoMemory
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::TimeUp => StatusCode::GATEWAY_TIMEOUT,
             Self::Lost => StatusCode::BAD_GATEWAY,
@@ -100,6 +104,7 @@
                 | Self::Busy
                 | Self::Throttled { .. }
                 | Self::Held
+                | Self::NoMemory
                 | Self::Stopping
         )
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -16,6 +16,7 @@
 use crate::content::{self, Content};
 use crate::dialect::{Dialect, Head, Hop};
 use crate::endpoint::Endpoint;
+use crate::memory::Held;
 use crate::refusal::Refusal;
 use crate::route::Route;
 
@@ -55,6 +56,9 @@
     pub(crate) target: PathAndQuery,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// The memory that it takes up.
+    #[expect(dead_code, reason = "it is free again once the call is dropped")]
+    pub(crate) room: Held,
     pub(crate) head: Head,
     pub(crate) judged: Judged,
     /// Whether the caller was refused before.
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -116,14 +116,6 @@
         }
     }
 
-    /// Returns the longest wait of a watch.
-    fn watch_time(&self) -> Duration {
-        match self.kind {
-            Kind::Evacuations => self.knowledge.evacuation_watch().min(WATCH_MAX),
-            _ => WATCH_MAX,
-        }
-    }
-
     /// Tells whether what is known was read in an era of the store that has ended, or may
     /// have been.
     fn is_outdated(&self) -> bool {
@@ -202,7 +194,7 @@
             return Ok(());
         }
         let (from, asked) = (self.known(), clock::now());
-        let waiting = watching.watch(self.kind, from, self.watch_time());
+        let waiting = watching.watch(self.kind, from, WATCH_MAX);
         tokio::pin!(waiting);
         loop {
             tokio::select! {
@@ -213,7 +205,7 @@
                     return Ok(());
                 }
                 () = self.knowledge.eras.changed() => return Ok(()),
-                () = news(self.knowledge, self.kind), if self.kind != Kind::Evacuations => {
+                () = news(self.knowledge, self.kind) => {
                     if self.catch_up().await? {
                         tracing::info!(kind = %self.kind, "a watch missed changes, watching anew");
                         return Ok(());
@@ -326,13 +318,13 @@
     }
 }
 
-/// Waits for a sign that the store has objects of `kind` that aren't known.
+/// Waits for a sign that the store has objects of `kind` that aren't known, or that what is
+/// known has to be confirmed.
 async fn news(knowledge: &Knowledge, kind: Kind) {
     match kind {
         Kind::Endpoints => knowledge.news.behind().await,
-        Kind::Configuration | Kind::Entries | Kind::Evacuations => {
-            knowledge.news.outdated().await;
-        }
+        Kind::Configuration | Kind::Entries => knowledge.news.outdated().await,
+        Kind::Evacuations => tokio::time::sleep(knowledge.evacuation_proof()).await,
     }
 }
 
