--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -75,16 +75,16 @@
         "Requests refused before an endpoint was asked, by outcome.";
     ENTRY_REQUESTS = "cactusnotch_entry_requests_total", Counter, Count, ["outcome"],
         "Requests that were let in, by outcome: ok, not-run, unknown or caller-gone.";
+    GATEWAY_COLD = "cactusnotch_gateway_cold_endpoints", Gauge, Count, [],
+        "Endpoints that take few requests, since they have started lately.";
     GATEWAY_CONNECTIONS_OPENED = "cactusnotch_gateway_connections_opened_total", Counter, Count, [],
         "Connections that an entry opened to endpoints it calls directly.";
     GATEWAY_CRASHES = "cactusnotch_gateway_crashes_total", Counter, Count, [],
         "Endpoints that this entry saw end under a request which had given nothing yet, one for each such request.";
-    GATEWAY_FORECAST_ERROR = "cactusnotch_gateway_forecast_error_seconds", Histogram, Seconds, [],
-        "Time by which the first event of a stream came sooner or later than was expected when it was sent.";
-    GATEWAY_COLD = "cactusnotch_gateway_cold_endpoints", Gauge, Count, [],
-        "Endpoints that take few requests, since they have started lately.";
     GATEWAY_EVACUATED = "cactusnotch_gateway_evacuated_data_centres", Gauge, Count, [],
         "Data centres that operators have emptied, whose endpoints get nothing.";
+    GATEWAY_FORECAST_ERROR = "cactusnotch_gateway_forecast_error_seconds", Histogram, Seconds, [],
+        "Time by which the first event of a stream came sooner or later than was expected when it was sent.";
     GATEWAY_HELD = "cactusnotch_gateway_held_requests", Gauge, Count, [],
         "Requests that are kept from endpoints, since they end those that run them.";
     GATEWAY_LIMITED = "cactusnotch_gateway_limited_endpoints", Gauge, Count, [],
