--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -5,9 +5,11 @@
 mod departed;
 mod farewells;
 mod lives;
+mod options;
 mod row;
 mod sharing;
 mod statements;
+mod wish;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -22,23 +24,14 @@
 pub(crate) use self::barrier::Barrier;
 use self::departed::Departed;
 use self::farewells::Farewells;
-use self::row::{Row, SILENCE, WORD_TIME};
+use self::row::{Row, WORD_TIME};
 pub(crate) use self::statements::Update;
-use crate::configuration::{ColdStart, Engine, Service};
+pub(crate) use self::wish::Wish;
+use crate::configuration::{ColdStart, Service};
 use crate::endpoint::Endpoint;
 use crate::peer::Load;
 use cactusnotch_throttle::{Cold, Limits, Rests, Tolerance};
 
-/// The endpoints that are drawn and compared for a request: with all compared,
-/// many entries send to the same idlest one at once.
-const COMPARED: usize = 3;
-/// What a crossing of data centres costs against an empty slot.
-const HOP_TIME: Duration = Duration::from_millis(2);
-/// How fast a failing endpoint is set aside, and for how long at first.
-const FAILURES: u32 = 3;
-const EJECTION: Duration = Duration::from_millis(700);
-const EJECTION_MAX: Duration = Duration::from_secs(6);
-
 /// Streams are moved away from stragglers while these are at most one in so many of
 /// the service's endpoints: the others have to have room for them.
 const STRAGGLERS_PART: usize = 4;
@@ -54,19 +47,6 @@
     pub(crate) slower: f64,
 }
 
-/// What a request wants of its endpoint beside the service.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Wish<'a> {
-    /// The tokens of its prompt.
-    pub(crate) tokens: u32,
-    /// The endpoints that it has been sent to.
-    pub(crate) tried: &'a [name::Endpoint],
-    /// Whether it may try an endpoint that has failed.
-    pub(crate) may_probe: bool,
-    /// The data centres that it may be sent to, `None` for all.
-    pub(crate) within: Option<&'a [name::DataCentre]>,
-}
-
 /// The endpoints that an entry knows.
 #[derive(Debug)]
 pub(crate) struct Fleet {
@@ -140,24 +120,6 @@
         }
     }
 
-    fn options(&self, service: &Service) -> route::Options {
-        let mut options = route::Options {
-            choices: COMPARED,
-            affinity_width: 0,
-            failures: FAILURES,
-            ejection: EJECTION,
-            ejection_max: EJECTION_MAX,
-            ..route::Options::default()
-        };
-        if let Some(engine) = &service.engine {
-            pace(&mut options, engine);
-        } else {
-            options.nearest = vec![self.data_centre.clone()];
-            options.hop_time = HOP_TIME;
-        }
-        options
-    }
-
     /// Takes an endpoint's registration; returns whether anything changed. Of two at one
     /// address the later one lives: the other's registration lapses only seconds after
     /// its end, and what is sent there meanwhile is refused.
@@ -431,19 +393,6 @@
     }
 }
 
-/// Fits the choice to the pass of a model server: a request that runs costs
-/// others part of a step, and one whose prompt waits costs the reading time.
-fn pace(options: &mut route::Options, engine: &Engine) {
-    let pass = (engine.step + engine.per_request * engine.slots) * engine.stride;
-    options.base_time = pass;
-    options.token_time = Duration::from_secs_f64(1.0 / engine.read_rate.max(1.0));
-    options.report_half_life = REPORT_HALF_LIFE;
-    options.silence = Some(SILENCE);
-}
-
-/// How fast a load report fades; agents send one four times a second.
-const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
-
 fn kind(service: &str) -> route::Service {
     route::Service::Path(service.to_owned())
 }
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -1,5 +1,6 @@
 //! Everything that an entry believes, shared between its tasks.
 
+mod changes;
 mod era;
 mod evacuations;
 mod outage;
@@ -9,7 +10,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
 
 use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_position::{Era, Eras, Position};
@@ -23,7 +23,6 @@
 use crate::budget::Budgets;
 use crate::complaints::Complaints;
 use crate::configuration::Configuration;
-use crate::endpoint::Endpoint;
 use crate::evacuations::Evacuations;
 use crate::fleet::Fleet;
 use crate::freshness::Freshness;
@@ -33,7 +32,7 @@
 use crate::news::News;
 use crate::options::Options;
 use crate::patience::Patience;
-use crate::peer::{Changes, Entry};
+use crate::peer::Entry;
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::proof::Shown;
@@ -348,47 +347,6 @@
         self.peers.borrow().ready_before(now) == 0
     }
 
-    /// Takes changes of endpoints that another entry passes on, if none is
-    /// missing before them.
-    pub(crate) fn take_changes(&self, changes: Changes, now: Instant) {
-        let Changes {
-            from,
-            to,
-            returned_ago,
-            endpoints,
-        } = changes;
-        if !self.news.progress().continues(from, to) {
-            self.hear_position(to, now);
-            return;
-        }
-        let returned =
-            returned_ago.and_then(|ago| now.checked_sub(Duration::from_millis(ago.into())));
-        if let Some(returned) = returned {
-            self.store_returned(returned);
-        }
-        for (name, endpoint) in endpoints {
-            let item = Ok(endpoint.map(Item::Endpoint));
-            self.apply(Kind::Endpoints, Change { name, item }, to, now);
-        }
-        self.news.know(to);
-    }
-
-    /// Returns changes of endpoints for other entries.
-    pub(crate) fn passed_on(
-        &self,
-        from: Position,
-        to: Position,
-        endpoints: Vec<(String, Option<Endpoint>)>,
-        now: Instant,
-    ) -> Changes {
-        Changes {
-            from,
-            to,
-            returned_ago: self.returned_ago(now),
-            endpoints,
-        }
-    }
-
     /// Drops the endpoints that have not come back after an outage of the store.
     pub(crate) fn drop_missing(&self, now: Instant) {
         self.fleet.borrow_mut().settle(now);
