fix: a new configuration makes no warm endpoint cold

Each configuration that came into force took endpoints for cold whose last registration had said so, for the time stated there, though that was over. Now only those count anew whose service had stated nothing before.

--- a/crates/gateway/src/evacuations.rs
+++ b/crates/gateway/src/evacuations.rs
@@ -100,13 +100,10 @@
         self.confirmed = self.confirmed.max(confirmed);
     }
 
-    /// Ends those that the store has lost and nobody has written again; returns them.
-    pub fn expire(&mut self, now: Instant) -> Vec<String> {
-        let is_due = |until: &Option<Instant>| until.is_some_and(|until| until <= now);
-        let due = self.rows.iter().filter(|(_, until)| is_due(until));
-        let due: Vec<_> = due.map(|(name, _)| name.clone()).collect();
-        self.rows.retain(|_, until| !is_due(until));
-        due
+    /// Ends those that the store has lost and nobody has written again.
+    pub fn expire(&mut self, now: Instant) {
+        self.rows
+            .retain(|_, until| until.is_none_or(|until| until > now));
     }
 
     /// Returns what other entries need to know.
--- a/crates/gateway/src/fleet/cold.rs
+++ b/crates/gateway/src/fleet/cold.rs
@@ -14,19 +14,18 @@
 impl Fleet {
     /// Takes what the operators state of endpoints that start.
     pub(super) fn set_cold_starts(&mut self, services: &[Service], now: Instant) {
-        self.cold_starts.retain(|_, _| false);
+        let before = std::mem::take(&mut self.cold_starts);
         for service in services {
             if let Some(cold) = service.cold {
                 self.cold_starts.insert(service.name.clone(), cold);
             }
         }
-        let cold: Vec<_> = self.iter().filter(|e| e.cold_ms > 0).cloned().collect();
+        // Endpoints that were known before their service stay cold for longer rather than for
+        // less; what others registered counted when they did.
+        let is_new = |e: &&Endpoint| e.cold_ms > 0 && !before.contains(&e.service);
+        let cold: Vec<_> = self.iter().filter(is_new).cloned().collect();
         for endpoint in cold {
-            // One that was known before the services were stays cold for longer rather than
-            // for less.
-            if !self.is_cold(&endpoint.instance) {
-                self.take_coldness(&endpoint, now);
-            }
+            self.take_coldness(&endpoint, now);
         }
     }
 
--- a/crates/gateway/src/knowledge/evacuations.rs
+++ b/crates/gateway/src/knowledge/evacuations.rs
@@ -7,7 +7,7 @@
 use cactusnotch_telemetry::metric;
 
 use super::Knowledge;
-use crate::evacuations::Word;
+use crate::evacuations::{Evacuations, Word};
 use crate::journal::millis;
 use crate::peer::{Evacuated, State};
 use crate::proof::REWRITE_TIME;
@@ -108,7 +108,7 @@
     /// Ends evacuations that the store has lost and that nobody has written again.
     pub(super) fn expire_evacuations(&self, now: Instant) {
         self.change_evacuations("an older copy of the store", now, |evacuations| {
-            drop(evacuations.expire(now));
+            evacuations.expire(now);
         });
     }
 
@@ -117,7 +117,7 @@
         &self,
         source: &str,
         now: Instant,
-        change: impl FnOnce(&mut crate::evacuations::Evacuations),
+        change: impl FnOnce(&mut Evacuations),
     ) {
         let mut evacuations = self.evacuations.borrow_mut();
         let before: Vec<_> = evacuations.names().map(str::to_owned).collect();
