feat: interfaces of overload control for groups of ranks

Cause: admission knows neither a request's priority nor what a group of ranks bears; under bursts a third of all streams are answered late. No decision uses them yet.

--- a/crates/cactusnotch/src/command.rs
+++ b/crates/cactusnotch/src/command.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod addresses;
 pub(crate) mod entry;
+pub(crate) mod overload;
 pub(crate) mod platform;
 pub(crate) mod settings;
 pub(crate) mod status;
--- a/crates/cactusnotch/src/command/platform.rs
+++ b/crates/cactusnotch/src/command/platform.rs
@@ -10,6 +10,7 @@
 use cactusnotch_telemetry::Exporter;
 use tracing::level_filters::LevelFilter;
 
+use super::overload::{self, overload_options};
 use crate::error::Error;
 
 /// How a process on the users' platform is started.
@@ -25,6 +26,8 @@
     /// Least important level of log lines
     #[bpaf(long, argument("LEVEL"), fallback(LevelFilter::INFO), display_fallback)]
     pub(crate) log_level: LevelFilter,
+    #[bpaf(external(overload_options))]
+    pub(crate) overload: overload::Options,
 }
 
 impl Options {
@@ -43,10 +46,11 @@
 
 /// Runs an entry.
 pub(crate) fn gateway(options: &Options) -> Result<(), Error> {
-    let settings = options
+    let mut settings = options
         .settings()?
         .entry()
         .map_err(|error| Error::new("settings", error))?;
+    settings.overload = options.overload.settings();
     if options.check {
         println!("settings of {} are in order", settings.host);
         return Ok(());
@@ -54,10 +58,12 @@
     let (log, exporter) = options.start_telemetry()?;
     let reread = options.clone();
     let read = move || {
-        reread
+        let mut settings = reread
             .settings()?
             .entry()
-            .map_err(|error| Error::new("settings", error))
+            .map_err(|error| Error::new("settings", error))?;
+        settings.overload = reread.overload.settings();
+        Ok::<_, Error>(settings)
     };
     let ended = Entry::<Wire, Wire>::new(settings, exporter).run(read);
     log.flush();
@@ -66,10 +72,11 @@
 
 /// Runs the agent beside a model server.
 pub(crate) fn rebalance(options: &Options) -> Result<(), Error> {
-    let settings = options
+    let mut settings = options
         .settings()?
         .agent()
         .map_err(|error| Error::new("settings", error))?;
+    settings.overload = options.overload.settings();
     if options.check {
         println!("settings of {} are in order", settings.host);
         return Ok(());
--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -2,6 +2,7 @@
 
 use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::name;
+use cactusnotch_overload::Class;
 use cactusnotch_telemetry::metric;
 
 use crate::journal::millis;
@@ -26,6 +27,7 @@
         version = call.version,
         patience_ms = call.head.time_budget.map(millis),
         returned = call.has_returned,
+        class = call.class.map(Class::number),
         key_age_ms = shared.freshness.borrow().age(now).map(millis),
         endpoint = tried.last().map(name::Endpoint::as_str),
         sends = tried.len(),
--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cactusnotch_derive::record;
+use cactusnotch_overload::Mode;
 use cactusnotch_throttle::Rate;
 
 use crate::route::Route;
@@ -102,6 +103,9 @@
     /// The longest gap between events that callers of each service accept, in the order of
     /// `services`.
     max_event_gaps: Vec<Option<Duration>>,
+    /// The distinct urgencies of each service's streaming requests, sorted, in the order of
+    /// `services`.
+    urgencies: Vec<Vec<u8>>,
     organisations: Vec<Organisation>,
     /// API keys with the index of their organisation, sorted by key.
     keys: Vec<(String, usize)>,
@@ -141,6 +145,11 @@
             .map(|service| min_event_gap(&routes, &service.name))
             .collect();
         let requires_keys = organisations.is_some();
+        let organisation_list = organisations.as_deref().unwrap_or_default();
+        let urgencies = services
+            .iter()
+            .map(|service| urgencies(&routes, &service.name, organisation_list))
+            .collect();
         let mut owners = Vec::new();
         let mut keys = Vec::new();
         for (organisation, own_keys) in organisations.unwrap_or_default() {
@@ -154,6 +163,7 @@
             routes,
             services,
             max_event_gaps,
+            urgencies,
             organisations: owners,
             keys,
             requires_keys,
@@ -220,6 +230,25 @@
         self.max_event_gaps[self.position(service)?]
     }
 
+    /// Returns the distinct urgencies of a service's streaming requests, sorted.
+    #[must_use]
+    pub fn urgencies(&self, service: &str) -> &[u8] {
+        self.position(service).map_or(&[], |at| &self.urgencies[at])
+    }
+
+    /// Returns whether overload control in `mode` applies to a service: its endpoints are
+    /// ranks of groups, and callers state the longest gap between events that they accept.
+    #[must_use]
+    pub fn controls_overload(&self, service: &str, mode: Mode) -> bool {
+        let has_ranks = self
+            .service(service)
+            .and_then(|service| service.engine.as_ref())
+            .is_some_and(|engine| engine.shape.is_some());
+        has_ranks
+            && self.max_event_gap(service).is_some()
+            && mode.applies(self.urgencies(service).len())
+    }
+
     fn position(&self, service: &str) -> Option<usize> {
         self.services
             .binary_search_by(|known| known.name.as_str().cmp(service))
@@ -252,3 +281,22 @@
         .filter_map(|route| route.max_event_gap)
         .min()
 }
+
+/// Returns the distinct urgencies of the streaming requests to a service, sorted.
+fn urgencies(
+    routes: &[Route],
+    service: &str,
+    organisations: &[(Organisation, Vec<String>)],
+) -> Vec<u8> {
+    let leads_to_service = |route: &&Route| route.backends.iter().any(|b| b.service == service);
+    let streaming = routes.iter().filter(|route| route.streaming);
+    let mut urgencies = Vec::new();
+    for route in streaming.filter(leads_to_service) {
+        urgencies.push(route.urgency(None));
+        let own = organisations.iter().filter(|(o, _)| o.priority.is_some());
+        urgencies.extend(own.map(|(o, _)| route.urgency(Some(o))));
+    }
+    urgencies.sort_unstable();
+    urgencies.dedup();
+    urgencies
+}
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -73,6 +73,7 @@
         .time_budgets
         .borrow_mut()
         .has_returned(&resolved.route.name, head.time_budget);
+    let class = resolved.class(&configuration, shared.options().overload.mode);
     let deadline = Call::deadline_of(&resolved.route, &head, arrived);
     let target = parts
         .uri
@@ -87,6 +88,7 @@
         reservation,
         head,
         resolved,
+        class,
         has_returned,
         version: configuration.version,
         arrived,
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -51,4 +51,6 @@
     pub retry_window: Duration,
     /// The longest time for which callers cache a list of addresses.
     pub address_ttl_max: Duration,
+    /// The settings of overload control.
+    pub overload: cactusnotch_overload::Options,
 }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -5,6 +5,7 @@
 
 use cactusnotch_base::clock::Instant;
 use cactusnotch_derive::message;
+use cactusnotch_overload::Ceiling;
 use cactusnotch_position::Position;
 
 use crate::content::Fingerprint;
@@ -30,6 +31,22 @@
     pub memory: u16,
     /// How slow the endpoint is.
     pub pace: Slowdown,
+    /// The group of ranks that the endpoint belongs to.
+    #[serde(default)]
+    pub group: Option<Group>,
+    /// The limit of the group's running requests, if its leader has stated one recently.
+    #[serde(default)]
+    pub limit: Option<Ceiling>,
+}
+
+/// A group of ranks.
+#[message]
+#[derive(Eq)]
+pub struct Group {
+    /// Its name.
+    pub name: String,
+    /// A number that grows each time that the group forms.
+    pub epoch: u64,
 }
 
 /// The registration of an entry.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use cactusnotch_base::clock::Instant;
+use cactusnotch_overload::{Class, Mode};
 use http::header::{self, HeaderName};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request};
@@ -22,11 +23,6 @@
 
 /// The time budget of a caller that states none, unless the route's timeout is shorter.
 const DEFAULT_TIME_BUDGET: Duration = Duration::from_mins(1);
-/// The lowest urgency that endpoints accept.
-const URGENCY_MAX: u32 = 9;
-/// The number of route priorities within one priority of an organisation.
-const URGENCY_STEP: u32 = 3;
-
 /// The hop-by-hop headers, which apply to a single connection.
 const HOP_BY_HOP: [HeaderName; 6] = [
     header::CONNECTION,
@@ -49,6 +45,20 @@
     pub(crate) allowed_regions: Option<Vec<String>>,
 }
 
+impl Resolved {
+    /// Returns the urgency that is sent to endpoints.
+    fn urgency(&self) -> u8 {
+        self.route.urgency(self.organisation.as_ref())
+    }
+
+    /// Returns the class of the request if overload control in `mode` applies to its service.
+    pub(crate) fn class(&self, configuration: &Configuration, mode: Mode) -> Option<Class> {
+        let controlled =
+            self.route.streaming && configuration.controls_overload(&self.service, mode);
+        controlled.then(|| Class::of(self.urgency(), configuration.urgencies(&self.service)))
+    }
+}
+
 /// A caller's request, completely received and resolved.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -61,6 +71,8 @@
     pub(crate) reservation: Reservation,
     pub(crate) head: Head,
     pub(crate) resolved: Resolved,
+    /// The precedence of the request if its service is under overload control.
+    pub(crate) class: Option<Class>,
     /// Whether the caller was refused before.
     pub(crate) has_returned: bool,
     pub(crate) version: u64,
@@ -164,15 +176,6 @@
         }
     }
 
-    /// Returns the urgency that is sent to endpoints. The organisation's priority takes
-    /// precedence over the route's.
-    fn urgency(&self) -> u8 {
-        let route = self.resolved.route.priority.min(URGENCY_STEP - 1);
-        let organisation = self.resolved.organisation.as_ref().and_then(|o| o.priority);
-        let urgency = organisation.unwrap_or(1).saturating_mul(URGENCY_STEP) + route;
-        u8::try_from(urgency.min(URGENCY_MAX)).unwrap_or(u8::MAX)
-    }
-
     /// Creates the request that is sent to an endpoint.
     pub(crate) fn outgoing<D: Dialect>(
         &self,
@@ -186,7 +189,11 @@
             organisation: self.resolved.organisation.as_ref().map(|o| o.name.as_str()),
             time_left: Some(self.deadline.saturating_duration_since(now)),
             last_event,
-            urgency: self.resolved.route.streaming.then(|| self.urgency()),
+            urgency: self
+                .resolved
+                .route
+                .streaming
+                .then(|| self.resolved.urgency()),
         };
         D::forward(&mut headers, &hop);
         let mut request = Request::new(Full::new(self.body.clone()));
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -4,6 +4,13 @@
 
 use cactusnotch_derive::record;
 
+use crate::configuration::Organisation;
+
+/// The lowest urgency that endpoints accept.
+const URGENCY_MAX: u32 = 9;
+/// The number of route priorities within one priority of an organisation.
+const URGENCY_STEP: u32 = 3;
+
 /// Whether a request that may have run can be sent again.
 #[record]
 #[derive(Copy)]
@@ -74,4 +81,17 @@
         }
         None
     }
+
+    /// Returns the urgency of an organisation's requests, where 0 is first. The
+    /// organisation's priority takes precedence over the route's.
+    #[must_use]
+    pub fn urgency(&self, organisation: Option<&Organisation>) -> u8 {
+        let route = self.priority.min(URGENCY_STEP - 1);
+        let organisation = organisation.and_then(|o| o.priority);
+        let urgency = organisation
+            .unwrap_or(1)
+            .saturating_mul(URGENCY_STEP)
+            .saturating_add(route);
+        u8::try_from(urgency.min(URGENCY_MAX)).unwrap_or(u8::MAX)
+    }
 }
--- /dev/null
+++ b/crates/overload/src/model.rs
@@ -0,0 +1,69 @@
+//! Predicts the duration of a forward pass.
+
+use std::time::Duration;
+
+use crate::Ceiling;
+
+/// The longest pass at which streams are on time, as a fraction of the longest gap between
+/// events: some passes take a quarter longer than the mean.
+const PASS_RATIO_MAX: f64 = 0.8;
+/// The lowest limit, as a fraction of the slots: a group that runs nothing measures nothing.
+const FILL_MIN: f64 = 0.25;
+
+/// The skew that a shift of demand leaves, before any was observed.
+pub const SHIFT_SKEW: f64 = 2.5;
+
+/// The duration of a forward pass of a group, by the number of requests and the skew of its
+/// expert map.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Model {
+    /// The number of requests that a rank runs at once.
+    pub slots: u32,
+    /// The duration of a step without requests.
+    pub step: Duration,
+    /// The time that each request adds to a step.
+    pub per_request: Duration,
+    /// The number of steps in a pass.
+    pub stride: u32,
+    /// The share of the work that experts do, from 0 to 1.
+    pub expert_share: f64,
+    /// The longest gap between events that callers accept.
+    pub max_event_gap: Duration,
+}
+
+impl Model {
+    /// Returns the duration of a pass with a mean of `requests` for each rank, which cost
+    /// `cost` times what the model states.
+    #[must_use]
+    pub fn pass(&self, requests: f64, skew: f64, cost: f64) -> Duration {
+        let work = self.per_request.as_secs_f64() * requests * cost * self.skew_factor(skew);
+        let seconds = f64::from(self.stride) * (self.step.as_secs_f64() + work);
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+
+    /// Returns by which factor requests cost more than the model states, from the measured
+    /// duration of a pass; `None` if there are too few of them to tell.
+    #[must_use]
+    pub fn cost(&self, pass: Duration, requests: f64, skew: f64) -> Option<f64> {
+        let stated =
+            self.pass(requests, skew, 1.0).as_secs_f64() - self.pass(0.0, 1.0, 1.0).as_secs_f64();
+        let measured = pass.as_secs_f64() - self.pass(0.0, 1.0, 1.0).as_secs_f64();
+        (requests >= 1.0 && stated > 0.0).then(|| measured / stated)
+    }
+
+    /// Returns the limit at which streams are on time at a skew and cost of requests.
+    #[must_use]
+    pub fn ceiling(&self, skew: f64, cost: f64) -> Ceiling {
+        let longest = self.max_event_gap.as_secs_f64() * PASS_RATIO_MAX;
+        let room = longest / f64::from(self.stride.max(1)) - self.step.as_secs_f64();
+        let each = self.per_request.as_secs_f64() * cost * self.skew_factor(skew);
+        let requests = if each > 0.0 { room / each } else { f64::MAX };
+        let fill = requests / f64::from(self.slots.max(1));
+        Ceiling::new(fill.clamp(FILL_MIN, 1.0))
+    }
+
+    /// Returns the factor by which a skew lengthens the work of a pass.
+    fn skew_factor(&self, skew: f64) -> f64 {
+        1.0 - self.expert_share + self.expert_share * skew.max(1.0)
+    }
+}
--- a/crates/rebalance/src/agent.rs
+++ b/crates/rebalance/src/agent.rs
@@ -45,7 +45,7 @@
 const DATAGRAM_MAX: usize = 16 * 1024;
 
 /// The settings of an agent process.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Options {
     /// The name of the host.
     pub host: String,
@@ -64,6 +64,8 @@
     pub store: SocketAddr,
     /// The bandwidth of the host's link, in bytes per second.
     pub link: u32,
+    /// The settings of overload control.
+    pub overload: cactusnotch_overload::Options,
 }
 
 /// An agent could not start.
--- a/crates/rebalance/src/agent/tell.rs
+++ b/crates/rebalance/src/agent/tell.rs
@@ -53,6 +53,11 @@
             },
             memory: state.memory,
             pace: state.pace,
+            group: state.place.as_ref().map(|place| peer::Group {
+                name: place.group.clone(),
+                epoch: place.epoch,
+            }),
+            limit: None,
         };
         self.last_load = Some(load);
         self.send_load(sockets);
--- a/crates/rebalance/src/coordinator.rs
+++ b/crates/rebalance/src/coordinator.rs
@@ -81,6 +81,7 @@
             moves: Vec::new(),
             phase: Phase::Rest,
             asks_held: true,
+            limit: None,
         };
         Self {
             rows: vec![None; usize::from(place.size)],
--- a/crates/rebalance/src/message.rs
+++ b/crates/rebalance/src/message.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use cactusnotch_derive::message;
+use cactusnotch_overload::Ceiling;
 use serde_bytes::ByteBuf;
 
 use crate::Slowdown;
@@ -104,6 +105,9 @@
     pub phase: Phase,
     /// Whether rank 0 lacks the map in force and asks which experts each rank holds.
     pub asks_held: bool,
+    /// The limit of the group's running requests, if the group is under overload control.
+    #[serde(default)]
+    pub limit: Option<Ceiling>,
 }
 
 /// The request of rank 0 to another rank to hold the group at rank 0's endpoint.
--- a/crates/rebalance/tests/datagrams.rs
+++ b/crates/rebalance/tests/datagrams.rs
@@ -74,6 +74,7 @@
             moves: vec![step],
             phase: Phase::Arm { step: 9 },
             asks_held: false,
+            limit: None,
         }),
         Datagram::Ask(HoldRequest {
             place: place(),
--- a/crates/rebalance/tests/relay.rs
+++ b/crates/rebalance/tests/relay.rs
@@ -212,6 +212,7 @@
             moves: (0..300).map(step).collect(),
             phase: Phase::Prepare,
             asks_held: false,
+            limit: None,
         });
         let mut links = vec![Link::new(LINK); usize::from(size)];
         let (_, arrivals) = send_to_all(&mut links, size, &round, Duration::ZERO);
