feat: leaders state the limit of their group's requests

The agent of rank 0 feeds overload::Controller with its measured passes, the fill of its ranks and the skew of the map, and states the limit in its rounds; each rank reports it to entries while it is at most 1.2 s old and of its own epoch. Without overload control both messages stay as they were on the wire, apart from Load.group.

The skew that a shift leaves no longer includes ranks that are slow at the moment. A shift towards a rank twelve times slower was recorded as a skew of 23, which kept the limit at its lowest after the rank had recovered, and the planner's pressure high.

All runs of the agreement tests are under overload control now: the bounds on held passes stay as they were, and no rank lacks the limit for more than a second after the last fault.

--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -35,7 +35,7 @@
     #[serde(default)]
     pub group: Option<Group>,
     /// The limit of the group's running requests, if its leader has stated one recently.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limit: Option<Ceiling>,
 }
 
--- a/crates/overload/tests/limit.rs
+++ b/crates/overload/tests/limit.rs
@@ -381,3 +381,13 @@
     controller.update(&conditions, clock::now());
     assert_eq!(controller.limit(), Some(Ceiling::new(0.2)));
 }
+
+#[test]
+fn changes_of_five_percent_count() {
+    let limit = Ceiling::new(0.6);
+    assert!(!Ceiling::new(0.571).differs(limit) && !Ceiling::new(0.629).differs(limit));
+    assert!(Ceiling::new(0.57).has_fallen(limit));
+    assert!(Ceiling::new(0.63).differs(limit) && !Ceiling::new(0.63).has_fallen(limit));
+    assert!(Ceiling::new(0.001).differs(Ceiling::new(0.0)));
+    assert!(!Ceiling::new(0.0).differs(Ceiling::new(0.0)));
+}
--- a/crates/rebalance/src/agent.rs
+++ b/crates/rebalance/src/agent.rs
@@ -3,6 +3,7 @@
 mod due;
 mod finish;
 mod hear;
+mod limit;
 mod orders;
 mod sockets;
 mod spread;
@@ -134,7 +135,12 @@
         Self {
             exporter,
             endpoint: Endpoint::new(options.endpoint),
-            neighbours: Neighbours::new(options.store, options.service.clone(), options.agents),
+            neighbours: Neighbours::new(
+                options.store,
+                options.service.clone(),
+                options.agents,
+                options.overload.mode,
+            ),
             rank: Rank::default(),
             term: rand::random(),
             ranks: Vec::new(),
@@ -299,6 +305,7 @@
         if let Some(place) = state.place.clone() {
             self.find_neighbours(sockets, &place, now).await;
             self.run_round(sockets, &place, state, now).await;
+            self.report_lower_limit(sockets, clock::now());
         }
     }
 }
--- a/crates/rebalance/src/agent/hear.rs
+++ b/crates/rebalance/src/agent/hear.rs
@@ -42,13 +42,13 @@
             }
             Datagram::Relay(relay) => {
                 self.relay_message(sockets, &relay, from, now);
-                self.receive_relayed(&relay.message, from, now)
+                self.receive_relayed(sockets, &relay.message, from, now)
             }
             Datagram::Relayed(relayed) => {
                 self.relay = Some((from, now));
-                self.receive_relayed(&relayed.message, relayed.leader, now)
+                self.receive_relayed(sockets, &relayed.message, relayed.leader, now)
             }
-            Datagram::Round(round) => self.receive_round(round, from, now),
+            Datagram::Round(round) => self.receive_round(sockets, round, from, now),
             Datagram::Finish(round) => {
                 self.finisher = Some((from, now));
                 self.rank.member.update_round(round);
@@ -65,9 +65,15 @@
 
     /// Handles a message of rank 0 that a relay forwarded. Only messages to all ranks are
     /// relayed.
-    fn receive_relayed(&mut self, message: &[u8], leader: SocketAddr, now: Instant) -> bool {
+    fn receive_relayed(
+        &mut self,
+        sockets: &Sockets,
+        message: &[u8],
+        leader: SocketAddr,
+        now: Instant,
+    ) -> bool {
         match datagram::decode(message) {
-            Ok(Datagram::Round(round)) => self.receive_round(round, leader, now),
+            Ok(Datagram::Round(round)) => self.receive_round(sockets, round, leader, now),
             Ok(Datagram::Part(part)) => self.rank.member.add_part(part),
             Ok(other) => {
                 tracing::debug!(%leader, ?other, "relayed datagram dropped: not for all ranks");
@@ -80,8 +86,16 @@
         }
     }
 
-    fn receive_round(&mut self, round: Round, leader: SocketAddr, now: Instant) -> bool {
+    fn receive_round(
+        &mut self,
+        sockets: &Sockets,
+        round: Round,
+        leader: SocketAddr,
+        now: Instant,
+    ) -> bool {
         self.leader = Some((leader, now));
+        self.rank.member.update_limit(&round, now);
+        self.report_lower_limit(sockets, now);
         let urgent = round.phase != Phase::Rest;
         let before = self.rank.member.progress();
         self.rank.member.update_round(round);
--- a/crates/rebalance/src/agent/orders.rs
+++ b/crates/rebalance/src/agent/orders.rs
@@ -7,6 +7,7 @@
 use cactusnotch_gateway::{datagram, store};
 use cactusnotch_telemetry::metric;
 
+use super::limit;
 use super::sockets::{Sockets, send, send_bytes};
 use super::{Agent, PendingOrder};
 use crate::Slowdown;
@@ -87,10 +88,15 @@
         };
         if self.rank.lead(place, shape, options, self.term) {
             self.ranks = vec![None; usize::from(place.size)];
+            let model = self.neighbours.model;
+            if let (Some(coordinator), Some(model)) = (&mut self.rank.coordinator, model) {
+                coordinator.limit_requests(model, self.options.overload.group_ceiling);
+            }
             tracing::info!(
                 group = place.group,
                 epoch = place.epoch,
                 ranks = place.size,
+                overload_control = model.is_some(),
                 "leading the group"
             );
         }
@@ -109,6 +115,9 @@
         if let Some(event) = &step.event {
             log(place, event, self.cadence.pass_ms(), self.rank.slowest());
         }
+        let leads = self.rank.coordinator.as_ref();
+        let limit = leads.and_then(|coordinator| coordinator.round().limit);
+        limit::record(place, limit, step.limit.as_ref());
         self.announce(sockets, step.announce, now);
         self.send_round_to(sockets, &step.notify);
         self.send_map(sockets, now);
--- a/crates/rebalance/src/agent/tell.rs
+++ b/crates/rebalance/src/agent/tell.rs
@@ -41,6 +41,13 @@
         self.due.load = Some(now);
         self.subscribers.retain(|&(_, until)| until > now);
         let requests = state.running + state.waiting;
+        let group = state.place.as_ref().map(|place| peer::Group {
+            name: place.group.clone(),
+            epoch: place.epoch,
+        });
+        let limit = group
+            .as_ref()
+            .and_then(|group| self.rank.member.limit(&group.name, group.epoch, now));
         let load = peer::Load {
             endpoint: self.options.endpoint,
             born: state.born,
@@ -53,11 +60,8 @@
             },
             memory: state.memory,
             pace: state.pace,
-            group: state.place.as_ref().map(|place| peer::Group {
-                name: place.group.clone(),
-                epoch: place.epoch,
-            }),
-            limit: None,
+            group,
+            limit,
         };
         self.last_load = Some(load);
         self.send_load(sockets);
@@ -73,7 +77,7 @@
     }
 
     /// Sends the latest load to all subscribed entries.
-    fn send_load(&self, sockets: &Sockets) {
+    pub(super) fn send_load(&self, sockets: &Sockets) {
         let Some(load) = &self.last_load else {
             return;
         };
--- a/crates/rebalance/src/coordinator.rs
+++ b/crates/rebalance/src/coordinator.rs
@@ -5,6 +5,8 @@
 mod demand;
 mod event;
 mod hold;
+mod limit;
+mod rows;
 mod stage;
 
 use std::time::Duration;
@@ -12,17 +14,16 @@
 use self::arming::Arming;
 use self::demand::Demand;
 pub use self::event::Event;
+use self::limit::Limit;
 use self::stage::Stage;
+use crate::Shape;
 use crate::codec::Order;
 use crate::map::Map;
 use crate::message::{Phase, Progress, Round, Status};
 use crate::plan::{self, Plan};
 use crate::state::{Maps, Place};
-use crate::{Shape, Slowdown};
 use cactusnotch_base::clock::Instant;
 
-/// How long the status report of a rank is valid. Ranks repeat it several times a second.
-const STATUS_LIFETIME: Duration = Duration::from_millis(1_500);
 /// The time after which a round is abandoned whose map some ranks cannot load: far above
 /// the time to copy what a round moves.
 const PREPARE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -61,6 +62,8 @@
     /// never affect another hold of the same pass.
     released_step: Option<u64>,
     arming: Arming,
+    /// The limit of the group's running requests, under overload control.
+    limit: Option<Limit>,
     /// The progress of the round as it was last announced, and when.
     announced: Option<(Progress, Instant)>,
     /// How far the next version is above all versions seen so far.
@@ -96,6 +99,7 @@
             released_at: None,
             released_step: None,
             arming: Arming::default(),
+            limit: None,
             announced: None,
             version_gap: 1 + term % VERSION_SPAN,
         }
@@ -150,8 +154,10 @@
         if let (Some(pass), Some((version, map))) = (pass, &self.map)
             && *version == own.current
         {
-            self.demand
-                .measure(pass, map, &self.slowdowns(), self.utilisation());
+            let (slowdowns, utilisation) = (self.slowdowns(), self.utilisation());
+            if self.demand.measure(pass, map, &slowdowns, utilisation) {
+                self.measure_limit(pass, now);
+            }
         }
         if let Some(maps) = self.fresh_maps(now) {
             self.assemble(&maps);
@@ -165,37 +171,6 @@
         (order, event)
     }
 
-    /// Returns the maps of all ranks if the status of each is recent.
-    fn fresh_maps(&self, now: Instant) -> Option<Vec<Maps>> {
-        let fresh = |row: &Row| now.saturating_duration_since(row.at) < STATUS_LIFETIME;
-        let maps = |row: &Option<Row>| {
-            row.as_ref()
-                .filter(|row| fresh(row))
-                .map(|row| row.status.maps)
-        };
-        self.rows.iter().map(maps).collect()
-    }
-
-    /// Returns the slowdown of the slowest rank.
-    #[must_use]
-    pub fn slowest(&self) -> Slowdown {
-        let slowdowns = self.rows.iter().flatten().map(|row| row.status.pace);
-        slowdowns.max().unwrap_or_default()
-    }
-
-    /// Returns the slowdown factor of each rank.
-    fn slowdowns(&self) -> Vec<f64> {
-        let slowdown = |row: &Option<Row>| row.as_ref().map_or(1.0, |row| row.status.pace.factor());
-        self.rows.iter().map(slowdown).collect()
-    }
-
-    /// Returns the number of running and waiting requests for each slot of the group.
-    fn utilisation(&self) -> f64 {
-        let fills = || self.rows.iter().flatten().map(|row| row.status.fill);
-        let count = u32::try_from(fills().count()).unwrap_or(u32::MAX).max(1);
-        fills().map(f64::from).sum::<f64>() / (100.0 * f64::from(count))
-    }
-
     /// Assembles the map in force from the experts that each rank holds.
     fn assemble(&mut self, maps: &[Maps]) {
         let version = maps[0].current;
--- a/crates/rebalance/src/coordinator/demand.rs
+++ b/crates/rebalance/src/coordinator/demand.rs
@@ -36,6 +36,8 @@
     options: plan::Options,
     estimate: Estimate,
     pressure: Pressure,
+    /// The skew of the map in force as it was computed last, in thousandths.
+    skew: u32,
     /// Whether demand has shifted since the last plan.
     shifted: bool,
     /// When the last plan was computed that was not worth a round.
@@ -52,6 +54,7 @@
             ),
             shape,
             options,
+            skew: 0,
             shifted: false,
             rejected_at: None,
         }
@@ -62,20 +65,32 @@
         &self.shape
     }
 
-    /// Records the duration of a pass under `map`, and the utilisation of the
-    /// group.
+    /// Returns the skew of the map in force, 1 for even ranks, as it was computed last.
+    pub(crate) fn skew(&self) -> f64 {
+        f64::from(self.skew) / THOUSAND
+    }
+
+    /// Returns the skew that demand shifts usually leave, `None` before the first.
+    pub(crate) fn shift_skew(&self) -> Option<f64> {
+        self.pressure.shift_skew()
+    }
+
+    /// Records the duration of a pass under `map`, and the utilisation of the group; returns
+    /// whether the skew of the map is known.
     pub(crate) fn measure(
         &mut self,
         pass: Duration,
         map: &Map,
         slowdowns: &[f64],
         utilisation: f64,
-    ) {
+    ) -> bool {
         self.pressure.set_utilisation(utilisation);
-        let skew = plan::skew_of(map, &self.estimate, slowdowns);
-        if self.estimate.total() > 0.0 {
-            self.pressure.measure(pass, skew);
+        self.skew = plan::skew_of(map, &self.estimate, slowdowns);
+        let known = self.estimate.total() > 0.0;
+        if known {
+            self.pressure.measure(pass, self.skew);
         }
+        known
     }
 
     /// Adds the expert choices of a rank; returns whether they show a demand
@@ -94,7 +109,7 @@
         }
         let plan = self.compute(map, slowdowns)?;
         if std::mem::take(&mut self.shifted) {
-            self.pressure.record_shift(plan.before);
+            self.record_shift(map, slowdowns);
         }
         if plan.gain() >= ROUND_GAIN_MIN {
             return Some(plan);
@@ -111,16 +126,28 @@
         }
         let skew = f64::from(plan::skew_of(next, &self.estimate, slowdowns));
         let plan = self.compute(map, slowdowns)?;
-        self.pressure.record_shift(plan.before);
+        self.record_shift(map, slowdowns);
         (f64::from(plan.after) <= skew * (1.0 - REPLACE_GAIN_MIN)).then_some(plan)
     }
 
-    fn compute(&self, map: &Map, slowdowns: &[f64]) -> Option<Plan> {
-        let known = self.estimate.total() >= CHOICES_MIN;
+    /// Records the skew that a shift has left. It doesn't include ranks that are slow at the
+    /// moment: after their recovery it would lower the limit until the next shifts.
+    fn record_shift(&mut self, map: &Map, slowdowns: &[f64]) {
+        let usual = vec![1.0; slowdowns.len()];
+        let skew = plan::skew_of(map, &self.estimate, &usual);
+        self.pressure.record_shift(skew);
+    }
+
+    fn compute(&mut self, map: &Map, slowdowns: &[f64]) -> Option<Plan> {
+        if self.estimate.total() < CHOICES_MIN {
+            return None;
+        }
         let group = plan::Group {
             pressure: &self.pressure,
             slowdowns,
         };
-        known.then(|| plan::plan(map, &self.estimate, &self.shape, &self.options, &group))
+        let plan = plan::plan(map, &self.estimate, &self.shape, &self.options, &group);
+        self.skew = plan.before;
+        Some(plan)
     }
 }
--- a/crates/rebalance/src/member.rs
+++ b/crates/rebalance/src/member.rs
@@ -1,10 +1,19 @@
 //! Decides what one rank's agent orders its own endpoint.
 
+use std::time::Duration;
+
+use cactusnotch_base::clock::Instant;
+use cactusnotch_overload::Ceiling;
+
 use crate::codec::Order;
 use crate::map::Map;
 use crate::message::{Part, Phase, Progress, Round};
 use crate::state::{Maps, Place};
 
+/// How long a limit is reported after rank 0 stated it: rank 0 repeats it each 0.5 s, and one
+/// repetition may be lost.
+const LIMIT_LIFETIME: Duration = Duration::from_millis(1_200);
+
 /// The maps of the group as one rank's agent has received them, and the orders to its own
 /// endpoint that follow.
 #[derive(Debug, Default)]
@@ -19,6 +28,8 @@
     held_requested: bool,
     term: Option<u64>,
     parts: Vec<Part>,
+    /// The limit that rank 0 stated last, and when it was received.
+    limit: Option<(Ceiling, Instant)>,
 }
 
 impl Member {
@@ -127,6 +138,23 @@
         self.current = Some((version, map));
     }
 
+    /// Records the limit that a round of rank 0 states. A round that states none ends the
+    /// former limit, and so does one of zero, which no leader states.
+    pub fn update_limit(&mut self, round: &Round, now: Instant) {
+        if self.matches(&round.group, round.epoch) {
+            let limit = round.limit.filter(|limit| limit.per_slot() > 0.0);
+            self.limit = limit.map(|limit| (limit.sanitized(), now));
+        }
+    }
+
+    /// Returns the limit of a group in an epoch, if this rank belongs to it and rank 0 has
+    /// stated the limit recently.
+    #[must_use]
+    pub fn limit(&self, group: &str, epoch: u64, now: Instant) -> Option<Ceiling> {
+        let (limit, at) = self.limit.filter(|_| self.matches(group, epoch))?;
+        (now.saturating_duration_since(at) <= LIMIT_LIFETIME).then_some(limit)
+    }
+
     /// Records a round, unless it is older than the one recorded.
     pub fn update_round(&mut self, round: Round) {
         if !self.matches(&round.group, round.epoch) {
--- a/crates/rebalance/src/message.rs
+++ b/crates/rebalance/src/message.rs
@@ -106,7 +106,7 @@
     /// Whether rank 0 lacks the map in force and asks which experts each rank holds.
     pub asks_held: bool,
     /// The limit of the group's running requests, if the group is under overload control.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limit: Option<Ceiling>,
 }
 
--- a/crates/rebalance/src/neighbours.rs
+++ b/crates/rebalance/src/neighbours.rs
@@ -5,13 +5,18 @@
 use std::time::Duration;
 
 use cactusnotch_base::clock::Instant;
+use cactusnotch_gateway::configuration::Configuration;
 use cactusnotch_gateway::store::{Codec, Error, Item, Kind, Store};
 
+use cactusnotch_overload::{Mode, Model};
+
 use crate::Shape;
 
 /// The least time between two listings of the store. A stale listing costs a
 /// tenth as much and suffices to find other agents.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(2);
+/// Shares are given in thousandths.
+const THOUSAND: f64 = 1_000.0;
 
 /// The addresses of the other agents of a service, and the shape of its maps.
 #[derive(Debug)]
@@ -29,10 +34,14 @@
     pub(crate) slots: u32,
     /// The longest gap between events that the service's callers accept.
     pub(crate) max_event_gap: Option<Duration>,
+    /// The services that overload control applies to.
+    mode: Mode,
+    /// The model of the service's forward pass, if overload control applies to it.
+    pub(crate) model: Option<Model>,
 }
 
 impl<C: Codec> Neighbours<C> {
-    pub(crate) fn new(store: SocketAddr, service: String, own: SocketAddr) -> Self {
+    pub(crate) fn new(store: SocketAddr, service: String, own: SocketAddr, mode: Mode) -> Self {
         Self {
             store: Store::new(store, Rc::default()),
             service,
@@ -44,6 +53,8 @@
             shape: None,
             slots: 0,
             max_event_gap: None,
+            mode,
+            model: None,
         }
     }
 
@@ -64,6 +75,7 @@
                     self.shape = engine.and_then(|engine| engine.shape);
                     self.slots = engine.map_or(0, |engine| engine.slots);
                     self.max_event_gap = configuration.max_event_gap(&self.service);
+                    self.model = self.model_of(&configuration);
                 }
             }
         }
@@ -86,6 +98,22 @@
         Ok(())
     }
 
+    /// Returns the model of the service's forward pass if overload control applies to it.
+    fn model_of(&self, configuration: &Configuration) -> Option<Model> {
+        let engine = configuration.service(&self.service)?.engine.as_ref()?;
+        let (shape, max_event_gap) = (engine.shape?, self.max_event_gap?);
+        configuration
+            .controls_overload(&self.service, self.mode)
+            .then_some(Model {
+                slots: engine.slots,
+                step: engine.step,
+                per_request: engine.per_request,
+                stride: engine.stride,
+                expert_share: f64::from(shape.expert_part) / THOUSAND,
+                max_event_gap,
+            })
+    }
+
     /// Returns the data centre of an agent's host, empty if it is unknown.
     pub(crate) fn data_centre(&self, agent: SocketAddr) -> &str {
         let found = self
--- a/crates/rebalance/src/pressure.rs
+++ b/crates/rebalance/src/pressure.rs
@@ -86,6 +86,13 @@
         update_mean(&mut self.shift_skew, f64::from(skew));
     }
 
+    /// Returns the skew that demand shifts usually leave, 1 for even ranks; `None` before
+    /// the first shift.
+    #[must_use]
+    pub fn shift_skew(&self) -> Option<f64> {
+        self.shift_skew.map(|skew| skew / THOUSAND)
+    }
+
     /// Sets the number of running and waiting requests for each slot of the group.
     pub const fn set_utilisation(&mut self, utilisation: f64) {
         self.utilisation = utilisation;
--- a/crates/rebalance/src/rank.rs
+++ b/crates/rebalance/src/rank.rs
@@ -1,6 +1,7 @@
 //! The decisions of the agent beside one rank, without I/O.
 
 use cactusnotch_base::clock::Instant;
+use cactusnotch_overload::Change;
 
 use crate::codec::Order;
 use crate::coordinator::{Coordinator, Event};
@@ -27,6 +28,8 @@
     pub order: Option<Order>,
     /// An event for the log.
     pub event: Option<Event>,
+    /// A change of the limit for the log.
+    pub limit: Option<Change>,
     /// Whether the round has to be announced to the other ranks.
     pub announce: bool,
     /// The rank that is to hold the group at this rank's endpoint, and before which pass.
@@ -85,8 +88,10 @@
             let round = coordinator.round();
             // Only the rank that has held the group is notified of the hold.
             let confirming = matches!(round.phase, Phase::Meet { .. });
-            step.announce = before != (round.version, round.phase) && !confirming;
-            let round = round.clone();
+            let changed = before != (round.version, round.phase) && !confirming;
+            step.limit = coordinator.update_limit(now);
+            step.announce = coordinator.must_announce(changed, now);
+            let round = coordinator.round().clone();
             step.hold_request = coordinator.hold_request(&maps, now);
             step.notify = coordinator.confirmation_targets(now).to_vec();
             step.notify.extend(coordinator.resend_targets(now));
@@ -96,6 +101,7 @@
             {
                 self.member.set_map(version, map.clone());
             }
+            self.member.update_limit(&round, now);
             self.member.update_round(round);
         }
         if step.order.is_none() {
--- a/crates/rebalance/tests/agreement.rs
+++ b/crates/rebalance/tests/agreement.rs
@@ -17,14 +17,22 @@
 /// The ticks of a run with faults, and of the period without faults after it.
 const FAULTY: u64 = 3_000;
 const QUIET: u64 = 2_000;
+/// The longest time that a rank lacks the limit after its agent, or that of rank 0, has
+/// started or the group has formed, in ticks.
+const UNLIMITED_MAX: u64 = 100;
 
 fn run(name: &str, seeds: std::ops::Range<u64>, faults: Faults, held_max: u64) {
-    let mut longest = 0;
+    let (mut longest, mut unlimited) = (0, 0);
     for seed in seeds {
         println!("{name}: seed {seed}");
         let outcome = World::new(seed, faults).run(FAULTY, QUIET);
         longest = longest.max(outcome.held_max);
+        unlimited = unlimited.max(outcome.unlimited_max);
     }
+    assert!(
+        unlimited <= UNLIMITED_MAX,
+        "{name}: a rank had no limit for {unlimited} ticks"
+    );
     assert!(
         longest <= held_max,
         "{name}: passes were held back for {longest} ticks"
--- a/crates/rebalance/tests/datagrams.rs
+++ b/crates/rebalance/tests/datagrams.rs
@@ -5,6 +5,7 @@
 
 use cactusnotch_gateway::endpoint::{Endpoint, StartTime};
 use cactusnotch_gateway::{Slowdown, datagram, peer};
+use cactusnotch_overload::Ceiling;
 use cactusnotch_position::{Era, Position};
 use cactusnotch_rebalance::estimate::pack;
 use cactusnotch_rebalance::map::Move;
@@ -74,7 +75,7 @@
             moves: vec![step],
             phase: Phase::Arm { step: 9 },
             asks_held: false,
-            limit: None,
+            limit: Some(Ceiling::FULL),
         }),
         Datagram::Ask(HoldRequest {
             place: place(),
--- a/crates/rebalance/tests/relay.rs
+++ b/crates/rebalance/tests/relay.rs
@@ -11,6 +11,7 @@
 
 use cactusnotch_base::clock;
 use cactusnotch_gateway::datagram;
+use cactusnotch_overload::Ceiling;
 use cactusnotch_rebalance::Map;
 use cactusnotch_rebalance::estimate::pack;
 use cactusnotch_rebalance::map::Move;
@@ -194,6 +195,34 @@
     );
 }
 
+fn round(moves: Vec<Move>, phase: Phase) -> Datagram {
+    Datagram::Round(Round {
+        group: "g0-0".to_owned(),
+        epoch: 1,
+        term: u64::MAX,
+        version: 4_294_967_298,
+        base: 4_294_967_297,
+        moves,
+        phase,
+        asks_held: false,
+        limit: Some(Ceiling::FULL),
+    })
+}
+
+/// Announcements of the limit: each 0.4 s while the group has requests, and each 0.25 s at
+/// most while the limit changes.
+#[test]
+fn limits_take_up_a_thirtieth_of_a_link() {
+    for size in [32, 96, 256] {
+        let mut links = vec![Link::new(LINK); usize::from(size)];
+        let round = round(Vec::new(), Phase::Rest);
+        let (sent, _) = send_to_all(&mut links, size, &round, Duration::ZERO);
+        println!("{size} ranks: {sent} bytes for each announcement");
+        let rate = float(sent) / 0.25;
+        assert!(rate < f64::from(LINK) / 30.0, "{size} ranks: {rate}");
+    }
+}
+
 #[test]
 fn a_round_is_with_all_ranks_within_a_pass() {
     for size in SIZES {
@@ -203,17 +232,7 @@
             out: Some(at % 192),
             new: Some((at + 1) % 192),
         };
-        let round = Datagram::Round(Round {
-            group: "g0-0".to_owned(),
-            epoch: 1,
-            term: u64::MAX,
-            version: 4_294_967_298,
-            base: 4_294_967_297,
-            moves: (0..300).map(step).collect(),
-            phase: Phase::Prepare,
-            asks_held: false,
-            limit: None,
-        });
+        let round = round((0..300).map(step).collect(), Phase::Prepare);
         let mut links = vec![Link::new(LINK); usize::from(size)];
         let (_, arrivals) = send_to_all(&mut links, size, &round, Duration::ZERO);
         let arrived: Vec<_> = arrivals.iter().skip(1).flatten().copied().collect();
--- a/crates/rebalance/tests/world/mod.rs
+++ b/crates/rebalance/tests/world/mod.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use cactusnotch_base::clock::{self, Instant};
+use cactusnotch_overload::{Ceiling, Model};
 use cactusnotch_rebalance::codec::Order;
 use cactusnotch_rebalance::coordinator::Event;
 use cactusnotch_rebalance::message::{Datagram, HoldRequest, Part, Round, Status};
@@ -41,6 +42,16 @@
     expert_part: 850,
 };
 
+/// The group is under overload control, whose announcements must not disturb rounds.
+const MODEL: Model = Model {
+    slots: 8,
+    step: Duration::from_millis(5),
+    per_request: Duration::from_millis(1),
+    stride: 4,
+    expert_share: 0.85,
+    max_event_gap: Duration::from_millis(150),
+};
+
 /// The frequency of faults.
 #[derive(Debug, Clone, Copy)]
 pub struct Faults {
@@ -70,6 +81,9 @@
     pub held_max: u64,
     /// The same, whatever the state of the agents.
     pub held_any: u64,
+    /// The longest time that some rank lacked the limit while the group was formed and no
+    /// agent was down or frozen, in ticks.
+    pub unlimited_max: u64,
 }
 
 struct Agent {
@@ -101,6 +115,8 @@
     late: Vec<(u64, usize, Order, u64)>,
     held_since: Option<u64>,
     quiet_since: u64,
+    /// When all ranks last had the limit.
+    limited_at: u64,
     outcome: Outcome,
 }
 
@@ -138,6 +154,7 @@
             late: Vec::new(),
             held_since: None,
             quiet_since: 0,
+            limited_at: 0,
             outcome: Outcome::default(),
         }
     }
@@ -218,6 +235,18 @@
                 self.agents[at].next_poll = tick + self.rng.random_range(1..10);
             }
         }
+        self.check_limits();
+    }
+
+    fn check_limits(&mut self) {
+        let (now, epoch) = (self.now(), self.epoch);
+        let is_limited = |agent: &Agent| agent.rank.member.limit("g", epoch, now).is_some();
+        let disturbed_until = self.quiet_since.max(self.forming_until);
+        if disturbed_until >= self.tick || self.agents.iter().all(is_limited) {
+            self.limited_at = self.tick;
+        }
+        let unlimited = self.tick - self.limited_at;
+        self.outcome.unlimited_max = self.outcome.unlimited_max.max(unlimited);
     }
 
     /// Begins the next pass unless a rank holds it; all ranks must then use the same map.
@@ -325,6 +354,7 @@
                 lead.record(status, now);
             }
             Datagram::Round(round) => {
+                agent.member.update_limit(&round, now);
                 agent.member.update_round(round);
                 self.agents[to].leader_seen = self.tick;
             }
@@ -424,7 +454,10 @@
                 max_event_gap: None,
             };
             let term = self.rng.random();
-            agent.rank.lead(&place, SHAPE, options, term);
+            let new = agent.rank.lead(&place, SHAPE, options, term);
+            if let Some(lead) = agent.rank.coordinator.as_mut().filter(|_| new) {
+                lead.limit_requests(MODEL, Ceiling::FULL);
+            }
             self.choose(at);
             let agent = &mut self.agents[at];
             let status = Status {
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -109,6 +109,8 @@
         "Objects of the store that could not be read and name nothing to use, each counted once for each reason.";
     GATEWAY_WAITED = "cactusnotch_gateway_waits_total", Counter, Count, [],
         "Callers refused before that waited at an entry until there was room, or in vain.";
+    GROUP_LIMIT = "cactusnotch_group_limit_ratio", Gauge, Count, [],
+        "Limit of a group's running requests for each slot, as its leader states it.";
     GROUP_REPORTS_UNCOUNTED = "cactusnotch_group_reports_uncounted_total", Counter, Count, [],
         "Reports of ranks that were repeated, too old or invalid.";
     GROUP_SKEW = "cactusnotch_group_skew_ratio", Gauge, Count, [],
