feat: a group that forms again is planned from its former demand

The leader of a group in a new epoch dropped the demand that it had estimated and waited for 2,000 choices before its first plan, with its callers on map 0. It now starts from the former estimate, aged by its half-life and with the weight of 2,000 choices at least, also if the endpoint of rank 0 has restarted. A demand that has shifted meanwhile replaces it.

--- a/crates/rebalance/src/agent.rs
+++ b/crates/rebalance/src/agent.rs
@@ -267,7 +267,7 @@
             born = born.0,
             "endpoint has started again"
         );
-        self.rank = Rank::default();
+        self.rank.restart();
         self.term = rand::random();
         (self.held, self.last_counts, self.last_order) = (None, None, None);
         (self.last_status, self.last_load, self.hold_request) = (None, None, None);
--- a/crates/rebalance/src/coordinator.rs
+++ b/crates/rebalance/src/coordinator.rs
@@ -18,6 +18,7 @@
 use self::stage::Stage;
 use crate::Shape;
 use crate::codec::Order;
+use crate::former::Former;
 use crate::map::Map;
 use crate::message::{Phase, Progress, Round, Status};
 use crate::plan::{self, Plan};
@@ -105,6 +106,19 @@
         }
     }
 
+    /// Starts from the demand of the group's former epoch; returns whether it is of use.
+    pub(crate) fn resume(&mut self, former: Former) -> bool {
+        former.group == self.place.group && self.demand.resume(former.estimate)
+    }
+
+    /// Returns the demand for the group's next epoch.
+    pub(crate) fn into_former(self) -> Former {
+        Former {
+            group: self.place.group,
+            estimate: self.demand.into_estimate(),
+        }
+    }
+
     /// Returns the rank that leads.
     #[must_use]
     pub const fn place(&self) -> &Place {
--- a/crates/rebalance/src/coordinator/demand.rs
+++ b/crates/rebalance/src/coordinator/demand.rs
@@ -35,6 +35,8 @@
     shape: Shape,
     options: plan::Options,
     estimate: Estimate,
+    /// The estimate of the group's former epoch, until the first choices or plan.
+    former: Option<Estimate>,
     pressure: Pressure,
     /// The skew of the map in force as it was computed last, in thousandths.
     skew: u32,
@@ -52,6 +54,7 @@
                 f64::from(shape.expert_part) / THOUSAND,
                 options.max_event_gap,
             ),
+            former: None,
             shape,
             options,
             skew: 0,
@@ -60,6 +63,28 @@
         }
     }
 
+    /// Starts from the estimate of the group's former epoch, unless that is of another shape
+    /// or of too few choices for a plan; returns whether it does.
+    pub(crate) fn resume(&mut self, former: Estimate) -> bool {
+        let usable = former.has_shape_of(&self.estimate) && former.total() >= CHOICES_MIN;
+        self.former = Some(former).filter(|_| usable);
+        usable
+    }
+
+    /// Returns the estimate, for the next epoch of the group.
+    pub(crate) fn into_estimate(self) -> Estimate {
+        self.former.unwrap_or(self.estimate)
+    }
+
+    /// Ages the estimate of the former epoch and uses it. It weighs as much as a first plan
+    /// requires, which is little against the choices of a second.
+    fn use_former(&mut self, now: Instant) {
+        let former = self.former.take();
+        if let Some(former) = former.and_then(|former| former.resume(CHOICES_MIN, now)) {
+            self.estimate = former;
+        }
+    }
+
     /// Returns the shape of the maps.
     pub(crate) const fn shape(&self) -> &Shape {
         &self.shape
@@ -96,6 +121,7 @@
     /// Adds the expert choices of a rank; returns whether they show a demand
     /// shift.
     pub(crate) fn add_counts(&mut self, units: &[f32], counts: &[u8], now: Instant) -> bool {
+        self.use_former(now);
         let shifted = self.estimate.add(units, counts, now);
         self.shifted |= shifted;
         shifted
@@ -103,6 +129,7 @@
 
     /// Returns a plan whose round is worthwhile under `map`, if there is one.
     pub(crate) fn plan(&mut self, map: &Map, slowdowns: &[f64], now: Instant) -> Option<Plan> {
+        self.use_former(now);
         let recent = |at| now.saturating_duration_since(at) < REPLAN_INTERVAL;
         if !self.shifted && self.rejected_at.is_some_and(recent) {
             return None;
--- a/crates/rebalance/src/estimate.rs
+++ b/crates/rebalance/src/estimate.rs
@@ -24,6 +24,9 @@
 /// The same for a window that shows a shift: small, since shifts are rare, but
 /// enough to adapt to a group whose windows are all noisy.
 const USUAL_WEIGHT_SHIFTED: f64 = 0.05;
+/// The choices that must be left of an estimate after a break. An estimate of 200,000 choices
+/// lasts for 14 s.
+const LEFT_MIN: f64 = 1.0;
 
 /// The current popularity of each expert of a group.
 ///
@@ -104,6 +107,29 @@
         self.total *= factor;
     }
 
+    /// Returns the estimate after a break in which no choices were counted, aged by its
+    /// half-life but with a weight of at least `least` choices; `None` if hardly any are
+    /// left of it.
+    #[must_use]
+    pub fn resume(mut self, least: f64, now: Instant) -> Option<Self> {
+        self.decay(now);
+        if self.total < LEFT_MIN {
+            return None;
+        }
+        let factor = (least / self.total).max(1.0);
+        self.weights.iter_mut().for_each(|weight| *weight *= factor);
+        self.total *= factor;
+        self.latest.fill(0.0);
+        self.opened = None;
+        Some(self)
+    }
+
+    /// Returns whether the estimate is of as many sets and experts as `other`.
+    #[must_use]
+    pub const fn has_shape_of(&self, other: &Self) -> bool {
+        self.experts == other.experts && self.weights.len() == other.weights.len()
+    }
+
     /// Returns the decayed choices of all experts together.
     #[must_use]
     pub const fn total(&self) -> f64 {
--- a/crates/rebalance/src/lib.rs
+++ b/crates/rebalance/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod cadence;
 mod endpoint;
 mod experts;
+mod former;
 mod layer;
 mod moves;
 mod neighbours;
--- a/crates/rebalance/src/rank.rs
+++ b/crates/rebalance/src/rank.rs
@@ -5,6 +5,7 @@
 
 use crate::codec::Order;
 use crate::coordinator::{Coordinator, Event};
+use crate::former::Former;
 use crate::member::Member;
 use crate::message::{Phase, Status};
 use crate::plan;
@@ -19,6 +20,8 @@
     pub member: Member,
     /// The decisions of the leader, at rank 0.
     pub coordinator: Option<Coordinator>,
+    /// The demand that the last coordinator had estimated.
+    former: Option<Former>,
 }
 
 /// The results of one step.
@@ -45,16 +48,41 @@
         self.member.observe(place, maps);
         let leads = self.coordinator.as_ref();
         if leads.is_some_and(|coordinator| coordinator.place() != place) {
-            self.coordinator = None;
+            self.end_lead();
+        }
+    }
+
+    /// Drops all state, as the endpoint has restarted, except the demand that was estimated:
+    /// callers remain the same.
+    pub fn restart(&mut self) {
+        self.end_lead();
+        self.member = Member::default();
+    }
+
+    fn end_lead(&mut self) {
+        if let Some(coordinator) = self.coordinator.take() {
+            self.former = Some(coordinator.into_former());
         }
     }
 
     /// Starts to lead if this is rank 0; returns whether that is new. `term` is a number
-    /// that is unique to this incarnation of the process.
+    /// that is unique to this incarnation of the process. If this process has led the group
+    /// in a former epoch, the first map is planned from the demand that it had estimated.
     pub fn lead(&mut self, place: &Place, shape: Shape, options: plan::Options, term: u64) -> bool {
         let new = place.rank == 0 && self.coordinator.is_none();
         if new {
-            self.coordinator = Some(Coordinator::new(place.clone(), shape, options, term));
+            let mut coordinator = Coordinator::new(place.clone(), shape, options, term);
+            if let Some(former) = self.former.take() {
+                let choices = former.estimate.total();
+                let resumed = coordinator.resume(former);
+                tracing::info!(
+                    group = place.group,
+                    choices,
+                    resumed,
+                    "demand of the former epoch"
+                );
+            }
+            self.coordinator = Some(coordinator);
         }
         new
     }
