--- a/crates/rebalance/src/coordinator/demand.rs
+++ b/crates/rebalance/src/coordinator/demand.rs
@@ -35,7 +35,11 @@
     shape: Shape,
     options: plan::Options,
     estimate: Estimate,
+    /// The estimate of the group's former epoch, until the first choices or plan.
+    former: Option<Estimate>,
     pressure: Pressure,
+    /// The skew of the map in force as it was computed last, in thousandths.
+    skew: u32,
     /// Whether demand has shifted since the last plan.
     shifted: bool,
     /// When the last plan was computed that was not worth a round.
@@ -50,37 +54,74 @@
                 f64::from(shape.expert_part) / THOUSAND,
                 options.max_event_gap,
             ),
+            former: None,
             shape,
             options,
+            skew: 0,
             shifted: false,
             rejected_at: None,
         }
     }
 
+    /// Starts from the estimate of the group's former epoch, unless that is of another shape
+    /// or of too few choices for a plan; returns whether it does.
+    pub(crate) fn resume(&mut self, former: Estimate) -> bool {
+        let usable = former.has_shape_of(&self.estimate) && former.total() >= CHOICES_MIN;
+        self.former = Some(former).filter(|_| usable);
+        usable
+    }
+
+    /// Returns the estimate, for the next epoch of the group.
+    pub(crate) fn into_estimate(self) -> Estimate {
+        self.former.unwrap_or(self.estimate)
+    }
+
+    /// Ages the estimate of the former epoch and uses it. It weighs as much as a first plan
+    /// requires, which is little against the choices of a second.
+    fn use_former(&mut self, now: Instant) {
+        let former = self.former.take();
+        if let Some(former) = former.and_then(|former| former.resume(CHOICES_MIN, now)) {
+            self.estimate = former;
+        }
+    }
+
     /// Returns the shape of the maps.
     pub(crate) const fn shape(&self) -> &Shape {
         &self.shape
     }
 
-    /// Records the duration of a pass under `map`, and the utilisation of the
-    /// group.
+    /// Returns the skew of the map in force, 1 for even ranks, as it was computed last.
+    pub(crate) fn skew(&self) -> f64 {
+        f64::from(self.skew) / THOUSAND
+    }
+
+    /// Returns the skew that demand shifts usually leave, `None` before the first.
+    pub(crate) fn shift_skew(&self) -> Option<f64> {
+        self.pressure.shift_skew()
+    }
+
+    /// Records the duration of a pass under `map`, and the utilisation of the group; returns
+    /// whether the skew of the map is known.
     pub(crate) fn measure(
         &mut self,
         pass: Duration,
         map: &Map,
         slowdowns: &[f64],
         utilisation: f64,
-    ) {
+    ) -> bool {
         self.pressure.set_utilisation(utilisation);
-        let skew = plan::skew_of(map, &self.estimate, slowdowns);
-        if self.estimate.total() > 0.0 {
-            self.pressure.measure(pass, skew);
+        self.skew = plan::skew_of(map, &self.estimate, slowdowns);
+        let known = self.estimate.total() > 0.0;
+        if known {
+            self.pressure.measure(pass, self.skew);
         }
+        known
     }
 
     /// Adds the expert choices of a rank; returns whether they show a demand
     /// shift.
     pub(crate) fn add_counts(&mut self, units: &[f32], counts: &[u8], now: Instant) -> bool {
+        self.use_former(now);
         let shifted = self.estimate.add(units, counts, now);
         self.shifted |= shifted;
         shifted
@@ -88,13 +129,14 @@
 
     /// Returns a plan whose round is worthwhile under `map`, if there is one.
     pub(crate) fn plan(&mut self, map: &Map, slowdowns: &[f64], now: Instant) -> Option<Plan> {
+        self.use_former(now);
         let recent = |at| now.saturating_duration_since(at) < REPLAN_INTERVAL;
         if !self.shifted && self.rejected_at.is_some_and(recent) {
             return None;
         }
         let plan = self.compute(map, slowdowns)?;
         if std::mem::take(&mut self.shifted) {
-            self.pressure.record_shift(plan.before);
+            self.record_shift(map, slowdowns);
         }
         if plan.gain() >= ROUND_GAIN_MIN {
             return Some(plan);
@@ -111,16 +153,28 @@
         }
         let skew = f64::from(plan::skew_of(next, &self.estimate, slowdowns));
         let plan = self.compute(map, slowdowns)?;
-        self.pressure.record_shift(plan.before);
+        self.record_shift(map, slowdowns);
         (f64::from(plan.after) <= skew * (1.0 - REPLACE_GAIN_MIN)).then_some(plan)
     }
 
-    fn compute(&self, map: &Map, slowdowns: &[f64]) -> Option<Plan> {
-        let known = self.estimate.total() >= CHOICES_MIN;
+    /// Records the skew that a shift has left. It doesn't include ranks that are slow at the
+    /// moment: after their recovery it would lower the limit until the next shifts.
+    fn record_shift(&mut self, map: &Map, slowdowns: &[f64]) {
+        let usual = vec![1.0; slowdowns.len()];
+        let skew = plan::skew_of(map, &self.estimate, &usual);
+        self.pressure.record_shift(skew);
+    }
+
+    fn compute(&mut self, map: &Map, slowdowns: &[f64]) -> Option<Plan> {
+        if self.estimate.total() < CHOICES_MIN {
+            return None;
+        }
         let group = plan::Group {
             pressure: &self.pressure,
             slowdowns,
         };
-        known.then(|| plan::plan(map, &self.estimate, &self.shape, &self.options, &group))
+        let plan = plan::plan(map, &self.estimate, &self.shape, &self.options, &group);
+        self.skew = plan.before;
+        Some(plan)
     }
 }
--- a/crates/rebalance/src/rank.rs
+++ b/crates/rebalance/src/rank.rs
@@ -1,9 +1,11 @@
 //! The decisions of the agent beside one rank, without I/O.
 
 use cactusnotch_base::clock::Instant;
+use cactusnotch_overload::Change;
 
 use crate::codec::Order;
 use crate::coordinator::{Coordinator, Event};
+use crate::former::Former;
 use crate::member::Member;
 use crate::message::{Phase, Status};
 use crate::plan;
@@ -18,6 +20,8 @@
     pub member: Member,
     /// The decisions of the leader, at rank 0.
     pub coordinator: Option<Coordinator>,
+    /// The demand that the last coordinator had estimated.
+    former: Option<Former>,
 }
 
 /// The results of one step.
@@ -27,6 +31,8 @@
     pub order: Option<Order>,
     /// An event for the log.
     pub event: Option<Event>,
+    /// A change of the limit for the log.
+    pub limit: Option<Change>,
     /// Whether the round has to be announced to the other ranks.
     pub announce: bool,
     /// The rank that is to hold the group at this rank's endpoint, and before which pass.
@@ -42,16 +48,41 @@
         self.member.observe(place, maps);
         let leads = self.coordinator.as_ref();
         if leads.is_some_and(|coordinator| coordinator.place() != place) {
-            self.coordinator = None;
+            self.end_lead();
+        }
+    }
+
+    /// Drops all state, as the endpoint has restarted, except the demand that was estimated:
+    /// callers remain the same.
+    pub fn restart(&mut self) {
+        self.end_lead();
+        self.member = Member::default();
+    }
+
+    fn end_lead(&mut self) {
+        if let Some(coordinator) = self.coordinator.take() {
+            self.former = Some(coordinator.into_former());
         }
     }
 
     /// Starts to lead if this is rank 0; returns whether that is new. `term` is a number
-    /// that is unique to this incarnation of the process.
+    /// that is unique to this incarnation of the process. If this process has led the group
+    /// in a former epoch, the first map is planned from the demand that it had estimated.
     pub fn lead(&mut self, place: &Place, shape: Shape, options: plan::Options, term: u64) -> bool {
         let new = place.rank == 0 && self.coordinator.is_none();
         if new {
-            self.coordinator = Some(Coordinator::new(place.clone(), shape, options, term));
+            let mut coordinator = Coordinator::new(place.clone(), shape, options, term);
+            if let Some(former) = self.former.take() {
+                let choices = former.estimate.total();
+                let resumed = coordinator.resume(former);
+                tracing::info!(
+                    group = place.group,
+                    choices,
+                    resumed,
+                    "demand of the former epoch"
+                );
+            }
+            self.coordinator = Some(coordinator);
         }
         new
     }
@@ -85,8 +116,10 @@
             let round = coordinator.round();
             // Only the rank that has held the group is notified of the hold.
             let confirming = matches!(round.phase, Phase::Meet { .. });
-            step.announce = before != (round.version, round.phase) && !confirming;
-            let round = round.clone();
+            let changed = before != (round.version, round.phase) && !confirming;
+            step.limit = coordinator.update_limit(now);
+            step.announce = coordinator.must_announce(changed, now);
+            let round = coordinator.round().clone();
             step.hold_request = coordinator.hold_request(&maps, now);
             step.notify = coordinator.confirmation_targets(now).to_vec();
             step.notify.extend(coordinator.resend_targets(now));
@@ -96,6 +129,7 @@
             {
                 self.member.set_map(version, map.clone());
             }
+            self.member.update_limit(&round, now);
             self.member.update_round(round);
         }
         if step.order.is_none() {
