feat: share the capacity of a group among entries

Cause: entries see the same free slots in load reports that are up to 250 ms old and don't know each other's requests. Change: Allowance computes how many requests of its own an entry may hold at a group, Limit which stated limit is valid.

--- a/crates/overload/src/class.rs
+++ b/crates/overload/src/class.rs
@@ -18,7 +18,13 @@
     pub fn of(urgency: u8, urgencies: &[u8]) -> Self {
         let ahead = urgencies.partition_point(|&other| other < urgency);
         let number = u8::try_from(ahead).unwrap_or(u8::MAX);
-        Self(number.min(Self::MAX.0))
+        Self::numbered(number)
+    }
+
+    /// Returns the class of a number; larger ones belong to [`Class::MAX`].
+    #[must_use]
+    pub fn numbered(number: u8) -> Self {
+        Self(number).min(Self::MAX)
     }
 
     /// Returns the number of the class.
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -7,14 +7,20 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod allowance;
 pub mod ceiling;
 pub mod class;
+pub mod limit;
 pub mod mode;
 pub mod model;
+pub mod occupancy;
 pub mod options;
 
+pub use allowance::Allowance;
 pub use ceiling::Ceiling;
 pub use class::Class;
+pub use limit::Limit;
 pub use mode::Mode;
 pub use model::Model;
+pub use occupancy::Occupancy;
 pub use options::Options;
