feat: restrict a selection to a group of endpoints

Cause: an entry chooses among all ranks of a service, whichever group they belong to. Change: members have a group that may change without the loss of measurements, and requests may state one. The surcharge for slow groups is a field of its own in reports, since it doesn't count within a group.

--- a/crates/entry/src/agents.rs
+++ b/crates/entry/src/agents.rs
@@ -225,6 +225,7 @@
         state,
         slots: announcement.slots,
         total: load(announcement.requests),
+        surcharge: 0,
         mine: Some(load(announcement.mine)),
         sharers: announcement.entries,
         age: Duration::ZERO,
--- a/crates/entry/src/drive.rs
+++ b/crates/entry/src/drive.rs
@@ -172,6 +172,7 @@
             tried: avoid,
             may_probe: true,
             allowed_data_centres: None,
+            group: None,
         };
         let now = self.now();
         let mut router = self.shared.router();
--- a/crates/entry/src/roster.rs
+++ b/crates/entry/src/roster.rs
@@ -7,7 +7,7 @@
 use cactusnotch_base::{Clock, Table};
 use cactusnotch_member::{Role, State};
 use cactusnotch_node::View;
-use cactusnotch_route::{Member, Service, subset};
+use cactusnotch_route::{Group, Member, Service, subset};
 use cactusnotch_settings::Resolved;
 
 use crate::shared::Shared;
@@ -118,6 +118,7 @@
                 data_centre: record.data_centre.clone(),
                 slots: DEFAULT_SLOTS,
                 speed: 1.0,
+                group: Group::default(),
             })
         })
         .collect()
--- a/crates/entry/src/tickets.rs
+++ b/crates/entry/src/tickets.rs
@@ -45,6 +45,7 @@
         tried: &[],
         may_probe: false,
         allowed_data_centres: None,
+        group: None,
     };
     let now = shared.clock.now();
     let chosen = shared.router().choose(&request, now, &mut rand::rng());
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -135,9 +135,10 @@
         },
         slots,
         total: Load {
-            requests: load.requests + slow_group_penalty(slots, pass_ratio),
+            requests: load.requests,
             backlog: 0,
         },
+        surcharge: slow_group_penalty(slots, pass_ratio),
         mine: None,
         sharers,
         age: Duration::ZERO,
--- a/crates/route/examples/policies/model.rs
+++ b/crates/route/examples/policies/model.rs
@@ -164,6 +164,7 @@
                     state: State::Serving,
                     slots: self.scenario.slots,
                     total: Load { requests, backlog },
+                    surcharge: 0,
                     mine: Some(Load {
                         requests: my_requests,
                         backlog: my_backlog,
--- a/crates/route/examples/policies/policy.rs
+++ b/crates/route/examples/policies/policy.rs
@@ -152,6 +152,7 @@
             services: vec![service.clone()],
             slots: scenario.slots,
             speed: 1.0,
+            group: cactusnotch_route::Group::default(),
         };
         let router = |view: &Vec<usize>| {
             let members: Vec<Member> = view.iter().map(member).collect();
@@ -192,6 +193,7 @@
             tried: &tried,
             may_probe: tried.is_empty(),
             allowed_data_centres: None,
+            group: None,
         };
         let now = self.start + now;
         let router = &mut self.routers[job.entry];
--- a/crates/route/examples/policies/subsets.rs
+++ b/crates/route/examples/policies/subsets.rs
@@ -152,6 +152,7 @@
             services: vec![service.clone()],
             slots: 16,
             speed: 1.0,
+            group: cactusnotch_route::Group::default(),
         })
         .collect();
     router.set_members(&members);
@@ -165,6 +166,7 @@
             state: State::Serving,
             slots: 16,
             total,
+            surcharge: 0,
             mine: None,
             sharers: 1,
             age: Duration::ZERO,
@@ -179,6 +181,7 @@
         tried: &[],
         may_probe: true,
         allowed_data_centres: None,
+        group: None,
     };
     let start = clock::now();
     for round in 0..ROUNDS {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod attempt;
 pub mod choice;
+pub mod group;
 pub mod load;
 pub mod member;
 pub mod options;
@@ -30,6 +31,7 @@
 
 pub use attempt::Attempt;
 pub use choice::Choice;
+pub use group::Group;
 pub use load::Load;
 pub use member::Member;
 pub use options::Options;
--- a/crates/route/src/member.rs
+++ b/crates/route/src/member.rs
@@ -3,7 +3,7 @@
 use cactusnotch_base::name::{DataCentre, Endpoint};
 use cactusnotch_derive::message;
 
-use crate::Service;
+use crate::{Group, Service};
 
 /// An endpoint as listed in the roster.
 #[message]
@@ -19,4 +19,7 @@
     pub slots: u32,
     /// The declared speed, where 1.0 is average; measured times refine it.
     pub speed: f64,
+    /// The group that it belongs to, which may change.
+    #[serde(default)]
+    pub group: Group,
 }
--- a/crates/route/src/report.rs
+++ b/crates/route/src/report.rs
@@ -15,6 +15,10 @@
     pub slots: u32,
     /// The endpoint's total load.
     pub total: Load,
+    /// The number of requests by which the load counts as higher when endpoints of several
+    /// groups are compared.
+    #[serde(default)]
+    pub surcharge: u32,
     /// The part of `total` sent by the entry that receives the report; `None` if
     /// unknown to the reporter.
     pub mine: Option<Load>,
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -2,7 +2,7 @@
 
 use cactusnotch_base::name::{DataCentre, Endpoint};
 
-use crate::Service;
+use crate::{Group, Service};
 
 /// The properties of a request that routing depends on.
 #[derive(Debug, Clone, Copy)]
@@ -20,4 +20,6 @@
     pub may_probe: bool,
     /// The data centres whose endpoints may receive the request; `None` allows all.
     pub allowed_data_centres: Option<&'a [DataCentre]>,
+    /// The group whose endpoints may receive the request; `None` allows all.
+    pub group: Option<Group>,
 }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -12,7 +12,7 @@
 use crate::choice::{Choice, Error, Reason};
 use crate::row::{LoadEstimate, Reference, Row};
 use crate::selection::{Candidate, Selection};
-use crate::{Attempt, Load, Member, Options, Report, Request, Service, State, Withheld};
+use crate::{Attempt, Group, Load, Member, Options, Report, Request, Service, State, Withheld};
 
 /// One entry's view of its endpoints, and the routing decisions based on it.
 #[derive(Debug)]
@@ -101,6 +101,18 @@
         }
     }
 
+    /// Moves an endpoint to another group; it keeps its measurements.
+    pub fn set_group(&mut self, endpoint: &Endpoint, group: Group) {
+        if let Some(at) = self.position(endpoint) {
+            self.rows[at].member.group = group;
+        }
+    }
+
+    /// Returns the load of this entry's own requests on each endpoint, in order of the names.
+    pub fn own_loads(&self) -> impl Iterator<Item = (&Member, Load)> {
+        self.rows.iter().map(|row| (&row.member, row.own))
+    }
+
     /// Avoids an endpoint until the given time while others accept requests; `None`
     /// ends this.
     pub fn avoid(&mut self, endpoint: &Endpoint, until: Option<Instant>) {
--- a/crates/route/src/row.rs
+++ b/crates/route/src/row.rs
@@ -30,8 +30,10 @@
     pub(crate) slots: f64,
     /// The load of this entry's own requests.
     pub(crate) own: Load,
-    /// The load of the other entries' requests, as last reported.
+    /// The load of the other entries' requests, as last reported, with the surcharge.
     pub(crate) others: Load,
+    /// The requests in `others` that don't count among endpoints of the same group.
+    pub(crate) surcharge: u32,
     /// The number of entries that send requests, as last reported.
     pub(crate) sharers: f64,
     /// When the last applied report was made.
@@ -76,6 +78,7 @@
             state: State::default(),
             own: Load::default(),
             others: Load::default(),
+            surcharge: 0,
             sharers: 1.0,
             reported_at: None,
             avoided: None,
@@ -104,7 +107,12 @@
         self.reported_at = Some(made_at);
         self.slots = f64::from(report.slots.max(1));
         self.sharers = f64::from(report.sharers.max(1));
-        self.others = report.total.without(report.mine.unwrap_or(self.own));
+        self.surcharge = report.surcharge;
+        let total = Load {
+            requests: report.total.requests.saturating_add(report.surcharge),
+            ..report.total
+        };
+        self.others = total.without(report.mine.unwrap_or(self.own));
         if self.state != State::Unreachable {
             self.state = self.state.max(report.state);
         }
--- a/crates/route/src/selection.rs
+++ b/crates/route/src/selection.rs
@@ -111,12 +111,14 @@
                         self.now,
                     );
                     mean.add(fresh, row.slots, others);
-                    if request.tried.contains(&row.member.name) {
+                    let is_in_group = request.group.is_none_or(|group| group == row.member.group);
+                    if !is_in_group || request.tried.contains(&row.member.name) {
                         continue;
                     }
                     if let Some(withheld) = row.withheld(self.now) {
                         tally.add_withheld(withheld);
                     } else {
+                        let others = within_group(row, others, request);
                         let candidate = self.candidate(at, row, fresh, others);
                         self.candidates.push(candidate);
                     }
@@ -341,6 +343,18 @@
     }
 }
 
+/// Returns the other entries' load without the surcharge if endpoints of one group are
+/// compared.
+fn within_group(row: &Row, others: LoadEstimate, request: &Request<'_>) -> LoadEstimate {
+    if request.group.is_none() {
+        return others;
+    }
+    LoadEstimate {
+        requests: (others.requests - f64::from(row.surcharge)).max(0.0),
+        ..others
+    }
+}
+
 /// Returns the number of an endpoint's slots, divided by its slowness.
 fn capacity(candidate: &Candidate) -> f64 {
     candidate.slots / candidate.slowness
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -7,8 +7,8 @@
 use cactusnotch_route::attempt::End;
 use cactusnotch_route::choice::{Error, Reason};
 use cactusnotch_route::{
-    Load, Member, Options, Report, Request, Router, Service, State, Withheld, prefix, rendezvous,
-    subset,
+    Group, Load, Member, Options, Report, Request, Router, Service, State, Withheld, prefix,
+    rendezvous, subset,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -28,6 +28,7 @@
         services: vec![service()],
         slots: SLOTS,
         speed: 1.0,
+        group: Group::default(),
     }
 }
 
@@ -58,6 +59,7 @@
         tried,
         may_probe: true,
         allowed_data_centres: None,
+        group: None,
     }
 }
 
@@ -69,6 +71,7 @@
             requests,
             backlog: 0,
         },
+        surcharge: 0,
         mine: Some(Load::default()),
         sharers: 1,
         age,
@@ -185,6 +188,7 @@
         },
         state: State::Serving,
         slots: 8,
+        surcharge: 0,
         mine: None,
         sharers: 1,
         age: Duration::ZERO,
@@ -536,3 +540,45 @@
         "other entries hold fewer"
     );
 }
+
+/// Guards against a restricted selection that leaves its group, or an endpoint that loses its
+/// load reports when it changes groups.
+#[test]
+fn a_selection_may_be_restricted_to_a_group() {
+    let now = clock::now();
+    let service = service();
+    let mut router = router(&local_members(4));
+    let names = local_members(4).into_iter().map(|member| member.name);
+    let names: Vec<_> = names.collect();
+    for name in &names[..2] {
+        router.set_group(name, Group(7));
+    }
+    for (name, requests) in names.iter().zip([SLOTS, 0, 0, 0]) {
+        let report = Report {
+            surcharge: SLOTS,
+            ..report(requests, Duration::ZERO)
+        };
+        router.apply_report(name, &report, now);
+    }
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut choose = |router: &mut Router, group, tried: &[Endpoint]| {
+        let request = Request {
+            group: Some(Group(group)),
+            ..request(&service, &[], tried)
+        };
+        let choice = router.choose(&request, now, &mut rng);
+        choice.map(|choice| (choice.endpoint, choice.utilisation))
+    };
+    for _ in 0..20 {
+        let chosen = choose(&mut router, 7, &[]).expect("the group serves");
+        assert_eq!(chosen, (names[1].clone(), 0));
+        let chosen = choose(&mut router, 0, &[]).expect("two endpoints are in no group");
+        assert!(names[2..].contains(&chosen.0));
+    }
+    let exhausted = Err(Error::Exhausted { endpoints: 4 });
+    assert_eq!(choose(&mut router, 7, &names[..2]), exhausted);
+    assert_eq!(choose(&mut router, 8, &[]), exhausted);
+    router.set_group(&names[0], Group(9));
+    let full = choose(&mut router, 9, &[]).expect("the endpoint serves");
+    assert_eq!(full, (names[0].clone(), 100));
+}
