feat: choose a group with capacity first, then one of its ranks

Cause: an entry compares ranks of all groups by their own load; it knows neither the limit of a group nor what other entries start there. Change: for requests under overload control the entry computes an allowance for each group from each round of load reports, draws a group in proportion to what is left of it, and chooses among the group's ranks. Without room in any group the request is Busy. Metrics and log lines show the limit and the fill.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -64,9 +64,7 @@
 pub fn admits(caller: Caller, forecast: &Forecast, targets: &Targets, draw: f64) -> bool {
     match caller {
         Caller::First => {
-            let late = forecast.full
-                && forecast.first > targets.first_event.mul_f64(FIRST_EVENT_RATIO_MAX);
-            !late && !sheds_for_pass_time(forecast, targets, draw)
+            !is_late(forecast, targets) && !sheds_for_pass_time(forecast, targets, draw)
         }
         // A returning caller can no longer be on time: it only gets capacity that first
         // attempts leave free.
@@ -80,6 +78,12 @@
     }
 }
 
+/// Returns whether all slots are taken and the first event would be late.
+#[must_use]
+pub fn is_late(forecast: &Forecast, targets: &Targets) -> bool {
+    forecast.full && forecast.first > targets.first_event.mul_f64(FIRST_EVENT_RATIO_MAX)
+}
+
 /// Returns whether a stream is shed to keep forward passes short: one more stream would
 /// delay all those that are running.
 fn sheds_for_pass_time(forecast: &Forecast, targets: &Targets, draw: f64) -> bool {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,7 +17,7 @@
 use crate::decide::{Failure, Lifecycle};
 use crate::dialect::Dialect;
 use crate::endpoint::Endpoint;
-use crate::fleet::Criteria;
+use crate::fleet::{Chosen, Criteria, Shortage};
 use crate::journal::millis;
 use crate::knowledge::SharedState;
 use crate::pool::{self, KeepAlive, Lease, Reuse};
@@ -78,13 +78,8 @@
         return Err(Unserved::Held);
     }
     shared.drop_missing(now);
-    let mut fleet = shared.fleet.borrow_mut();
-    let mut rng = shared.rng.borrow_mut();
-    let chosen = fleet.start(service, &criteria, now, &mut rng);
-    let (choice, attempt) = chosen.map_err(Unserved::None)?;
-    let endpoint = fleet.get(choice.endpoint.as_str()).cloned();
-    drop(fleet);
-    drop(rng);
+    let (choice, attempt, standing) = start(shared, call, &criteria, now)?;
+    let endpoint = shared.fleet.borrow().get(choice.endpoint.as_str()).cloned();
     let Some(endpoint) = endpoint else {
         return Err(Unserved::None(choice::Error::Unknown));
     };
@@ -98,11 +93,12 @@
         end: End::Inconclusive,
         pieces: 0,
         forecast,
+        standing,
         sent: None,
         first: None,
     };
     // Admission control applies to the first send only: a retry is worth no less.
-    let admitted = !tried.is_empty() || admits(shared, call, &forecast, now);
+    let admitted = !tried.is_empty() || admits(shared, call, &running, now);
     if admitted {
         Ok((endpoint, running))
     } else {
@@ -110,6 +106,31 @@
     }
 }
 
+/// Selects an endpoint, first a group of ranks if the request has a class, and counts the
+/// request there.
+fn start(
+    shared: &SharedState,
+    call: &Call,
+    criteria: &Criteria<'_>,
+    now: Instant,
+) -> Result<Chosen, Unserved> {
+    let service = &call.resolved.service;
+    let entries = shared.peers.borrow().count();
+    let mut fleet = shared.fleet.borrow_mut();
+    let mut rng = shared.rng.borrow_mut();
+    let Some(class) = call.class.filter(|_| fleet.has_groups(service)) else {
+        let started = fleet.start(service, criteria, None, now, &mut rng);
+        let (choice, attempt) = started.map_err(Unserved::None)?;
+        return Ok((choice, attempt, None));
+    };
+    fleet.renew_groups(entries, now, &mut *rng);
+    let started = fleet.start_in_group(service, class, criteria, now, &mut rng);
+    started.map_err(|shortage| match shortage {
+        Shortage::Busy => Unserved::Busy,
+        Shortage::None(error) => Unserved::None(error),
+    })
+}
+
 /// Returns whether an untried endpoint has a free slot for the request, and the retry
 /// budget allows sending it there.
 pub(crate) fn may_move(
@@ -157,12 +178,17 @@
 }
 
 /// Returns whether admission control admits the request.
-fn admits(shared: &SharedState, call: &Call, forecast: &Forecast, now: Instant) -> bool {
+fn admits(shared: &SharedState, call: &Call, running: &Running, now: Instant) -> bool {
+    let forecast = &running.forecast;
     let route = &call.resolved.route;
     let targets = Targets {
         first_event: route.target_latency,
         max_event_gap: route.max_event_gap,
     };
+    if running.standing.is_some() {
+        // The limit of the group keeps its passes short.
+        return !admission::is_late(forecast, &targets);
+    }
     let draw = shared.rng.borrow_mut().random();
     admission::admits(call.caller(now), forecast, &targets, draw)
 }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -3,8 +3,10 @@
 mod cold;
 mod criteria;
 mod exclusion;
+mod groups;
 mod leaving_notices;
 mod lives;
+mod members;
 mod options;
 mod row;
 mod sharing;
@@ -16,14 +18,15 @@
 
 use cactusnotch_base::clock::Instant;
 use cactusnotch_base::{Table, name};
-use cactusnotch_route::{
-    self as route, Attempt, Choice, Member, Report, Request, Router, State, attempt, choice,
-};
+use cactusnotch_route::{self as route, Attempt, Choice, Report, Request, Router, attempt, choice};
 use rand::rngs::SmallRng;
 
 pub(crate) use self::criteria::Criteria;
 pub(crate) use self::exclusion::Exclusions;
+use self::groups::Groups;
+pub(crate) use self::groups::{Chosen, Shortage, Standing};
 use self::leaving_notices::LeavingNotices;
+use self::members::kind;
 use self::row::{REPORT_TIME, Row};
 pub(crate) use self::statements::Update;
 use self::terminated::Terminated;
@@ -65,6 +68,7 @@
     warmups: Warmups,
     cold_starts: Table<String, ColdStart>,
     evacuated: Vec<String>,
+    groups: Groups,
 }
 
 impl Fleet {
@@ -83,6 +87,7 @@
             warmups: Warmups::new(warm_up, host),
             cold_starts: Table::new(),
             evacuated: Vec::new(),
+            groups: Groups::default(),
         }
     }
 
@@ -215,11 +220,13 @@
         }
     }
 
-    /// Chooses an endpoint of `service` for a request and counts the request there.
+    /// Chooses an endpoint of `service` for a request, only from `group` if one is given, and
+    /// counts the request there.
     pub(crate) fn start(
         &mut self,
         service: &str,
         criteria: &Criteria<'_>,
+        group: Option<route::Group>,
         now: Instant,
         rng: &mut SmallRng,
     ) -> Result<(Choice, Attempt), choice::Error> {
@@ -231,6 +238,7 @@
             tried: criteria.tried,
             may_probe: criteria.may_probe,
             allowed_data_centres: criteria.within,
+            group,
         };
         let router = self
             .routers
@@ -280,12 +288,13 @@
         }
         row.apply_load(load, now);
         let service = row.endpoint.service.clone();
-        let slots = row.endpoint.slots;
+        let (id, slots) = (row.endpoint.id.clone(), row.endpoint.slots);
         let avoided = row.should_be_avoided(max_event_gap(&service), now);
-        let name = name::Endpoint::new(row.endpoint.id.clone());
+        let name = name::Endpoint::new(id.as_str());
         if let Some(router) = self.routers.get_mut(&service) {
             router.avoid(&name, avoided.then(|| now + REPORT_TIME));
         }
+        self.apply_group(&id, load, now);
         Some(LoadContext {
             slots,
             sharers: self.sharers(&service, entries),
@@ -353,48 +362,4 @@
             }
         }
     }
-
-    /// Updates the members of a service's router and their states.
-    fn refresh(&mut self, service: &str) {
-        let own = sharing::used(&self.rows).filter(|e| e.service == service);
-        let own: Vec<_> = own
-            .map(|e| {
-                (
-                    member(e),
-                    !self.takes_new_work(e),
-                    self.withheld(&e.instance),
-                )
-            })
-            .collect();
-        let Some(router) = self.routers.get_mut(service) else {
-            return;
-        };
-        let known = own.iter().map(|(member, ..)| router.state(&member.name));
-        let known: Vec<_> = known.collect();
-        let members: Vec<_> = own.iter().map(|(member, ..)| member.clone()).collect();
-        router.set_members(&members);
-        for ((member, leaving, withheld), known) in own.iter().zip(known) {
-            let state = match known {
-                _ if *leaving => State::Leaving,
-                Some(State::Unreachable) => State::Unreachable,
-                _ => State::Serving,
-            };
-            router.set_state(&member.name, state);
-            router.withhold(&member.name, *withheld);
-        }
-    }
-}
-
-fn kind(service: &str) -> route::Service {
-    route::Service::Path(service.to_owned())
-}
-
-fn member(endpoint: &Endpoint) -> Member {
-    Member {
-        name: name::Endpoint::new(endpoint.id.clone()),
-        data_centre: name::DataCentre::new(endpoint.data_centre.clone()),
-        services: vec![kind(&endpoint.service)],
-        slots: endpoint.slots.max(1),
-        speed: 1.0,
-    }
 }
--- a/crates/gateway/src/fleet/row.rs
+++ b/crates/gateway/src/fleet/row.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cactusnotch_base::clock::Instant;
+use cactusnotch_route as route;
 
 use crate::endpoint::Endpoint;
 use crate::pace::Slowdown;
@@ -30,6 +31,10 @@
     pass: Option<(Duration, Instant)>,
     /// Its slowdown, as reported with the pass duration.
     slowdown: Slowdown,
+    /// Its group of ranks.
+    pub(crate) group: route::Group,
+    /// The requests of other entries, as reported with the pass duration.
+    pub(crate) others: u32,
     /// Whether its group accepts requests, as reported with the pass duration.
     open: bool,
     /// Until when the first report of its agent is awaited, `None` once one was received.
@@ -52,6 +57,8 @@
             used,
             pass: None,
             slowdown: Slowdown::default(),
+            group: route::Group::default(),
+            others: 0,
             open: true,
             agent_awaited_until: ranked.then(|| now + AGENT_WAIT_TIME),
             earlier_start: None,
@@ -96,6 +103,19 @@
         (now.saturating_duration_since(at) < REPORT_TIME).then_some(pass)
     }
 
+    /// Returns the age of the last load report while that counts: it is recent, and its group
+    /// accepts requests.
+    pub(crate) fn report_age(&self, now: Instant) -> Option<Duration> {
+        let (_, at) = self.pass?;
+        let age = now.saturating_duration_since(at);
+        (self.open && age <= UNRESPONSIVE_TIME).then_some(age)
+    }
+
+    /// Returns whether its group accepts requests, as last reported.
+    pub(crate) const fn is_open(&self) -> bool {
+        self.open
+    }
+
     /// Returns whether it should get no requests while others have room: it is slow, or its
     /// passes are longer than the longest event gap that its streams accept.
     pub(crate) fn should_be_avoided(&self, max_event_gap: Option<Duration>, now: Instant) -> bool {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -144,6 +144,7 @@
         age: Duration::ZERO,
     };
     fleet.report(load.endpoint, &report, now);
+    fleet.renew_groups(entries, now, &mut *shared.rng.borrow_mut());
 }
 
 /// Returns the number of requests by which an endpoint's load is raised because the
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -5,6 +5,7 @@
 mod era;
 mod evacuations;
 mod outage;
+mod settings;
 mod statements;
 mod suspects;
 
@@ -142,25 +143,6 @@
         Rc::clone(&self.options.borrow())
     }
 
-    /// Applies reloaded settings.
-    pub(crate) fn set_options(&self, options: Options) {
-        self.freshness
-            .borrow_mut()
-            .set_bound(options.revocation_bound);
-        self.retry_budgets
-            .borrow_mut()
-            .configure(options.retry_ratio, options.retry_window);
-        let mut known = self.options.borrow_mut();
-        // Whether evacuations are followed is fixed at the start.
-        let evacuation_bound = known
-            .evacuation_bound
-            .map(|before| options.evacuation_bound.unwrap_or(before));
-        *known = Rc::new(Options {
-            evacuation_bound,
-            ..options
-        });
-    }
-
     pub(crate) fn store<C: Codec>(&self) -> Store<C> {
         Store::new(self.options.borrow().store, Rc::clone(&self.eras))
     }
@@ -335,6 +317,7 @@
         self.fleet
             .borrow_mut()
             .configure(new.services(), clock::now());
+        self.configure_groups(&new);
         self.time_budgets.borrow_mut().retain_routes(new.routes());
         tracing::info!(
             version = new.version,
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 
 pub mod allowance;
+pub mod candidate;
 pub mod ceiling;
 pub mod class;
 pub mod limit;
@@ -17,6 +18,7 @@
 pub mod options;
 
 pub use allowance::Allowance;
+pub use candidate::Candidate;
 pub use ceiling::Ceiling;
 pub use class::Class;
 pub use limit::Limit;
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -85,6 +85,10 @@
         "Data centres that operators have emptied, whose endpoints get nothing.";
     GATEWAY_FORECAST_ERROR = "cactusnotch_gateway_forecast_error_seconds", Histogram, Seconds, [],
         "Time by which the first event of a stream came sooner or later than was expected when it was sent.";
+    GATEWAY_GROUP_FILL = "cactusnotch_gateway_group_fill_ratio", Gauge, Count, ["group"],
+        "Requests for each slot of a group of ranks, as this entry knows them from load reports.";
+    GATEWAY_GROUP_LIMIT = "cactusnotch_gateway_group_limit_ratio", Gauge, Count, ["group"],
+        "Limit of the requests for each slot of a group of ranks, as this entry applies it.";
     GATEWAY_HELD = "cactusnotch_gateway_held_requests", Gauge, Count, [],
         "Requests that are kept from endpoints, since they end those that run them.";
     GATEWAY_LIMITED = "cactusnotch_gateway_limited_endpoints", Gauge, Count, [],
