--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -135,14 +135,16 @@
         },
         slots,
         total: Load {
-            requests: load.requests + slow_group_penalty(slots, pass_ratio),
+            requests: load.requests,
             backlog: 0,
         },
+        surcharge: slow_group_penalty(slots, pass_ratio),
         mine: None,
         sharers,
         age: Duration::ZERO,
     };
     fleet.report(load.endpoint, &report, now);
+    fleet.renew_groups(entries, now, &mut *shared.rng.borrow_mut());
 }
 
 /// Returns the number of requests by which an endpoint's load is raised because the
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -7,21 +7,29 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod allowance;
+pub mod candidate;
 pub mod ceiling;
 pub mod change;
 pub mod class;
 pub mod conditions;
 pub mod controller;
 mod cost;
+pub mod limit;
 pub mod mode;
 pub mod model;
+pub mod occupancy;
 pub mod options;
 
+pub use allowance::Allowance;
+pub use candidate::Candidate;
 pub use ceiling::Ceiling;
 pub use change::Change;
 pub use class::Class;
 pub use conditions::Conditions;
 pub use controller::Controller;
+pub use limit::Limit;
 pub use mode::Mode;
 pub use model::Model;
+pub use occupancy::Occupancy;
 pub use options::Options;
