feat: let requests wait at the entry for free capacity

Cause: an entry refuses a request that finds no free capacity at once, and polls every 40 ms for a caller that was refused before, whatever their priority. Change: one overload::Queue for each service under overload control. A request waits if one of its class or a more urgent one does, or if no capacity is free. Only the head of the queue tries to start: when a request of this entry ends, when a load report arrives, and after the removal of the head before it. A place is given up when its request is dropped. What expired during a suspension is refused at once, and all that waits when a stopping entry closes. A refused caller returns when the queue is expected to be empty. Requests without a class are handled as before.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -100,6 +100,7 @@
         forecast,
         sent: None,
         first: None,
+        tracked: false,
     };
     // Admission control applies to the first send only: a retry is worth no less.
     let admitted = !tried.is_empty() || admits(shared, call, &forecast, now);
@@ -184,6 +185,9 @@
     mut running: Running,
     last_event: Option<u64>,
 ) -> Result<Reply, Failed> {
+    if call.class.is_some() {
+        running.track(clock::now());
+    }
     let first = lifecycle.sent() == 0;
     let mut lease = connect(shared, call, endpoint, first, &mut running).await?;
     let now = clock::now();
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -21,36 +21,21 @@
 use crate::dialect::Dialect;
 use crate::endpoint::Endpoint;
 use crate::exchange::{self, Failed, Reply, Unserved};
+use crate::in_flight::InFlight;
 use crate::intake;
 use crate::knowledge::SharedState;
 use crate::pieces;
 use crate::pump::Pump;
 use crate::refusal::Refusal;
-use crate::request::{self, Call};
+use crate::request::Call;
+use crate::response;
 use crate::route::RetryPolicy;
 use crate::running::Running;
+use crate::waiting::{self, Unstarted};
 
 /// The interval at which a waiting request checks for a free slot.
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
 
-/// Counts a request as in flight until it is dropped.
-struct InFlight(Rc<SharedState>);
-
-impl InFlight {
-    fn new(shared: &Rc<SharedState>) -> Self {
-        shared.in_flight.set(shared.in_flight.get() + 1);
-        Self(Rc::clone(shared))
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0
-            .in_flight
-            .set(self.0.in_flight.get().saturating_sub(1));
-    }
-}
-
 /// Handles one request.
 pub(crate) async fn handle<D: Dialect>(
     shared: Rc<SharedState>,
@@ -62,7 +47,8 @@
         Ok(call) => call,
         Err((refusal, id)) => {
             account::log_refused(&shared, id.as_deref(), refusal, arrived);
-            return own_response::<D>(&shared, refusal, Duration::ZERO);
+            let after = refusal.retry_after(Duration::ZERO, shared.rng.borrow_mut().random());
+            return response::own::<D>(&shared, refusal, after);
         }
     };
     let service = call.resolved.service.clone();
@@ -82,6 +68,7 @@
         waited: false,
         sending: false,
         failure: None,
+        clear: None,
     };
     let deadline = flight.call.deadline;
     let outcome = tokio::select! {
@@ -94,7 +81,7 @@
     match outcome {
         Ok(Answered::Whole(head, body)) => {
             flight.log(head.status.as_u16(), "whole");
-            relayed_response(&shared, head, Outgoing::Whole(Some(body)))
+            response::relayed(&shared, head, Outgoing::Whole(Some(body)))
         }
         Ok(Answered::Pieces(reply, first)) => flight.relay::<D>(*reply, first, guard),
         Err(refusal) => flight.refuse::<D>(refusal),
@@ -120,6 +107,8 @@
     /// An endpoint's error response, which is relayed unless another endpoint succeeds.
     /// The request has run, so it must not be reported as not run.
     failure: Option<(http::response::Parts, Bytes)>,
+    /// The time until the queue that refused the request is expected to be empty.
+    clear: Option<Duration>,
 }
 
 impl Flight {
@@ -130,18 +119,14 @@
             if self.call.deadline.remaining().is_zero() {
                 return Err(self.lifecycle.timed_out(false));
             }
-            let (endpoint, running) =
-                match exchange::choose(&self.shared, &self.call, &self.tried, clock::now()) {
-                    Ok(chosen) => chosen,
-                    Err(unserved) if self.may_wait(&unserved) => {
-                        self.wait().await;
-                        continue;
-                    }
-                    Err(Unserved::Busy) if self.lifecycle.sent() == 0 => return Err(Refusal::Busy),
-                    Err(Unserved::Held) if self.lifecycle.sent() == 0 => return Err(Refusal::Held),
-                    Err(Unserved::Busy | Unserved::Held) => return Err(self.lifecycle.exhausted()),
-                    Err(Unserved::None(error)) => return Err(self.refusal_without_endpoint(&error)),
-                };
+            let (endpoint, running) = match self.choose().await {
+                Ok(chosen) => chosen,
+                Err(Unstarted::Unserved(unserved)) if self.may_wait(&unserved) => {
+                    self.wait().await;
+                    continue;
+                }
+                Err(unstarted) => return Err(self.refusal(&unstarted)),
+            };
             self.tried.push(running.endpoint().clone());
             let mut failed = match self.send::<D>(&endpoint, running).await {
                 Ok(reply) => match self.receive(reply).await {
@@ -155,6 +140,37 @@
         }
     }
 
+    /// Selects an endpoint; a request under overload control waits for its turn. A retry after
+    /// a send doesn't wait.
+    async fn choose(&self) -> Result<(Endpoint, Running), Unstarted> {
+        let (shared, call, tried) = (&self.shared, &self.call, &self.tried);
+        match call.class.filter(|_| self.lifecycle.sent() == 0) {
+            Some(class) => {
+                let entrant = waiting::entrant(shared, call, class);
+                waiting::choose(shared, call, tried, &entrant).await
+            }
+            None => {
+                exchange::choose(shared, call, tried, clock::now()).map_err(Unstarted::Unserved)
+            }
+        }
+    }
+
+    /// Returns the refusal of a request that was not started.
+    fn refusal(&mut self, unstarted: &Unstarted) -> Refusal {
+        let unsent = self.lifecycle.sent() == 0;
+        match unstarted {
+            Unstarted::Unserved(Unserved::Busy) if unsent => Refusal::Busy,
+            Unstarted::Unserved(Unserved::Held) if unsent => Refusal::Held,
+            Unstarted::Unserved(Unserved::Busy | Unserved::Held) => self.lifecycle.exhausted(),
+            Unstarted::Unserved(Unserved::None(error)) => self.refusal_without_endpoint(error),
+            Unstarted::Refused { clear } => {
+                self.clear = Some(*clear);
+                Refusal::Busy
+            }
+            Unstarted::Stopping => Refusal::Stopping,
+        }
+    }
+
     /// Sends the request to an endpoint and waits for the head of the response. If the
     /// endpoint is lost and the request may be sent again, the wait ends early.
     async fn send<D: Dialect>(
@@ -240,7 +256,11 @@
             }
             Unserved::Busy | Unserved::None(_) => true,
         };
-        may_free_up && self.call.has_returned && self.lifecycle.sent() == 0 && clock::now() < last
+        may_free_up
+            && self.call.class.is_none()
+            && self.call.has_returned
+            && self.lifecycle.sent() == 0
+            && clock::now() < last
     }
 
     /// Returns the refusal when no endpoint can be selected.
@@ -307,7 +327,7 @@
         let head = reply.head.clone();
         let length = head.headers.get(header::CONTENT_LENGTH);
         let remaining = length.and_then(|length| length.to_str().ok()?.parse().ok());
-        let response = relayed_response(
+        let response = response::relayed(
             &self.shared,
             head,
             Outgoing::Pieces {
@@ -351,48 +371,19 @@
         if let Some((head, body)) = self.failure.take() {
             let outcome = format!("error response of an endpoint relayed after: {refusal}");
             self.log(head.status.as_u16(), &outcome);
-            return relayed_response(&self.shared, head, Outgoing::Whole(Some(body)));
+            return response::relayed(&self.shared, head, Outgoing::Whole(Some(body)));
         }
         self.log(refusal.status().as_u16(), &refusal.to_string());
         let remaining = self.call.deadline.remaining();
-        own_response::<D>(&self.shared, refusal, remaining)
+        let draw = self.shared.rng.borrow_mut().random();
+        let after = match self.clear {
+            Some(clear) => refusal.retry_after_queue(remaining, clear, draw),
+            None => refusal.retry_after(remaining, draw),
+        };
+        response::own::<D>(&self.shared, refusal, after)
     }
 
     fn log(&self, status: u16, outcome: &str) {
         account::log_ended(&self.shared, &self.call, &self.tried, status, outcome, 0);
     }
 }
-
-fn own_response<D: Dialect>(
-    shared: &SharedState,
-    refusal: Refusal,
-    remaining: Duration,
-) -> Response<Outgoing> {
-    let mut response = refusal
-        .response::<D>(refusal.retry_after(remaining, shared.rng.borrow_mut().random()))
-        .map(|body| Outgoing::Whole(Some(body)));
-    close_if_stopping(shared, &mut response);
-    response
-}
-
-/// Converts an endpoint's response for the caller.
-fn relayed_response(
-    shared: &SharedState,
-    head: http::response::Parts,
-    body: Outgoing,
-) -> Response<Outgoing> {
-    let mut response = Response::new(body);
-    *response.status_mut() = head.status;
-    *response.headers_mut() = head.headers;
-    request::strip_hop_by_hop(response.headers_mut());
-    close_if_stopping(shared, &mut response);
-    response
-}
-
-fn close_if_stopping(shared: &SharedState, response: &mut Response<Outgoing>) {
-    if shared.stopping.get().is_some() {
-        response
-            .headers_mut()
-            .insert(header::CONNECTION, http::HeaderValue::from_static("close"));
-    }
-}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -143,6 +143,8 @@
         age: Duration::ZERO,
     };
     fleet.report(load.endpoint, &report, now);
+    drop(fleet);
+    shared.wake_waiting_at(load.endpoint);
 }
 
 /// Returns the number of requests by which an endpoint's load is raised because the
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -7,6 +7,7 @@
 mod outage;
 mod statements;
 mod suspects;
+mod watches;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -40,6 +41,7 @@
 use crate::store::{Change, Codec, Item, Kind, Store, Unreadable};
 use crate::store_health::StoreHealth;
 use crate::time_budget::TimeBudgets;
+use crate::waiting::Waiting;
 use crate::wake::SuspendDetector;
 
 /// The state of an entry that its tasks share.
@@ -89,6 +91,7 @@
     pub(crate) notifications: Notifications,
     pub(crate) records: Records,
     pub(crate) suspend_detector: SuspendDetector,
+    pub(crate) waiting: Waiting,
 }
 
 impl SharedState {
@@ -135,6 +138,7 @@
             notifications: Notifications::default(),
             records: Records::default(),
             suspend_detector: SuspendDetector::default(),
+            waiting: Waiting::default(),
         }
     }
 
@@ -345,16 +349,6 @@
         *self.configuration.borrow_mut() = Some(Rc::new(new));
     }
 
-    /// Returns whether this entry watches the store on behalf of its data centre.
-    pub(crate) fn watches(&self, now: Instant) -> bool {
-        self.peers.borrow().ready_before(now) < WATCHERS
-    }
-
-    /// Returns whether this entry watches evacuations on behalf of its data centre.
-    pub(crate) fn watches_evacuations(&self, now: Instant) -> bool {
-        self.peers.borrow().ready_before(now) == 0
-    }
-
     /// Settles deferred registrations, and drops endpoints still missing after an outage.
     pub(crate) fn drop_missing(&self, now: Instant) {
         self.fleet.borrow_mut().settle(now);
@@ -400,7 +394,3 @@
         all.map_or(1, |all| (all / self.peers.borrow().count()).max(1))
     }
 }
-
-/// Number of entries per data centre that watch endpoints and configuration and forward
-/// changes to the others. With two, one may crash without changes being missed.
-const WATCHERS: u32 = 2;
--- a/crates/gateway/src/knowledge/outage.rs
+++ b/crates/gateway/src/knowledge/outage.rs
@@ -5,7 +5,8 @@
 use cactusnotch_base::clock::{self, Instant};
 use rand::Rng;
 
-use super::{SharedState, WATCHERS};
+use super::SharedState;
+use super::watches::WATCHERS;
 use crate::journal::millis;
 use crate::peer::State;
 use crate::store::{Error, Kind};
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -21,6 +21,21 @@
 /// The longest recovery time: a response is worth less the later it arrives.
 const RECOVERY_MAX: Duration = Duration::from_millis(2_400);
 
+/// Returns the time that endpoints are given to recover before a caller with the time budget
+/// `left` should retry.
+fn recovery(left: Duration) -> Duration {
+    left.mul_f64(RECOVERY_FRACTION).min(RECOVERY_MAX)
+}
+
+/// Returns the fraction of a retry time at which a caller should retry, from a random number.
+const fn spread_of(draw: f64) -> f64 {
+    0.5 + draw.clamp(0.0, 1.0) / 2.0
+}
+
+fn spread_recovery(recovery: Duration, spread: f64) -> Duration {
+    recovery.mul_f64(0.5 + spread / 2.0).max(RETRY_AFTER)
+}
+
 /// Why an entry responds itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Refusal {
@@ -116,12 +131,9 @@
     /// refused together.
     #[must_use]
     pub fn retry_after(self, left: Duration, draw: f64) -> Duration {
-        let spread = 0.5 + draw.clamp(0.0, 1.0) / 2.0;
+        let spread = spread_of(draw);
         match self {
-            Self::Busy | Self::NotRun => {
-                let recovery = left.mul_f64(RECOVERY_FRACTION).min(RECOVERY_MAX);
-                recovery.mul_f64(0.5 + spread / 2.0).max(RETRY_AFTER)
-            }
+            Self::Busy | Self::NotRun => spread_recovery(recovery(left), spread),
             // One request is admitted at that time; the others should arrive after it.
             Self::Throttled { wait } => wait.max(RETRY_AFTER).mul_f64(0.5 + spread),
             // An earlier retry would be refused as well.
@@ -130,6 +142,16 @@
         }
     }
 
+    /// Returns the same for a request that a queue has refused which is expected to be empty
+    /// after `clear`.
+    #[must_use]
+    pub fn retry_after_queue(self, left: Duration, clear: Duration, draw: f64) -> Duration {
+        match self {
+            Self::Busy => spread_recovery(recovery(left).min(clear), spread_of(draw)),
+            _ => self.retry_after(left, draw),
+        }
+    }
+
     /// Creates the response.
     pub fn response<D: Dialect>(self, after: Duration) -> Response<Bytes> {
         let mut response = Response::new(D::error_body(&self.to_string()));
--- a/crates/gateway/src/running.rs
+++ b/crates/gateway/src/running.rs
@@ -36,9 +36,17 @@
     pub(crate) sent: Option<Instant>,
     /// The time from sending to the first piece.
     pub(crate) first: Option<Duration>,
+    /// Whether the start and the end of the run are reported to the waiting queue.
+    pub(crate) tracked: bool,
 }
 
 impl Running {
+    /// Reports the start of the run to the waiting queue, and later its end.
+    pub(crate) fn track(&mut self, now: Instant) {
+        self.tracked = true;
+        self.shared.waiting.record_start(&self.service, now);
+    }
+
     /// Records a piece of the response.
     pub(crate) fn record_piece(&mut self, now: Instant) {
         self.pieces += 1;
@@ -112,5 +120,10 @@
         self.log(now);
         let mut fleet = self.shared.fleet.borrow_mut();
         fleet.finish(&self.service, &self.attempt, self.end, now);
+        drop(fleet);
+        if self.tracked {
+            let ran = self.sent.map(|sent| now.saturating_duration_since(sent));
+            self.shared.waiting.record_end(&self.service, ran, now);
+        }
     }
 }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -47,6 +47,7 @@
     tokio::task::spawn_local(deregister::<C>(Rc::clone(&shared)));
     tokio::time::sleep(ACCEPT_TIME.min(options.grace / 2)).await;
     shared.closing.set(true);
+    shared.waiting.wake_all();
     closing.send_replace(true);
     let last = began + options.grace.saturating_sub(END_MARGIN);
     tokio::time::sleep(POLL_INTERVAL).await;
--- /dev/null
+++ b/crates/gateway/src/waiting/seat.rs
@@ -0,0 +1,130 @@
+//! A request's place in a queue, from its arrival there until it starts or ends.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cactusnotch_base::clock::{self, Instant};
+use cactusnotch_overload::queue::{Entrant, Place, Rejection};
+use cactusnotch_overload::{Cause, Ticket};
+use tokio::sync::Notify;
+
+use super::account;
+use crate::knowledge::SharedState;
+use crate::request::Call;
+
+/// A request's place in a queue. It is given up when this is dropped, also if the caller
+/// disconnects.
+pub(super) struct Seat {
+    shared: Rc<SharedState>,
+    /// The id of the request, for the log.
+    id: Option<String>,
+    service: String,
+    place: Place,
+    bell: Rc<Notify>,
+    since: Instant,
+    /// Whether the outcome of the wait was logged.
+    is_logged: Cell<bool>,
+}
+
+impl Seat {
+    /// Gives a request a place in the queue of its service.
+    pub(super) fn take(
+        shared: &Rc<SharedState>,
+        call: &Call,
+        entrant: &Entrant,
+        now: Instant,
+    ) -> Result<Self, Rejection> {
+        let service = &call.resolved.service;
+        let (place, bell) = shared
+            .waiting
+            .push(service, entrant, now)
+            .inspect_err(|rejection| account::record_rejection(call, entrant, rejection, now))?;
+        account::log_wait(call, entrant, &place, now);
+        account::count_begin(entrant.class);
+        Ok(Self {
+            shared: Rc::clone(shared),
+            id: call.head.id.clone(),
+            service: service.clone(),
+            place,
+            bell,
+            since: now,
+            is_logged: Cell::new(false),
+        })
+    }
+
+    /// Waits until the request is woken, at most until `until`.
+    pub(super) async fn sleep(&self, until: Instant) {
+        tokio::select! {
+            biased;
+            () = self.bell.notified() => {}
+            () = self.shared.suspend_detector.wait_until(until) => {}
+        }
+    }
+
+    /// Returns why the request may no longer wait, if so.
+    pub(super) fn refusal(&self, now: Instant) -> Option<Cause> {
+        if now >= self.ticket().latest_start() {
+            return Some(Cause::Expired);
+        }
+        let is_waiting = |line: &mut super::Line| line.bells.contains(self.ticket());
+        let waits = self.shared.waiting.with(&self.service, now, is_waiting);
+        (!waits).then_some(Cause::Full)
+    }
+
+    /// Returns whether the request starts next.
+    pub(super) fn is_head(&self, now: Instant) -> bool {
+        let is_head = |line: &mut super::Line| line.queue.head() == Some(self.ticket());
+        self.shared.waiting.with(&self.service, now, is_head)
+    }
+
+    /// Logs that the request starts.
+    pub(super) fn record_start(&self, call: &Call, entrant: &Entrant, now: Instant) {
+        self.is_logged.set(true);
+        account::log_start(call, entrant, self, now);
+    }
+
+    /// Logs and counts that the request is refused.
+    pub(super) fn record_refusal(
+        &self,
+        call: &Call,
+        entrant: &Entrant,
+        cause: Cause,
+        now: Instant,
+    ) {
+        self.is_logged.set(true);
+        account::record_refusal(call, entrant, self, cause, now);
+    }
+
+    /// Returns how long the request has waited.
+    pub(super) fn waited(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.since)
+    }
+
+    /// Returns the number of requests that were ahead on arrival.
+    pub(super) const fn ahead(&self) -> usize {
+        self.place.ahead
+    }
+
+    /// Returns the wait that was predicted on arrival.
+    pub(super) const fn predicted(&self) -> Duration {
+        self.place.predicted
+    }
+
+    const fn ticket(&self) -> &Ticket {
+        &self.place.ticket
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        let now = clock::now();
+        let (class, waited) = (self.ticket().class(), self.waited(now));
+        account::count_end(class, waited);
+        if !self.is_logged.get() {
+            account::log_left(self.id.as_deref(), &self.service, class, waited);
+        }
+        let waiting = &self.shared.waiting;
+        waiting.remove(&self.service, &self.place.ticket, now);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/waiting/turn.rs
@@ -0,0 +1,162 @@
+//! Starts a request in its turn.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use cactusnotch_base::clock::{self, Instant};
+use cactusnotch_base::name;
+use cactusnotch_overload::queue::Entrant;
+use cactusnotch_overload::{Class, Kind};
+use cactusnotch_route::choice;
+
+use super::seat::Seat;
+use crate::admission::RETURNED_WAIT;
+use crate::endpoint::Endpoint;
+use crate::exchange::{self, Unserved};
+use crate::knowledge::SharedState;
+use crate::request::Call;
+use crate::running::Running;
+
+/// The fraction of a route's target that the first event is assumed to take before any was
+/// predicted.
+const FIRST_EVENT_FRACTION: u32 = 2;
+/// The shortest time after which the head of a queue tries again without being woken.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+
+/// Why a request was not started.
+#[derive(Debug)]
+pub(crate) enum Unstarted {
+    /// No endpoint was selected for a reason other than a lack of free capacity.
+    Unserved(Unserved),
+    /// The request would start too late.
+    Refused {
+        /// The time until the queue is expected to be empty.
+        clear: Duration,
+    },
+    /// This entry is stopping.
+    Stopping,
+}
+
+/// Returns how a caller's request takes part in the queue of its service.
+pub(crate) fn entrant(shared: &SharedState, call: &Call, class: Class) -> Entrant {
+    let (kind, wait) = if call.has_returned {
+        (Kind::Returned, RETURNED_WAIT)
+    } else {
+        (Kind::First, first_wait(shared, call))
+    };
+    Entrant {
+        class,
+        kind,
+        latest_start: (call.arrived + wait).min(call.deadline),
+    }
+}
+
+/// Returns how long a first attempt may wait: what its target leaves after the predicted time
+/// to the first event.
+fn first_wait(shared: &SharedState, call: &Call) -> Duration {
+    let target = call.resolved.route.target_latency;
+    let service = &call.resolved.service;
+    let predicted = shared
+        .waiting
+        .with(service, call.arrived, |line| line.first_event);
+    let spare = target.saturating_sub(predicted.unwrap_or(target / FIRST_EVENT_FRACTION));
+    let longest = shared.options().overload.longest_wait;
+    longest.map_or(spare, |longest| spare.min(longest))
+}
+
+/// Selects an endpoint for a request and counts the request there, as soon as there is free
+/// capacity and no request ahead of it waits.
+pub(crate) async fn choose(
+    shared: &Rc<SharedState>,
+    call: &Call,
+    tried: &[name::Endpoint],
+    entrant: &Entrant,
+) -> Result<(Endpoint, Running), Unstarted> {
+    let service = &call.resolved.service;
+    let now = clock::now();
+    let held_back = |line: &mut super::Line| line.queue.holds_back(entrant.class);
+    if !shared.waiting.with(service, now, held_back) {
+        match exchange::choose(shared, call, tried, now) {
+            Ok(chosen) => return Ok(started(shared, chosen, now)),
+            Err(Unserved::Busy) => {}
+            Err(Unserved::None(error))
+                if entrant.kind != Kind::First && next_try(&error, entrant, now).is_some() => {}
+            Err(unserved) => return Err(Unstarted::Unserved(unserved)),
+        }
+    }
+    if shared.closing.get() {
+        return Err(Unstarted::Stopping);
+    }
+    let seat = Seat::take(shared, call, entrant, now).map_err(|_| refused(shared, service, now))?;
+    wait(shared, call, tried, entrant, &seat).await
+}
+
+/// Waits in the queue until the request starts or is refused.
+async fn wait(
+    shared: &Rc<SharedState>,
+    call: &Call,
+    tried: &[name::Endpoint],
+    entrant: &Entrant,
+    seat: &Seat,
+) -> Result<(Endpoint, Running), Unstarted> {
+    let service = &call.resolved.service;
+    let mut until = entrant.latest_start;
+    loop {
+        seat.sleep(until).await;
+        until = entrant.latest_start;
+        let now = clock::now();
+        if shared.closing.get() {
+            return Err(Unstarted::Stopping);
+        }
+        if let Some(cause) = seat.refusal(now) {
+            seat.record_refusal(call, entrant, cause, now);
+            return Err(refused(shared, service, now));
+        }
+        if !seat.is_head(now) {
+            // A request that arrived later has gone ahead.
+            shared.wake_waiting(service);
+            continue;
+        }
+        match exchange::choose(shared, call, tried, now) {
+            Ok(chosen) => {
+                seat.record_start(call, entrant, now);
+                return Ok(started(shared, chosen, now));
+            }
+            Err(Unserved::Busy) => {}
+            Err(Unserved::None(error)) => match next_try(&error, entrant, now) {
+                Some(next) => until = next,
+                None => return Err(Unstarted::Unserved(Unserved::None(error))),
+            },
+            Err(Unserved::Held) => return Err(Unstarted::Unserved(Unserved::Held)),
+        }
+    }
+}
+
+/// Returns when a request for which no endpoint is eligible tries again at the latest; `None`
+/// if no endpoint can become eligible by its latest start.
+fn next_try(error: &choice::Error, entrant: &Entrant, now: Instant) -> Option<Instant> {
+    match *error {
+        // A load report that states that a group is open again wakes the head.
+        choice::Error::Unavailable { unreachable, .. } => {
+            (unreachable > 0).then_some(entrant.latest_start)
+        }
+        choice::Error::Withheld { first, .. } => {
+            let first = first.filter(|first| *first < entrant.latest_start)?;
+            Some(first.max(now + RETRY_PAUSE))
+        }
+        choice::Error::Unknown | choice::Error::Exhausted { .. } => None,
+    }
+}
+
+fn started(shared: &SharedState, chosen: (Endpoint, Running), now: Instant) -> (Endpoint, Running) {
+    let (service, forecast) = (&chosen.1.service, &chosen.1.forecast);
+    shared.waiting.record_forecast(service, forecast, now);
+    chosen
+}
+
+fn refused(shared: &SharedState, service: &str, now: Instant) -> Unstarted {
+    let time_to_clear = |line: &mut super::Line| line.queue.time_to_clear(now);
+    Unstarted::Refused {
+        clear: shared.waiting.with(service, now, time_to_clear),
+    }
+}
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -89,6 +89,9 @@
         "Requests that are kept from endpoints, since they end those that run them.";
     GATEWAY_LIMITED = "cactusnotch_gateway_limited_endpoints", Gauge, Count, [],
         "Endpoints that are believed to name a rate limit for all entries together.";
+    GATEWAY_OVERLOAD_REFUSALS = "cactusnotch_gateway_overload_refusals_total", Counter, Count,
+        ["class", "cause"],
+        "Requests that the waiting queue refused, by class and by cause: hopeless, expired or full.";
     GATEWAY_REFUSALS = "cactusnotch_gateway_refusals_total", Counter, Count, [],
         "Requests refused before an endpoint was chosen.";
     GATEWAY_REPEATS = "cactusnotch_gateway_repeats_total", Counter, Count, [],
@@ -107,6 +110,10 @@
         "Requests refused since all endpoints that could take them get no more for now, as they say themselves.";
     GATEWAY_UNREADABLE = "cactusnotch_gateway_unreadable_objects_total", Counter, Count, [],
         "Objects of the store that could not be read and name nothing to use, each counted once for each reason.";
+    GATEWAY_WAIT = "cactusnotch_gateway_wait_seconds", Histogram, Seconds, ["class"],
+        "Time that requests waited for free capacity until they started or ended.";
+    GATEWAY_WAITING = "cactusnotch_gateway_waiting_requests", Gauge, Count, ["class"],
+        "Requests that wait for free capacity.";
     GATEWAY_WAITED = "cactusnotch_gateway_waits_total", Counter, Count, [],
         "Callers refused before that waited at an entry until there was room, or in vain.";
     GROUP_REPORTS_UNCOUNTED = "cactusnotch_group_reports_uncounted_total", Counter, Count, [],
