--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -145,6 +145,8 @@
     };
     fleet.report(load.endpoint, &report, now);
     fleet.renew_groups(entries, now, &mut *shared.rng.borrow_mut());
+    drop(fleet);
+    shared.wake_waiting_at(load.endpoint);
 }
 
 /// Returns the number of requests by which an endpoint's load is raised because the
