feat: log the longest gap between the events of a stream

Cause: most late streams are late by a single gap, and no log line says which one or when it was.

Change: `request ended` gains first_ms, max_gap_ms and max_gap_at_ms (the begin of the gap, since the arrival of the request), measured over all endpoints of the stream as its events are handed to the caller's connection, and the route's targets (target_ms, target_gap_ms). The histogram cactusnotch_gateway_stream_gap_seconds records the longest gap of each stream.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -5,12 +5,14 @@
 use cactusnotch_overload::Class;
 use cactusnotch_telemetry::metric;
 
+use crate::gaps::Gaps;
 use crate::journal::millis;
 use crate::knowledge::SharedState;
 use crate::refusal::Refusal;
 use crate::request::Call;
 
-/// Logs the outcome of a request that an endpoint was sought for.
+/// Logs the outcome of a request that an endpoint was sought for; `gaps` are those of the
+/// events that its caller got.
 pub(crate) fn log_ended(
     shared: &SharedState,
     call: &Call,
@@ -18,14 +20,18 @@
     status: u16,
     outcome: &str,
     resumed: u32,
+    gaps: Option<&Gaps>,
 ) {
     let now = clock::now();
+    let longest = gaps.and_then(Gaps::longest);
     tracing::info!(
         id = call.head.id.as_deref(),
         route = call.resolved.route.name,
         organisation = call.resolved.organisation.as_ref().map(|o| o.name.as_str()),
         version = call.version,
         patience_ms = call.head.time_budget.map(millis),
+        target_ms = millis(call.resolved.route.target_latency),
+        target_gap_ms = call.resolved.route.max_event_gap.map(millis),
         returned = call.has_returned,
         class = call.class.map(Class::number),
         key_age_ms = shared.freshness.borrow().age(now).map(millis),
@@ -34,12 +40,18 @@
         resumed,
         status,
         outcome,
+        first_ms = gaps.and_then(Gaps::first).map(millis),
+        max_gap_ms = longest.map(|gap| millis(gap.length)),
+        max_gap_at_ms = longest.map(|gap| millis(gap.begun)),
         ms = millis(now.saturating_duration_since(call.arrived)),
         "request ended"
     );
     metrics::counter!(metric::GATEWAY_REQUESTS).increment(1);
     metrics::histogram!(metric::GATEWAY_SECONDS)
         .record(now.saturating_duration_since(call.arrived));
+    if let Some(gap) = longest {
+        metrics::histogram!(metric::GATEWAY_STREAM_GAP).record(gap.length);
+    }
 }
 
 /// Logs why a request was refused before an endpoint was selected.
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -330,6 +330,7 @@
             tried,
             sender,
             resumed: 0,
+            gaps: None,
         };
         tokio::task::spawn_local(async move {
             let (end, pump) = pump.run::<D>(reply, first).await;
@@ -340,6 +341,7 @@
                 status,
                 &end.to_string(),
                 pump.resumed,
+                pump.gaps.as_ref(),
             );
             drop(guard);
         });
@@ -359,7 +361,15 @@
     }
 
     fn log(&self, status: u16, outcome: &str) {
-        account::log_ended(&self.shared, &self.call, &self.tried, status, outcome, 0);
+        account::log_ended(
+            &self.shared,
+            &self.call,
+            &self.tried,
+            status,
+            outcome,
+            0,
+            None,
+        );
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,6 +45,7 @@
 mod fleet;
 mod flight;
 pub mod freshness;
+pub mod gaps;
 mod gossip;
 mod intake;
 mod knowledge;
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -15,8 +15,9 @@
 use crate::dialect::Dialect;
 use crate::events::Splitter;
 use crate::exchange::{self, Failed, Reply};
+use crate::gaps::Gaps;
 use crate::knowledge::SharedState;
-use crate::pieces::Sender;
+use crate::pieces::{Disconnected, Sender};
 use crate::request::Call;
 use crate::route::RetryPolicy;
 
@@ -46,15 +47,22 @@
     pub(crate) sender: Sender,
     /// How often the stream was resumed at another endpoint.
     pub(crate) resumed: u32,
+    /// When the caller was handed events; `None` unless the response is a stream of events.
+    pub(crate) gaps: Option<Gaps>,
+}
+
+/// Returns whether a response is a stream of events.
+fn is_event_stream(head: &Parts) -> bool {
+    let kind = head.headers.get(header::CONTENT_TYPE);
+    let events = kind.is_some_and(|kind| kind.as_bytes().starts_with(EVENTS));
+    head.status.is_success() && events
 }
 
 /// Returns whether a response is a stream of events without a content length. The
 /// caller receives the head of the first endpoint. With a content length, the events of
 /// another endpoint would be cut at that length and the result would look complete.
 fn is_open_stream(head: &Parts) -> bool {
-    let kind = head.headers.get(header::CONTENT_TYPE);
-    let events = kind.is_some_and(|kind| kind.as_bytes().starts_with(EVENTS));
-    head.status.is_success() && events && !head.headers.contains_key(header::CONTENT_LENGTH)
+    is_event_stream(head) && !head.headers.contains_key(header::CONTENT_LENGTH)
 }
 
 /// The media type of event streams.
@@ -79,6 +87,7 @@
     pub(crate) async fn run<D: Dialect>(mut self, mut reply: Reply, first: Bytes) -> (End, Self) {
         let resumable = self.call.resolved.route.retry_policy == RetryPolicy::Resume
             && is_open_stream(&reply.head);
+        self.gaps = is_event_stream(&reply.head).then(|| Gaps::new(self.call.arrived));
         let mut events = resumable.then(|| Splitter::new(self.call.head.last_event));
         if !first.is_empty() && self.sender.send(first).await.is_err() {
             return (End::CallerLeft, self);
@@ -110,7 +119,7 @@
     }
 
     /// Relays the part of the response that one endpoint sends.
-    async fn relay_part(&self, reply: Reply, mut events: Option<&mut Splitter>) -> PartEnd {
+    async fn relay_part(&mut self, reply: Reply, mut events: Option<&mut Splitter>) -> PartEnd {
         let Reply {
             mut body,
             lease,
@@ -145,7 +154,7 @@
                 Some(events) => events.push(&data),
                 None => data,
             };
-            if !data.is_empty() && self.sender.send(data).await.is_err() {
+            if !data.is_empty() && self.hand_over(data).await.is_err() {
                 return PartEnd::End(End::CallerLeft);
             }
             if events.is_some() && self.should_move(running.endpoint()) {
@@ -163,6 +172,15 @@
         PartEnd::End(End::Whole)
     }
 
+    /// Hands data to the caller's connection.
+    async fn hand_over(&mut self, data: Bytes) -> Result<(), Disconnected> {
+        self.sender.send(data).await?;
+        if let Some(gaps) = &mut self.gaps {
+            gaps.record_event(clock::now());
+        }
+        Ok(())
+    }
+
     /// Returns whether a stream should move to another endpoint: in each forward pass,
     /// all ranks of a group wait for a straggler to process its own streams.
     fn should_move(&self, endpoint: &name::Endpoint) -> bool {
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -101,6 +101,8 @@
         "Endpoints that this entry sends nothing to, since they have asked it for rest.";
     GATEWAY_ERAS = "cactusnotch_gateway_store_eras_total", Counter, Count, [],
         "Times that the store was found to have come back from an older copy, or to have done so before the start.";
+    GATEWAY_STREAM_GAP = "cactusnotch_gateway_stream_gap_seconds", Histogram, Seconds, [],
+        "Longest time between two events of a stream, as they were handed to its caller.";
     GATEWAY_MOVED = "cactusnotch_gateway_streams_moved_total", Counter, Count, [],
         "Streams that were moved away from an endpoint far slower than others.";
     GATEWAY_THROTTLED = "cactusnotch_gateway_throttled_requests_total", Counter, Count, [],
