feat: account for late and refused streams from logs

Cause: which streams were late or refused, and why, had to be pieced together from the lines of several entries and agents.

Change: `cactusnotch account PATH...` reads JSON log lines from files, folders or standard input, and prints for each second and group the requests started, waiting, refused and late by cause, the mean fill and limit and the longest pass, and a summary with one cause for each late or refused stream. The decisions are in the crate's new library, without input and output.

--- a/crates/cactusnotch/src/command.rs
+++ b/crates/cactusnotch/src/command.rs
@@ -1,5 +1,6 @@
 //! The subcommands.
 
+pub(crate) mod account;
 pub(crate) mod addresses;
 pub(crate) mod entry;
 pub(crate) mod overload;
--- /dev/null
+++ b/crates/cactusnotch/src/lib.rs
@@ -0,0 +1,5 @@
+//! Evaluations of logs for the operators' commands, without input and output.
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod account;
--- a/crates/cactusnotch/src/main.rs
+++ b/crates/cactusnotch/src/main.rs
@@ -29,6 +29,7 @@
         Command::Rebalance(options) => command::platform::rebalance(&options),
         Command::Status(options) => command::status::run(&options),
         Command::Addresses(options) => command::addresses::run(&options),
+        Command::Account(options) => command::account::run(&options),
         Command::Check { paths } => command::settings::check(&paths),
         Command::Settings(options) => command::settings::run(options),
     }
--- a/crates/cactusnotch/src/options.rs
+++ b/crates/cactusnotch/src/options.rs
@@ -6,6 +6,7 @@
 use bpaf::Bpaf;
 use cactusnotch_options::checked;
 
+use crate::command::account::{self, account_options};
 use crate::command::entry::{self, entry_options};
 use crate::command::platform::{self, platform_options};
 use crate::command::settings::{self, settings_options};
@@ -34,6 +35,9 @@
     /// Show the addresses that callers may use
     #[bpaf(command)]
     Addresses(#[bpaf(external(query))] Query),
+    /// Account for late and refused streams from the logs of entries and agents
+    #[bpaf(command)]
+    Account(#[bpaf(external(account_options))] account::Options),
     /// Check a declaration of settings, without a connection
     #[bpaf(command)]
     Check {
