--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -350,6 +350,7 @@
             tried,
             sender,
             resumed: 0,
+            gaps: None,
         };
         tokio::task::spawn_local(async move {
             let (end, pump) = pump.run::<D>(reply, first).await;
@@ -360,6 +361,7 @@
                 status,
                 &end.to_string(),
                 pump.resumed,
+                pump.gaps.as_ref(),
             );
             drop(guard);
         });
@@ -384,6 +386,14 @@
     }
 
     fn log(&self, status: u16, outcome: &str) {
-        account::log_ended(&self.shared, &self.call, &self.tried, status, outcome, 0);
+        account::log_ended(
+            &self.shared,
+            &self.call,
+            &self.tried,
+            status,
+            outcome,
+            0,
+            None,
+        );
     }
 }
