feat: overhead of passes grows with the root of requests, classes by route

Cause: the measured excess of a pass was taken as a factor of each request's cost. At a low fill most of it doesn't depend on the requests (some rank reads a prompt in nearly every pass), so the limit fell, the fill with it, and the factor rose further: 0.47 of the slots where 0.7 are on time. And as organisations state priorities, nearly all requests fell into the last class. Change: the excess is extrapolated with the square root of the requests; classes are the routes' priorities, and a more urgent organisation comes before all of them.

--- a/crates/gateway/src/configuration.rs
+++ b/crates/gateway/src/configuration.rs
@@ -6,7 +6,7 @@
 use cactusnotch_overload::Mode;
 use cactusnotch_throttle::Rate;
 
-use crate::route::Route;
+use crate::route::{DEFAULT_PRIORITY, Route};
 
 /// Size and time limits of requests.
 #[record]
@@ -282,20 +282,24 @@
         .min()
 }
 
-/// Returns the distinct urgencies of the streaming requests to a service, sorted.
+/// Returns the distinct urgencies of the streaming requests to a service from the least
+/// urgent organisations, sorted. Requests of a more urgent organisation come before all of
+/// them.
 fn urgencies(
     routes: &[Route],
     service: &str,
     organisations: &[(Organisation, Vec<String>)],
 ) -> Vec<u8> {
     let leads_to_service = |route: &&Route| route.backends.iter().any(|b| b.service == service);
+    let last = organisations
+        .iter()
+        .map(|(organisation, _)| organisation)
+        .max_by_key(|organisation| organisation.priority.unwrap_or(DEFAULT_PRIORITY));
     let streaming = routes.iter().filter(|route| route.streaming);
-    let mut urgencies = Vec::new();
-    for route in streaming.filter(leads_to_service) {
-        urgencies.push(route.urgency(None));
-        let own = organisations.iter().filter(|(o, _)| o.priority.is_some());
-        urgencies.extend(own.map(|(o, _)| route.urgency(Some(o))));
-    }
+    let mut urgencies: Vec<_> = streaming
+        .filter(leads_to_service)
+        .map(|route| route.urgency(last))
+        .collect();
     urgencies.sort_unstable();
     urgencies.dedup();
     urgencies
--- a/crates/gateway/src/fleet/groups/service.rs
+++ b/crates/gateway/src/fleet/groups/service.rs
@@ -49,7 +49,7 @@
             expert_share: f64::from(experts) / THOUSAND,
             max_event_gap: gap,
         };
-        self.modelled = model.ceiling(model::SHIFT_SKEW, 1.0);
+        self.modelled = model.ceiling(model::SHIFT_SKEW, 0.0);
         self.options = *options;
         self.max_event_gap = gap;
     }
--- a/crates/gateway/src/route.rs
+++ b/crates/gateway/src/route.rs
@@ -6,6 +6,8 @@
 
 use crate::configuration::Organisation;
 
+/// The priority of an organisation that states none.
+pub(crate) const DEFAULT_PRIORITY: u32 = 1;
 /// The lowest urgency that endpoints accept.
 const URGENCY_MAX: u32 = 9;
 /// The number of route priorities within one priority of an organisation.
@@ -89,7 +91,7 @@
         let route = self.priority.min(URGENCY_STEP - 1);
         let organisation = organisation.and_then(|o| o.priority);
         let urgency = organisation
-            .unwrap_or(1)
+            .unwrap_or(DEFAULT_PRIORITY)
             .saturating_mul(URGENCY_STEP)
             .saturating_add(route);
         u8::try_from(urgency.min(URGENCY_MAX)).unwrap_or(u8::MAX)
--- a/crates/overload/src/controller.rs
+++ b/crates/overload/src/controller.rs
@@ -82,9 +82,9 @@
         };
         let before = self.last.replace(measured).unwrap_or(measured);
         let most = requests.max(before.requests);
-        let cost = self.model.cost(pass, most, skew.max(before.skew));
+        let cost = self.model.overhead(pass, most, skew.max(before.skew));
         // Only a pass that begins and ends with enough requests is measured.
-        let enough = self.model.cost(pass, requests.min(before.requests), 1.0);
+        let enough = self.model.overhead(pass, requests.min(before.requests), 1.0);
         if let Some(cost) = cost.filter(|_| enough.is_some()) {
             self.cost.record(cost, now);
         }
--- a/crates/overload/src/cost.rs
+++ b/crates/overload/src/cost.rs
@@ -5,8 +5,8 @@
 use cactusnotch_base::clock::Instant;
 
 /// The range of the factor.
-const COST_MIN: f64 = 1.0;
-const COST_MAX: f64 = 4.0;
+const COST_MIN: f64 = 0.0;
+const COST_MAX: f64 = 1.0;
 /// The weight of a measurement above the factor. Passes are measured about five times a
 /// second, so the factor covers three quarters of a lasting increase within a second.
 const WEIGHT_UP: f64 = 0.3;
--- a/crates/overload/src/model.rs
+++ b/crates/overload/src/model.rs
@@ -35,32 +35,35 @@
 }
 
 impl Model {
-    /// Returns the duration of a pass with a mean of `requests` for each rank, which cost
-    /// `cost` times what the model states.
+    /// Returns the duration of a pass with a mean of `requests` for each rank.
     #[must_use]
-    pub fn pass(&self, requests: f64, skew: f64, cost: f64) -> Duration {
-        let work = self.per_request.as_secs_f64() * requests * cost * self.skew_factor(skew);
+    pub fn pass(&self, requests: f64, skew: f64) -> Duration {
+        let work = self.per_request.as_secs_f64() * requests * self.skew_factor(skew);
         let seconds = f64::from(self.stride) * (self.step.as_secs_f64() + work);
         Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
     }
 
-    /// Returns by which factor requests cost more than the model states, from the measured
-    /// duration of a pass; `None` if there are too few of them to tell.
+    /// Returns the overhead of a measured pass beyond what the model states, in seconds for
+    /// the square root of the number of requests; `None` if there are too few of them to
+    /// tell.
     #[must_use]
-    pub fn cost(&self, pass: Duration, requests: f64, skew: f64) -> Option<f64> {
-        let idle = self.pass(0.0, 1.0, 1.0).as_secs_f64();
-        let stated = self.pass(requests, skew, 1.0).as_secs_f64() - idle;
-        let measured = pass.as_secs_f64() - idle;
-        (requests >= REQUESTS_MIN && stated > 0.0).then(|| measured / stated)
+    pub fn overhead(&self, pass: Duration, requests: f64, skew: f64) -> Option<f64> {
+        let stated = self.pass(requests, skew);
+        let excess = pass.as_secs_f64() - stated.as_secs_f64();
+        (requests >= REQUESTS_MIN).then(|| excess / requests.sqrt())
     }
 
-    /// Returns the limit at which streams are on time at a skew and cost of requests.
+    /// Returns the limit at which streams are on time at a skew and an overhead.
     #[must_use]
-    pub fn ceiling(&self, skew: f64, cost: f64) -> Ceiling {
+    pub fn ceiling(&self, skew: f64, overhead: f64) -> Ceiling {
+        let stride = f64::from(self.stride.max(1));
         let longest = self.max_event_gap.as_secs_f64() * PASS_RATIO_MAX;
-        let room = longest / f64::from(self.stride.max(1)) - self.step.as_secs_f64();
-        let each = self.per_request.as_secs_f64() * cost * self.skew_factor(skew);
-        let requests = if each > 0.0 { room / each } else { f64::MAX };
+        let room = (longest - stride * self.step.as_secs_f64()).max(0.0);
+        let each = stride * self.per_request.as_secs_f64() * self.skew_factor(skew);
+        // The root of each * x * x + overhead * x = room, where x * x requests run.
+        let discriminant = overhead * overhead + 4.0 * each * room;
+        let root = 2.0 * room / (overhead + discriminant.sqrt());
+        let requests = if root.is_finite() { root * root } else { f64::MAX };
         let fill = requests / f64::from(self.slots.max(1));
         Ceiling::new(fill.clamp(FILL_MIN, 1.0))
     }
