--- a/crates/rebalance/src/agent/limit.rs
+++ b/crates/rebalance/src/agent/limit.rs
@@ -17,11 +17,12 @@
         let Some(load) = &mut self.last_load else {
             return;
         };
-        let (Some(group), Some(before)) = (&load.group, load.limit) else {
+        let (Some(group), Some(sent)) = (&load.group, load.limit) else {
             return;
         };
-        let limit = self.rank.member.limit(&group.name, group.epoch, now);
-        if limit.is_some_and(|limit| limit.has_fallen(before)) {
+        let member = &self.rank.member;
+        let limit = member.fallen_limit(&group.name, group.epoch, sent, now);
+        if limit.is_some() {
             load.limit = limit;
             self.send_load(sockets);
         }
--- a/crates/rebalance/src/estimate.rs
+++ b/crates/rebalance/src/estimate.rs
@@ -118,7 +118,8 @@
         }
         let factor = (least / self.total).max(1.0);
         self.weights.iter_mut().for_each(|weight| *weight *= factor);
-        self.total *= factor;
+        // A product could be less than `least` by an error of rounding.
+        self.total = self.total.max(least);
         self.latest.fill(0.0);
         self.opened = None;
         Some(self)
--- a/crates/rebalance/src/member.rs
+++ b/crates/rebalance/src/member.rs
@@ -155,6 +155,19 @@
         (now.saturating_duration_since(at) <= LIMIT_LIFETIME).then_some(limit)
     }
 
+    /// Returns the limit if it has fallen by 5% or more since `sent`, which entries got.
+    #[must_use]
+    pub fn fallen_limit(
+        &self,
+        group: &str,
+        epoch: u64,
+        sent: Ceiling,
+        now: Instant,
+    ) -> Option<Ceiling> {
+        let limit = self.limit(group, epoch, now)?;
+        limit.has_fallen(sent).then_some(limit)
+    }
+
     /// Records a round, unless it is older than the one recorded.
     pub fn update_round(&mut self, round: Round) {
         if !self.matches(&round.group, round.epoch) {
