--- a/crates/rebalance/src/agent/orders.rs
+++ b/crates/rebalance/src/agent/orders.rs
@@ -12,7 +12,7 @@
 use super::{Agent, PendingOrder};
 use crate::Slowdown;
 use crate::codec::{Codec, Order};
-use crate::coordinator::Event;
+use crate::coordinator::{Coordinator, Event};
 use crate::endpoint::Endpoint;
 use crate::message::{Datagram, HoldRequest};
 use crate::plan;
@@ -92,11 +92,14 @@
             if let (Some(coordinator), Some(model)) = (&mut self.rank.coordinator, model) {
                 coordinator.limit_requests(model, self.options.overload.group_ceiling);
             }
+            let lead = self.rank.coordinator.as_ref();
+            let former_demand = lead.is_some_and(Coordinator::has_former_demand);
             tracing::info!(
                 group = place.group,
                 epoch = place.epoch,
                 ranks = place.size,
                 overload_control = model.is_some(),
+                former_demand,
                 "leading the group"
             );
         }
--- a/crates/rebalance/src/coordinator.rs
+++ b/crates/rebalance/src/coordinator.rs
@@ -106,9 +106,16 @@
         }
     }
 
-    /// Starts from the demand of the group's former epoch; returns whether it is of use.
-    pub(crate) fn resume(&mut self, former: Former) -> bool {
-        former.group == self.place.group && self.demand.resume(former.estimate)
+    /// Starts from the demand of a former epoch, if it is of the same group.
+    pub(crate) fn resume(&mut self, former: Former) {
+        if former.group == self.place.group {
+            self.demand.resume(former.estimate);
+        }
+    }
+
+    /// Returns whether the first map will be planned from the demand of a former epoch.
+    pub(crate) const fn has_former_demand(&self) -> bool {
+        self.demand.has_former()
     }
 
     /// Returns the demand for the group's next epoch.
--- a/crates/rebalance/src/coordinator/demand.rs
+++ b/crates/rebalance/src/coordinator/demand.rs
@@ -64,11 +64,14 @@
     }
 
     /// Starts from the estimate of the group's former epoch, unless that is of another shape
-    /// or of too few choices for a plan; returns whether it does.
-    pub(crate) fn resume(&mut self, former: Estimate) -> bool {
+    /// or of too few choices for a plan.
+    pub(crate) fn resume(&mut self, former: Estimate) {
         let usable = former.has_shape_of(&self.estimate) && former.total() >= CHOICES_MIN;
         self.former = Some(former).filter(|_| usable);
-        usable
+    }
+
+    pub(crate) const fn has_former(&self) -> bool {
+        self.former.is_some()
     }
 
     /// Returns the estimate, for the next epoch of the group.
--- a/crates/rebalance/src/rank.rs
+++ b/crates/rebalance/src/rank.rs
@@ -73,14 +73,7 @@
         if new {
             let mut coordinator = Coordinator::new(place.clone(), shape, options, term);
             if let Some(former) = self.former.take() {
-                let choices = former.estimate.total();
-                let resumed = coordinator.resume(former);
-                tracing::info!(
-                    group = place.group,
-                    choices,
-                    resumed,
-                    "demand of the former epoch"
-                );
+                coordinator.resume(former);
             }
             self.coordinator = Some(coordinator);
         }
