feat: learn how many entries use the free capacity, and doubt wrong reports

Cause: an entry that grows assumed that all others do, so that a third of the entries took 2 s to fill an idle group to 0.9; and reports of no requests for a second let 13 entries grow to 2.1 times the limit. Change: the assumed growth of the others is compared with what reports show; a decrease faster than streams end counts as a wrong report.

--- a/crates/overload/src/allowance.rs
+++ b/crates/overload/src/allowance.rs
@@ -9,6 +9,7 @@
 
 use rand::Rng;
 
+use crate::growth::Growth;
 use crate::{Ceiling, Class, Occupancy};
 
 /// The time between two rounds of load reports.
@@ -28,6 +29,9 @@
 const FALL_MAX: f64 = 0.2;
 /// The weight of a round in the moving average of the demand, which covers about 2 s.
 const DEMAND_WEIGHT: f64 = 0.125;
+/// The fraction of the slots by which reports may fall below the least plausible number of
+/// requests. Beyond it, an entry gains no more than it does without free capacity.
+const DOUBT_MIN: f64 = 0.1;
 /// The lowest demand assumed, in requests per round. A lower value uses more of the limit with
 /// hundreds of entries, but lets a burst at all of them exceed it further.
 const DEMAND_MIN: f64 = 0.7;
@@ -51,6 +55,7 @@
     demand: f64,
     /// The other entries' requests per slot, as assumed in this round.
     others: f64,
+    growth: Growth,
 }
 
 /// What an entry knows of a group at the start of a round.
@@ -60,6 +65,8 @@
     /// The requests that the other entries have started since their load was reported.
     unseen: f64,
     sharers: f64,
+    /// Whether the load reports show a decrease that is too fast to be true.
+    is_doubtful: bool,
 }
 
 impl Allowance {
@@ -140,7 +147,7 @@
     }
 
     /// Returns what is known at the start of a round.
-    fn round(&self, occupancy: &Occupancy, slots: f64) -> Round {
+    fn round(&mut self, occupancy: &Occupancy, slots: f64) -> Round {
         let sharers = f64::from(occupancy.sharers.max(1));
         let least = self.others * slots * (1.0 - FALL_MAX);
         let grown = f64::from(occupancy.own.saturating_sub(self.held));
@@ -149,11 +156,16 @@
         } else {
             grown.min(self.gain)
         };
+        let others = f64::from(occupancy.others).max(least);
+        let assumed = (sharers - 1.0) * used;
+        let change = others / slots.max(1.0) - self.others;
+        self.growth.record(change, assumed / slots.max(1.0));
         let unreported = occupancy.age.div_duration_f64(ROUND).min(1.0);
         Round {
             own: f64::from(occupancy.own),
-            others: f64::from(occupancy.others).max(least),
-            unseen: (sharers - 1.0) * used * unreported,
+            others,
+            is_doubtful: least - f64::from(occupancy.others) > DOUBT_MIN * slots,
+            unseen: self.growth.part() * assumed * unreported,
             sharers,
         }
     }
@@ -175,6 +187,9 @@
         let shared = (OVERCOMMIT * free).min(free + excess) / self.sharers;
         let share = ceiling / self.sharers;
         let least = (SHARE_MIN * share - self.own).min(excess / self.sharers);
+        if self.is_doubtful {
+            return least.max(0.0);
+        }
         shared.min(free).max(least)
     }
 }
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod occupancy;
 pub mod options;
 
+mod growth;
+
 pub use allowance::Allowance;
 pub use candidate::Candidate;
 pub use ceiling::Ceiling;
