--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -28,6 +28,8 @@
 mod cost;
 mod drain;
 
+mod growth;
+
 pub use allowance::Allowance;
 pub use candidate::Candidate;
 pub use cause::Cause;
