fix: a request bound to a region holds up no others

Cause: with one queue for each service, a head that may only go to endpoints of one region kept all requests behind it from free capacity elsewhere until its latest start, and while its region was full there was always such a head. Change: one queue for each service and set of allowed regions. A request waits for those ahead of it that may go to all endpoints it may go to.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -24,6 +24,7 @@
 use crate::request::Call;
 use crate::route::RetryPolicy;
 use crate::running::Running;
+use crate::waiting;
 use cactusnotch_throttle::Header;
 
 /// The validated head of a response, with everything needed to read its body.
@@ -100,7 +101,7 @@
         forecast,
         sent: None,
         first: None,
-        tracked: false,
+        line: None,
     };
     // Admission control applies to the first send only: a retry is worth no less.
     let admitted = !tried.is_empty() || admits(shared, call, &forecast, now);
@@ -186,7 +187,7 @@
     last_event: Option<u64>,
 ) -> Result<Reply, Failed> {
     if call.class.is_some() {
-        running.track(clock::now());
+        running.track(waiting::Key::of(call), clock::now());
     }
     let first = lifecycle.sent() == 0;
     let mut lease = connect(shared, call, endpoint, first, &mut running).await?;
--- a/crates/gateway/src/running.rs
+++ b/crates/gateway/src/running.rs
@@ -13,6 +13,7 @@
 use crate::crash::BrokenRun;
 use crate::journal::millis;
 use crate::knowledge::SharedState;
+use crate::waiting;
 
 /// How long after its first piece a run is considered harmless: twice the longest forward
 /// pass at which streams are on time. Requests that crash endpoints do so within 50 ms of
@@ -36,15 +37,15 @@
     pub(crate) sent: Option<Instant>,
     /// The time from sending to the first piece.
     pub(crate) first: Option<Duration>,
-    /// Whether the start and the end of the run are reported to the waiting queue.
-    pub(crate) tracked: bool,
+    /// The waiting queue that the start and the end of the run are reported to.
+    pub(crate) line: Option<waiting::Key>,
 }
 
 impl Running {
     /// Reports the start of the run to the waiting queue, and later its end.
-    pub(crate) fn track(&mut self, now: Instant) {
-        self.tracked = true;
-        self.shared.waiting.record_start(&self.service, now);
+    pub(crate) fn track(&mut self, line: waiting::Key, now: Instant) {
+        self.shared.waiting.record_start(&line, now);
+        self.line = Some(line);
     }
 
     /// Records a piece of the response.
@@ -121,9 +122,9 @@
         let mut fleet = self.shared.fleet.borrow_mut();
         fleet.finish(&self.service, &self.attempt, self.end, now);
         drop(fleet);
-        if self.tracked {
+        if let Some(line) = &self.line {
             let ran = self.sent.map(|sent| now.saturating_duration_since(sent));
-            self.shared.waiting.record_end(&self.service, ran, now);
+            self.shared.waiting.record_end(line, ran, now);
         }
     }
 }
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -1,9 +1,12 @@
-//! The queues of requests that wait at this entry for free capacity, one for each service.
+//! The queues of requests that wait at this entry for free capacity.
 //!
-//! The order and the refusals are decided by [`Queue`]. A waiting request sleeps until it is
+//! The order and the refusals are decided by [`Queue`](cactusnotch_overload::Queue). There is
+//! one for each service and set of allowed regions, since a request that may only go to some
+//! endpoints must not hold up those that may go to others. A waiting request sleeps until it is
 //! woken; only the head of a queue tries to start.
 
 mod account;
+mod line;
 mod seat;
 mod turn;
 
@@ -15,141 +18,117 @@
 use cactusnotch_base::Table;
 use cactusnotch_base::clock::Instant;
 use cactusnotch_overload::queue::{Entrant, Place, Rejection};
-use cactusnotch_overload::{Queue, Ticket};
+use cactusnotch_overload::{Class, Ticket};
 use tokio::sync::Notify;
 
+pub(crate) use self::line::Key;
+use self::line::Line;
 pub(crate) use self::turn::{Unstarted, choose, entrant};
 use crate::admission::Forecast;
 use crate::knowledge::SharedState;
 
-/// The queue of a service.
-#[derive(Debug)]
-struct Line {
-    queue: Queue,
-    /// Wakes each waiting request.
-    bells: Table<Ticket, Rc<Notify>>,
-    /// The last predicted time from a request's start to its first event.
-    first_event: Option<Duration>,
-}
-
-impl Line {
-    fn new(now: Instant) -> Self {
-        Self {
-            queue: Queue::new(now),
-            bells: Table::new(),
-            first_event: None,
-        }
-    }
-
-    /// Wakes the request that starts next.
-    fn wake_head(&self) {
-        let bell = self.queue.head().and_then(|head| self.bells.get(head));
-        if let Some(bell) = bell {
-            bell.notify_one();
-        }
-    }
-
-    /// Wakes a request that is no longer in the queue, so that it ends.
-    fn dismiss(&mut self, ticket: &Ticket) {
-        if let Some(bell) = self.bells.remove(ticket) {
-            bell.notify_one();
-        }
-    }
-}
-
 /// The queues of this entry.
 #[derive(Debug, Default)]
 pub(crate) struct Waiting {
-    lines: RefCell<Table<String, Line>>,
+    lines: RefCell<Table<Key, Line>>,
     /// The number of requests in all queues.
     length: Cell<usize>,
 }
 
 impl Waiting {
-    /// Runs `step` on the queue of a service, which is created on first use.
-    fn with<T>(&self, service: &str, now: Instant, step: impl FnOnce(&mut Line) -> T) -> T {
+    /// Runs `step` on a queue, which is created on first use.
+    fn with<T>(&self, key: &Key, now: Instant, step: impl FnOnce(&mut Line) -> T) -> T {
         let mut lines = self.lines.borrow_mut();
-        if let Some(line) = lines.get_mut(service) {
+        if let Some(line) = lines.get_mut(key) {
             return step(line);
         }
-        step(lines.get_or_insert_with(service.to_owned(), || Line::new(now)))
+        step(lines.get_or_insert_with(key.clone(), || Line::new(now)))
     }
 
-    /// Gives a request a place in the queue of a service.
+    /// Returns whether a request of this class has to wait because one of the same or a more
+    /// urgent class does that may go to the same endpoints.
+    fn holds_back(&self, key: &Key, class: Class) -> bool {
+        let lines = self.lines.borrow();
+        let mut covering = lines.iter().filter(|(other, _)| other.covers(key));
+        covering.any(|(_, line)| line.queue.holds_back(class))
+    }
+
+    /// Returns whether a waiting request starts next among those that may go to the same
+    /// endpoints.
+    fn is_next(&self, key: &Key, ticket: &Ticket) -> bool {
+        let lines = self.lines.borrow();
+        let mut covering = lines.iter().filter(|(other, _)| other.covers(key));
+        covering.all(|(_, line)| line.queue.head().is_none_or(|head| ticket <= head))
+    }
+
+    /// Gives a request a place in a queue.
     fn push(
         &self,
-        service: &str,
+        key: &Key,
         entrant: &Entrant,
         now: Instant,
     ) -> Result<(Place, Rc<Notify>), Rejection> {
-        self.with(service, now, |line| {
-            for expired in line.queue.expire(now) {
-                line.dismiss(&expired);
-            }
-            let place = line.queue.push(entrant, now)?;
-            if let Some(displaced) = &place.displaced {
-                line.dismiss(displaced);
-            }
-            let bell = Rc::new(Notify::new());
-            line.bells.insert(place.ticket, Rc::clone(&bell));
-            self.length.set(self.length.get() + 1);
-            Ok((place, bell))
-        })
+        let pushed = self.with(key, now, |line| line.push(entrant, now))?;
+        self.length.set(self.length.get() + 1);
+        Ok(pushed)
     }
 
     /// Removes a request from its queue. If it was the head, the next one is woken: the
     /// removed request may have been woken and not have used the capacity.
-    fn remove(&self, service: &str, ticket: &Ticket, now: Instant) {
+    fn remove(&self, key: &Key, ticket: &Ticket, now: Instant) {
         self.length.set(self.length.get().saturating_sub(1));
-        self.with(service, now, |line| {
-            let was_head = line.queue.head() == Some(ticket);
-            line.queue.remove(ticket);
-            line.bells.remove(ticket);
-            if was_head {
-                line.wake_head();
-            }
-        });
+        if self.with(key, now, |line| line.remove(ticket)) {
+            self.wake(&key.service);
+        }
     }
 
     /// Records that a request of this entry was given capacity.
-    pub(crate) fn record_start(&self, service: &str, now: Instant) {
-        self.with(service, now, |line| line.queue.record_start());
+    pub(crate) fn record_start(&self, key: &Key, now: Instant) {
+        self.with(key, now, |line| line.queue.record_start());
     }
 
     /// Records that a request of this entry has released its capacity after it ran for `ran`,
-    /// `None` if it never reached an endpoint, and wakes the head of the queue.
-    pub(crate) fn record_end(&self, service: &str, ran: Option<Duration>, now: Instant) {
-        self.with(service, now, |line| {
-            line.queue.record_end(ran, now);
-            line.wake_head();
-        });
+    /// `None` if it never reached an endpoint, and wakes the request that starts next.
+    pub(crate) fn record_end(&self, key: &Key, ran: Option<Duration>, now: Instant) {
+        self.with(key, now, |line| line.queue.record_end(ran, now));
+        self.wake(&key.service);
     }
 
     /// Records the prediction for a request that starts.
-    fn record_forecast(&self, service: &str, forecast: &Forecast, now: Instant) {
+    fn record_forecast(&self, key: &Key, forecast: &Forecast, now: Instant) {
         let first_event = forecast.first.saturating_sub(forecast.slot_wait);
-        self.with(service, now, |line| line.first_event = Some(first_event));
+        self.with(key, now, |line| line.first_event = Some(first_event));
+    }
+
+    /// Wakes the requests of a service that start next.
+    fn wake(&self, service: &str) {
+        if self.length.get() == 0 {
+            return;
+        }
+        let lines = self.lines.borrow();
+        let own = lines.iter().filter(|(key, _)| key.service == service);
+        for (key, line) in own {
+            let head = line.queue.head();
+            if let Some(head) = head.filter(|head| self.is_next(key, head)) {
+                line.wake(head);
+            }
+        }
     }
 
     /// Wakes all waiting requests.
     pub(crate) fn wake_all(&self) {
-        let lines = self.lines.borrow();
-        let bells = lines.values().flat_map(|line| line.bells.values());
-        bells.for_each(|bell| bell.notify_one());
+        self.lines.borrow().values().for_each(Line::wake_all);
     }
 }
 
 impl SharedState {
-    /// Wakes the head of a service's queue, since there may be free capacity.
+    /// Wakes the requests of a service that start next, since there may be free capacity.
     pub(crate) fn wake_waiting(&self, service: &str) {
-        if self.waiting.length.get() > 0
-            && let Some(line) = self.waiting.lines.borrow().get(service)
-        {
-            line.wake_head();
-        }
+        self.waiting.wake(service);
     }
 
-    /// Wakes the head of the queue of the service that the endpoint at `address` belongs to.
+    /// Wakes the requests that start next of the service that the endpoint at `address`
+    /// belongs to.
     pub(crate) fn wake_waiting_at(&self, address: SocketAddr) {
         if self.waiting.length.get() == 0 {
             return;
--- /dev/null
+++ b/crates/gateway/src/waiting/line.rs
@@ -0,0 +1,110 @@
+//! One queue of waiting requests.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use cactusnotch_base::Table;
+use cactusnotch_base::clock::Instant;
+use cactusnotch_derive::identifier;
+use cactusnotch_overload::queue::{Entrant, Place, Rejection};
+use cactusnotch_overload::{Queue, Ticket};
+use tokio::sync::Notify;
+
+use crate::request::Call;
+
+/// Identifies a queue: the requests in it may go to the same endpoints.
+#[identifier]
+pub(crate) struct Key {
+    pub(super) service: String,
+    /// The regions whose endpoints may get the requests; `None` for all.
+    regions: Option<Vec<String>>,
+}
+
+impl Key {
+    /// Returns the queue that a request belongs to.
+    pub(crate) fn of(call: &Call) -> Self {
+        Self {
+            service: call.resolved.service.clone(),
+            regions: call.resolved.allowed_regions.clone(),
+        }
+    }
+
+    /// Returns whether the requests of this queue may go to all endpoints that those of `other`
+    /// may go to: if there is no free capacity for this queue, there is none for the other.
+    pub(super) fn covers(&self, other: &Self) -> bool {
+        let includes = |own: &Vec<String>| {
+            let others = other.regions.as_ref();
+            others.is_some_and(|others| others.iter().all(|region| own.contains(region)))
+        };
+        self.service == other.service && self.regions.as_ref().is_none_or(includes)
+    }
+}
+
+/// A queue with what wakes its requests.
+#[derive(Debug)]
+pub(super) struct Line {
+    pub(super) queue: Queue,
+    /// Wakes each waiting request.
+    bells: Table<Ticket, Rc<Notify>>,
+    /// The last predicted time from a request's start to its first event.
+    pub(super) first_event: Option<Duration>,
+}
+
+impl Line {
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            queue: Queue::new(now),
+            bells: Table::new(),
+            first_event: None,
+        }
+    }
+
+    /// Gives a request a place. Requests that lose theirs are woken, so that they end.
+    pub(super) fn push(
+        &mut self,
+        entrant: &Entrant,
+        now: Instant,
+    ) -> Result<(Place, Rc<Notify>), Rejection> {
+        for expired in self.queue.expire(now) {
+            self.dismiss(&expired);
+        }
+        let place = self.queue.push(entrant, now)?;
+        if let Some(displaced) = &place.displaced {
+            self.dismiss(displaced);
+        }
+        let bell = Rc::new(Notify::new());
+        self.bells.insert(place.ticket, Rc::clone(&bell));
+        Ok((place, bell))
+    }
+
+    fn dismiss(&mut self, ticket: &Ticket) {
+        if let Some(bell) = self.bells.remove(ticket) {
+            bell.notify_one();
+        }
+    }
+
+    /// Removes a request that has started or ended; returns whether it was the head.
+    pub(super) fn remove(&mut self, ticket: &Ticket) -> bool {
+        let was_head = self.queue.head() == Some(ticket);
+        self.queue.remove(ticket);
+        self.bells.remove(ticket);
+        was_head
+    }
+
+    /// Returns whether a request still waits.
+    pub(super) fn holds(&self, ticket: &Ticket) -> bool {
+        self.bells.contains(ticket)
+    }
+
+    /// Wakes a request.
+    pub(super) fn wake(&self, ticket: &Ticket) {
+        if let Some(bell) = self.bells.get(ticket) {
+            bell.notify_one();
+        }
+    }
+
+    /// Wakes all requests.
+    pub(super) fn wake_all(&self) {
+        self.bells.values().for_each(|bell| bell.notify_one());
+    }
+}
--- a/crates/gateway/src/waiting/seat.rs
+++ b/crates/gateway/src/waiting/seat.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 
 use super::account;
+use super::line::{Key, Line};
 use crate::knowledge::SharedState;
 use crate::request::Call;
 
@@ -19,7 +20,7 @@
     shared: Rc<SharedState>,
     /// The id of the request, for the log.
     id: Option<String>,
-    service: String,
+    key: Key,
     place: Place,
     bell: Rc<Notify>,
     since: Instant,
@@ -35,17 +36,17 @@
         entrant: &Entrant,
         now: Instant,
     ) -> Result<Self, Rejection> {
-        let service = &call.resolved.service;
+        let key = Key::of(call);
         let (place, bell) = shared
             .waiting
-            .push(service, entrant, now)
+            .push(&key, entrant, now)
             .inspect_err(|rejection| account::record_rejection(call, entrant, rejection, now))?;
         account::log_wait(call, entrant, &place, now);
         account::count_begin(entrant.class);
         Ok(Self {
             shared: Rc::clone(shared),
             id: call.head.id.clone(),
-            service: service.clone(),
+            key,
             place,
             bell,
             since: now,
@@ -67,15 +68,14 @@
         if now >= self.ticket().latest_start() {
             return Some(Cause::Expired);
         }
-        let is_waiting = |line: &mut super::Line| line.bells.contains(self.ticket());
-        let waits = self.shared.waiting.with(&self.service, now, is_waiting);
+        let is_held = |line: &mut Line| line.holds(self.ticket());
+        let waits = self.shared.waiting.with(&self.key, now, is_held);
         (!waits).then_some(Cause::Full)
     }
 
-    /// Returns whether the request starts next.
-    pub(super) fn is_head(&self, now: Instant) -> bool {
-        let is_head = |line: &mut super::Line| line.queue.head() == Some(self.ticket());
-        self.shared.waiting.with(&self.service, now, is_head)
+    /// Returns whether the request starts next among those that may go to the same endpoints.
+    pub(super) fn is_next(&self) -> bool {
+        self.shared.waiting.is_next(&self.key, self.ticket())
     }
 
     /// Logs that the request starts.
@@ -122,9 +122,9 @@
         let (class, waited) = (self.ticket().class(), self.waited(now));
         account::count_end(class, waited);
         if !self.is_logged.get() {
-            account::log_left(self.id.as_deref(), &self.service, class, waited);
+            account::log_left(self.id.as_deref(), &self.key.service, class, waited);
         }
         let waiting = &self.shared.waiting;
-        waiting.remove(&self.service, &self.place.ticket, now);
+        waiting.remove(&self.key, &self.place.ticket, now);
     }
 }
--- a/crates/gateway/src/waiting/turn.rs
+++ b/crates/gateway/src/waiting/turn.rs
@@ -9,6 +9,7 @@
 use cactusnotch_overload::{Class, Kind};
 use cactusnotch_route::choice;
 
+use super::line::{Key, Line};
 use super::seat::Seat;
 use crate::admission::RETURNED_WAIT;
 use crate::endpoint::Endpoint;
@@ -55,10 +56,10 @@
 /// to the first event.
 fn first_wait(shared: &SharedState, call: &Call) -> Duration {
     let target = call.resolved.route.target_latency;
-    let service = &call.resolved.service;
+    let first_event = |line: &mut Line| line.first_event;
     let predicted = shared
         .waiting
-        .with(service, call.arrived, |line| line.first_event);
+        .with(&Key::of(call), call.arrived, first_event);
     let spare = target.saturating_sub(predicted.unwrap_or(target / FIRST_EVENT_FRACTION));
     let longest = shared.options().overload.longest_wait;
     longest.map_or(spare, |longest| spare.min(longest))
@@ -72,12 +73,10 @@
     tried: &[name::Endpoint],
     entrant: &Entrant,
 ) -> Result<(Endpoint, Running), Unstarted> {
-    let service = &call.resolved.service;
-    let now = clock::now();
-    let held_back = |line: &mut super::Line| line.queue.holds_back(entrant.class);
-    if !shared.waiting.with(service, now, held_back) {
+    let (key, now) = (Key::of(call), clock::now());
+    if !shared.waiting.holds_back(&key, entrant.class) {
         match exchange::choose(shared, call, tried, now) {
-            Ok(chosen) => return Ok(started(shared, chosen, now)),
+            Ok(chosen) => return Ok(started(shared, &key, chosen, now)),
             Err(Unserved::Busy) => {}
             Err(Unserved::None(error))
                 if entrant.kind != Kind::First && next_try(&error, entrant, now).is_some() => {}
@@ -87,7 +86,7 @@
     if shared.closing.get() {
         return Err(Unstarted::Stopping);
     }
-    let seat = Seat::take(shared, call, entrant, now).map_err(|_| refused(shared, service, now))?;
+    let seat = Seat::take(shared, call, entrant, now).map_err(|_| refused(shared, &key, now))?;
     wait(shared, call, tried, entrant, &seat).await
 }
 
@@ -99,7 +98,7 @@
     entrant: &Entrant,
     seat: &Seat,
 ) -> Result<(Endpoint, Running), Unstarted> {
-    let service = &call.resolved.service;
+    let key = Key::of(call);
     let mut until = entrant.latest_start;
     loop {
         seat.sleep(until).await;
@@ -110,17 +109,17 @@
         }
         if let Some(cause) = seat.refusal(now) {
             seat.record_refusal(call, entrant, cause, now);
-            return Err(refused(shared, service, now));
+            return Err(refused(shared, &key, now));
         }
-        if !seat.is_head(now) {
+        if !seat.is_next() {
             // A request that arrived later has gone ahead.
-            shared.wake_waiting(service);
+            shared.wake_waiting(&key.service);
             continue;
         }
         match exchange::choose(shared, call, tried, now) {
             Ok(chosen) => {
                 seat.record_start(call, entrant, now);
-                return Ok(started(shared, chosen, now));
+                return Ok(started(shared, &key, chosen, now));
             }
             Err(Unserved::Busy) => {}
             Err(Unserved::None(error)) => match next_try(&error, entrant, now) {
@@ -148,15 +147,19 @@
     }
 }
 
-fn started(shared: &SharedState, chosen: (Endpoint, Running), now: Instant) -> (Endpoint, Running) {
-    let (service, forecast) = (&chosen.1.service, &chosen.1.forecast);
-    shared.waiting.record_forecast(service, forecast, now);
+fn started(
+    shared: &SharedState,
+    key: &Key,
+    chosen: (Endpoint, Running),
+    now: Instant,
+) -> (Endpoint, Running) {
+    shared.waiting.record_forecast(key, &chosen.1.forecast, now);
     chosen
 }
 
-fn refused(shared: &SharedState, service: &str, now: Instant) -> Unstarted {
-    let time_to_clear = |line: &mut super::Line| line.queue.time_to_clear(now);
+fn refused(shared: &SharedState, key: &Key, now: Instant) -> Unstarted {
+    let time_to_clear = |line: &mut Line| line.queue.time_to_clear(now);
     Unstarted::Refused {
-        clear: shared.waiting.with(service, now, time_to_clear),
+        clear: shared.waiting.with(key, now, time_to_clear),
     }
 }
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -1,7 +1,9 @@
 //! The next step after failed sends, over all short sequences of failures.
 
+use std::time::Duration;
+
 use cactusnotch_gateway::decide::{Failure, Lifecycle, Next};
-use cactusnotch_gateway::refusal::Refusal;
+use cactusnotch_gateway::refusal::{RETRY_AFTER, Refusal};
 use cactusnotch_gateway::route::RetryPolicy;
 
 const FAILURES: [Failure; 3] = [Failure::Unsent, Failure::Refused, Failure::Uncertain];
@@ -88,3 +90,18 @@
     lifecycle.record_send();
     assert!(!lifecycle.timed_out(true).is_retryable());
 }
+
+/// Guards against callers that return while the queue that refused them is still full, and
+/// against ones that wait longer than without a queue.
+#[test]
+fn a_caller_refused_by_a_queue_returns_when_it_is_expected_to_be_empty() {
+    let ms = Duration::from_millis;
+    let after = |clear, draw| Refusal::Busy.retry_after_queue(ms(8_000), ms(clear), draw);
+    assert_eq!(after(1_200, 1.0), ms(1_200));
+    assert_eq!(after(1_200, 0.0), ms(900), "spread by chance");
+    assert_eq!(after(0, 1.0), RETRY_AFTER);
+    let without = Refusal::Busy.retry_after(ms(8_000), 1.0);
+    assert_eq!(after(60_000, 1.0), without);
+    let stopping = Refusal::Stopping.retry_after_queue(ms(8_000), ms(1_200), 1.0);
+    assert_eq!(stopping, RETRY_AFTER, "another entry serves at once");
+}
