fix: take the cause of a refusal from any line of its request

Cause: overload control may state the cause on its own line rather than on `request ended`, where the account looked for it.

Change: the causes hopeless, expired and full count from any line with the request's id.

--- a/crates/cactusnotch/src/account.rs
+++ b/crates/cactusnotch/src/account.rs
@@ -19,6 +19,8 @@
 const UNKNOWN_GROUP: &str = "-";
 /// Part of the message of each line that a request waits at an entry.
 const WAITS: &str = "waits";
+/// The causes that lines on refusals state.
+const CAUSES: [&str; 3] = ["hopeless", "expired", "full"];
 /// The skew of a round, in thousandths, from which demand has shifted; a group whose map
 /// fits the demand stays below.
 const SHIFTED_SKEW: f64 = 1_800.0;
@@ -37,6 +39,8 @@
     waits: Vec<(String, Duration)>,
     /// The sends of requests, by id.
     sends: Vec<(String, Duration)>,
+    /// The causes that lines state for refusals, by the id of the request.
+    refusals: Vec<(String, String)>,
     /// The group of each endpoint that a line states one for.
     groups: Table<String, String>,
     /// The group, if lines name only one.
@@ -73,6 +77,7 @@
         }
         self.waits.sort();
         self.sends.sort();
+        self.refusals.sort();
         for line in &lines {
             match line.message.as_str() {
                 "request ended" => self.end(line),
@@ -103,6 +108,9 @@
         if let Some(limit) = line.ratio("limit") {
             self.row(at, &group).limit.add(limit);
         }
+        if let Some(cause) = line.text("cause").filter(|cause| CAUSES.contains(cause)) {
+            self.refusals.push((line.id(), cause.to_owned()));
+        }
         match line.message.as_str() {
             "send ended" => self.send(line, &group),
             "demand has turned" => self.history.record(&group, at, Event::Shift),
@@ -155,9 +163,9 @@
     /// Applies the end of a request that an endpoint was sought for.
     fn end(&mut self, line: &Line) {
         let group = self.group(line);
-        let since = earliest(&self.waits, &line.id());
+        let since = first(&self.waits, &line.id());
         if let Some(since) = since {
-            let until = earliest(&self.sends, &line.id()).unwrap_or(line.at);
+            let until = first(&self.sends, &line.id()).unwrap_or(line.at);
             for second in since.as_secs()..=until.as_secs() {
                 self.row(Duration::from_secs(second), &group).waiting += 1;
             }
@@ -199,7 +207,8 @@
 
     fn refuse(&mut self, line: &Line, waited: bool) {
         let outcome = line.text("outcome").unwrap_or_default();
-        let cause = Cause::of_refusal(line.text("cause"), outcome, waited);
+        let stated = first(&self.refusals, &line.id());
+        let cause = Cause::of_refusal(stated.as_deref(), outcome, waited);
         let group = self.group(line);
         self.row(line.at, &group).refused.add(cause, line);
         self.report.refused.add(cause, line);
@@ -218,10 +227,9 @@
     }
 }
 
-/// Returns the earliest time of `id` in rows that are sorted.
-fn earliest(rows: &[(String, Duration)], id: &str) -> Option<Duration> {
+/// Returns the first value of `id` in rows that are sorted.
+fn first<T: Clone>(rows: &[(String, T)], id: &str) -> Option<T> {
     let at = rows.partition_point(|(known, _)| known.as_str() < id);
-    rows.get(at)
-        .filter(|(known, _)| known == id)
-        .map(|row| row.1)
+    let row = rows.get(at).filter(|(known, _)| known == id);
+    row.map(|(_, value)| value.clone())
 }
