--- a/crates/gateway/src/waiting/turn.rs
+++ b/crates/gateway/src/waiting/turn.rs
@@ -11,7 +11,6 @@
 
 use super::line::{Key, Line};
 use super::seat::Seat;
-use crate::admission::RETURNED_WAIT;
 use crate::endpoint::Endpoint;
 use crate::exchange::{self, Unserved};
 use crate::knowledge::SharedState;
@@ -23,6 +22,9 @@
 const FIRST_EVENT_FRACTION: u32 = 2;
 /// The shortest time after which the head of a queue tries again without being woken.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// How long a request that can no longer be on time waits from its arrival. Callers give up
+/// after two seconds without an event, and the first one takes some of that time.
+const LATE_WAIT: Duration = Duration::from_millis(1_400);
 
 /// Why a request was not started.
 #[derive(Debug)]
@@ -41,7 +43,7 @@
 /// Returns how a caller's request takes part in the queue of its service.
 pub(crate) fn entrant(shared: &SharedState, call: &Call, class: Class) -> Entrant {
     let (kind, wait) = if call.has_returned {
-        (Kind::Returned, RETURNED_WAIT)
+        (Kind::Returned, LATE_WAIT)
     } else {
         (Kind::First, first_wait(shared, call))
     };
@@ -72,6 +74,25 @@
     call: &Call,
     tried: &[name::Endpoint],
     entrant: &Entrant,
+) -> Result<(Endpoint, Running), Unstarted> {
+    match choose_as(shared, call, tried, entrant).await {
+        Err(Unstarted::Refused { .. }) if entrant.kind == Kind::First => {
+            let overdue = Entrant {
+                kind: Kind::Overdue,
+                latest_start: (call.arrived + LATE_WAIT).min(call.deadline),
+                ..*entrant
+            };
+            choose_as(shared, call, tried, &overdue).await
+        }
+        other => other,
+    }
+}
+
+async fn choose_as(
+    shared: &Rc<SharedState>,
+    call: &Call,
+    tried: &[name::Endpoint],
+    entrant: &Entrant,
 ) -> Result<(Endpoint, Running), Unstarted> {
     let (key, now) = (Key::of(call), clock::now());
     if !shared.waiting.holds_back(&key, entrant.class) {
--- a/crates/overload/src/kind.rs
+++ b/crates/overload/src/kind.rs
@@ -10,6 +10,9 @@
     /// A caller's first attempt, which can still be on time.
     #[display("first")]
     First,
+    /// A first attempt that can no longer be on time.
+    #[display("overdue")]
+    Overdue,
     /// A caller's retry after a refusal.
     #[display("returned")]
     Returned,
