feat: the limit assumes map 0 until the skew is known, and a group keeps its overhead

A group in a new epoch started from a skew of 2.5 without overhead, at 0.79 to 0.9 of its slots, and took 200 streams in its first second, which made passes of 184 ms where 120 ms are accepted; the skew under map 0 was 3.1 to 3.9.

A leader whose group forms again keeps the overhead, which ages as before, and the usual skew after a shift. Both were dropped with the epoch, though they belong to the engine and the demand. An overhead of another model or another group is dropped.

Seen failing: the skew of map 0, the least number of choices, the skew that follows few choices once known, the overhead and the usual skew over an epoch, the ageing, the model and the group, each with its mechanism taken out.

--- a/crates/overload/src/conditions.rs
+++ b/crates/overload/src/conditions.rs
@@ -1,5 +1,7 @@
 //! The state of a group that its limit depends on.
 
+use crate::model::{MAP_0_SKEW, SHIFT_SKEW};
+
 /// The largest skew that is taken into account: that of a single rank which does all the
 /// work of a group of this size.
 const SKEW_MAX: f64 = 256.0;
@@ -7,8 +9,8 @@
 /// The state of a group that its limit depends on.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Conditions {
-    /// The skew of the map in force.
-    pub skew: f64,
+    /// The skew of the map in force, `None` until counts have shown it.
+    pub skew: Option<f64>,
     /// The skew that shifts of demand have usually left, `None` before the first.
     pub shift_skew: Option<f64>,
     /// The mean number of requests for each slot.
@@ -16,12 +18,11 @@
 }
 
 impl Conditions {
-    /// Returns the skew that the limit has to allow for, if demand shifts that were not
-    /// observed are assumed to leave `initial`.
-    pub(crate) fn worst_skew(&self, initial: f64) -> f64 {
+    /// Returns the skew that the limit has to allow for.
+    pub(crate) fn worst_skew(&self) -> f64 {
         let known = |skew: &f64| skew.is_finite() && *skew > 0.0;
-        let shift = self.shift_skew.filter(known).unwrap_or(initial);
-        let now = Some(self.skew).filter(known).unwrap_or(1.0);
+        let shift = self.shift_skew.filter(known).unwrap_or(SHIFT_SKEW);
+        let now = self.skew.filter(known).unwrap_or(MAP_0_SKEW);
         now.max(shift).clamp(1.0, SKEW_MAX)
     }
 }
--- a/crates/overload/src/controller.rs
+++ b/crates/overload/src/controller.rs
@@ -4,7 +4,7 @@
 
 use cactusnotch_base::clock::Instant;
 
-use crate::model::{FILL_MIN, SHIFT_SKEW};
+use crate::model::FILL_MIN;
 use crate::overhead::Overhead;
 use crate::{Ceiling, Change, Conditions, Model};
 
@@ -64,6 +64,14 @@
         }
     }
 
+    /// Keeps the overhead that the controller of the group's former epoch has measured, if
+    /// that had the same model: it belongs to the engine and the demand.
+    pub fn resume(&mut self, former: Self) {
+        if former.model == self.model {
+            self.overhead = former.overhead;
+        }
+    }
+
     /// Returns the current limit, `None` before the first update.
     #[must_use]
     pub fn limit(&self) -> Option<Ceiling> {
@@ -97,7 +105,7 @@
     /// one. It falls at once and rises slowly.
     pub fn update(&mut self, conditions: &Conditions, now: Instant) -> Option<Change> {
         self.overhead.decay(now);
-        let (skew, overhead) = (conditions.worst_skew(SHIFT_SKEW), self.overhead.seconds());
+        let (skew, overhead) = (conditions.worst_skew(), self.overhead.seconds());
         let modelled = self.model.ceiling(skew, overhead);
         let target = modelled.min(self.ceiling).per_slot();
         let level = self.level.map_or(target, |(level, at)| {
--- a/crates/overload/tests/limit.rs
+++ b/crates/overload/tests/limit.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cactusnotch_base::clock::{self, Instant};
-use cactusnotch_overload::model::SHIFT_SKEW;
+use cactusnotch_overload::model::{MAP_0_SKEW, SHIFT_SKEW};
 use cactusnotch_overload::{Ceiling, Change, Conditions, Controller, Model};
 
 const GAP: Duration = Duration::from_millis(150);
@@ -74,7 +74,7 @@
             constant: Duration::ZERO,
             skew: EVEN,
             known: Conditions {
-                skew: EVEN,
+                skew: Some(EVEN),
                 shift_skew: None,
                 fill: 0.0,
             },
@@ -99,7 +99,7 @@
     }
 
     fn set_skew(&mut self, skew: f64) {
-        (self.skew, self.known.skew) = (skew, skew);
+        (self.skew, self.known.skew) = (skew, Some(skew));
     }
 
     /// Runs from a shift until the next; returns the duration of long passes.
@@ -122,7 +122,7 @@
         self.tick += 1;
         match self.shifted_at.map(|at| self.tick - at) {
             Some(DETECTED) => {
-                self.known.skew = self.skew;
+                self.known.skew = Some(self.skew);
                 let mean = self.known.shift_skew.unwrap_or(self.skew);
                 self.known.shift_skew = Some(mean + 0.3 * (self.skew - mean));
             }
@@ -132,11 +132,12 @@
         self.measured += self.pass() / MEASUREMENT;
         if self.tick.is_multiple_of(MEASUREMENT) {
             if self.shifted_at.is_none() {
-                self.known.skew = self.skew;
+                self.known.skew = Some(self.skew);
             }
             let (pass, requests) = (std::mem::take(&mut self.measured), self.requests());
-            self.controller
-                .measure(pass, requests, self.known.skew, self.now);
+            if let Some(skew) = self.known.skew {
+                self.controller.measure(pass, requests, skew, self.now);
+            }
         }
         let change = self.controller.update(&self.known, self.now);
         self.changes.extend(change);
@@ -214,6 +215,9 @@
 #[test]
 fn a_new_group_takes_on_load_as_its_map_improves() {
     let mut group = Group::new(0.9);
+    group.known.skew = None;
+    group.advance();
+    assert!(group.controller.limit() == Some(MODEL.ceiling(MAP_0_SKEW, 0.0)));
     group.set_skew(4.0);
     group.advance();
     let first = group.limit();
@@ -334,6 +338,25 @@
     assert!(group.limit() > 0.95 * model, "{}", group.limit());
 }
 
+#[test]
+fn the_overhead_of_another_engine_is_dropped_when_a_group_forms_again() {
+    let per_request = MODEL.per_request / 4;
+    let light = Model {
+        per_request,
+        ..MODEL
+    };
+    for (model, is_kept) in [(MODEL, true), (light, false)] {
+        let mut group = Group::new(0.7);
+        group.factor = 4.0;
+        group.run(10 * SECOND);
+        let mut next = Controller::new(model, Ceiling::FULL);
+        next.resume(group.controller);
+        next.update(&group.known, group.now);
+        let without = Some(model.ceiling(SHIFT_SKEW, 0.0));
+        assert_eq!(next.limit() < without, is_kept);
+    }
+}
+
 #[test]
 fn a_leader_that_was_frozen_does_not_raise_the_limit_at_once() {
     let mut group = Group::new(0.0);
@@ -357,7 +380,7 @@
     for (model, number) in models.iter().flat_map(|m| numbers.map(|n| (*m, n))) {
         let mut controller = Controller::new(model, Ceiling::new(0.0));
         let conditions = Conditions {
-            skew: number,
+            skew: Some(number),
             shift_skew: Some(number),
             fill: number,
         };
--- a/crates/rebalance/src/coordinator.rs
+++ b/crates/rebalance/src/coordinator.rs
@@ -4,6 +4,7 @@
 mod arming;
 mod demand;
 mod event;
+mod former;
 mod hold;
 mod limit;
 mod rows;
@@ -18,8 +19,8 @@
 use self::stage::Stage;
 use crate::Shape;
 use crate::codec::Order;
-use crate::former::Former;
 use crate::map::Map;
+use crate::measured::Measured;
 use crate::message::{Phase, Progress, Round, Status};
 use crate::plan::{self, Plan};
 use crate::state::{Maps, Place};
@@ -65,6 +66,8 @@
     arming: Arming,
     /// The limit of the group's running requests, under overload control.
     limit: Option<Limit>,
+    /// The measurements of the group's former epoch, until requests are limited.
+    measured: Option<Measured>,
     /// The progress of the round as it was last announced, and when.
     announced: Option<(Progress, Instant)>,
     /// How far the next version is above all versions seen so far.
@@ -101,31 +104,12 @@
             released_step: None,
             arming: Arming::default(),
             limit: None,
+            measured: None,
             announced: None,
             version_gap: 1 + term % VERSION_SPAN,
         }
     }
 
-    /// Starts from the demand of a former epoch, if it is of the same group.
-    pub(crate) fn resume(&mut self, former: Former) {
-        if former.group == self.place.group {
-            self.demand.resume(former.estimate);
-        }
-    }
-
-    /// Returns whether the first map will be planned from the demand of a former epoch.
-    pub(crate) const fn has_former_demand(&self) -> bool {
-        self.demand.has_former()
-    }
-
-    /// Returns the demand for the group's next epoch.
-    pub(crate) fn into_former(self) -> Former {
-        Former {
-            group: self.place.group,
-            estimate: self.demand.into_estimate(),
-        }
-    }
-
     /// Returns the rank that leads.
     #[must_use]
     pub const fn place(&self) -> &Place {
@@ -176,9 +160,8 @@
             && *version == own.current
         {
             let (slowdowns, utilisation) = (self.slowdowns(), self.utilisation());
-            if self.demand.measure(pass, map, &slowdowns, utilisation) {
-                self.measure_limit(pass, now);
-            }
+            self.demand.measure(pass, map, &slowdowns, utilisation);
+            self.measure_limit(pass, now);
         }
         if let Some(maps) = self.fresh_maps(now) {
             self.assemble(&maps);
--- a/crates/rebalance/src/coordinator/demand.rs
+++ b/crates/rebalance/src/coordinator/demand.rs
@@ -38,8 +38,9 @@
     /// The estimate of the group's former epoch, until the first choices or plan.
     former: Option<Estimate>,
     pressure: Pressure,
-    /// The skew of the map in force as it was computed last, in thousandths.
-    skew: u32,
+    /// The skew of the map in force as it was computed last, in thousandths; `None` until
+    /// enough choices were counted.
+    skew: Option<u32>,
     /// Whether demand has shifted since the last plan.
     shifted: bool,
     /// When the last plan was computed that was not worth a round.
@@ -57,7 +58,7 @@
             former: None,
             shape,
             options,
-            skew: 0,
+            skew: None,
             shifted: false,
             rejected_at: None,
         }
@@ -93,9 +94,10 @@
         &self.shape
     }
 
-    /// Returns the skew of the map in force, 1 for even ranks, as it was computed last.
-    pub(crate) fn skew(&self) -> f64 {
-        f64::from(self.skew) / THOUSAND
+    /// Returns the skew of the map in force, 1 for even ranks, as it was computed last;
+    /// `None` until enough choices were counted.
+    pub(crate) fn skew(&self) -> Option<f64> {
+        self.skew.map(|skew| f64::from(skew) / THOUSAND)
     }
 
     /// Returns the skew that demand shifts usually leave, `None` before the first.
@@ -103,22 +105,30 @@
         self.pressure.shift_skew()
     }
 
-    /// Records the duration of a pass under `map`, and the utilisation of the group; returns
-    /// whether the skew of the map is known.
+    /// Starts from the skew that demand shifts usually left in the group's former epoch.
+    pub(crate) fn resume_shift_skew(&mut self, skew: Option<f64>) {
+        self.pressure.set_shift_skew(skew);
+    }
+
+    /// Records the duration of a pass under `map`, and the utilisation of the group.
     pub(crate) fn measure(
         &mut self,
         pass: Duration,
         map: &Map,
         slowdowns: &[f64],
         utilisation: f64,
-    ) -> bool {
+    ) {
         self.pressure.set_utilisation(utilisation);
-        self.skew = plan::skew_of(map, &self.estimate, slowdowns);
-        let known = self.estimate.total() > 0.0;
-        if known {
-            self.pressure.measure(pass, self.skew);
+        let choices = self.estimate.total();
+        if choices <= 0.0 {
+            return;
+        }
+        let skew = plan::skew_of(map, &self.estimate, slowdowns);
+        self.pressure.measure(pass, skew);
+        // The first choices show a far higher skew than there is.
+        if self.skew.is_some() || choices >= CHOICES_MIN {
+            self.skew = Some(skew);
         }
-        known
     }
 
     /// Adds the expert choices of a rank; returns whether they show a demand
@@ -177,7 +187,7 @@
             slowdowns,
         };
         let plan = plan::plan(map, &self.estimate, &self.shape, &self.options, &group);
-        self.skew = plan.before;
+        self.skew = Some(plan.before);
         Some(plan)
     }
 }
--- a/crates/rebalance/src/coordinator/limit.rs
+++ b/crates/rebalance/src/coordinator/limit.rs
@@ -24,11 +24,22 @@
     announced: Option<(Ceiling, Instant)>,
 }
 
+impl Limit {
+    pub(crate) fn into_controller(self) -> Controller {
+        self.controller
+    }
+}
+
 impl Coordinator {
     /// Limits the group's running requests from now on, to at most `ceiling`.
     pub fn limit_requests(&mut self, model: Model, ceiling: Ceiling) {
+        let mut controller = Controller::new(model, ceiling);
+        if let Some(measured) = self.measured.take() {
+            controller.resume(measured.controller);
+            self.demand.resume_shift_skew(measured.shift_skew);
+        }
         self.limit = Some(Limit {
-            controller: Controller::new(model, ceiling),
+            controller,
             slots: f64::from(model.slots),
             announced: None,
         });
@@ -36,8 +47,8 @@
 
     /// Records the mean duration of the latest passes.
     pub(super) fn measure_limit(&mut self, pass: Duration, now: Instant) {
-        let (running, skew) = (self.running(now), self.demand.skew());
-        if let (Some(limit), Some(running)) = (&mut self.limit, running) {
+        let known = self.running(now).zip(self.demand.skew());
+        if let (Some(limit), Some((running, skew))) = (&mut self.limit, known) {
             let requests = running * limit.slots;
             limit.controller.measure(pass, requests, skew, now);
         }
--- a/crates/rebalance/src/former.rs
+++ b/crates/rebalance/src/former.rs
@@ -1,11 +1,14 @@
-//! The demand that a leader had estimated before its group formed again.
+//! What a leader had estimated and measured before its group formed again.
 
 use crate::estimate::Estimate;
+use crate::measured::Measured;
 
-/// The demand that a leader had estimated before its group formed again.
-#[derive(Debug, Clone)]
+/// What a leader had estimated and measured before its group formed again.
+#[derive(Debug)]
 pub(crate) struct Former {
     /// The group.
     pub(crate) group: String,
     pub(crate) estimate: Estimate,
+    /// The measurements for the limit, under overload control.
+    pub(crate) measured: Option<Measured>,
 }
--- a/crates/rebalance/src/lib.rs
+++ b/crates/rebalance/src/lib.rs
@@ -31,6 +31,7 @@
 mod experts;
 mod former;
 mod layer;
+mod measured;
 mod moves;
 mod neighbours;
 
--- a/crates/rebalance/src/pressure.rs
+++ b/crates/rebalance/src/pressure.rs
@@ -93,6 +93,11 @@
         self.shift_skew.map(|skew| skew / THOUSAND)
     }
 
+    /// Sets the skew that demand shifts usually leave, 1 for even ranks.
+    pub(crate) fn set_shift_skew(&mut self, skew: Option<f64>) {
+        self.shift_skew = skew.map(|skew| skew * THOUSAND);
+    }
+
     /// Sets the number of running and waiting requests for each slot of the group.
     pub const fn set_utilisation(&mut self, utilisation: f64) {
         self.utilisation = utilisation;
--- a/crates/rebalance/src/rank.rs
+++ b/crates/rebalance/src/rank.rs
@@ -20,7 +20,7 @@
     pub member: Member,
     /// The decisions of the leader, at rank 0.
     pub coordinator: Option<Coordinator>,
-    /// The demand that the last coordinator had estimated.
+    /// What the last coordinator had estimated and measured.
     former: Option<Former>,
 }
 
@@ -52,8 +52,8 @@
         }
     }
 
-    /// Drops all state, as the endpoint has restarted, except the demand that was estimated:
-    /// callers remain the same.
+    /// Drops all state, as the endpoint has restarted, except what was estimated and measured
+    /// of the demand and the engine: both remain the same.
     pub fn restart(&mut self) {
         self.end_lead();
         self.member = Member::default();
@@ -67,7 +67,8 @@
 
     /// Starts to lead if this is rank 0; returns whether that is new. `term` is a number
     /// that is unique to this incarnation of the process. If this process has led the group
-    /// in a former epoch, the first map is planned from the demand that it had estimated.
+    /// in a former epoch, the first map is planned from the demand that it had estimated, and
+    /// the limit starts from what it had measured.
     pub fn lead(&mut self, place: &Place, shape: Shape, options: plan::Options, term: u64) -> bool {
         let new = place.rank == 0 && self.coordinator.is_none();
         if new {
--- a/crates/rebalance/tests/limit.rs
+++ b/crates/rebalance/tests/limit.rs
@@ -10,9 +10,10 @@
 use cactusnotch_gateway::endpoint::StartTime;
 use cactusnotch_gateway::{datagram, peer};
 use cactusnotch_overload::Ceiling;
+use cactusnotch_overload::model::{MAP_0_SKEW, SHIFT_SKEW};
 use cactusnotch_rebalance::message::{Datagram, Phase, Round};
 use cactusnotch_rebalance::{Rank, Slowdown};
-use pair::Group;
+use pair::{Group, MODEL};
 
 /// Returns the limit that the second rank reports, in requests for each slot.
 fn reported(group: &Group) -> Option<f64> {
@@ -88,6 +89,53 @@
     assert!(reported(&group) >= before, "{:?}", reported(&group));
 }
 
+#[test]
+fn the_limit_assumes_the_skew_of_map_0_until_enough_choices_are_counted() {
+    let limit_at = |skew| Some(MODEL.ceiling(skew, 0.0).per_slot());
+    let mut group = Group::new();
+    // A single choice in a tick, all at one rank, shows no skew.
+    for (unit, counts, skew) in [
+        (0.0, [200; 4], MAP_0_SKEW),
+        (1.0, [0, 1, 0, 0], MAP_0_SKEW),
+        (20.0, [200; 4], SHIFT_SKEW),
+    ] {
+        (group.unit, group.counts) = (unit, counts);
+        group.run(15);
+        assert_eq!(reported(&group), limit_at(skew));
+    }
+    // Once it is known, the skew follows a slow rank while few choices are counted.
+    (group.unit, group.counts) = (1.0, [1; 4]);
+    group.run(100);
+    group.slowdown = 12.0;
+    group.run(10);
+    assert!(reported(&group) <= Some(0.25), "{:?}", reported(&group));
+}
+
+#[test]
+fn a_group_that_forms_again_keeps_its_overhead_and_its_usual_shift_skew() {
+    let mut group = Group::new();
+    group.passes = 1;
+    group.run(10);
+    group.counts = [10, 240, 10, 240];
+    group.run(40);
+    let before = reported(&group);
+    group.epoch = 2;
+    group.run(1);
+    assert_eq!(reported(&group), before);
+    // The overhead ages while nothing is measured.
+    group.epoch = 3;
+    group.now += Duration::from_secs(10);
+    group.run(1);
+    let aged = reported(&group);
+    assert!(aged > before, "{aged:?}");
+    assert!(aged > Some(MODEL.ceiling(SHIFT_SKEW, 0.0).per_slot()));
+    // Another group has neither.
+    (group.epoch, group.name) = (1, "h");
+    group.run(1);
+    let new = MODEL.ceiling(SHIFT_SKEW, 0.0).per_slot();
+    assert_eq!(reported(&group), Some(new));
+}
+
 #[test]
 fn entries_are_told_at_once_of_a_limit_that_has_fallen() {
     let mut group = Group::new();
--- a/crates/rebalance/tests/pair/mod.rs
+++ b/crates/rebalance/tests/pair/mod.rs
@@ -11,7 +11,7 @@
 use cactusnotch_rebalance::{Rank, Shape, Slowdown, plan};
 
 const TICK: Duration = Duration::from_millis(100);
-const MODEL: Model = Model {
+pub const MODEL: Model = Model {
     slots: 12,
     step: Duration::from_millis(5),
     per_request: Duration::from_micros(1_704),
@@ -34,6 +34,8 @@
     /// The gain required of a copy.
     pub gain: f64,
     pub fill: u16,
+    /// The passes in each tick.
+    pub passes: u64,
     /// The slowdown of the second rank.
     pub slowdown: f64,
     /// The choices in each tick, in units; none if the unit is zero.
@@ -65,6 +67,7 @@
             limited: true,
             gain: 1_000.0,
             fill: 40,
+            passes: 2,
             slowdown: 1.0,
             counts: [200; 4],
             unit: 20.0,
@@ -102,7 +105,7 @@
     /// it is `delivered`.
     pub fn tick(&mut self, delivered: bool) -> Step {
         self.now += TICK;
-        self.maps.step += 2;
+        self.maps.step += self.passes;
         self.observe();
         let options = plan::Options {
             copies_per_rank: 2,
