fix: without overload control, skews after shifts include slow ranks again

Recorded shifts leave out ranks that are slow at the moment, so that a limit recovers with them. This also changed the pressure of planners without overload control, where earlier deployments are to be served as before. They record the skew of the plan again.

--- a/crates/rebalance/src/coordinator/demand.rs
+++ b/crates/rebalance/src/coordinator/demand.rs
@@ -38,6 +38,8 @@
     /// The estimate of the group's former epoch, until the first choices or plan.
     former: Option<Estimate>,
     pressure: Pressure,
+    /// Whether the skews that shifts leave exclude slow ranks, as under overload control.
+    excludes_slow_ranks: bool,
     /// The skew of the map in force as it was computed last, in thousandths; `None` until
     /// enough choices were counted.
     skew: Option<u32>,
@@ -55,6 +57,7 @@
                 f64::from(shape.expert_part) / THOUSAND,
                 options.max_event_gap,
             ),
+            excludes_slow_ranks: false,
             former: None,
             shape,
             options,
@@ -110,6 +113,11 @@
         self.pressure.set_shift_skew(skew);
     }
 
+    /// Leaves ranks that are slow out of the skews that shifts leave, for the limit.
+    pub(crate) const fn exclude_slow_ranks(&mut self) {
+        self.excludes_slow_ranks = true;
+    }
+
     /// Records the duration of a pass under `map`, and the utilisation of the group.
     pub(crate) fn measure(
         &mut self,
@@ -149,7 +157,7 @@
         }
         let plan = self.compute(map, slowdowns)?;
         if std::mem::take(&mut self.shifted) {
-            self.record_shift(map, slowdowns);
+            self.record_shift(plan.before, map, slowdowns);
         }
         if plan.gain() >= ROUND_GAIN_MIN {
             return Some(plan);
@@ -166,15 +174,20 @@
         }
         let skew = f64::from(plan::skew_of(next, &self.estimate, slowdowns));
         let plan = self.compute(map, slowdowns)?;
-        self.record_shift(map, slowdowns);
+        self.record_shift(plan.before, map, slowdowns);
         (f64::from(plan.after) <= skew * (1.0 - REPLACE_GAIN_MIN)).then_some(plan)
     }
 
-    /// Records the skew that a shift has left. It doesn't include ranks that are slow at the
-    /// moment: after their recovery it would lower the limit until the next shifts.
-    fn record_shift(&mut self, map: &Map, slowdowns: &[f64]) {
-        let usual = vec![1.0; slowdowns.len()];
-        let skew = plan::skew_of(map, &self.estimate, &usual);
+    /// Records the skew that a shift has left, `skew` with slow ranks. Under overload control
+    /// it doesn't include ranks that are slow at the moment: after their recovery it would
+    /// lower the limit until the next shifts.
+    fn record_shift(&mut self, skew: u32, map: &Map, slowdowns: &[f64]) {
+        let skew = if self.excludes_slow_ranks {
+            let usual = vec![1.0; slowdowns.len()];
+            plan::skew_of(map, &self.estimate, &usual)
+        } else {
+            skew
+        };
         self.pressure.record_shift(skew);
     }
 
--- a/crates/rebalance/src/coordinator/limit.rs
+++ b/crates/rebalance/src/coordinator/limit.rs
@@ -33,6 +33,7 @@
 impl Coordinator {
     /// Limits the group's running requests from now on, to at most `ceiling`.
     pub fn limit_requests(&mut self, model: Model, ceiling: Ceiling) {
+        self.demand.exclude_slow_ranks();
         let mut controller = Controller::new(model, ceiling);
         if let Some(measured) = self.measured.take() {
             controller.resume(measured.controller);
--- a/crates/rebalance/tests/limit.rs
+++ b/crates/rebalance/tests/limit.rs
@@ -11,6 +11,7 @@
 use cactusnotch_gateway::{datagram, peer};
 use cactusnotch_overload::Ceiling;
 use cactusnotch_overload::model::{MAP_0_SKEW, SHIFT_SKEW};
+use cactusnotch_rebalance::coordinator::Event;
 use cactusnotch_rebalance::message::{Datagram, Phase, Round};
 use cactusnotch_rebalance::{Rank, Slowdown};
 use pair::{Group, MODEL};
@@ -178,6 +179,24 @@
     }
 }
 
+#[test]
+fn only_without_overload_control_do_shifts_to_slow_ranks_raise_the_pressure_for_long() {
+    for limited in [true, false] {
+        let mut group = Group::new();
+        (group.limited, group.gain) = (limited, 0.01);
+        group.run(10);
+        (group.counts, group.slowdown) = ([10, 240, 10, 240], 12.0);
+        group.run(10);
+        group.slowdown = 1.0;
+        let pressure = (0..50).filter_map(|_| match group.tick(true).event {
+            Some(Event::Began(plan)) => Some(plan.pressure),
+            _ => None,
+        });
+        let pressure = pressure.last().expect("a round begins");
+        assert_eq!(pressure < 100, limited, "{pressure}");
+    }
+}
+
 #[test]
 fn a_group_without_overload_control_states_no_limit() {
     let mut group = Group::new();
