--- a/crates/overload/src/controller.rs
+++ b/crates/overload/src/controller.rs
@@ -96,8 +96,8 @@
         // Only a pass that begins and ends with enough requests is measured.
         if requests.min(before.requests) >= REQUESTS_MIN {
             let overhead = self.model.overhead(pass, most, skew.max(before.skew));
-            let most = self.model.overhead_max();
-            self.overhead.record(overhead, most, now);
+            self.overhead
+                .record(overhead, self.model.overhead_max(), now);
         }
     }
 
