--- a/crates/overload/tests/limit.rs
+++ b/crates/overload/tests/limit.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cactusnotch_base::clock::{self, Instant};
-use cactusnotch_overload::model::SHIFT_SKEW;
+use cactusnotch_overload::model::{MAP_0_SKEW, SHIFT_SKEW};
 use cactusnotch_overload::{Ceiling, Change, Conditions, Controller, Model};
 
 const GAP: Duration = Duration::from_millis(150);
@@ -18,6 +18,11 @@
     expert_share: 0.85,
     max_event_gap: GAP,
 };
+/// An engine whose requests take a quarter of that time.
+const LIGHT: Model = Model {
+    per_request: Duration::from_micros(426),
+    ..MODEL
+};
 /// A tenth of the passes take longer than the mean by this factor.
 const LONG_PASS: f64 = 1.25;
 const TICK: Duration = Duration::from_millis(100);
@@ -40,9 +45,14 @@
     tick: u32,
     /// The wanted requests for each slot.
     demand: f64,
-    /// By which factor requests cost more than the model states, and its rise with the fill.
-    cost: f64,
+    /// By which factor each request takes longer than the model states, and its rise with
+    /// the fill.
+    factor: f64,
     convexity: f64,
+    /// By which factor a slow rank lengthens each pass.
+    slowdown: f64,
+    /// The part of each pass that doesn't depend on the requests.
+    constant: Duration,
     skew: f64,
     /// The conditions as the leader knows them.
     known: Conditions,
@@ -63,11 +73,13 @@
             now: clock::now(),
             tick: 0,
             demand,
-            cost: 1.0,
+            factor: 1.0,
             convexity: 0.0,
+            slowdown: 1.0,
+            constant: Duration::ZERO,
             skew: EVEN,
             known: Conditions {
-                skew: EVEN,
+                skew: Some(EVEN),
                 shift_skew: None,
                 fill: 0.0,
             },
@@ -82,8 +94,9 @@
     }
 
     fn pass(&self) -> Duration {
-        let cost = self.cost + self.convexity * self.known.fill;
-        self.model.pass(self.requests(), self.skew, cost)
+        let factor = self.factor + self.convexity * self.known.fill;
+        let pass = self.model.pass(self.requests() * factor, self.skew);
+        (pass + self.constant).mul_f64(self.slowdown)
     }
 
     fn limit(&self) -> f64 {
@@ -91,7 +104,7 @@
     }
 
     fn set_skew(&mut self, skew: f64) {
-        (self.skew, self.known.skew) = (skew, skew);
+        (self.skew, self.known.skew) = (skew, Some(skew));
     }
 
     /// Runs from a shift until the next; returns the duration of long passes.
@@ -114,7 +127,7 @@
         self.tick += 1;
         match self.shifted_at.map(|at| self.tick - at) {
             Some(DETECTED) => {
-                self.known.skew = self.skew;
+                self.known.skew = Some(self.skew);
                 let mean = self.known.shift_skew.unwrap_or(self.skew);
                 self.known.shift_skew = Some(mean + 0.3 * (self.skew - mean));
             }
@@ -124,11 +137,12 @@
         self.measured += self.pass() / MEASUREMENT;
         if self.tick.is_multiple_of(MEASUREMENT) {
             if self.shifted_at.is_none() {
-                self.known.skew = self.skew;
+                self.known.skew = Some(self.skew);
             }
             let (pass, requests) = (std::mem::take(&mut self.measured), self.requests());
-            self.controller
-                .measure(pass, requests, self.known.skew, self.now);
+            if let Some(skew) = self.known.skew {
+                self.controller.measure(pass, requests, skew, self.now);
+            }
         }
         let change = self.controller.update(&self.known, self.now);
         self.changes.extend(change);
@@ -164,12 +178,12 @@
     let mut group = Group::new(0.7);
     group.run(5 * SECOND);
     let before = group.limit();
-    group.cost = 2.5;
+    group.factor = 2.5;
     group.run(SECOND);
     assert!(group.limit() < 0.65 * before, "{}", group.limit());
     group.run(5 * SECOND);
     assert!(group.run(1) <= GAP, "{:?}", group.pass());
-    group.cost = 1.0;
+    group.factor = 1.0;
     group.run(10 * SECOND);
     assert!(group.limit() > 0.95 * before, "{}", group.limit());
     assert!(group.turns() <= 1, "{}", group.turns());
@@ -179,28 +193,40 @@
     assert!(group.limit() <= 0.25, "{}", group.limit());
 }
 
+#[test]
+fn passes_that_take_a_multiple_lower_the_limit_to_its_minimum_and_short_ones_do_not_raise_it() {
+    let usual = MODEL.ceiling(SHIFT_SKEW, 0.0).per_slot();
+    for (slowdown, limit) in [(0.5, usual), (2.5, 0.25), (50.0, 0.25)] {
+        let mut group = Group::new(0.7);
+        group.slowdown = slowdown;
+        group.run(10 * SECOND);
+        assert!((group.limit() - limit).abs() < 0.001, "{}", group.limit());
+        group.slowdown = 1.0;
+        group.run(10 * SECOND);
+        assert!(group.limit() > 0.95 * usual, "{}", group.limit());
+    }
+}
+
 #[test]
 fn a_new_group_takes_on_load_as_its_map_improves() {
     let mut group = Group::new(0.9);
+    group.known.skew = None;
+    group.advance();
+    assert!(group.controller.limit() == Some(MODEL.ceiling(MAP_0_SKEW, 0.0)));
     group.set_skew(4.0);
     group.advance();
     let first = group.limit();
-    assert!(group.controller.limit() == Some(MODEL.ceiling(4.0, 1.0)));
+    assert!(group.controller.limit() == Some(MODEL.ceiling(4.0, 0.0)));
     group.set_skew(EVEN);
     group.run(SECOND / 2);
     assert!(group.limit() <= first + 0.11, "{}", group.limit());
     group.run(2 * SECOND);
-    assert!(group.controller.limit() == Some(MODEL.ceiling(SHIFT_SKEW, 1.0)));
+    assert!(group.controller.limit() == Some(MODEL.ceiling(SHIFT_SKEW, 0.0)));
 }
 
 #[test]
 fn a_calm_group_is_not_limited() {
-    let per_request = MODEL.per_request / 4;
-    let light = Model {
-        per_request,
-        ..MODEL
-    };
-    let mut group = Group::with_model(0.9, light);
+    let mut group = Group::with_model(0.9, LIGHT);
     for tick in 0..60 * SECOND {
         group.demand = 0.5 + 0.05 * f64::from(tick % 7);
         group.advance();
@@ -223,7 +249,7 @@
 }
 
 #[test]
-fn a_cost_that_rises_with_the_fill_settles() {
+fn requests_that_take_longer_as_the_fill_rises_settle() {
     for convexity in [0.5, 1.0, 2.0] {
         let mut group = Group::new(0.9);
         group.convexity = convexity;
@@ -233,6 +259,27 @@
     }
 }
 
+#[test]
+fn a_constant_part_of_passes_limits_a_group_at_a_low_fill_as_a_full_one() {
+    let model = Model {
+        step: Duration::from_micros(4_550),
+        per_request: Duration::from_micros(1_090),
+        stride: 5,
+        ..MODEL
+    };
+    let limit = |demand| {
+        let mut group = Group::with_model(demand, model);
+        group.constant = Duration::from_millis(11);
+        group.run(20 * SECOND);
+        group.limit()
+    };
+    let full = limit(0.9);
+    for demand in [0.23, 0.3, 0.4] {
+        let low = limit(demand);
+        assert!((low / full - 1.0).abs() < 0.1, "{demand}: {low} of {full}");
+    }
+}
+
 #[test]
 fn passes_of_prompts_alone_do_not_lower_the_limit() {
     let mut group = Group::new(0.7);
@@ -250,7 +297,7 @@
 fn bursts_of_prompts_do_not_make_the_limit_oscillate() {
     let mut group = Group::new(0.7);
     for burst in 0..60 {
-        group.cost = [2.0, 1.0][burst % 2];
+        group.factor = [2.0, 1.0][burst % 2];
         group.run(2 * MEASUREMENT);
     }
     assert!(group.turns() <= 2, "{:?}", group.changes);
@@ -263,7 +310,7 @@
     let before = group.limit();
     group.demand = 0.08;
     for tick in 0..8 * SECOND {
-        group.cost = if tick < 4 * SECOND { 1.0 } else { 50.0 };
+        group.factor = if tick < 4 * SECOND { 1.0 } else { 50.0 };
         group.advance();
         assert!(group.limit() > 0.99 * before, "{tick}: {}", group.limit());
     }
@@ -272,15 +319,29 @@
 #[test]
 fn a_group_without_measurements_returns_to_the_model() {
     let mut group = Group::new(0.7);
-    group.cost = 4.0;
+    group.factor = 4.0;
     group.run(10 * SECOND);
     assert!(group.limit() <= 0.25, "{}", group.limit());
     group.demand = 0.0;
     group.run(60 * SECOND);
-    let model = MODEL.ceiling(SHIFT_SKEW, 1.0).per_slot();
+    let model = MODEL.ceiling(SHIFT_SKEW, 0.0).per_slot();
     assert!(group.limit() > 0.95 * model, "{}", group.limit());
 }
 
+#[test]
+fn the_overhead_of_another_engine_is_dropped_when_a_group_forms_again() {
+    for (model, is_kept) in [(MODEL, true), (LIGHT, false)] {
+        let mut group = Group::new(0.7);
+        group.factor = 4.0;
+        group.run(10 * SECOND);
+        let mut next = Controller::new(model, Ceiling::FULL);
+        next.resume(group.controller);
+        next.update(&group.known, group.now);
+        let without = Some(model.ceiling(SHIFT_SKEW, 0.0));
+        assert_eq!(next.limit() < without, is_kept);
+    }
+}
+
 #[test]
 fn a_leader_that_was_frozen_does_not_raise_the_limit_at_once() {
     let mut group = Group::new(0.0);
@@ -304,7 +365,7 @@
     for (model, number) in models.iter().flat_map(|m| numbers.map(|n| (*m, n))) {
         let mut controller = Controller::new(model, Ceiling::new(0.0));
         let conditions = Conditions {
-            skew: number,
+            skew: Some(number),
             shift_skew: Some(number),
             fill: number,
         };
--- a/crates/rebalance/src/coordinator/demand.rs
+++ b/crates/rebalance/src/coordinator/demand.rs
@@ -38,8 +38,11 @@
     /// The estimate of the group's former epoch, until the first choices or plan.
     former: Option<Estimate>,
     pressure: Pressure,
-    /// The skew of the map in force as it was computed last, in thousandths.
-    skew: u32,
+    /// Whether the skews that shifts leave exclude slow ranks, as under overload control.
+    excludes_slow_ranks: bool,
+    /// The skew of the map in force as it was computed last, in thousandths; `None` until
+    /// enough choices were counted.
+    skew: Option<u32>,
     /// Whether demand has shifted since the last plan.
     shifted: bool,
     /// When the last plan was computed that was not worth a round.
@@ -54,10 +57,11 @@
                 f64::from(shape.expert_part) / THOUSAND,
                 options.max_event_gap,
             ),
+            excludes_slow_ranks: false,
             former: None,
             shape,
             options,
-            skew: 0,
+            skew: None,
             shifted: false,
             rejected_at: None,
         }
@@ -93,9 +97,10 @@
         &self.shape
     }
 
-    /// Returns the skew of the map in force, 1 for even ranks, as it was computed last.
-    pub(crate) fn skew(&self) -> f64 {
-        f64::from(self.skew) / THOUSAND
+    /// Returns the skew of the map in force, 1 for even ranks, as it was computed last;
+    /// `None` until enough choices were counted.
+    pub(crate) fn skew(&self) -> Option<f64> {
+        self.skew.map(|skew| f64::from(skew) / THOUSAND)
     }
 
     /// Returns the skew that demand shifts usually leave, `None` before the first.
@@ -103,22 +108,35 @@
         self.pressure.shift_skew()
     }
 
-    /// Records the duration of a pass under `map`, and the utilisation of the group; returns
-    /// whether the skew of the map is known.
+    /// Starts from the skew that demand shifts usually left in the group's former epoch.
+    pub(crate) fn resume_shift_skew(&mut self, skew: Option<f64>) {
+        self.pressure.set_shift_skew(skew);
+    }
+
+    /// Leaves ranks that are slow out of the skews that shifts leave, for the limit.
+    pub(crate) const fn exclude_slow_ranks(&mut self) {
+        self.excludes_slow_ranks = true;
+    }
+
+    /// Records the duration of a pass under `map`, and the utilisation of the group.
     pub(crate) fn measure(
         &mut self,
         pass: Duration,
         map: &Map,
         slowdowns: &[f64],
         utilisation: f64,
-    ) -> bool {
+    ) {
         self.pressure.set_utilisation(utilisation);
-        self.skew = plan::skew_of(map, &self.estimate, slowdowns);
-        let known = self.estimate.total() > 0.0;
-        if known {
-            self.pressure.measure(pass, self.skew);
+        let choices = self.estimate.total();
+        if choices <= 0.0 {
+            return;
+        }
+        let skew = plan::skew_of(map, &self.estimate, slowdowns);
+        self.pressure.measure(pass, skew);
+        // The first choices show a far higher skew than there is.
+        if self.skew.is_some() || choices >= CHOICES_MIN {
+            self.skew = Some(skew);
         }
-        known
     }
 
     /// Adds the expert choices of a rank; returns whether they show a demand
@@ -139,7 +157,7 @@
         }
         let plan = self.compute(map, slowdowns)?;
         if std::mem::take(&mut self.shifted) {
-            self.record_shift(map, slowdowns);
+            self.record_shift(plan.before, map, slowdowns);
         }
         if plan.gain() >= ROUND_GAIN_MIN {
             return Some(plan);
@@ -156,15 +174,20 @@
         }
         let skew = f64::from(plan::skew_of(next, &self.estimate, slowdowns));
         let plan = self.compute(map, slowdowns)?;
-        self.record_shift(map, slowdowns);
+        self.record_shift(plan.before, map, slowdowns);
         (f64::from(plan.after) <= skew * (1.0 - REPLACE_GAIN_MIN)).then_some(plan)
     }
 
-    /// Records the skew that a shift has left. It doesn't include ranks that are slow at the
-    /// moment: after their recovery it would lower the limit until the next shifts.
-    fn record_shift(&mut self, map: &Map, slowdowns: &[f64]) {
-        let usual = vec![1.0; slowdowns.len()];
-        let skew = plan::skew_of(map, &self.estimate, &usual);
+    /// Records the skew that a shift has left, `skew` with slow ranks. Under overload control
+    /// it doesn't include ranks that are slow at the moment: after their recovery it would
+    /// lower the limit until the next shifts.
+    fn record_shift(&mut self, skew: u32, map: &Map, slowdowns: &[f64]) {
+        let skew = if self.excludes_slow_ranks {
+            let usual = vec![1.0; slowdowns.len()];
+            plan::skew_of(map, &self.estimate, &usual)
+        } else {
+            skew
+        };
         self.pressure.record_shift(skew);
     }
 
@@ -177,7 +200,7 @@
             slowdowns,
         };
         let plan = plan::plan(map, &self.estimate, &self.shape, &self.options, &group);
-        self.skew = plan.before;
+        self.skew = Some(plan.before);
         Some(plan)
     }
 }
