fix: log the age of a group's limit at the choice

Cause: the line at the end of a send stated the age at the start of the round. Change: the time at which the limit in force was received is kept. Result: tests of the gateway and of groups of ranks pass.

--- a/crates/gateway/src/fleet/groups/choice.rs
+++ b/crates/gateway/src/fleet/groups/choice.rs
@@ -17,7 +17,7 @@
     /// The requests per slot at the start of the round.
     pub(crate) fill: f64,
     pub(crate) limit: Ceiling,
-    /// The age of the limit at the start of the round, if the leader stated it.
+    /// The age of the limit, if the leader stated it.
     pub(crate) limit_age: Option<Duration>,
 }
 
@@ -57,7 +57,7 @@
             let group = groups.swap_remove(at);
             match self.start(service, criteria, Some(group), now, rng) {
                 Ok((choice, attempt)) => {
-                    let standing = self.record_start(service, group);
+                    let standing = self.record_start(service, group, now);
                     return Ok((choice, attempt, standing));
                 }
                 Err(ineligible) => error = Some(ineligible),
@@ -106,16 +106,21 @@
     }
 
     /// Records that a request starts in a group; returns what is known of the group.
-    fn record_start(&mut self, service: &str, group: route::Group) -> Option<Standing> {
+    fn record_start(
+        &mut self,
+        service: &str,
+        group: route::Group,
+        now: Instant,
+    ) -> Option<Standing> {
         let groups = self.groups.services.get_mut(service)?;
         let group = groups.iter_mut().find(|row| row.id == group)?;
         group.allowance.record_start();
-        let (limit, limit_age) = group.in_force;
+        let (limit, received) = group.in_force;
         Some(Standing {
             group: group.name.clone(),
             fill: group.fill(),
             limit,
-            limit_age,
+            limit_age: received.map(|at| now.saturating_duration_since(at)),
         })
     }
 
--- a/crates/gateway/src/fleet/groups/group.rs
+++ b/crates/gateway/src/fleet/groups/group.rs
@@ -24,8 +24,8 @@
     pub(super) allowance: Allowance,
     /// The sums over its endpoints.
     pub(super) tally: Tally,
-    /// The limit of this round, with its age if the leader states it.
-    pub(super) in_force: (Ceiling, Option<Duration>),
+    /// The limit of this round, and when it was received if the leader stated it.
+    pub(super) in_force: (Ceiling, Option<Instant>),
     /// The limit that was logged last, and whether the leader stated it.
     logged: Option<(Ceiling, bool)>,
     /// When it last had endpoints.
@@ -121,7 +121,7 @@
         let stated = self.limit.stated(now);
         let limit = stated.map_or(modelled, |(limit, _)| limit).min(bound);
         let age = stated.map(|(_, age)| age);
-        self.in_force = (limit, age);
+        self.in_force = (limit, age.and_then(|age| now.checked_sub(age)));
         let is_logged = self.logged.is_some_and(|(logged, was_stated)| {
             let change = (limit.per_slot() - logged.per_slot()).abs();
             was_stated == stated.is_some() && change < LOGGED_CHANGE * logged.per_slot()
