fix: average the predicted first event that waits are computed from

Cause: a wait was what the target leaves after the last prediction, and a single long prompt made all waits hopeless until another request started. Change: a moving average over about eight starts.

--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -97,7 +97,7 @@
     /// Records the prediction for a request that starts.
     fn record_forecast(&self, key: &Key, forecast: &Forecast, now: Instant) {
         let first_event = forecast.first.saturating_sub(forecast.slot_wait);
-        self.with(key, now, |line| line.first_event = Some(first_event));
+        self.with(key, now, |line| line.record_first_event(first_event));
     }
 
     /// Wakes the requests of a service that start next.
--- a/crates/gateway/src/waiting/line.rs
+++ b/crates/gateway/src/waiting/line.rs
@@ -12,6 +12,10 @@
 
 use crate::request::Call;
 
+/// The weight of a prediction in the moving average. A single long prompt must not make all
+/// waits look hopeless, since a new prediction is only made when a request starts.
+const FORECAST_WEIGHT: f64 = 1.0 / 8.0;
+
 /// Identifies a queue: the requests in it may go to the same endpoints.
 #[identifier]
 pub(crate) struct Key {
@@ -46,8 +50,8 @@
     pub(super) queue: Queue,
     /// Wakes each waiting request.
     bells: Table<Ticket, Rc<Notify>>,
-    /// The last predicted time from a request's start to its first event.
-    pub(super) first_event: Option<Duration>,
+    /// The moving average of the predicted times from a request's start to its first event.
+    first_event: Option<Duration>,
 }
 
 impl Line {
@@ -59,6 +63,19 @@
         }
     }
 
+    /// Returns the predicted time from a request's start to its first event, if any was
+    /// predicted.
+    pub(super) const fn first_event(&self) -> Option<Duration> {
+        self.first_event
+    }
+
+    /// Records the predicted time from a request's start to its first event.
+    pub(super) fn record_first_event(&mut self, predicted: Duration) {
+        let known = self.first_event.unwrap_or(predicted);
+        let weighted = predicted.mul_f64(FORECAST_WEIGHT);
+        self.first_event = Some(known.mul_f64(1.0 - FORECAST_WEIGHT) + weighted);
+    }
+
     /// Gives a request a place. Requests that lose theirs are woken, so that they end.
     pub(super) fn push(
         &mut self,
--- a/crates/gateway/src/waiting/turn.rs
+++ b/crates/gateway/src/waiting/turn.rs
@@ -56,7 +56,7 @@
 /// to the first event.
 fn first_wait(shared: &SharedState, call: &Call) -> Duration {
     let target = call.resolved.route.target_latency;
-    let first_event = |line: &mut Line| line.first_event;
+    let first_event = |line: &mut Line| line.first_event();
     let predicted = shared
         .waiting
         .with(&Key::of(call), call.arrived, first_event);
