fix: try again when an endpoint may first get a request

Cause: a retry or moved stream that found all endpoints withheld on arrival waited for the next wake-up, though the time of the first release is known. Change: its first wait ends at that time, as later ones do.

--- a/crates/gateway/src/waiting/turn.rs
+++ b/crates/gateway/src/waiting/turn.rs
@@ -74,12 +74,14 @@
     entrant: &Entrant,
 ) -> Result<(Endpoint, Running), Unstarted> {
     let (key, now) = (Key::of(call), clock::now());
+    let mut until = entrant.latest_start;
     if !shared.waiting.holds_back(&key, entrant.class) {
         match exchange::choose(shared, call, tried, now) {
             Ok(chosen) => return Ok(started(shared, &key, chosen, now)),
             Err(Unserved::Busy) => {}
-            Err(Unserved::None(error))
-                if entrant.kind != Kind::First && next_try(&error, entrant, now).is_some() => {}
+            Err(Unserved::None(error)) if entrant.kind != Kind::First => {
+                until = retry_time(error, entrant, now)?;
+            }
             Err(unserved) => return Err(Unstarted::Unserved(unserved)),
         }
     }
@@ -87,19 +89,20 @@
         return Err(Unstarted::Stopping);
     }
     let seat = Seat::take(shared, call, entrant, now).map_err(|_| refused(shared, &key, now))?;
-    wait(shared, call, tried, entrant, &seat).await
+    wait(shared, call, tried, entrant, &seat, until).await
 }
 
-/// Waits in the queue until the request starts or is refused.
+/// Waits in the queue until the request starts or is refused. It tries to start at `until` if
+/// it is not woken before.
 async fn wait(
     shared: &Rc<SharedState>,
     call: &Call,
     tried: &[name::Endpoint],
     entrant: &Entrant,
     seat: &Seat,
+    mut until: Instant,
 ) -> Result<(Endpoint, Running), Unstarted> {
     let key = Key::of(call);
-    let mut until = entrant.latest_start;
     loop {
         seat.sleep(until).await;
         until = entrant.latest_start;
@@ -122,29 +125,30 @@
                 return Ok(started(shared, &key, chosen, now));
             }
             Err(Unserved::Busy) => {}
-            Err(Unserved::None(error)) => match next_try(&error, entrant, now) {
-                Some(next) => until = next,
-                None => return Err(Unstarted::Unserved(Unserved::None(error))),
-            },
+            Err(Unserved::None(error)) => until = retry_time(error, entrant, now)?,
             Err(Unserved::Held) => return Err(Unstarted::Unserved(Unserved::Held)),
         }
     }
 }
 
-/// Returns when a request for which no endpoint is eligible tries again at the latest; `None`
-/// if no endpoint can become eligible by its latest start.
-fn next_try(error: &choice::Error, entrant: &Entrant, now: Instant) -> Option<Instant> {
-    match *error {
+/// Returns when a request for which no endpoint is eligible tries again at the latest.
+///
+/// # Errors
+///
+/// Returns `error` if no endpoint can become eligible by the request's latest start.
+fn retry_time(error: choice::Error, entrant: &Entrant, now: Instant) -> Result<Instant, Unstarted> {
+    let time = match error {
         // A load report that states that a group is open again wakes the head.
         choice::Error::Unavailable { unreachable, .. } => {
             (unreachable > 0).then_some(entrant.latest_start)
         }
         choice::Error::Withheld { first, .. } => {
-            let first = first.filter(|first| *first < entrant.latest_start)?;
-            Some(first.max(now + RETRY_PAUSE))
+            let first = first.filter(|first| *first < entrant.latest_start);
+            first.map(|first| first.max(now + RETRY_PAUSE))
         }
         choice::Error::Unknown | choice::Error::Exhausted { .. } => None,
-    }
+    };
+    time.ok_or(Unstarted::Unserved(Unserved::None(error)))
 }
 
 fn started(
