feat: late requests wait on and may use capacity beyond their class

Change: such a request waits on as overdue until 1.2 s after its arrival and is then given the whole limit of the group; a caller's retry may fill half of the slots beyond the limit before it is lost. The limit allows passes of 0.9 of the longest gap.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,6 +5,7 @@
 
 use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::name;
+use cactusnotch_overload::Reach;
 use cactusnotch_route::{attempt::End, choice};
 use http::response::Parts;
 use http::{Response, StatusCode, header};
@@ -65,6 +66,18 @@
     call: &Call,
     tried: &[name::Endpoint],
     now: Instant,
+) -> Result<(Endpoint, Running), Unserved> {
+    choose_within(shared, call, tried, call.class.map(Reach::Class), now)
+}
+
+/// Selects an endpoint in a group of which the request may fill the part `reach`, and counts
+/// the request there.
+pub(crate) fn choose_within(
+    shared: &Rc<SharedState>,
+    call: &Call,
+    tried: &[name::Endpoint],
+    reach: Option<Reach>,
+    now: Instant,
 ) -> Result<(Endpoint, Running), Unserved> {
     let service = &call.resolved.service;
     let regions = call.resolved.allowed_regions.as_ref();
@@ -79,7 +92,7 @@
         return Err(Unserved::Held);
     }
     shared.drop_missing(now);
-    let (choice, attempt, standing) = start(shared, call, &criteria, now)?;
+    let (choice, attempt, standing) = start(shared, call, &criteria, reach, now)?;
     let endpoint = shared.fleet.borrow().get(choice.endpoint.as_str()).cloned();
     let Some(endpoint) = endpoint else {
         return Err(Unserved::None(choice::Error::Unknown));
@@ -114,19 +127,20 @@
     shared: &SharedState,
     call: &Call,
     criteria: &Criteria<'_>,
+    reach: Option<Reach>,
     now: Instant,
 ) -> Result<Chosen, Unserved> {
     let service = &call.resolved.service;
     let entries = shared.peers.borrow().count();
     let mut fleet = shared.fleet.borrow_mut();
     let mut rng = shared.rng.borrow_mut();
-    let Some(class) = call.class.filter(|_| fleet.has_groups(service)) else {
+    let Some(reach) = reach.filter(|_| fleet.has_groups(service)) else {
         let started = fleet.start(service, criteria, None, now, &mut rng);
         let (choice, attempt) = started.map_err(Unserved::None)?;
         return Ok((choice, attempt, None));
     };
     fleet.renew_groups(entries, now, &mut *rng);
-    let started = fleet.start_in_group(service, class, criteria, now, &mut rng);
+    let started = fleet.start_in_group(service, reach, criteria, now, &mut rng);
     started.map_err(|shortage| match shortage {
         Shortage::Busy => Unserved::Busy,
         Shortage::None(error) => Unserved::None(error),
--- a/crates/gateway/src/fleet/groups/choice.rs
+++ b/crates/gateway/src/fleet/groups/choice.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cactusnotch_base::clock::Instant;
-use cactusnotch_overload::{Candidate, Ceiling, Class, candidate};
+use cactusnotch_overload::{Candidate, Ceiling, Reach, candidate};
 use cactusnotch_route::{self as route, Attempt, Choice, Load, Member, choice};
 use rand::rngs::SmallRng;
 
@@ -39,18 +39,18 @@
         self.groups.services.contains(service)
     }
 
-    /// Chooses a group with capacity for a request of `class`, then one of its endpoints, and
+    /// Chooses a group with capacity for a request of this `reach`, then one of its endpoints, and
     /// counts the request there. A request that was sent to an endpoint before may exceed the
     /// capacity.
     pub(crate) fn start_in_group(
         &mut self,
         service: &str,
-        class: Class,
+        reach: Reach,
         criteria: &Criteria<'_>,
         now: Instant,
         rng: &mut SmallRng,
     ) -> Result<Chosen, Shortage> {
-        let (mut groups, mut candidates) = self.candidates(service, class, criteria);
+        let (mut groups, mut candidates) = self.candidates(service, reach, criteria);
         let mut error = None;
         while let Some(at) = candidate::draw(&candidates, rng) {
             candidates.swap_remove(at);
@@ -78,12 +78,12 @@
         Ok((choice, attempt, None))
     }
 
-    /// Returns the groups with an eligible endpoint, with the room that they have for the class.
+    /// Returns the groups with an eligible endpoint, with the room that they have for the request.
     /// Groups without recent load reports count only if there are no others.
     fn candidates(
         &self,
         service: &str,
-        class: Class,
+        reach: Reach,
         criteria: &Criteria<'_>,
     ) -> (Vec<route::Group>, Vec<Candidate>) {
         let (Some(groups), Some(router)) =
@@ -101,7 +101,7 @@
             .iter()
             .filter(|(group, _)| group.is_reported() == any_reported);
         considered
-            .map(|(group, own)| (group.id, group.candidate(class, *own)))
+            .map(|(group, own)| (group.id, group.candidate(reach, *own)))
             .unzip()
     }
 
--- a/crates/gateway/src/fleet/groups/group.rs
+++ b/crates/gateway/src/fleet/groups/group.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cactusnotch_base::clock::Instant;
-use cactusnotch_overload::{Allowance, Candidate, Ceiling, Class, Limit, Occupancy};
+use cactusnotch_overload::{Allowance, Candidate, Ceiling, Limit, Occupancy, Reach};
 use cactusnotch_route as route;
 use cactusnotch_telemetry::metric;
 use rand::Rng;
@@ -101,10 +101,10 @@
         self.is_reported() || self.tally.silent_slots > 0
     }
 
-    /// Returns the group's room for requests of a class while the entry holds `own`.
-    pub(super) fn candidate(&self, class: Class, own: u32) -> Candidate {
+    /// Returns the group's room for requests of this reach while the entry holds `own`.
+    pub(super) fn candidate(&self, reach: Reach, own: u32) -> Candidate {
         Candidate {
-            room: self.allowance.room(class, own),
+            room: self.allowance.room(reach, own),
             is_preferred: self.tally.avoided < self.tally.reported,
         }
     }
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -379,7 +379,7 @@
         let remaining = self.call.deadline.remaining();
         let draw = self.shared.rng.borrow_mut().random();
         let after = match self.clear {
-            Some(clear) => refusal.retry_after_queue(remaining, clear, draw),
+            Some(_) => refusal.retry_after(remaining, draw),
             None => refusal.retry_after(remaining, draw),
         };
         response::own::<D>(&self.shared, refusal, after)
--- a/crates/gateway/src/waiting/turn.rs
+++ b/crates/gateway/src/waiting/turn.rs
@@ -6,7 +6,7 @@
 use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::name;
 use cactusnotch_overload::queue::Entrant;
-use cactusnotch_overload::{Class, Kind};
+use cactusnotch_overload::{Class, Kind, Reach};
 use cactusnotch_route::choice;
 
 use super::line::{Key, Line};
@@ -24,7 +24,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// How long a request that can no longer be on time waits from its arrival. Callers give up
 /// after two seconds without an event, and the first one takes some of that time.
-const LATE_WAIT: Duration = Duration::from_millis(1_400);
+const LATE_WAIT: Duration = Duration::from_millis(1_200);
 
 /// Why a request was not started.
 #[derive(Debug)]
@@ -109,7 +109,9 @@
     if shared.closing.get() {
         return Err(Unstarted::Stopping);
     }
-    let seat = Seat::take(shared, call, entrant, now).map_err(|_| refused(shared, &key, now))?;
+    let Ok(seat) = Seat::take(shared, call, entrant, now) else {
+        return last_try(shared, call, tried, entrant, now);
+    };
     wait(shared, call, tried, entrant, &seat, until).await
 }
 
@@ -132,8 +134,13 @@
             return Err(Unstarted::Stopping);
         }
         if let Some(cause) = seat.refusal(now) {
-            seat.record_refusal(call, entrant, cause, now);
-            return Err(refused(shared, &key, now));
+            let chosen = last_try(shared, call, tried, entrant, now);
+            if chosen.is_err() {
+                seat.record_refusal(call, entrant, cause, now);
+            } else {
+                seat.record_start(call, entrant, now);
+            }
+            return chosen;
         }
         if !seat.is_next() {
             // A request that arrived later has gone ahead.
@@ -152,6 +159,27 @@
     }
 }
 
+/// Starts a late request that would otherwise be refused if the group has capacity beyond
+/// what its class may fill.
+fn last_try(
+    shared: &Rc<SharedState>,
+    call: &Call,
+    tried: &[name::Endpoint],
+    entrant: &Entrant,
+    now: Instant,
+) -> Result<(Endpoint, Running), Unstarted> {
+    let key = Key::of(call);
+    let reach = match entrant.kind {
+        Kind::First => return Err(refused(shared, &key, now)),
+        Kind::Overdue => Reach::Limit,
+        Kind::Returned | Kind::Moved => Reach::Slots,
+    };
+    match exchange::choose_within(shared, call, tried, Some(reach), now) {
+        Ok(chosen) => Ok(started(shared, &key, chosen, now)),
+        Err(_) => Err(refused(shared, &key, now)),
+    }
+}
+
 /// Returns when a request for which no endpoint is eligible tries again at the latest.
 ///
 /// # Errors
--- a/crates/overload/src/allowance.rs
+++ b/crates/overload/src/allowance.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 
 use crate::growth::Growth;
-use crate::{Ceiling, Class, Occupancy};
+use crate::{Ceiling, Class, Occupancy, Reach};
 
 /// The time between two rounds of load reports.
 pub const ROUND: Duration = Duration::from_millis(250);
@@ -43,6 +43,8 @@
 pub struct Allowance {
     /// The limits of the entry's own requests, by class.
     limits: [u32; CLASSES],
+    /// The same for requests that may fill slots beyond the limit.
+    beyond: u32,
     /// The own requests at the start of the round.
     held: u32,
     /// The gain of this round before rounding, for the most urgent class.
@@ -92,6 +94,8 @@
             *most = round_by_chance(round.own + self.offset_disuse(gain), rng);
         }
         self.limits = limits;
+        let ceiling = Reach::Slots.ceiling(limit, reserve).per_slot() * slots;
+        self.beyond = round_by_chance(round.own + round.gain(ceiling), rng);
         self.held = occupancy.own;
         self.others = round.others / slots.max(1.0);
     }
@@ -111,12 +115,18 @@
             let ceiling = Class::numbered(number).ceiling(limit, reserve);
             *most = round_by_chance(ceiling.per_slot() * share, rng);
         }
+        self.beyond = self.limits[0];
     }
 
-    /// Returns how many more requests of a class may start while the entry holds `own`.
+    /// Returns how many more requests that may fill this part of the group may start while
+    /// the entry holds `own`.
     #[must_use]
-    pub fn room(&self, class: Class, own: u32) -> u32 {
-        let most = self.limits.get(usize::from(class.number()));
+    pub fn room(&self, reach: Reach, own: u32) -> u32 {
+        let most = match reach {
+            Reach::Class(class) => self.limits.get(usize::from(class.number())).copied(),
+            Reach::Limit => self.limits.first().copied(),
+            Reach::Slots => Some(self.beyond),
+        };
         most.map_or(0, |most| most.saturating_sub(own))
     }
 
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod occupancy;
 pub mod options;
 pub mod queue;
+pub mod reach;
 pub mod ticket;
 
 mod drain;
@@ -44,4 +45,5 @@
 pub use occupancy::Occupancy;
 pub use options::Options;
 pub use queue::Queue;
+pub use reach::Reach;
 pub use ticket::Ticket;
--- a/crates/overload/src/model.rs
+++ b/crates/overload/src/model.rs
@@ -6,7 +6,7 @@
 
 /// The longest pass at which streams are on time, as a fraction of the longest gap between
 /// events: some passes take a quarter longer than the mean.
-const PASS_RATIO_MAX: f64 = 0.8;
+const PASS_RATIO_MAX: f64 = 0.9;
 /// The lowest limit, as a fraction of the slots: a group that runs nothing measures nothing.
 pub(crate) const FILL_MIN: f64 = 0.25;
 
