fix: the former demand has no effect without overload control

Cause: a leader planned the first map of an epoch from the demand of the former one also for services that overload control doesn't apply to, which are to be served as before. Change: what a leader had estimated and measured is kept until its requests are limited, and handed on only by a leader whose requests are limited.

--- a/crates/rebalance/src/coordinator.rs
+++ b/crates/rebalance/src/coordinator.rs
@@ -19,8 +19,8 @@
 use self::stage::Stage;
 use crate::Shape;
 use crate::codec::Order;
+use crate::former::Former;
 use crate::map::Map;
-use crate::measured::Measured;
 use crate::message::{Phase, Progress, Round, Status};
 use crate::plan::{self, Plan};
 use crate::state::{Maps, Place};
@@ -66,8 +66,9 @@
     arming: Arming,
     /// The limit of the group's running requests, under overload control.
     limit: Option<Limit>,
-    /// The measurements of the group's former epoch, until requests are limited.
-    measured: Option<Measured>,
+    /// What was estimated and measured in the group's former epoch, until requests are
+    /// limited.
+    former: Option<Former>,
     /// The progress of the round as it was last announced, and when.
     announced: Option<(Progress, Instant)>,
     /// How far the next version is above all versions seen so far.
@@ -104,7 +105,7 @@
             released_step: None,
             arming: Arming::default(),
             limit: None,
-            measured: None,
+            former: None,
             announced: None,
             version_gap: 1 + term % VERSION_SPAN,
         }
--- a/crates/rebalance/src/coordinator/former.rs
+++ b/crates/rebalance/src/coordinator/former.rs
@@ -1,18 +1,14 @@
 //! Hands what was estimated and measured on to the group's next epoch.
 
 use super::Coordinator;
-use super::limit::Limit;
 use crate::former::Former;
 use crate::measured::Measured;
 
 impl Coordinator {
-    /// Starts from the demand and the measurements of a former epoch, if it is of the same
-    /// group.
+    /// Keeps the demand and the measurements of a former epoch, if it is of the same group,
+    /// until requests are limited. Without overload control they have no effect.
     pub(crate) fn resume(&mut self, former: Former) {
-        if former.group == self.place.group {
-            self.demand.resume(former.estimate);
-            self.measured = former.measured;
-        }
+        self.former = Some(former).filter(|former| former.group == self.place.group);
     }
 
     /// Returns whether the first map will be planned from the demand of a former epoch.
@@ -20,20 +16,18 @@
         self.demand.has_former()
     }
 
-    /// Returns the demand and the measurements for the group's next epoch.
-    pub(crate) fn into_former(self) -> Former {
+    /// Returns the demand and the measurements for the group's next epoch, `None` without
+    /// overload control.
+    pub(crate) fn into_former(self) -> Option<Former> {
+        let controller = self.limit?.into_controller();
         let shift_skew = self.demand.shift_skew();
-        let measured = self
-            .limit
-            .map(Limit::into_controller)
-            .map(|controller| Measured {
-                controller,
-                shift_skew,
-            });
-        Former {
+        Some(Former {
             group: self.place.group,
             estimate: self.demand.into_estimate(),
-            measured,
-        }
+            measured: Measured {
+                controller,
+                shift_skew,
+            },
+        })
     }
 }
--- a/crates/rebalance/src/coordinator/limit.rs
+++ b/crates/rebalance/src/coordinator/limit.rs
@@ -6,6 +6,7 @@
 use cactusnotch_overload::{Ceiling, Change, Conditions, Controller, Model};
 
 use super::Coordinator;
+use crate::former::Former;
 use crate::message::Phase;
 
 /// The least time between an announcement and another one for a changed limit.
@@ -31,11 +32,16 @@
 }
 
 impl Coordinator {
-    /// Limits the group's running requests from now on, to at most `ceiling`.
+    /// Limits the group's running requests from now on, to at most `ceiling`, and starts from
+    /// what a former epoch has left.
     pub fn limit_requests(&mut self, model: Model, ceiling: Ceiling) {
         self.demand.exclude_slow_ranks();
         let mut controller = Controller::new(model, ceiling);
-        if let Some(measured) = self.measured.take() {
+        if let Some(Former {
+            estimate, measured, ..
+        }) = self.former.take()
+        {
+            self.demand.resume(estimate);
             controller.resume(measured.controller);
             self.demand.resume_shift_skew(measured.shift_skew);
         }
--- a/crates/rebalance/src/rank.rs
+++ b/crates/rebalance/src/rank.rs
@@ -53,7 +53,7 @@
     }
 
     /// Drops all state, as the endpoint has restarted, except what was estimated and measured
-    /// of the demand and the engine: both remain the same.
+    /// of the demand and the engine under overload control: both remain the same.
     pub fn restart(&mut self) {
         self.end_lead();
         self.member = Member::default();
@@ -61,14 +61,14 @@
 
     fn end_lead(&mut self) {
         if let Some(coordinator) = self.coordinator.take() {
-            self.former = Some(coordinator.into_former());
+            self.former = coordinator.into_former();
         }
     }
 
     /// Starts to lead if this is rank 0; returns whether that is new. `term` is a number
     /// that is unique to this incarnation of the process. If this process has led the group
-    /// in a former epoch, the first map is planned from the demand that it had estimated, and
-    /// the limit starts from what it had measured.
+    /// in a former epoch and its requests are limited, the first map is planned from the
+    /// demand that it had estimated, and the limit starts from what it had measured.
     pub fn lead(&mut self, place: &Place, shape: Shape, options: plan::Options, term: u64) -> bool {
         let new = place.rank == 0 && self.coordinator.is_none();
         if new {
--- a/crates/rebalance/tests/former.rs
+++ b/crates/rebalance/tests/former.rs
@@ -46,6 +46,20 @@
     assert_eq!(first_round(new, BREAK), None);
 }
 
+/// Guards against a first plan that differs from that of earlier deployments although overload
+/// control doesn't apply to the service.
+#[test]
+fn the_demand_of_the_former_epoch_has_no_effect_without_overload_control() {
+    for (before, after) in [(false, false), (true, false), (false, true)] {
+        let mut group = Group::new();
+        (group.gain, group.unit, group.counts) = (0.01, 100.0, [255, 10, 10, 10]);
+        group.limited = before;
+        group.run(1);
+        (group.unit, group.epoch, group.limited) = (0.0, 2, after);
+        assert_eq!(first_round(group, BREAK), None, "{before}, then {after}");
+    }
+}
+
 #[test]
 fn a_demand_that_is_old_or_of_few_choices_or_another_group_is_dropped() {
     assert_eq!(first_round(former(100.0), Duration::from_mins(1)), None);
