fix: limits of new epochs, of epochs numbered anew and of garbled reports

Cause: entries used the skew of a shift for a group under map 0, whose skew is larger; ignored the limits of a group for good whose epochs went back; closed a group for a stated limit of zero; and, after a single garbled report of 2^32 requests, refused a group's requests for over 20 s. Endpoints that state no slots counted as a closed group. Two constants gave the validity of a limit, and two rules the change that is logged; a limit of zero was logged with each round. Change: the model at the skew of map 0 is in force for 5 s of an epoch in which no limit was stated; an earlier epoch counts 5 s after the last report of the latest; ranks and entries filter stated limits alike; at most twice an endpoint's slots count as requests of others, sums saturate, and an endpoint has at least one slot, as for the router. The metrics of groups are cleared when overload control ends for their service. Red without: each of the mechanisms of Limit; the bound of others (20 s without a served stream); the limit of map 0.

--- a/crates/gateway/src/fleet/groups.rs
+++ b/crates/gateway/src/fleet/groups.rs
@@ -7,6 +7,7 @@
 
 mod choice;
 mod group;
+mod modelled;
 mod service;
 
 use cactusnotch_base::clock::Instant;
@@ -32,6 +33,9 @@
     pub(crate) fn configure_groups(&mut self, configuration: &Configuration, options: &Options) {
         let services = &mut self.groups.services;
         let controlled = |name: &str| configuration.controls_overload(name, options.mode);
+        for (_, service) in services.iter().filter(|(name, _)| !controlled(name)) {
+            service.clear_metrics();
+        }
         services.retain(|name, _| controlled(name));
         for service in configuration.services() {
             let gap = configuration.max_event_gap(&service.name);
@@ -113,7 +117,7 @@
                     .tally
                     .add_reported(endpoint.slots, row.others, age, avoided);
             } else {
-                group.tally.silent_slots += endpoint.slots;
+                group.tally.add_silent(endpoint.slots);
             }
         }
     }
--- a/crates/gateway/src/fleet/groups/group.rs
+++ b/crates/gateway/src/fleet/groups/group.rs
@@ -8,10 +8,13 @@
 use cactusnotch_telemetry::metric;
 use rand::Rng;
 
+use super::modelled::Modelled;
 use crate::journal::millis;
 
-/// The change of a limit from which it is logged, as a fraction of the limit.
-const LOGGED_CHANGE: f64 = 0.05;
+/// The most requests of other entries for each slot of an endpoint that count. More would
+/// have no further effect but keep the group closed for as long as the allowance takes to
+/// accept their end: 20 s after a single garbled report.
+const OTHERS_MAX: u32 = 2;
 
 /// A group of ranks, as this entry knows it.
 #[derive(Debug)]
@@ -48,19 +51,26 @@
     /// The sum of the reports' ages.
     ages: Duration,
     /// The slots of endpoints without a recent load report.
-    pub(super) silent_slots: u32,
+    silent_slots: u32,
 }
 
 impl Tally {
-    /// Adds an endpoint with a recent load report.
+    /// Adds an endpoint with a recent load report. One that states no slots has one, as for the
+    /// router.
     pub(super) fn add_reported(&mut self, slots: u32, others: u32, age: Duration, avoided: bool) {
-        self.slots += slots;
-        self.others += others;
+        self.slots = self.slots.saturating_add(slots.max(1));
+        let others = others.min(slots.max(1).saturating_mul(OTHERS_MAX));
+        self.others = self.others.saturating_add(others);
         self.reported += 1;
         self.avoided += u32::from(avoided);
         self.ages += age;
     }
 
+    /// Adds an endpoint without a recent load report.
+    pub(super) fn add_silent(&mut self, slots: u32) {
+        self.silent_slots = self.silent_slots.saturating_add(slots.max(1));
+    }
+
     fn occupancy(&self, sharers: u32) -> Occupancy {
         Occupancy {
             own: self.own,
@@ -109,22 +119,26 @@
         }
     }
 
-    /// Determines the limit in force, bounded by `bound`: the stated one, or `modelled` if
-    /// that is too old.
+    /// Determines the limit in force, bounded by `bound`: the stated one, or one that is
+    /// `modelled` if that is too old or the group has just formed.
     pub(super) fn set_limit(
         &mut self,
         service: &str,
-        modelled: Ceiling,
+        modelled: Modelled,
         bound: Ceiling,
         now: Instant,
     ) {
         let stated = self.limit.stated(now);
-        let limit = stated.map_or(modelled, |(limit, _)| limit).min(bound);
+        let unstated = if self.limit.is_forming(now) {
+            modelled.forming
+        } else {
+            modelled.usual
+        };
+        let limit = stated.map_or(unstated, |(limit, _)| limit).min(bound);
         let age = stated.map(|(_, age)| age);
         self.in_force = (limit, age.and_then(|age| now.checked_sub(age)));
         let is_logged = self.logged.is_some_and(|(logged, was_stated)| {
-            let change = (limit.per_slot() - logged.per_slot()).abs();
-            was_stated == stated.is_some() && change < LOGGED_CHANGE * logged.per_slot()
+            was_stated == stated.is_some() && !limit.differs(logged)
         });
         if is_logged || !self.is_open() {
             return;
@@ -172,7 +186,7 @@
 
     /// Returns the requests per slot at endpoints with recent load reports.
     pub(super) fn fill(&self) -> f64 {
-        let requests = self.tally.own + self.tally.others;
+        let requests = self.tally.own.saturating_add(self.tally.others);
         f64::from(requests) / f64::from(self.tally.slots.max(1))
     }
 }
--- a/crates/gateway/src/fleet/groups/service.rs
+++ b/crates/gateway/src/fleet/groups/service.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 
 use super::Group;
+use super::modelled::Modelled;
 use crate::configuration::Engine;
 use crate::peer::Load;
 
@@ -24,8 +25,8 @@
 pub(super) struct Service {
     /// The groups in the order in which they were first seen.
     groups: Vec<Group>,
-    /// The limit that the configuration yields, for groups whose leader states none.
-    modelled: Ceiling,
+    /// The limits that the configuration yields, for groups whose leader states none.
+    modelled: Modelled,
     options: Options,
     max_event_gap: Duration,
     /// When the next round is due; `None` if at once.
@@ -49,7 +50,10 @@
             expert_share: f64::from(experts) / THOUSAND,
             max_event_gap: gap,
         };
-        self.modelled = model.ceiling(model::SHIFT_SKEW, 0.0);
+        self.modelled = Modelled {
+            usual: model.ceiling(model::SHIFT_SKEW, 0.0),
+            forming: model.ceiling(model::MAP_0_SKEW, 0.0),
+        };
         self.options = *options;
         self.max_event_gap = gap;
     }
@@ -149,4 +153,9 @@
         }
         self.groups.retain(is_kept);
     }
+
+    /// Sets the metrics of groups that are no longer kept.
+    pub(super) fn clear_metrics(&self) {
+        self.groups.iter().for_each(Group::clear_metrics);
+    }
 }
--- a/crates/overload/src/ceiling.rs
+++ b/crates/overload/src/ceiling.rs
@@ -41,6 +41,14 @@
         self.min(Self::FULL)
     }
 
+    /// Returns a ceiling that another process states as it is to be used: at most
+    /// [`Ceiling::FULL`], and none for zero, which no leader states and which would close the
+    /// group without an error.
+    #[must_use]
+    pub fn received(self) -> Option<Self> {
+        (self.0 > 0).then(|| self.sanitized())
+    }
+
     /// Returns whether the ceiling differs from `other` by 5% of that or more.
     #[must_use]
     pub fn differs(self, other: Self) -> bool {
--- a/crates/overload/src/limit.rs
+++ b/crates/overload/src/limit.rs
@@ -6,14 +6,22 @@
 
 use crate::Ceiling;
 
-/// How long a stated limit is valid. A leader states it at least every 0.5 s, so this covers
-/// the loss of one statement.
+/// How long a stated limit is valid, at the ranks that report it and at the entries. A leader
+/// states it at least every 0.5 s, so this covers the loss of one statement.
 pub const VALID_TIME: Duration = Duration::from_millis(1_200);
+/// How long an epoch is new: a leader that has started with its group plans the first map and
+/// states a limit well within it, also if its agent has restarted.
+pub const NEW_TIME: Duration = Duration::from_secs(5);
+/// The time without a report of the latest epoch after which an earlier one counts, as it may
+/// if epochs are numbered anew. Ranks report four times a second.
+pub const EPOCH_TIME: Duration = Duration::from_secs(5);
 
 /// The limit of a group as the leader of its latest epoch states it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Limit {
     epoch: u64,
+    /// When the epoch was first and last reported.
+    reported: Option<(Instant, Instant)>,
     /// The last stated limit, with the time at which it was received.
     stated: Option<(Ceiling, Instant)>,
 }
@@ -26,19 +34,25 @@
     }
 
     /// Applies the epoch and the limit of a load report; returns whether the epoch is new. A
-    /// report of an earlier epoch has no effect.
+    /// report of an earlier epoch has no effect while the latest is still reported.
     pub fn apply(&mut self, epoch: u64, limit: Option<Ceiling>, now: Instant) -> bool {
-        if epoch < self.epoch {
+        let is_silent = |at| now.saturating_duration_since(at) >= EPOCH_TIME;
+        let is_new = match self.reported {
+            None => true,
+            Some((_, last)) => epoch > self.epoch || (epoch < self.epoch && is_silent(last)),
+        };
+        if !is_new && epoch < self.epoch {
             return false;
         }
-        let is_new = epoch > self.epoch;
         if is_new {
             *self = Self {
                 epoch,
-                stated: None,
+                ..Self::default()
             };
         }
-        if let Some(limit) = limit {
+        let first = self.reported.map_or(now, |(first, _)| first);
+        self.reported = Some((first, now));
+        if let Some(limit) = limit.and_then(Ceiling::received) {
             self.stated = Some((limit, now));
         }
         is_new
@@ -51,4 +65,12 @@
         let age = now.saturating_duration_since(at);
         (age <= VALID_TIME).then_some((limit, age))
     }
+
+    /// Returns whether the group has just formed: its epoch is new, and no limit was stated in
+    /// it. Map 0 is in force then.
+    #[must_use]
+    pub fn is_forming(&self, now: Instant) -> bool {
+        let is_recent = |(first, _)| now.saturating_duration_since(first) < NEW_TIME;
+        self.stated.is_none() && self.reported.is_some_and(is_recent)
+    }
 }
--- a/crates/overload/tests/stated.rs
+++ b/crates/overload/tests/stated.rs
@@ -57,3 +57,59 @@
     assert_eq!(new, [true, false, true, false, false]);
     assert_eq!(limit.epoch(), 3);
 }
+
+/// Guards against a group whose stated limits are ignored for good after its epochs were
+/// numbered anew, and against a rank of an earlier epoch that ends the latest one.
+#[test]
+fn an_earlier_epoch_counts_once_the_latest_is_not_reported() {
+    let start = clock::now();
+    let early = start + limit::EPOCH_TIME.saturating_sub(Duration::from_millis(1));
+    let late = start + limit::EPOCH_TIME;
+    let mut group = Limit::default();
+    let stated = Some(Ceiling::new(0.5));
+    assert!(group.apply(9, None, start));
+    assert!(!group.apply(1, stated, early));
+    assert_eq!((group.epoch(), group.stated(early)), (9, None));
+    assert!(group.apply(1, stated, late));
+    assert!(!group.apply(1, stated, late));
+    assert_eq!(group.epoch(), 1);
+    assert!(group.stated(late).is_some());
+    // The latest epoch is reported on and on.
+    assert!(group.apply(9, None, late));
+    assert!(!group.apply(9, None, late + limit::EPOCH_TIME));
+    assert!(!group.apply(1, stated, late + limit::EPOCH_TIME));
+}
+
+/// Guards against the model of a balanced map for a group under map 0, and against that of map
+/// 0 once the leader has stated a limit or is silent for long.
+#[test]
+fn a_group_is_forming_until_a_limit_is_stated_or_its_epoch_is_old() {
+    let start = clock::now();
+    let last = start + limit::NEW_TIME.saturating_sub(Duration::from_millis(1));
+    let mut group = Limit::default();
+    assert!(!group.is_forming(start), "it belongs to no epoch");
+    group.apply(1, None, start);
+    group.apply(1, None, last);
+    assert!(group.is_forming(last));
+    assert!(!group.is_forming(start + limit::NEW_TIME));
+    group.apply(1, Some(Ceiling::new(0.5)), start);
+    assert!(!group.is_forming(start));
+    assert!(!group.is_forming(start + limit::VALID_TIME * 2));
+    group.apply(2, None, last);
+    assert!(group.is_forming(last + limit::VALID_TIME));
+}
+
+/// Guards against a garbled limit that closes a group or exceeds its slots.
+#[test]
+fn a_limit_beyond_the_slots_is_bounded_and_one_of_zero_is_none() {
+    let now = clock::now();
+    let ceiling = |thousandths: u16| -> Ceiling {
+        let value = ciborium::Value::from(thousandths);
+        value.deserialized().expect("it is a number")
+    };
+    let mut group = Limit::default();
+    group.apply(1, Some(ceiling(0)), now);
+    assert_eq!(group.stated(now), None);
+    group.apply(1, Some(ceiling(u16::MAX)), now);
+    assert_eq!(group.stated(now), Some((Ceiling::FULL, Duration::ZERO)));
+}
--- a/crates/rebalance/src/member.rs
+++ b/crates/rebalance/src/member.rs
@@ -1,19 +1,13 @@
 //! Decides what one rank's agent orders its own endpoint.
 
-use std::time::Duration;
-
 use cactusnotch_base::clock::Instant;
-use cactusnotch_overload::Ceiling;
+use cactusnotch_overload::{Ceiling, limit};
 
 use crate::codec::Order;
 use crate::map::Map;
 use crate::message::{Part, Phase, Progress, Round};
 use crate::state::{Maps, Place};
 
-/// How long a limit is reported after rank 0 stated it: rank 0 repeats it each 0.5 s, and one
-/// repetition may be lost.
-const LIMIT_LIFETIME: Duration = Duration::from_millis(1_200);
-
 /// The maps of the group as one rank's agent has received them, and the orders to its own
 /// endpoint that follow.
 #[derive(Debug, Default)]
@@ -142,8 +136,8 @@
     /// former limit, and so does one of zero, which no leader states.
     pub fn update_limit(&mut self, round: &Round, now: Instant) {
         if self.matches(&round.group, round.epoch) {
-            let limit = round.limit.filter(|limit| limit.per_slot() > 0.0);
-            self.limit = limit.map(|limit| (limit.sanitized(), now));
+            let limit = round.limit.and_then(Ceiling::received);
+            self.limit = limit.map(|limit| (limit, now));
         }
     }
 
@@ -152,7 +146,7 @@
     #[must_use]
     pub fn limit(&self, group: &str, epoch: u64, now: Instant) -> Option<Ceiling> {
         let (limit, at) = self.limit.filter(|_| self.matches(group, epoch))?;
-        (now.saturating_duration_since(at) <= LIMIT_LIFETIME).then_some(limit)
+        (now.saturating_duration_since(at) <= limit::VALID_TIME).then_some(limit)
     }
 
     /// Returns the limit if it has fallen by 5% or more since `sent`, which entries got.
