fix: overdue requests keep their place, and last tries keep to their part of the slots

Cause: a first attempt that became overdue was logged and counted as refused, and took a second seat. Moved streams weren't bound by the capacity of groups. Change: such a request is logged once as overdue and goes on waiting; a refusal is counted once; a start by the last try is logged with its reach. Beyond the limit, an entry assumes that the others have used all that it was given itself in the round that reports don't show. Streams whose endpoint is lost wait as moved until 1.5 s after their last event, and the retry budget is charged when they are about to be sent. Callers return after the recovery time instead of the time until the queue is empty. The times for which callers wait stand in caller_timeout.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+pub use crate::caller_timeout::RETURNED_WAIT;
+
 /// Ratios of a forward pass's time to the longest event gap that is still on time.
 /// Above the first, some streams are shed; from the second on, all are. Some passes
 /// take a quarter longer than usual, and a single gap that is too long makes the whole
@@ -18,10 +20,6 @@
 /// are up to a quarter of a second old, and several entries see the same free slots.
 const RETURNED_UTILISATION: f64 = 50.0;
 const RETURNED_UTILISATION_LAST: f64 = 75.0;
-/// How long a returning caller waits for a free slot. A caller that is refused again is
-/// lost, and callers give up after two seconds without an event.
-pub const RETURNED_WAIT: Duration = Duration::from_secs(1);
-
 /// Whether a request is a caller's first attempt or a retry after a refusal.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Caller {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,7 +5,7 @@
 
 use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::name;
-use cactusnotch_overload::Reach;
+use cactusnotch_overload::{Kind, Reach};
 use cactusnotch_route::{attempt::End, choice};
 use http::response::Parts;
 use http::{Response, StatusCode, header};
@@ -60,23 +60,38 @@
     Held,
 }
 
-/// Selects an endpoint and counts the request there.
+/// Selects an endpoint and counts the request there. A request that was sent before may exceed
+/// the capacity of a group.
 pub(crate) fn choose(
     shared: &Rc<SharedState>,
     call: &Call,
     tried: &[name::Endpoint],
     now: Instant,
 ) -> Result<(Endpoint, Running), Unserved> {
-    choose_within(shared, call, tried, call.class.map(Reach::Class), now)
+    let reach = call.class.map(Reach::Class);
+    select(shared, call, tried, reach, tried.is_empty(), now)
 }
 
-/// Selects an endpoint in a group of which the request may fill the part `reach`, and counts
-/// the request there.
-pub(crate) fn choose_within(
+/// Selects an endpoint for a request of the queue in a group of which it may fill the part
+/// `reach`, and counts the request there.
+pub(crate) fn choose_queued(
+    shared: &Rc<SharedState>,
+    call: &Call,
+    tried: &[name::Endpoint],
+    (kind, reach): (Kind, Reach),
+    now: Instant,
+) -> Result<(Endpoint, Running), Unserved> {
+    // The capacity of a group also binds moved streams, which were sent before.
+    let is_bound = kind == Kind::Moved || tried.is_empty();
+    select(shared, call, tried, Some(reach), is_bound, now)
+}
+
+fn select(
     shared: &Rc<SharedState>,
     call: &Call,
     tried: &[name::Endpoint],
     reach: Option<Reach>,
+    is_bound: bool,
     now: Instant,
 ) -> Result<(Endpoint, Running), Unserved> {
     let service = &call.resolved.service;
@@ -85,6 +100,7 @@
     let criteria = Criteria {
         tokens: call.head.prompt_tokens,
         tried,
+        is_bound,
         may_probe: call.resolved.route.retry_policy == RetryPolicy::Idempotent,
         within: within.as_deref(),
     };
--- a/crates/gateway/src/fleet/groups/choice.rs
+++ b/crates/gateway/src/fleet/groups/choice.rs
@@ -40,8 +40,7 @@
     }
 
     /// Chooses a group with capacity for a request of this `reach`, then one of its endpoints, and
-    /// counts the request there. A request that was sent to an endpoint before may exceed the
-    /// capacity.
+    /// counts the request there. Capacity does not bind all requests that were sent before.
     pub(crate) fn start_in_group(
         &mut self,
         service: &str,
@@ -63,13 +62,12 @@
                 Err(ineligible) => error = Some(ineligible),
             }
         }
-        let is_first = criteria.tried.is_empty();
         // The groups that remain have no room.
-        if is_first && !groups.is_empty() {
+        if criteria.is_bound && !groups.is_empty() {
             self.record_shortage(service, &groups);
             return Err(Shortage::Busy);
         }
-        if let Some(error) = error.filter(|_| is_first) {
+        if let Some(error) = error.filter(|_| criteria.is_bound) {
             return Err(Shortage::None(error));
         }
         let (choice, attempt) = self
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -13,9 +13,9 @@
 use rand::Rng;
 
 use crate::account;
-use crate::admission::RETURNED_WAIT;
 use crate::answer::{self, Read};
 use crate::body::Outgoing;
+use crate::caller_timeout::RETURNED_WAIT;
 use crate::crash;
 use crate::decide::{Failure, Lifecycle, Next};
 use crate::dialect::Dialect;
@@ -68,7 +68,6 @@
         waited: false,
         sending: false,
         failure: None,
-        clear: None,
     };
     let deadline = flight.call.deadline;
     let outcome = tokio::select! {
@@ -107,8 +106,6 @@
     /// An endpoint's error response, which is relayed unless another endpoint succeeds.
     /// The request has run, so it must not be reported as not run.
     failure: Option<(http::response::Parts, Bytes)>,
-    /// The time until the queue that refused the request is expected to be empty.
-    clear: Option<Duration>,
 }
 
 impl Flight {
@@ -156,17 +153,14 @@
     }
 
     /// Returns the refusal of a request that was not started.
-    fn refusal(&mut self, unstarted: &Unstarted) -> Refusal {
+    fn refusal(&self, unstarted: &Unstarted) -> Refusal {
         let unsent = self.lifecycle.sent() == 0;
         match unstarted {
             Unstarted::Unserved(Unserved::Busy) if unsent => Refusal::Busy,
             Unstarted::Unserved(Unserved::Held) if unsent => Refusal::Held,
             Unstarted::Unserved(Unserved::Busy | Unserved::Held) => self.lifecycle.exhausted(),
             Unstarted::Unserved(Unserved::None(error)) => self.refusal_without_endpoint(error),
-            Unstarted::Refused { clear } => {
-                self.clear = Some(*clear);
-                Refusal::Busy
-            }
+            Unstarted::Refused => Refusal::Busy,
             Unstarted::Stopping => Refusal::Stopping,
         }
     }
@@ -378,10 +372,7 @@
         self.log(refusal.status().as_u16(), &refusal.to_string());
         let remaining = self.call.deadline.remaining();
         let draw = self.shared.rng.borrow_mut().random();
-        let after = match self.clear {
-            Some(_) => refusal.retry_after(remaining, draw),
-            None => refusal.retry_after(remaining, draw),
-        };
+        let after = refusal.retry_after(remaining, draw);
         response::own::<D>(&self.shared, refusal, after)
     }
 
--- a/crates/gateway/src/gaps.rs
+++ b/crates/gateway/src/gaps.rs
@@ -54,6 +54,12 @@
         self.first
     }
 
+    /// Returns when the last events were handed over, or when the request arrived.
+    #[must_use]
+    pub const fn last(&self) -> Instant {
+        self.last
+    }
+
     /// Returns the longest gap, the earliest of equal ones; `None` if fewer than two events
     /// were recorded.
     #[must_use]
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod answer;
 mod body;
 pub mod budget;
+mod caller_timeout;
 mod configuration_cache;
 pub mod confirmation;
 mod connection;
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -1,5 +1,6 @@
 //! Relays a stream or a long response, and resumes a broken stream at another endpoint.
 
+use std::cell::RefMut;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -10,9 +11,11 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 
+use crate::budget::RetryBudgets;
 use crate::crash;
 use crate::decide::{Failure, Lifecycle, Next};
 use crate::dialect::Dialect;
+use crate::endpoint::Endpoint;
 use crate::events::Splitter;
 use crate::exchange::{self, Failed, Reply};
 use crate::gaps::Gaps;
@@ -20,6 +23,8 @@
 use crate::pieces::{Disconnected, Sender};
 use crate::request::Call;
 use crate::route::RetryPolicy;
+use crate::running::Running;
+use crate::waiting;
 
 /// How a response ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
@@ -210,38 +215,22 @@
         loop {
             self.probe_crash(&mut failure).await;
             let now = clock::now();
-            let service = self.call.resolved.service.clone();
-            let affordable = || {
-                self.shared
-                    .retry_budgets
-                    .borrow_mut()
-                    .try_spend(&service, now)
-            };
-            let next = self.lifecycle.after_failure(failure.failure, affordable);
+            // The budget is charged when the stream is about to be sent: it may wait until then.
+            let affordable = || self.budgets().can_retry(&self.call.resolved.service, now);
+            let mut lifecycle = self.lifecycle;
+            let next = lifecycle.after_failure(failure.failure, affordable);
+            self.lifecycle = lifecycle;
             let id = self.call.head.id.as_deref();
             tracing::info!(id, content = %self.call.fingerprint(), after = last, cause = failure.cause, next = ?next, "stream broken at its endpoint");
             if matches!(next, Next::Give(_)) || now >= self.call.deadline {
                 return None;
             }
-            let (endpoint, running) =
-                exchange::choose(&self.shared, &self.call, &self.tried, now).ok()?;
+            let (endpoint, running) = self.while_wanted(self.choose()).await??;
+            if next == Next::Repeat && !self.is_charged() {
+                return None;
+            }
             self.tried.push(running.endpoint().clone());
-            let sending = exchange::send::<D>(
-                &self.shared,
-                &self.call,
-                &mut self.lifecycle,
-                &endpoint,
-                running,
-                last,
-            );
-            let deadline = self.call.deadline;
-            let sent = tokio::select! {
-                biased;
-                () = self.sender.closed() => return None,
-                sent = sending => sent,
-                () = self.shared.suspend_detector.wait_until(deadline) => return None,
-            };
-            match sent {
+            match self.send::<D>(&endpoint, running, last).await? {
                 Ok(reply) if reply.head.status.is_success() => {
                     self.resumed += 1;
                     return Some(reply);
@@ -254,4 +243,52 @@
             }
         }
     }
+
+    /// Selects an endpoint to resume the stream at; under overload control the stream waits for
+    /// its turn.
+    async fn choose(&self) -> Option<(Endpoint, Running)> {
+        let (shared, call, tried) = (&self.shared, &self.call, &self.tried);
+        let Some(class) = call.class else {
+            return exchange::choose(shared, call, tried, clock::now()).ok();
+        };
+        let last_event = self.gaps.as_ref().map_or(call.arrived, Gaps::last);
+        let entrant = waiting::moved(call, class, last_event);
+        waiting::choose(shared, call, tried, &entrant).await.ok()
+    }
+
+    /// Sends the stream to an endpoint; returns `None` if it is no longer wanted.
+    async fn send<D: Dialect>(
+        &mut self,
+        endpoint: &Endpoint,
+        running: Running,
+        last: Option<u64>,
+    ) -> Option<Result<Reply, Failed>> {
+        let mut lifecycle = self.lifecycle;
+        let (shared, call) = (&self.shared, &self.call);
+        let sending = exchange::send::<D>(shared, call, &mut lifecycle, endpoint, running, last);
+        let sent = self.while_wanted(sending).await;
+        self.lifecycle = lifecycle;
+        sent
+    }
+
+    /// Runs `step` until the caller disconnects or the deadline passes, in which case it returns
+    /// `None`.
+    async fn while_wanted<T>(&self, step: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            () = self.sender.closed() => None,
+            done = step => Some(done),
+            () = self.shared.suspend_detector.wait_until(self.call.deadline) => None,
+        }
+    }
+
+    fn budgets(&self) -> RefMut<'_, RetryBudgets> {
+        self.shared.retry_budgets.borrow_mut()
+    }
+
+    /// Charges a retry to the budget; returns whether the budget allowed it.
+    fn is_charged(&self) -> bool {
+        let service = &self.call.resolved.service;
+        self.budgets().try_spend(service, clock::now())
+    }
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -142,16 +142,6 @@
         }
     }
 
-    /// Returns the same for a request that a queue has refused which is expected to be empty
-    /// after `clear`.
-    #[must_use]
-    pub fn retry_after_queue(self, left: Duration, clear: Duration, draw: f64) -> Duration {
-        match self {
-            Self::Busy => spread_recovery(recovery(left).min(clear), spread_of(draw)),
-            _ => self.retry_after(left, draw),
-        }
-    }
-
     /// Creates the response.
     pub fn response<D: Dialect>(self, after: Duration) -> Response<Bytes> {
         let mut response = Response::new(D::error_body(&self.to_string()));
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -23,7 +23,7 @@
 
 pub(crate) use self::line::Key;
 use self::line::Line;
-pub(crate) use self::turn::{Unstarted, choose, entrant};
+pub(crate) use self::turn::{Unstarted, choose, entrant, moved};
 use crate::admission::Forecast;
 use crate::knowledge::SharedState;
 
--- a/crates/gateway/src/waiting/account.rs
+++ b/crates/gateway/src/waiting/account.rs
@@ -4,7 +4,7 @@
 
 use cactusnotch_base::clock::Instant;
 use cactusnotch_overload::queue::{Entrant, Place, Rejection};
-use cactusnotch_overload::{Cause, Class};
+use cactusnotch_overload::{Cause, Class, Reach};
 use cactusnotch_telemetry::metric;
 
 use super::seat::Seat;
@@ -61,7 +61,42 @@
     );
 }
 
-/// Logs and counts that a request was given no place in a queue.
+/// Logs that a first attempt can no longer be on time and waits on as an overdue request.
+///
+/// The field `cause` is left to refusals.
+pub(super) fn log_overdue(call: &Call, overdue: &Entrant, missed: Cause, now: Instant) {
+    tracing::info!(
+        id = call.head.id.as_deref(),
+        service = call.resolved.service,
+        class = overdue.class.number(),
+        kind = %overdue.kind,
+        %missed,
+        left_ms = millis(overdue.latest_start.saturating_duration_since(now)),
+        "request can no longer be on time"
+    );
+}
+
+/// Logs that a request starts by its last try, which may fill more of a group than its class.
+pub(super) fn log_last_start(
+    call: &Call,
+    entrant: &Entrant,
+    reach: Reach,
+    seat: Option<&Seat>,
+    now: Instant,
+) {
+    tracing::info!(
+        id = call.head.id.as_deref(),
+        service = call.resolved.service,
+        class = entrant.class.number(),
+        kind = %entrant.kind,
+        %reach,
+        waited_ms = millis(seat.map_or(Duration::ZERO, |seat| seat.waited(now))),
+        left_ms = millis(entrant.latest_start.saturating_duration_since(now)),
+        "request starts by its last try"
+    );
+}
+
+/// Logs and counts that a request was given no place in a queue and is refused.
 pub(super) fn record_rejection(
     call: &Call,
     entrant: &Entrant,
--- a/crates/gateway/src/waiting/seat.rs
+++ b/crates/gateway/src/waiting/seat.rs
@@ -6,7 +6,7 @@
 
 use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_overload::queue::{Entrant, Place, Rejection};
-use cactusnotch_overload::{Cause, Ticket};
+use cactusnotch_overload::{Cause, Reach, Ticket};
 use tokio::sync::Notify;
 
 use super::account;
@@ -37,10 +37,7 @@
         now: Instant,
     ) -> Result<Self, Rejection> {
         let key = Key::of(call);
-        let (place, bell) = shared
-            .waiting
-            .push(&key, entrant, now)
-            .inspect_err(|rejection| account::record_rejection(call, entrant, rejection, now))?;
+        let (place, bell) = shared.waiting.push(&key, entrant, now)?;
         account::log_wait(call, entrant, &place, now);
         account::count_begin(entrant.class);
         Ok(Self {
@@ -54,6 +51,18 @@
         })
     }
 
+    /// Gives the request another place in the queue, as `entrant`. Its wait goes on.
+    pub(super) fn requeue(&mut self, entrant: &Entrant, now: Instant) -> Result<(), Rejection> {
+        let waiting = &self.shared.waiting;
+        let (place, bell) = waiting.push(&self.key, entrant, now)?;
+        let former = std::mem::replace(&mut self.place, place);
+        self.bell = bell;
+        waiting.remove(&self.key, &former.ticket, now);
+        // The queue may have removed the former place before, so that none was woken for it.
+        waiting.wake(&self.key.service);
+        Ok(())
+    }
+
     /// Waits until the request is woken, at most until `until`.
     pub(super) async fn sleep(&self, until: Instant) {
         tokio::select! {
@@ -84,6 +93,18 @@
         account::log_start(call, entrant, self, now);
     }
 
+    /// Logs that the request starts by its last try.
+    pub(super) fn record_last_start(
+        &self,
+        call: &Call,
+        entrant: &Entrant,
+        reach: Reach,
+        now: Instant,
+    ) {
+        self.is_logged.set(true);
+        account::log_last_start(call, entrant, reach, Some(self), now);
+    }
+
     /// Logs and counts that the request is refused.
     pub(super) fn record_refusal(
         &self,
--- a/crates/gateway/src/waiting/turn.rs
+++ b/crates/gateway/src/waiting/turn.rs
@@ -6,11 +6,13 @@
 use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::name;
 use cactusnotch_overload::queue::Entrant;
-use cactusnotch_overload::{Class, Kind, Reach};
+use cactusnotch_overload::{Cause, Class, Kind, Reach};
 use cactusnotch_route::choice;
 
+use super::account;
 use super::line::{Key, Line};
 use super::seat::Seat;
+use crate::caller_timeout::{LATE_WAIT, MOVED_WAIT};
 use crate::endpoint::Endpoint;
 use crate::exchange::{self, Unserved};
 use crate::knowledge::SharedState;
@@ -22,20 +24,14 @@
 const FIRST_EVENT_FRACTION: u32 = 2;
 /// The shortest time after which the head of a queue tries again without being woken.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
-/// How long a request that can no longer be on time waits from its arrival. Callers give up
-/// after two seconds without an event, and the first one takes some of that time.
-const LATE_WAIT: Duration = Duration::from_millis(1_200);
 
 /// Why a request was not started.
 #[derive(Debug)]
 pub(crate) enum Unstarted {
     /// No endpoint was selected for a reason other than a lack of free capacity.
     Unserved(Unserved),
-    /// The request would start too late.
-    Refused {
-        /// The time until the queue is expected to be empty.
-        clear: Duration,
-    },
+    /// The request would start too late, or the queue is full.
+    Refused,
     /// This entry is stopping.
     Stopping,
 }
@@ -54,6 +50,15 @@
     }
 }
 
+/// Returns how a stream whose endpoint was lost takes part in the queue of its service.
+pub(crate) fn moved(call: &Call, class: Class, last_event: Instant) -> Entrant {
+    Entrant {
+        class,
+        kind: Kind::Moved,
+        latest_start: (last_event + MOVED_WAIT).min(call.deadline),
+    }
+}
+
 /// Returns how long a first attempt may wait: what its target leaves after the predicted time
 /// to the first event.
 fn first_wait(shared: &SharedState, call: &Call) -> Duration {
@@ -74,109 +79,170 @@
     call: &Call,
     tried: &[name::Endpoint],
     entrant: &Entrant,
-) -> Result<(Endpoint, Running), Unstarted> {
-    match choose_as(shared, call, tried, entrant).await {
-        Err(Unstarted::Refused { .. }) if entrant.kind == Kind::First => {
-            let overdue = Entrant {
-                kind: Kind::Overdue,
-                latest_start: (call.arrived + LATE_WAIT).min(call.deadline),
-                ..*entrant
+) -> Result<Started, Unstarted> {
+    let turn = Turn {
+        shared,
+        call,
+        tried,
+        key: Key::of(call),
+    };
+    turn.start(*entrant).await
+}
+
+/// An endpoint with the request that is counted there.
+type Started = (Endpoint, Running);
+
+/// A request that is to be started.
+struct Turn<'a> {
+    shared: &'a Rc<SharedState>,
+    call: &'a Call,
+    tried: &'a [name::Endpoint],
+    key: Key,
+}
+
+impl Turn<'_> {
+    /// Starts the request at once if it can, and has it wait otherwise.
+    async fn start(&self, mut entrant: Entrant) -> Result<Started, Unstarted> {
+        let now = clock::now();
+        let mut until = entrant.latest_start;
+        if !self.shared.waiting.holds_back(&self.key, entrant.class) {
+            match self.choose(&entrant, Reach::Class(entrant.class), now) {
+                Ok(started) => return Ok(started),
+                Err(Unserved::Busy) => {}
+                Err(Unserved::None(error)) if entrant.kind != Kind::First => {
+                    until = retry_time(error, &entrant, now)?;
+                }
+                Err(unserved) => return Err(Unstarted::Unserved(unserved)),
+            }
+        }
+        if self.shared.closing.get() {
+            return self.stop(&entrant, None, now);
+        }
+        loop {
+            let rejection = match Seat::take(self.shared, self.call, &entrant, now) {
+                Ok(seat) => return self.wait(seat, entrant, until).await,
+                Err(rejection) => rejection,
+            };
+            let Some(overdue) = self.overdue(&entrant, rejection.cause, now) else {
+                return self.last_try(&entrant, None, now).inspect_err(|_| {
+                    account::record_rejection(self.call, &entrant, &rejection, now);
+                });
             };
-            choose_as(shared, call, tried, &overdue).await
+            (entrant, until) = (overdue, overdue.latest_start);
         }
-        other => other,
     }
-}
 
-async fn choose_as(
-    shared: &Rc<SharedState>,
-    call: &Call,
-    tried: &[name::Endpoint],
-    entrant: &Entrant,
-) -> Result<(Endpoint, Running), Unstarted> {
-    let (key, now) = (Key::of(call), clock::now());
-    let mut until = entrant.latest_start;
-    if !shared.waiting.holds_back(&key, entrant.class) {
-        match exchange::choose(shared, call, tried, now) {
-            Ok(chosen) => return Ok(started(shared, &key, chosen, now)),
-            Err(Unserved::Busy) => {}
-            Err(Unserved::None(error)) if entrant.kind != Kind::First => {
-                until = retry_time(error, entrant, now)?;
+    /// Waits in the queue until the request starts or is refused. It tries to start at `until`
+    /// if it is not woken before.
+    async fn wait(
+        &self,
+        mut seat: Seat,
+        mut entrant: Entrant,
+        mut until: Instant,
+    ) -> Result<Started, Unstarted> {
+        loop {
+            seat.sleep(until).await;
+            until = entrant.latest_start;
+            let now = clock::now();
+            if self.shared.closing.get() {
+                return self.stop(&entrant, Some(&seat), now);
+            }
+            if let Some(mut cause) = seat.refusal(now) {
+                if let Some(overdue) = self.overdue(&entrant, cause, now) {
+                    entrant = overdue;
+                    match seat.requeue(&entrant, now) {
+                        Ok(()) => {
+                            // It may be the head, and none that was behind it has tried.
+                            until = now;
+                            continue;
+                        }
+                        Err(rejection) => cause = rejection.cause,
+                    }
+                }
+                return self
+                    .last_try(&entrant, Some(&seat), now)
+                    .inspect_err(|_| seat.record_refusal(self.call, &entrant, cause, now));
+            }
+            if !seat.is_next() {
+                // A request that arrived later has gone ahead.
+                self.shared.wake_waiting(&self.key.service);
+                continue;
+            }
+            match self.choose(&entrant, Reach::Class(entrant.class), now) {
+                Ok(started) => {
+                    seat.record_start(self.call, &entrant, now);
+                    return Ok(started);
+                }
+                Err(Unserved::Busy) => {}
+                Err(Unserved::None(error)) => until = retry_time(error, &entrant, now)?,
+                Err(Unserved::Held) => return Err(Unstarted::Unserved(Unserved::Held)),
             }
-            Err(unserved) => return Err(Unstarted::Unserved(unserved)),
         }
     }
-    if shared.closing.get() {
-        return Err(Unstarted::Stopping);
-    }
-    let Ok(seat) = Seat::take(shared, call, entrant, now) else {
-        return last_try(shared, call, tried, entrant, now);
-    };
-    wait(shared, call, tried, entrant, &seat, until).await
-}
 
-/// Waits in the queue until the request starts or is refused. It tries to start at `until` if
-/// it is not woken before.
-async fn wait(
-    shared: &Rc<SharedState>,
-    call: &Call,
-    tried: &[name::Endpoint],
-    entrant: &Entrant,
-    seat: &Seat,
-    mut until: Instant,
-) -> Result<(Endpoint, Running), Unstarted> {
-    let key = Key::of(call);
-    loop {
-        seat.sleep(until).await;
-        until = entrant.latest_start;
-        let now = clock::now();
-        if shared.closing.get() {
-            return Err(Unstarted::Stopping);
+    /// Returns how a first attempt that can't be on time waits on, if that is the cause for
+    /// which it would be refused.
+    fn overdue(&self, entrant: &Entrant, cause: Cause, now: Instant) -> Option<Entrant> {
+        if entrant.kind != Kind::First || cause == Cause::Full {
+            return None;
         }
-        if let Some(cause) = seat.refusal(now) {
-            let chosen = last_try(shared, call, tried, entrant, now);
-            if chosen.is_err() {
-                seat.record_refusal(call, entrant, cause, now);
-            } else {
-                seat.record_start(call, entrant, now);
+        let overdue = Entrant {
+            kind: Kind::Overdue,
+            latest_start: (self.call.arrived + LATE_WAIT).min(self.call.deadline),
+            ..*entrant
+        };
+        account::log_overdue(self.call, &overdue, cause, now);
+        Some(overdue)
+    }
+
+    /// Starts a request that would otherwise be refused if a group has capacity beyond what its
+    /// class may fill.
+    fn last_try(
+        &self,
+        entrant: &Entrant,
+        seat: Option<&Seat>,
+        now: Instant,
+    ) -> Result<Started, Unstarted> {
+        let reach = match entrant.kind {
+            Kind::First => return Err(Unstarted::Refused),
+            Kind::Overdue => Reach::Limit,
+            Kind::Returned | Kind::Moved => Reach::Slots,
+        };
+        match self.choose(entrant, reach, now) {
+            Ok(started) => {
+                match seat {
+                    Some(seat) => seat.record_last_start(self.call, entrant, reach, now),
+                    None => account::log_last_start(self.call, entrant, reach, None, now),
+                }
+                Ok(started)
             }
-            return chosen;
+            Err(Unserved::Busy | Unserved::None(_)) => Err(Unstarted::Refused),
+            Err(Unserved::Held) => Err(Unstarted::Unserved(Unserved::Held)),
         }
-        if !seat.is_next() {
-            // A request that arrived later has gone ahead.
-            shared.wake_waiting(&key.service);
-            continue;
-        }
-        match exchange::choose(shared, call, tried, now) {
-            Ok(chosen) => {
-                seat.record_start(call, entrant, now);
-                return Ok(started(shared, &key, chosen, now));
-            }
-            Err(Unserved::Busy) => {}
-            Err(Unserved::None(error)) => until = retry_time(error, entrant, now)?,
-            Err(Unserved::Held) => return Err(Unstarted::Unserved(Unserved::Held)),
+    }
+
+    /// Refuses a request since this entry is stopping. A stream that has begun can't be refused
+    /// and gets its last try.
+    fn stop(
+        &self,
+        entrant: &Entrant,
+        seat: Option<&Seat>,
+        now: Instant,
+    ) -> Result<Started, Unstarted> {
+        if entrant.kind == Kind::Moved {
+            return self.last_try(entrant, seat, now);
         }
+        Err(Unstarted::Stopping)
     }
-}
 
-/// Starts a late request that would otherwise be refused if the group has capacity beyond
-/// what its class may fill.
-fn last_try(
-    shared: &Rc<SharedState>,
-    call: &Call,
-    tried: &[name::Endpoint],
-    entrant: &Entrant,
-    now: Instant,
-) -> Result<(Endpoint, Running), Unstarted> {
-    let key = Key::of(call);
-    let reach = match entrant.kind {
-        Kind::First => return Err(refused(shared, &key, now)),
-        Kind::Overdue => Reach::Limit,
-        Kind::Returned | Kind::Moved => Reach::Slots,
-    };
-    match exchange::choose_within(shared, call, tried, Some(reach), now) {
-        Ok(chosen) => Ok(started(shared, &key, chosen, now)),
-        Err(_) => Err(refused(shared, &key, now)),
+    fn choose(&self, entrant: &Entrant, reach: Reach, now: Instant) -> Result<Started, Unserved> {
+        let claim = (entrant.kind, reach);
+        let started = exchange::choose_queued(self.shared, self.call, self.tried, claim, now)?;
+        let forecast = &started.1.forecast;
+        self.shared
+            .waiting
+            .record_forecast(&self.key, forecast, now);
+        Ok(started)
     }
 }
 
@@ -199,20 +265,3 @@
     };
     time.ok_or(Unstarted::Unserved(Unserved::None(error)))
 }
-
-fn started(
-    shared: &SharedState,
-    key: &Key,
-    chosen: (Endpoint, Running),
-    now: Instant,
-) -> (Endpoint, Running) {
-    shared.waiting.record_forecast(key, &chosen.1.forecast, now);
-    chosen
-}
-
-fn refused(shared: &SharedState, key: &Key, now: Instant) -> Unstarted {
-    let time_to_clear = |line: &mut Line| line.queue.time_to_clear(now);
-    Unstarted::Refused {
-        clear: shared.waiting.with(key, now, time_to_clear),
-    }
-}
--- a/crates/overload/src/allowance.rs
+++ b/crates/overload/src/allowance.rs
@@ -2,8 +2,10 @@
 //!
 //! All entries see the same free slots in reports that are up to a round old. Each may take a
 //! part of them, such that the sum over all entries stays below 1.25 times the limit even if
-//! a burst reaches all entries at once. A forward pass then still takes no longer than the
-//! longest gap that callers accept, since it takes 0.8 of that at the limit.
+//! a burst reaches all entries at once. At the limit a forward pass takes 0.9 of the longest gap
+//! that callers accept. Its duration grows at most in proportion to the requests, so that it
+//! stays below that gap up to 1.11 times the limit, and takes up to 1.13 of it at 1.25 times:
+//! the streams that run at the peak of such a burst can be late.
 
 use std::time::Duration;
 
@@ -35,6 +37,9 @@
 /// The lowest demand assumed, in requests per round. A lower value uses more of the limit with
 /// hundreds of entries, but lets a burst at all of them exceed it further.
 const DEMAND_MIN: f64 = 0.7;
+/// The number of standard deviations by which the rounded gains of all entries may exceed the
+/// slots beyond the limit that are free; the variance is at most their number.
+const ROUNDING_DEVIATIONS: f64 = 2.0;
 /// The number of classes.
 const CLASSES: usize = Class::MAX.number() as usize + 1;
 
@@ -45,6 +50,8 @@
     limits: [u32; CLASSES],
     /// The same for requests that may fill slots beyond the limit.
     beyond: u32,
+    /// The gain of this round before rounding, with slots beyond the limit.
+    given: f64,
     /// The own requests at the start of the round.
     held: u32,
     /// The gain of this round before rounding, for the most urgent class.
@@ -67,6 +74,8 @@
     /// The requests that the other entries have started since their load was reported.
     unseen: f64,
     sharers: f64,
+    /// The fraction of a round by which the reports are older than the own requests.
+    unreported: f64,
     /// Whether the load reports show a decrease that is too fast to be true.
     is_doubtful: bool,
 }
@@ -87,15 +96,20 @@
         self.gain = 0.0;
         self.update_demand();
         let mut limits = self.limits;
-        for (number, most) in (0..).zip(&mut limits) {
+        let mut draws = [0.0; CLASSES];
+        for (number, (most, draw)) in (0..).zip(limits.iter_mut().zip(&mut draws)) {
             let ceiling = Class::numbered(number).ceiling(limit, reserve).per_slot() * slots;
             let gain = round.gain(ceiling);
             self.gain = self.gain.max(gain);
-            *most = round_by_chance(round.own + self.offset_disuse(gain), rng);
+            *draw = rng.random();
+            *most = round_by_chance(round.own + self.offset_disuse(gain), *draw);
         }
         self.limits = limits;
         let ceiling = Reach::Slots.ceiling(limit, reserve).per_slot() * slots;
-        self.beyond = round_by_chance(round.own + round.gain(ceiling), rng);
+        let gain = round.gain_beyond(ceiling, self.given);
+        self.given = gain.max(self.offset_disuse(self.gain));
+        // The draw of the whole limit: a request that may fill more has no less room.
+        self.beyond = round_by_chance(round.own + gain, draws[0]).max(limits[0]);
         self.held = occupancy.own;
         self.others = round.others / slots.max(1.0);
     }
@@ -113,7 +127,7 @@
         *self = Self::default();
         for (number, most) in (0..).zip(&mut self.limits) {
             let ceiling = Class::numbered(number).ceiling(limit, reserve);
-            *most = round_by_chance(ceiling.per_slot() * share, rng);
+            *most = round_by_chance(ceiling.per_slot() * share, rng.random());
         }
         self.beyond = self.limits[0];
     }
@@ -177,6 +191,7 @@
             is_doubtful: least - f64::from(occupancy.others) > DOUBT_MIN * slots,
             unseen: self.growth.part() * assumed * unreported,
             sharers,
+            unreported,
         }
     }
 }
@@ -202,14 +217,25 @@
         }
         shared.min(free).max(least)
     }
+
+    /// Returns by how much the own requests may grow below a ceiling beyond the limit, which all
+    /// entries together must not exceed: each is assumed to have used all that it was `given` in
+    /// the round that the reports don't show yet.
+    fn gain_beyond(&self, ceiling: f64, given: f64) -> f64 {
+        let unseen = (self.sharers - 1.0) * given * self.unreported;
+        let free = ceiling - self.own - self.others - unseen;
+        let certain = free.max(0.0) - ROUNDING_DEVIATIONS * free.max(0.0).sqrt();
+        certain.max(0.0) / self.sharers
+    }
 }
 
-/// Rounds a number up with a probability equal to its fraction, otherwise down.
+/// Rounds a number up with a probability equal to its fraction, otherwise down. `draw` is a
+/// random number from 0 to 1.
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
     reason = "a number of requests is not negative and far below 2^32"
 )]
-fn round_by_chance(requests: f64, rng: &mut impl Rng) -> u32 {
-    (requests.max(0.0) + rng.random::<f64>()) as u32
+fn round_by_chance(requests: f64, draw: f64) -> u32 {
+    (requests.max(0.0) + draw) as u32
 }
--- a/crates/overload/src/drain.rs
+++ b/crates/overload/src/drain.rs
@@ -75,11 +75,6 @@
         bucket.completions += 1;
     }
 
-    /// Returns the expected rate, in requests per second.
-    pub(crate) fn expected(&self, now: Instant) -> f64 {
-        self.completions(now).max(COMPLETIONS_MIN) / WINDOW.as_secs_f64()
-    }
-
     /// Returns the highest plausible rate, in requests per second; `None` if there are too few
     /// requests to predict one.
     pub(crate) fn highest(&self, now: Instant) -> Option<f64> {
--- a/crates/overload/src/queue.rs
+++ b/crates/overload/src/queue.rs
@@ -159,12 +159,6 @@
         self.drain.record_end(ran, now);
     }
 
-    /// Returns the time until all waiting requests are expected to have started.
-    #[must_use]
-    pub fn time_to_clear(&self, now: Instant) -> Duration {
-        time(self.waiting.len(), self.drain.expected(now))
-    }
-
     /// Returns the shortest plausible time until `ahead` requests have started.
     fn predict(&self, ahead: usize, now: Instant) -> Duration {
         let rate = self.drain.highest(now);
--- a/crates/overload/src/reach.rs
+++ b/crates/overload/src/reach.rs
@@ -1,23 +1,27 @@
 //! The part of a group that a request may fill.
 
 use cactusnotch_derive::record;
+use derive_more::Display;
 
 use crate::{Ceiling, Class};
 
-/// The part of the slots beyond the limit that requests on their last chance may fill. Each
-/// of them lengthens the passes of all streams that run.
+/// The part of the slots beyond the limit that returned callers and moved streams may
+/// fill by their last try.
 const BEYOND_PART: f64 = 0.5;
 
 /// The part of a group that a request may fill.
 #[record]
-#[derive(Copy)]
+#[derive(Copy, Display)]
 pub enum Reach {
     /// The limit less what the class leaves to more urgent ones.
+    #[display("class")]
     Class(Class),
     /// The whole limit, for requests that would otherwise be refused.
+    #[display("limit")]
     Limit,
-    /// Slots beyond the limit, for requests whose callers would otherwise be lost. They make
-    /// the streams that run later, but only few of these too late.
+    /// The limit and a part of the slots beyond it, for requests whose callers would otherwise
+    /// be lost. They lengthen the passes of all streams that run.
+    #[display("slots")]
     Slots,
 }
 
