--- a/crates/overload/src/allowance.rs
+++ b/crates/overload/src/allowance.rs
@@ -37,8 +37,8 @@
 /// The lowest demand assumed, in requests per round. A lower value uses more of the limit with
 /// hundreds of entries, but lets a burst at all of them exceed it further.
 const DEMAND_MIN: f64 = 0.7;
-/// The number of standard deviations by which the rounded gains of all entries may exceed the
-/// slots beyond the limit that are free; the variance is at most their number.
+/// The number of standard deviations that are left free beyond the limit, since the rounded gains
+/// of all entries may exceed what is free.
 const ROUNDING_DEVIATIONS: f64 = 2.0;
 /// The number of classes.
 const CLASSES: usize = Class::MAX.number() as usize + 1;
@@ -224,7 +224,9 @@
     fn gain_beyond(&self, ceiling: f64, given: f64) -> f64 {
         let unseen = (self.sharers - 1.0) * given * self.unreported;
         let free = ceiling - self.own - self.others - unseen;
-        let certain = free.max(0.0) - ROUNDING_DEVIATIONS * free.max(0.0).sqrt();
+        // The variance of a gain that is rounded by chance is at most a quarter.
+        let variance = free.max(0.0).min((self.sharers - 1.0) / 4.0);
+        let certain = free - ROUNDING_DEVIATIONS * variance.sqrt();
         certain.max(0.0) / self.sharers
     }
 }
