--- a/crates/overload/src/model.rs
+++ b/crates/overload/src/model.rs
@@ -5,7 +5,8 @@
 use crate::Ceiling;
 
 /// The longest pass at which streams are on time, as a fraction of the longest gap between
-/// events: some passes take a quarter longer than the mean.
+/// events: some passes take longer than the mean. Those that take a quarter longer at the limit
+/// exceed the gap by an eighth.
 const PASS_RATIO_MAX: f64 = 0.9;
 /// The lowest limit, as a fraction of the slots: a group that runs nothing measures nothing.
 pub(crate) const FILL_MIN: f64 = 0.25;
