--- a/crates/overload/src/allowance.rs
+++ b/crates/overload/src/allowance.rs
@@ -2,8 +2,8 @@
 //!
 //! All entries see the same free slots in reports that are up to a round old. Each may take a
 //! part of them, such that the sum over all entries stays below 1.25 times the limit even if
-//! a burst reaches all entries at once. A forward pass takes 0.9 of the longest gap that
-//! callers accept at the limit, so it may then exceed that gap by about a tenth.
+//! a burst reaches all entries at once. A forward pass then still takes no longer than the
+//! longest gap that callers accept, since it takes 0.8 of that at the limit.
 
 use std::time::Duration;
 
@@ -35,6 +35,9 @@
 /// The lowest demand assumed, in requests per round. A lower value uses more of the limit with
 /// hundreds of entries, but lets a burst at all of them exceed it further.
 const DEMAND_MIN: f64 = 0.7;
+/// The number of standard deviations that are left free beyond the limit, since the rounded gains
+/// of all entries may exceed what is free.
+const ROUNDING_DEVIATIONS: f64 = 2.0;
 /// The number of classes.
 const CLASSES: usize = Class::MAX.number() as usize + 1;
 
@@ -45,6 +48,8 @@
     limits: [u32; CLASSES],
     /// The same for requests that may fill slots beyond the limit.
     beyond: u32,
+    /// The gain of this round before rounding, with slots beyond the limit.
+    given: f64,
     /// The own requests at the start of the round.
     held: u32,
     /// The gain of this round before rounding, for the most urgent class.
@@ -67,6 +72,8 @@
     /// The requests that the other entries have started since their load was reported.
     unseen: f64,
     sharers: f64,
+    /// The fraction of a round by which the reports are older than the own requests.
+    unreported: f64,
     /// Whether the load reports show a decrease that is too fast to be true.
     is_doubtful: bool,
 }
@@ -96,8 +103,9 @@
         }
         self.limits = limits;
         let ceiling = Reach::Slots.ceiling(limit, reserve).per_slot() * slots;
-        let beyond = round_by_chance(round.own + round.gain(ceiling), chance);
-        self.beyond = beyond.max(self.limits[0]);
+        let gain = round.gain_beyond(ceiling, self.given);
+        self.given = gain.max(self.offset_disuse(self.gain));
+        self.beyond = round_by_chance(round.own + gain, chance).max(limits[0]);
         self.held = occupancy.own;
         self.others = round.others / slots.max(1.0);
     }
@@ -180,6 +188,7 @@
             is_doubtful: least - f64::from(occupancy.others) > DOUBT_MIN * slots,
             unseen: self.growth.part() * assumed * unreported,
             sharers,
+            unreported,
         }
     }
 }
@@ -205,6 +214,18 @@
         }
         shared.min(free).max(least)
     }
+
+    /// Returns by how much the own requests may grow below a ceiling beyond the limit, which all
+    /// entries together must not exceed: each is assumed to have used all that it was `given` in
+    /// the round that the reports don't show yet.
+    fn gain_beyond(&self, ceiling: f64, given: f64) -> f64 {
+        let unseen = (self.sharers - 1.0) * given * self.unreported;
+        let free = ceiling - self.own - self.others - unseen;
+        // The variance of a gain that is rounded by chance is at most a quarter.
+        let variance = free.max(0.0).min((self.sharers - 1.0) / 4.0);
+        let certain = free - ROUNDING_DEVIATIONS * variance.sqrt();
+        certain.max(0.0) / self.sharers
+    }
 }
 
 /// Rounds a number up with a probability equal to its fraction, otherwise down; `chance` is
