--- a/crates/overload/src/options.rs
+++ b/crates/overload/src/options.rs
@@ -20,7 +20,7 @@
 impl Options {
     /// The default of [`Options::class_reserve`]. Slots are held for about 1.5 s, so this
     /// fraction becomes free within the time that a more urgent caller can wait.
-    pub const CLASS_RESERVE: f64 = 0.08;
+    pub const CLASS_RESERVE: f64 = 0.04;
     /// The greatest [`Options::class_reserve`]: it leaves the fourth class a tenth.
     pub const CLASS_RESERVE_MAX: f64 = 0.3;
 }
