--- a/crates/gateway/src/caller_timeout.rs
+++ b/crates/gateway/src/caller_timeout.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-/// The time without an event after which callers disconnect.
+/// The shortest time without an event after which callers disconnect; with slow routes they
+/// wait longer.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(2);
 /// What a late request needs of that time from its start to its first event.
 const FIRST_EVENT_TIME: Duration = Duration::from_millis(800);
--- a/crates/gateway/src/waiting/line.rs
+++ b/crates/gateway/src/waiting/line.rs
@@ -13,7 +13,7 @@
 use crate::request::Call;
 
 /// The weight of a prediction in the moving average. A single long prompt must not make all
-/// waits look hopeless, since a new prediction is only made when a request starts.
+/// waits look too long, since a new prediction is only made when a request starts.
 const FORECAST_WEIGHT: f64 = 1.0 / 8.0;
 
 /// Identifies a queue: the requests in it may go to the same endpoints.
--- a/crates/overload/src/model.rs
+++ b/crates/overload/src/model.rs
@@ -12,7 +12,8 @@
 
 /// The skew that a shift of demand leaves, before any was observed.
 pub const SHIFT_SKEW: f64 = 2.5;
-/// The skew under map 0, until counts have shown it: 3.1 to 3.9 were measured.
+/// The skew that is assumed under map 0, which assigns experts regardless of demand, until
+/// counts show it.
 pub const MAP_0_SKEW: f64 = 3.5;
 
 /// The duration of a forward pass of a group, by the number of requests and the skew of its
