--- a/crates/overload/tests/allowance.rs
+++ b/crates/overload/tests/allowance.rs
@@ -3,147 +3,19 @@
 //! Load pattern: 13, 33, 149 or 432 entries share one group and see the same load reports,
 //! which are a round old. Streams last 1.3 to 1.9 s.
 
+#[path = "allowance/load.rs"]
+mod load;
+
 use std::time::Duration;
 
 use cactusnotch_overload::allowance::{Allowance, ROUND};
 use cactusnotch_overload::{Ceiling, Class, Occupancy, Reach};
+use load::{Distort, Entry, LIMIT, Load, RESERVE, SLOTS, number};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
 /// Numbers of entries.
 const ENTRIES: [usize; 4] = [13, 33, 149, 432];
-/// Slots of a group of 72 ranks.
-const SLOTS: u32 = 72 * 12;
-const LIMIT: f64 = 0.6;
-const RESERVE: f64 = 0.12;
-/// Steps in a round, and in the shortest and longest stream.
-const STEPS: usize = 10;
-const STREAM: std::ops::Range<usize> = 52..77;
-/// Steps that a request waits for room, about as long as a first attempt can.
-const PATIENCE: usize = 14;
-
-/// What the entries are told in place of the reported number of requests.
-type Distort = fn(u32) -> u32;
-
-#[derive(Clone, Default)]
-struct Entry {
-    allowance: Allowance,
-    /// The remaining steps of running and of waiting requests.
-    running: Vec<usize>,
-    waiting: Vec<usize>,
-    started: usize,
-}
-
-struct Load {
-    entries: Vec<Entry>,
-    rng: StdRng,
-    limit: f64,
-    distort: Distort,
-    /// The requests of each entry when the last reports were made.
-    reported: Vec<u32>,
-}
-
-fn number(value: usize) -> u32 {
-    u32::try_from(value).expect("a small number")
-}
-
-impl Load {
-    fn new(entries: usize) -> Self {
-        Self {
-            entries: vec![Entry::default(); entries],
-            rng: StdRng::seed_from_u64(7),
-            limit: LIMIT,
-            distort: |requests| requests,
-            reported: vec![0; entries],
-        }
-    }
-
-    /// Runs one round in which each entry for which `rate` is positive gets that many
-    /// requests per step on average; returns the greatest and the last number of running
-    /// requests per slot.
-    fn round(&mut self, class: Class, rate: impl Fn(usize) -> f64) -> (f64, f64) {
-        self.renew();
-        self.reported = self.entries.iter().map(Entry::own).collect();
-        let mut most = 0.0_f64;
-        for _ in 0..STEPS {
-            for (at, entry) in self.entries.iter_mut().enumerate() {
-                entry.step(class, rate(at), &mut self.rng);
-            }
-            most = most.max(self.fill());
-        }
-        (most, self.fill())
-    }
-
-    fn renew(&mut self) {
-        let total: u32 = self.reported.iter().sum();
-        let sharers = number(self.entries.len());
-        for (entry, reported) in self.entries.iter_mut().zip(&self.reported) {
-            let occupancy = Occupancy {
-                own: entry.own(),
-                others: (self.distort)(total).saturating_sub(*reported),
-                slots: SLOTS,
-                sharers,
-                age: ROUND,
-            };
-            let limit = Ceiling::new(self.limit);
-            entry
-                .allowance
-                .renew(&occupancy, limit, RESERVE, &mut self.rng);
-        }
-    }
-
-    fn started(&self, of: impl Fn(usize) -> bool) -> usize {
-        let chosen = (0..self.entries.len()).filter(|&at| of(at));
-        chosen.map(|at| self.entries[at].started).sum()
-    }
-
-    fn fill(&self) -> f64 {
-        let running: u32 = self.entries.iter().map(Entry::own).sum();
-        f64::from(running) / f64::from(SLOTS)
-    }
-
-    /// Runs rounds with the same rate at all entries; returns the greatest fill and the mean
-    /// one.
-    fn rounds(&mut self, rounds: u32, rate: f64) -> (f64, f64) {
-        let (mut most, mut sum) = (0.0_f64, 0.0);
-        for _ in 0..rounds {
-            let (peak, last) = self.round(Class::default(), |_| rate);
-            most = most.max(peak);
-            sum += last;
-        }
-        (most, sum / f64::from(rounds))
-    }
-}
-
-impl Entry {
-    fn own(&self) -> u32 {
-        number(self.running.len())
-    }
-
-    fn step(&mut self, class: Class, rate: f64, rng: &mut StdRng) {
-        for left in self.running.iter_mut().chain(&mut self.waiting) {
-            *left -= 1;
-        }
-        self.running.retain(|left| *left > 0);
-        self.waiting.retain(|left| *left > 0);
-        let mut arrivals = rate;
-        while arrivals > 0.0 {
-            if rng.random_bool(arrivals.min(1.0)) {
-                self.waiting.push(PATIENCE);
-            }
-            arrivals -= 1.0;
-        }
-        while !self.waiting.is_empty() && self.allowance.room(Reach::Class(class), self.own()) > 0 {
-            self.waiting.remove(0);
-            self.running.push(rng.random_range(STREAM));
-            self.allowance.record_start();
-            self.started += 1;
-        }
-        if !self.waiting.is_empty() {
-            self.allowance.record_shortage();
-        }
-    }
-}
 
 /// Returns the rate per entry and step of `ratio` times the requests that the limit serves.
 fn rate(ratio: f64, entries: usize) -> f64 {
