--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -108,7 +108,7 @@
         return Err(Unserved::Held);
     }
     shared.drop_missing(now);
-    let (choice, attempt, standing) = start(shared, call, &criteria, reach, now)?;
+    let (choice, attempt, snapshot) = start(shared, call, &criteria, reach, now)?;
     let endpoint = shared.fleet.borrow().get(choice.endpoint.as_str()).cloned();
     let Some(endpoint) = endpoint else {
         return Err(Unserved::None(choice::Error::Unknown));
@@ -123,7 +123,7 @@
         end: End::Inconclusive,
         pieces: 0,
         forecast,
-        standing,
+        snapshot,
         sent: None,
         first: None,
         line: None,
@@ -217,7 +217,7 @@
         first_event: route.target_latency,
         max_event_gap: route.max_event_gap,
     };
-    if running.standing.is_some() {
+    if running.snapshot.is_some() {
         // The limit of the group keeps its passes short.
         return !admission::is_late(forecast, &targets);
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -24,7 +24,7 @@
 pub(crate) use self::criteria::Criteria;
 pub(crate) use self::exclusion::Exclusions;
 use self::groups::Groups;
-pub(crate) use self::groups::{Chosen, Shortage, Standing};
+pub(crate) use self::groups::{Chosen, Shortage, Snapshot};
 use self::leaving_notices::LeavingNotices;
 use self::members::kind;
 use self::row::{REPORT_TIME, Row};
--- a/crates/gateway/src/fleet/groups.rs
+++ b/crates/gateway/src/fleet/groups.rs
@@ -15,7 +15,7 @@
 use cactusnotch_overload::Options;
 use rand::Rng;
 
-pub(crate) use self::choice::{Chosen, Shortage, Standing};
+pub(crate) use self::choice::{Chosen, Shortage, Snapshot};
 use self::group::Group;
 use self::service::Service;
 use super::Fleet;
--- a/crates/gateway/src/fleet/groups/choice.rs
+++ b/crates/gateway/src/fleet/groups/choice.rs
@@ -12,7 +12,7 @@
 
 /// What was known of a group when it was chosen.
 #[derive(Debug, Clone, PartialEq)]
-pub(crate) struct Standing {
+pub(crate) struct Snapshot {
     pub(crate) group: String,
     /// The requests per slot at the start of the round.
     pub(crate) fill: f64,
@@ -31,7 +31,7 @@
 }
 
 /// An endpoint chosen for a request, with the group that it was drawn in.
-pub(crate) type Chosen = (Choice, Attempt, Option<Standing>);
+pub(crate) type Chosen = (Choice, Attempt, Option<Snapshot>);
 
 impl Fleet {
     /// Returns whether requests of a service are distributed over groups.
@@ -56,8 +56,8 @@
             let group = groups.swap_remove(at);
             match self.start(service, criteria, Some(group), now, rng) {
                 Ok((choice, attempt)) => {
-                    let standing = self.record_start(service, group, now);
-                    return Ok((choice, attempt, standing));
+                    let snapshot = self.record_start(service, group, now);
+                    return Ok((choice, attempt, snapshot));
                 }
                 Err(ineligible) => error = Some(ineligible),
             }
@@ -109,12 +109,12 @@
         service: &str,
         group: route::Group,
         now: Instant,
-    ) -> Option<Standing> {
+    ) -> Option<Snapshot> {
         let groups = self.groups.services.get_mut(service)?;
         let group = groups.iter_mut().find(|row| row.id == group)?;
         group.allowance.record_start();
         let (limit, received) = group.in_force;
-        Some(Standing {
+        Some(Snapshot {
             group: group.name.clone(),
             fill: group.fill(),
             limit,
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -226,7 +226,7 @@
                 return None;
             }
             let (endpoint, running) = self.while_wanted(self.choose()).await??;
-            if next == Next::Repeat && !self.is_charged() {
+            if next == Next::Repeat && !self.charge_retry() {
                 return None;
             }
             self.tried.push(running.endpoint().clone());
@@ -287,7 +287,7 @@
     }
 
     /// Charges a retry to the budget; returns whether the budget allowed it.
-    fn is_charged(&self) -> bool {
+    fn charge_retry(&self) -> bool {
         let service = &self.call.resolved.service;
         self.budgets().try_spend(service, clock::now())
     }
--- a/crates/gateway/src/running.rs
+++ b/crates/gateway/src/running.rs
@@ -11,7 +11,7 @@
 
 use crate::admission::Forecast;
 use crate::crash::BrokenRun;
-use crate::fleet::Standing;
+use crate::fleet::Snapshot;
 use crate::journal::millis;
 use crate::knowledge::SharedState;
 use crate::waiting;
@@ -35,7 +35,7 @@
     /// The prediction at the time the endpoint was selected.
     pub(crate) forecast: Forecast,
     /// The group of ranks that was drawn for it, if its service is under overload control.
-    pub(crate) standing: Option<Standing>,
+    pub(crate) snapshot: Option<Snapshot>,
     /// When the request was sent; `None` before.
     pub(crate) sent: Option<Instant>,
     /// The time from sending to the first piece.
@@ -95,15 +95,15 @@
         let Some(sent) = self.sent else {
             return;
         };
-        let standing = self.standing.as_ref();
+        let snapshot = self.snapshot.as_ref();
         tracing::info!(
             id = self.id,
             endpoint = self.endpoint().as_str(),
             fill = self.forecast.utilisation,
-            group = standing.map(|standing| standing.group.as_str()),
-            group_fill = standing.map(|standing| standing.fill),
-            limit = standing.map(|standing| standing.limit.per_slot()),
-            limit_age_ms = standing.and_then(|standing| standing.limit_age.map(millis)),
+            group = snapshot.map(|snapshot| snapshot.group.as_str()),
+            group_fill = snapshot.map(|snapshot| snapshot.fill),
+            limit = snapshot.map(|snapshot| snapshot.limit.per_slot()),
+            limit_age_ms = snapshot.and_then(|snapshot| snapshot.limit_age.map(millis)),
             pass_ms = self.forecast.pass_time.map(millis),
             wait_ms = millis(self.forecast.slot_wait),
             forecast_ms = millis(self.forecast.first),
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -7,8 +7,8 @@
 
 mod account;
 mod line;
-mod seat;
 mod turn;
+mod waiter;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
--- a/crates/gateway/src/waiting/account.rs
+++ b/crates/gateway/src/waiting/account.rs
@@ -7,7 +7,7 @@
 use cactusnotch_overload::{Cause, Class, Reach};
 use cactusnotch_telemetry::metric;
 
-use super::seat::Seat;
+use super::waiter::Waiter;
 use crate::journal::millis;
 use crate::request::Call;
 
@@ -49,13 +49,13 @@
 }
 
 /// Logs that a waiting request starts.
-pub(super) fn log_start(call: &Call, entrant: &Entrant, seat: &Seat, now: Instant) {
+pub(super) fn log_start(call: &Call, entrant: &Entrant, waiter: &Waiter, now: Instant) {
     tracing::info!(
         id = call.head.id.as_deref(),
         service = call.resolved.service,
         class = entrant.class.number(),
         kind = %entrant.kind,
-        waited_ms = millis(seat.waited(now)),
+        waited_ms = millis(waiter.waited(now)),
         left_ms = millis(entrant.latest_start.saturating_duration_since(now)),
         "request starts after a wait"
     );
@@ -81,7 +81,7 @@
     call: &Call,
     entrant: &Entrant,
     reach: Reach,
-    seat: Option<&Seat>,
+    waiter: Option<&Waiter>,
     now: Instant,
 ) {
     tracing::info!(
@@ -90,7 +90,7 @@
         class = entrant.class.number(),
         kind = %entrant.kind,
         %reach,
-        waited_ms = millis(seat.map_or(Duration::ZERO, |seat| seat.waited(now))),
+        waited_ms = millis(waiter.map_or(Duration::ZERO, |waiter| waiter.waited(now))),
         left_ms = millis(entrant.latest_start.saturating_duration_since(now)),
         "request starts by its last try"
     );
@@ -121,7 +121,7 @@
 pub(super) fn record_refusal(
     call: &Call,
     entrant: &Entrant,
-    seat: &Seat,
+    waiter: &Waiter,
     cause: Cause,
     now: Instant,
 ) {
@@ -132,9 +132,9 @@
         class = entrant.class.number(),
         kind = %entrant.kind,
         %cause,
-        ahead = seat.ahead(),
-        predicted_ms = millis(seat.predicted()),
-        waited_ms = millis(seat.waited(now)),
+        ahead = waiter.ahead(),
+        predicted_ms = millis(waiter.predicted()),
+        waited_ms = millis(waiter.waited(now)),
         left_ms = millis(entrant.latest_start.saturating_duration_since(now)),
         "request refused after a wait"
     );
--- a/crates/gateway/src/waiting/line.rs
+++ b/crates/gateway/src/waiting/line.rs
@@ -49,7 +49,7 @@
 pub(super) struct Line {
     pub(super) queue: Queue,
     /// Wakes each waiting request.
-    bells: Table<Ticket, Rc<Notify>>,
+    wakers: Table<Ticket, Rc<Notify>>,
     /// The moving average of the predicted times from a request's start to its first event.
     first_event: Option<Duration>,
 }
@@ -58,7 +58,7 @@
     pub(super) fn new(now: Instant) -> Self {
         Self {
             queue: Queue::new(now),
-            bells: Table::new(),
+            wakers: Table::new(),
             first_event: None,
         }
     }
@@ -89,14 +89,14 @@
         if let Some(displaced) = &place.displaced {
             self.dismiss(displaced);
         }
-        let bell = Rc::new(Notify::new());
-        self.bells.insert(place.ticket, Rc::clone(&bell));
-        Ok((place, bell))
+        let waker = Rc::new(Notify::new());
+        self.wakers.insert(place.ticket, Rc::clone(&waker));
+        Ok((place, waker))
     }
 
     fn dismiss(&mut self, ticket: &Ticket) {
-        if let Some(bell) = self.bells.remove(ticket) {
-            bell.notify_one();
+        if let Some(waker) = self.wakers.remove(ticket) {
+            waker.notify_one();
         }
     }
 
@@ -104,24 +104,24 @@
     pub(super) fn remove(&mut self, ticket: &Ticket) -> bool {
         let was_head = self.queue.head() == Some(ticket);
         self.queue.remove(ticket);
-        self.bells.remove(ticket);
+        self.wakers.remove(ticket);
         was_head
     }
 
     /// Returns whether a request still waits.
     pub(super) fn holds(&self, ticket: &Ticket) -> bool {
-        self.bells.contains(ticket)
+        self.wakers.contains(ticket)
     }
 
     /// Wakes a request.
     pub(super) fn wake(&self, ticket: &Ticket) {
-        if let Some(bell) = self.bells.get(ticket) {
-            bell.notify_one();
+        if let Some(waker) = self.wakers.get(ticket) {
+            waker.notify_one();
         }
     }
 
     /// Wakes all requests.
     pub(super) fn wake_all(&self) {
-        self.bells.values().for_each(|bell| bell.notify_one());
+        self.wakers.values().for_each(|waker| waker.notify_one());
     }
 }
--- a/crates/gateway/src/waiting/turn.rs
+++ b/crates/gateway/src/waiting/turn.rs
@@ -11,7 +11,7 @@
 
 use super::account;
 use super::line::{Key, Line};
-use super::seat::Seat;
+use super::waiter::Waiter;
 use crate::caller_timeout::{LATE_WAIT, MOVED_WAIT};
 use crate::endpoint::Endpoint;
 use crate::exchange::{self, Unserved};
@@ -119,8 +119,8 @@
             return self.stop(&entrant, None, now);
         }
         loop {
-            let rejection = match Seat::take(self.shared, self.call, &entrant, now) {
-                Ok(seat) => return self.wait(seat, entrant, until).await,
+            let rejection = match Waiter::enqueue(self.shared, self.call, &entrant, now) {
+                Ok(waiter) => return self.wait(waiter, entrant, until).await,
                 Err(rejection) => rejection,
             };
             let Some(overdue) = self.overdue(&entrant, rejection.cause, now) else {
@@ -136,21 +136,21 @@
     /// if it is not woken before.
     async fn wait(
         &self,
-        mut seat: Seat,
+        mut waiter: Waiter,
         mut entrant: Entrant,
         mut until: Instant,
     ) -> Result<Started, Unstarted> {
         loop {
-            seat.sleep(until).await;
+            waiter.sleep(until).await;
             until = entrant.latest_start;
             let now = clock::now();
             if self.shared.closing.get() {
-                return self.stop(&entrant, Some(&seat), now);
+                return self.stop(&entrant, Some(&waiter), now);
             }
-            if let Some(mut cause) = seat.refusal(now) {
+            if let Some(mut cause) = waiter.refusal(now) {
                 if let Some(overdue) = self.overdue(&entrant, cause, now) {
                     entrant = overdue;
-                    match seat.requeue(&entrant, now) {
+                    match waiter.requeue(&entrant, now) {
                         Ok(()) => {
                             // It may be the head, and none that was behind it has tried.
                             until = now;
@@ -160,17 +160,17 @@
                     }
                 }
                 return self
-                    .last_try(&entrant, Some(&seat), now)
-                    .inspect_err(|_| seat.record_refusal(self.call, &entrant, cause, now));
+                    .last_try(&entrant, Some(&waiter), now)
+                    .inspect_err(|_| waiter.record_refusal(self.call, &entrant, cause, now));
             }
-            if !seat.is_next() {
+            if !waiter.is_next() {
                 // A request that arrived later has gone ahead.
                 self.shared.wake_waiting(&self.key.service);
                 continue;
             }
             match self.choose(&entrant, Reach::Class(entrant.class), now) {
                 Ok(started) => {
-                    seat.record_start(self.call, &entrant, now);
+                    waiter.record_start(self.call, &entrant, now);
                     return Ok(started);
                 }
                 Err(Unserved::Busy) => {}
@@ -200,7 +200,7 @@
     fn last_try(
         &self,
         entrant: &Entrant,
-        seat: Option<&Seat>,
+        waiter: Option<&Waiter>,
         now: Instant,
     ) -> Result<Started, Unstarted> {
         let reach = match entrant.kind {
@@ -210,8 +210,8 @@
         };
         match self.choose(entrant, reach, now) {
             Ok(started) => {
-                match seat {
-                    Some(seat) => seat.record_last_start(self.call, entrant, reach, now),
+                match waiter {
+                    Some(waiter) => waiter.record_last_start(self.call, entrant, reach, now),
                     None => account::log_last_start(self.call, entrant, reach, None, now),
                 }
                 Ok(started)
@@ -226,11 +226,11 @@
     fn stop(
         &self,
         entrant: &Entrant,
-        seat: Option<&Seat>,
+        waiter: Option<&Waiter>,
         now: Instant,
     ) -> Result<Started, Unstarted> {
         if entrant.kind == Kind::Moved {
-            return self.last_try(entrant, seat, now);
+            return self.last_try(entrant, waiter, now);
         }
         Err(Unstarted::Stopping)
     }
--- a/crates/gateway/src/waiting/seat.rs
+++ b/crates/gateway/src/waiting/waiter.rs
@@ -1,4 +1,4 @@
-//! A request's place in a queue, from its arrival there until it starts or ends.
+//! A request that waits in a queue, until it starts or ends.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -14,30 +14,30 @@
 use crate::knowledge::SharedState;
 use crate::request::Call;
 
-/// A request's place in a queue. It is given up when this is dropped, also if the caller
-/// disconnects.
-pub(super) struct Seat {
+/// A request that waits in a queue. Its place is given up when this is dropped, also if the
+/// caller disconnects.
+pub(super) struct Waiter {
     shared: Rc<SharedState>,
     /// The id of the request, for the log.
     id: Option<String>,
     key: Key,
     place: Place,
-    bell: Rc<Notify>,
+    waker: Rc<Notify>,
     since: Instant,
     /// Whether the outcome of the wait was logged.
     is_logged: Cell<bool>,
 }
 
-impl Seat {
+impl Waiter {
     /// Gives a request a place in the queue of its service.
-    pub(super) fn take(
+    pub(super) fn enqueue(
         shared: &Rc<SharedState>,
         call: &Call,
         entrant: &Entrant,
         now: Instant,
     ) -> Result<Self, Rejection> {
         let key = Key::of(call);
-        let (place, bell) = shared.waiting.push(&key, entrant, now)?;
+        let (place, waker) = shared.waiting.push(&key, entrant, now)?;
         account::log_wait(call, entrant, &place, now);
         account::count_begin(entrant.class);
         Ok(Self {
@@ -45,7 +45,7 @@
             id: call.head.id.clone(),
             key,
             place,
-            bell,
+            waker,
             since: now,
             is_logged: Cell::new(false),
         })
@@ -54,9 +54,9 @@
     /// Gives the request another place in the queue, as `entrant`. Its wait goes on.
     pub(super) fn requeue(&mut self, entrant: &Entrant, now: Instant) -> Result<(), Rejection> {
         let waiting = &self.shared.waiting;
-        let (place, bell) = waiting.push(&self.key, entrant, now)?;
+        let (place, waker) = waiting.push(&self.key, entrant, now)?;
         let former = std::mem::replace(&mut self.place, place);
-        self.bell = bell;
+        self.waker = waker;
         waiting.remove(&self.key, &former.ticket, now);
         // The queue may have removed the former place before, so that none was woken for it.
         waiting.wake(&self.key.service);
@@ -67,7 +67,7 @@
     pub(super) async fn sleep(&self, until: Instant) {
         tokio::select! {
             biased;
-            () = self.bell.notified() => {}
+            () = self.waker.notified() => {}
             () = self.shared.suspend_detector.wait_until(until) => {}
         }
     }
@@ -137,7 +137,7 @@
     }
 }
 
-impl Drop for Seat {
+impl Drop for Waiter {
     fn drop(&mut self) {
         let now = clock::now();
         let (class, waited) = (self.ticket().class(), self.waited(now));
--- a/crates/overload/src/allowance.rs
+++ b/crates/overload/src/allowance.rs
@@ -31,7 +31,7 @@
 const DEMAND_WEIGHT: f64 = 0.125;
 /// The fraction of the slots by which reports may fall below the least plausible number of
 /// requests. Beyond it, an entry gains no more than it does without free capacity.
-const DOUBT_MIN: f64 = 0.1;
+const IMPLAUSIBLE_MIN: f64 = 0.1;
 /// The lowest demand assumed, in requests per round. A lower value uses more of the limit with
 /// hundreds of entries, but lets a burst at all of them exceed it further.
 const DEMAND_MIN: f64 = 0.7;
@@ -75,7 +75,7 @@
     /// The fraction of a round by which the reports are older than the own requests.
     unreported: f64,
     /// Whether the load reports show a decrease that is too fast to be true.
-    is_doubtful: bool,
+    is_implausible: bool,
 }
 
 impl Allowance {
@@ -99,12 +99,12 @@
             let ceiling = Class::numbered(number).ceiling(limit, reserve).per_slot() * slots;
             let gain = round.gain(ceiling);
             self.gain = self.gain.max(gain);
-            *most = round_by_chance(round.own + self.offset_disuse(gain), chance);
+            *most = round_by_chance(round.own + self.offset_unused(gain), chance);
         }
         self.limits = limits;
         let ceiling = Reach::Slots.ceiling(limit, reserve).per_slot() * slots;
         let gain = round.gain_beyond(ceiling, self.given);
-        self.given = gain.max(self.offset_disuse(self.gain));
+        self.given = gain.max(self.offset_unused(self.gain));
         self.beyond = round_by_chance(round.own + gain, chance).max(limits[0]);
         self.held = occupancy.own;
         self.others = round.others / slots.max(1.0);
@@ -162,7 +162,7 @@
 
     /// Raises a gain below one request if entries have less than one request per round, so
     /// that most of their gains are not used.
-    fn offset_disuse(&self, gain: f64) -> f64 {
+    fn offset_unused(&self, gain: f64) -> f64 {
         let raised = gain / self.demand.clamp(DEMAND_MIN, 1.0);
         gain.max(raised.min(1.0))
     }
@@ -185,7 +185,7 @@
         Round {
             own: f64::from(occupancy.own),
             others,
-            is_doubtful: least - f64::from(occupancy.others) > DOUBT_MIN * slots,
+            is_implausible: least - f64::from(occupancy.others) > IMPLAUSIBLE_MIN * slots,
             unseen: self.growth.part() * assumed * unreported,
             sharers,
             unreported,
@@ -209,7 +209,7 @@
         let shared = (OVERCOMMIT * free).min(free + excess) / self.sharers;
         let share = ceiling / self.sharers;
         let least = (SHARE_MIN * share - self.own).min(excess / self.sharers);
-        if self.is_doubtful {
+        if self.is_implausible {
             return least.max(0.0);
         }
         shared.min(free).max(least)
--- a/crates/overload/src/growth.rs
+++ b/crates/overload/src/growth.rs
@@ -5,6 +5,7 @@
 /// The requests for each slot by which both averages are raised, so that small changes say
 /// little.
 const PRIOR: f64 = 0.03;
+
 /// Compares the growth of the other entries' requests, as reported, with the growth that was
 /// assumed for them: the demand may come from a few entries only. All numbers are requests
 /// for each slot.
