fix: a warm-up that ends in the answer that begins it ends its limit

Callers: an endpoint that was warm got the warm-up's rate from an entry for up to ten minutes.

Cause: the end of a warm-up went through the rule for reports of limits, by which of two reports at one instant the one with a limit counts. An answer of the store that contains the begin and the end is read at one instant, so the end was ignored, and the time of the warm-up, which would have ended it later, was removed.

Fix: the end removes the limit whatever the times, since an entry has the registrations in order.

--- a/crates/gateway/src/fleet/cold.rs
+++ b/crates/gateway/src/fleet/cold.rs
@@ -33,7 +33,7 @@
     /// Applies the remaining warm-up time of an endpoint's registration.
     pub(super) fn apply_cold_start(&mut self, endpoint: &Endpoint, now: Instant) {
         if endpoint.cold_ms == 0 {
-            self.end_cold_start(&endpoint.instance, "its registration", now);
+            self.end_cold_start(&endpoint.instance, "its registration");
             return;
         }
         let left = Duration::from_millis(endpoint.cold_ms.into());
@@ -94,8 +94,8 @@
         }
     }
 
-    fn end_cold_start(&mut self, instance: &str, source: &str, now: Instant) {
-        if self.warmups.end(instance, now) {
+    fn end_cold_start(&mut self, instance: &str, source: &str) {
+        if self.warmups.end(instance) {
             tracing::info!(endpoint = instance, source, "endpoint is warm");
             self.refresh_withheld(instance);
         }
--- a/crates/throttle/src/limits.rs
+++ b/crates/throttle/src/limits.rs
@@ -149,6 +149,11 @@
         })
     }
 
+    /// Removes the limit of an endpoint, whatever the age of its report.
+    pub(crate) fn remove(&mut self, endpoint: &str) {
+        self.rows.remove(endpoint);
+    }
+
     /// Returns the limit of an endpoint, if it has one.
     #[must_use]
     pub fn rate(&self, endpoint: &str) -> Option<Rate> {
--- a/crates/throttle/src/warmups.rs
+++ b/crates/throttle/src/warmups.rs
@@ -56,12 +56,10 @@
     }
 
     /// Records the end of an endpoint's warm-up; returns whether it was warming up.
-    pub fn end(&mut self, endpoint: &str, now: Instant) -> bool {
-        let was_warming_up = self.until.remove(endpoint).is_some();
-        if was_warming_up {
-            self.limits.apply_report(endpoint, None, now, now);
-        }
-        was_warming_up
+    pub fn end(&mut self, endpoint: &str) -> bool {
+        // One answer of the store may contain the begin and the end, so that the end isn't later.
+        self.limits.remove(endpoint);
+        self.until.remove(endpoint).is_some()
     }
 
     /// Removes the endpoints whose warm-up is over, and returns their names.
@@ -69,7 +67,7 @@
         let due = self.until.iter().filter(|(_, until)| **until <= now);
         let due: Vec<_> = due.map(|(endpoint, _)| endpoint.clone()).collect();
         for endpoint in &due {
-            self.end(endpoint, now);
+            self.end(endpoint);
         }
         self.limits.expire(now);
         due
--- a/crates/throttle/tests/cold.rs
+++ b/crates/throttle/tests/cold.rs
@@ -140,9 +140,24 @@
     assert_eq!(warmups.expire(now + 2 * SECOND), [ENDPOINT]);
     assert_eq!(warmups.withheld(ENDPOINT), None);
     assert!(warmups.begin(ENDPOINT, SECOND, rate(2.0), now + 3 * SECOND));
-    assert!(warmups.end(ENDPOINT, now + 3 * SECOND + SECOND / 2));
+    assert!(warmups.end(ENDPOINT));
     assert_eq!(warmups.withheld(ENDPOINT), None);
-    assert!(!warmups.end(ENDPOINT, now + 4 * SECOND));
+    assert!(!warmups.end(ENDPOINT));
+}
+
+/// Guards against a limit that stays in force for ten minutes because its begin and its end were
+/// read from the store in one answer, and thus at one instant.
+#[test]
+fn a_warmup_that_ends_at_the_instant_at_which_it_begins_limits_nothing() {
+    let now = clock::now();
+    let mut warmups = table("edge-0", &hosts(2), now);
+    assert!(warmups.begin(ENDPOINT, 20 * SECOND, rate(2.0), now));
+    assert!(warmups.end(ENDPOINT));
+    assert_eq!(warmups.rate(ENDPOINT), None);
+    assert_eq!(warmups.withheld(ENDPOINT), None);
+    // The next warm-up is a new one.
+    assert!(warmups.begin(ENDPOINT, SECOND, rate(2.0), now));
+    assert_eq!(warmups.rate(ENDPOINT), Some(rate(2.0)));
 }
 
 #[test]
