fix: one slow answer no longer leaves an endpoint without requests

Callers: an entry sent an endpoint nothing for up to a minute since its first answer was slower than those of the others, whose share grew.

Cause: at little load the least measured time decides alone. Nothing corrects the score of an endpoint that gets no requests but its half-life of 10 s, a new sample was added to the old mean at full weight, and a mean of the service loses to the one that was lucky last.

Without a network: none of 167 requests after an answer of 4 ms instead of 2.

Fix: a measurement loses half of its weight in 16 requests of the service for each endpoint as well as in 10 s, a sample is added to what is left, and an endpoint that was passed by for long counts as up to a quarter faster, so that it is measured again.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod attempt;
 pub mod choice;
+mod decay;
 pub mod group;
 pub mod load;
 pub mod member;
--- a/crates/route/src/options.rs
+++ b/crates/route/src/options.rs
@@ -22,6 +22,9 @@
     pub report_timeout: Option<Duration>,
     /// The half-life of a measured slowness.
     pub slowness_half_life: Duration,
+    /// The number of requests of a service, for each of its endpoints, after which a measured
+    /// slowness has lost half of its weight.
+    pub slowness_half_requests: u32,
     /// The load up to which a preferred endpoint is chosen, as a multiple of the mean.
     pub affinity_bound: f64,
     /// The fraction of occupied slots up to which a preferred endpoint is chosen
@@ -62,6 +65,7 @@
             report_half_life: Duration::from_secs(2),
             report_timeout: None,
             slowness_half_life: Duration::from_secs(10),
+            slowness_half_requests: 16,
             affinity_bound: 1.25,
             affinity_floor: 0.5,
             affinity_width: 3,
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -10,6 +10,7 @@
 use crate::attempt::End;
 use crate::average::Average;
 use crate::choice::{Choice, Error, Reason};
+use crate::decay::{Decay, Moment};
 use crate::row::{LoadEstimate, Reference, Row};
 use crate::selection::{Candidate, Selection};
 use crate::{Attempt, Group, Load, Member, Options, Report, Request, Service, State, Withheld};
@@ -29,6 +30,8 @@
 struct Pool {
     /// Positions in [`Router::rows`].
     members: Vec<usize>,
+    /// How many times to the first token were measured, wrapping around.
+    samples: u32,
     first: Average,
     step: Average,
     service_time: Average,
@@ -37,11 +40,29 @@
 }
 
 impl Pool {
-    fn reference(&self) -> Reference {
+    fn reference(&self, options: &Options, now: Instant) -> Reference {
         Reference {
             others: self.others,
             first: self.first.get().unwrap_or(1.0),
             step: self.step.get(),
+            decay: self.decay(options),
+            moment: self.moment(now),
+        }
+    }
+
+    fn decay(&self, options: &Options) -> Decay {
+        let endpoints = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
+        let half_samples = options.slowness_half_requests.saturating_mul(endpoints);
+        Decay {
+            half_life: options.slowness_half_life,
+            half_samples: f64::from(half_samples.max(1)),
+        }
+    }
+
+    const fn moment(&self, time: Instant) -> Moment {
+        Moment {
+            time,
+            samples: self.samples,
         }
     }
 
@@ -218,7 +239,7 @@
     fn select(&mut self, service: &Service, now: Instant) -> Option<(Selection<'_>, &[usize])> {
         let pool = self.pools.get_mut(service)?;
         let selection = Selection {
-            reference: pool.reference(),
+            reference: pool.reference(&self.options, now),
             service_time: pool.service_time(&self.options),
             others_mean: &mut pool.others,
             options: &self.options,
@@ -258,14 +279,20 @@
             return;
         }
         attempt.first = Some(now);
-        let ratio = attempt.slowness(now);
-        if let Some(at) = self.position(&attempt.endpoint) {
-            let row = &mut self.rows[at];
-            row.own.backlog = row.own.backlog.saturating_sub(attempt.tokens);
-            row.first.add(ratio, now);
+        let position = self.position(&attempt.endpoint);
+        if let Some(at) = position {
+            let own = &mut self.rows[at].own;
+            own.backlog = own.backlog.saturating_sub(attempt.tokens);
         }
-        if let Some(pool) = self.pools.get_mut(&attempt.service) {
-            pool.first.add(ratio, now);
+        let Some(pool) = self.pools.get_mut(&attempt.service) else {
+            return;
+        };
+        pool.samples = pool.samples.wrapping_add(1);
+        let (decay, moment) = (pool.decay(&self.options), pool.moment(now));
+        let ratio = attempt.slowness(now);
+        pool.first.add(ratio, decay, moment);
+        if let Some(at) = position {
+            self.rows[at].first.add(ratio, decay, moment);
         }
     }
 
@@ -279,15 +306,19 @@
         let End::Answered { pieces } = end else {
             return;
         };
-        let step = attempt.step(pieces, now);
-        if let (Some(step), Some(at)) = (step, self.position(&attempt.endpoint)) {
-            self.rows[at].step.add(step, now);
-        }
-        if let Some(pool) = self.pools.get_mut(&attempt.service) {
-            pool.service_time.add(attempt.service_time(now), now);
-            if let Some(step) = step {
-                pool.step.add(step, now);
-            }
+        let position = self.position(&attempt.endpoint);
+        let Some(pool) = self.pools.get_mut(&attempt.service) else {
+            return;
+        };
+        let (decay, moment) = (pool.decay(&self.options), pool.moment(now));
+        pool.service_time
+            .add(attempt.service_time(now), decay, moment);
+        let Some(step) = attempt.step(pieces, now) else {
+            return;
+        };
+        pool.step.add(step, decay, moment);
+        if let Some(at) = position {
+            self.rows[at].step.add(step, decay, moment);
         }
     }
 
--- a/crates/route/src/row.rs
+++ b/crates/route/src/row.rs
@@ -6,12 +6,17 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::average::Average;
+use crate::decay::{Decay, Moment};
 use crate::health::Health;
 use crate::{Load, Member, Options, Report, State, Withheld};
 
 /// Bounds of a measured slowness: a single extreme sample must not exclude an endpoint.
 const SLOWNESS: std::ops::RangeInclusive<f64> = 0.1..=10.0;
 
+/// The part by which an endpoint counts as faster that other requests of the service have passed
+/// by for long: more than the measurements of equal endpoints differ, so that it is measured again.
+const EXPLORATION: f64 = 0.25;
+
 /// The additional decay of a load report for each standard deviation of the
 /// load. All entries send requests to slots that were reported as free, so a
 /// reported difference in load vanishes faster than requests turn over. See
@@ -66,6 +71,9 @@
     pub(crate) first: f64,
     /// The mean of [`Row::step`].
     pub(crate) step: Option<f64>,
+    /// How measurements lose their weight until `moment`.
+    pub(crate) decay: Decay,
+    pub(crate) moment: Moment,
 }
 
 impl Row {
@@ -176,12 +184,14 @@
     }
 
     /// Returns the endpoint's slowness relative to the others of its service.
-    pub(crate) fn slowness(&self, reference: &Reference, options: &Options, now: Instant) -> f64 {
-        let half_life = options.slowness_half_life;
-        let first = self.first.decayed(reference.first, half_life, now) / reference.first;
+    pub(crate) fn slowness(&self, reference: &Reference) -> f64 {
+        let &Reference { decay, moment, .. } = reference;
+        let first = self.first.decayed(reference.first, decay, moment) / reference.first;
         let step = reference
             .step
-            .map_or(1.0, |mean| self.step.decayed(mean, half_life, now) / mean);
-        first.max(step).clamp(*SLOWNESS.start(), *SLOWNESS.end()) / self.member.speed
+            .map_or(1.0, |mean| self.step.decayed(mean, decay, moment) / mean);
+        let stale = 1.0 - self.first.freshness(decay, moment);
+        let expected = first.max(step) * (1.0 - EXPLORATION * stale);
+        expected.clamp(*SLOWNESS.start(), *SLOWNESS.end()) / self.member.speed
     }
 }
--- a/crates/route/src/selection.rs
+++ b/crates/route/src/selection.rs
@@ -146,7 +146,7 @@
             distance: row.distance,
             avoided: row.is_avoided(self.options, self.now),
             slots: row.slots,
-            slowness: row.slowness(&self.reference, self.options, self.now),
+            slowness: row.slowness(&self.reference),
             requests: f64::from(row.own.requests) + fresh * others.requests + stale * requests,
             backlog: f64::from(row.own.backlog) + fresh * others.backlog + stale * backlog,
             weight: 0,
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cactusnotch_base::clock;
+use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_base::name::{DataCentre, Endpoint, Model};
 use cactusnotch_route::attempt::End;
 use cactusnotch_route::choice::{Error, Reason};
@@ -12,8 +12,8 @@
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
 const SLOTS: u32 = 8;
 
@@ -413,6 +413,93 @@
     assert!(again.contains(&members[0].name), "old measurements fade");
 }
 
+/// How long requests take in the tests of forgotten measurements, and the pause between two.
+const USUAL: Duration = Duration::from_millis(2);
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// The part by which the time of an answer differs at most from the usual one.
+const JITTER: f64 = 0.1;
+
+/// Sends requests one after the other for the given time, each answered after about `answer`;
+/// returns how many each endpoint got.
+fn send_for(
+    router: &mut Router,
+    now: &mut Instant,
+    time: Duration,
+    answer: impl Fn(&Endpoint) -> Duration,
+) -> Vec<(Endpoint, usize)> {
+    let service = service();
+    let request = request(&service, &[], &[]);
+    let rng = &mut StdRng::seed_from_u64(1);
+    let end = *now + time;
+    let mut counts: Vec<(Endpoint, usize)> = Vec::new();
+    while *now < end {
+        let choice = router.choose(&request, *now, rng).expect("serving");
+        match counts.iter_mut().find(|(name, _)| *name == choice.endpoint) {
+            Some((_, count)) => *count += 1,
+            None => counts.push((choice.endpoint.clone(), 1)),
+        }
+        let mut attempt = router.start(&choice, &request, *now);
+        let jitter = rng.random_range(-JITTER..JITTER);
+        *now += answer(&choice.endpoint).mul_f64(1.0 + jitter);
+        router.first_piece(&mut attempt, *now);
+        router.finish(&attempt, End::Answered { pieces: 1 }, *now);
+        *now += PAUSE;
+    }
+    counts
+}
+
+fn count_of(counts: &[(Endpoint, usize)], name: &Endpoint) -> usize {
+    counts
+        .iter()
+        .find(|(known, _)| known == name)
+        .map_or(0, |(_, count)| *count)
+}
+
+/// Guards against an endpoint that gets no requests for most of a minute because a single answer
+/// was slow: no later request refreshes its score.
+#[test]
+fn a_single_slow_answer_is_forgotten_within_ten_seconds() {
+    for slow in [2 * USUAL, 5 * USUAL, 250 * USUAL] {
+        let members = local_members(3);
+        let mut router = router(&members);
+        let mut now = clock::now();
+        let warmed_up = &members[0].name;
+        // The other two have answered some requests before its first one.
+        router.withhold(warmed_up, Some(Withheld::Indefinitely));
+        send_for(&mut router, &mut now, Duration::from_secs(1), |_| USUAL);
+        router.withhold(warmed_up, None);
+        let first = std::cell::Cell::new(true);
+        let answer = |name: &Endpoint| {
+            let is_first = name == warmed_up && first.replace(false);
+            if is_first { slow } else { USUAL }
+        };
+        send_for(&mut router, &mut now, Duration::from_secs(10), answer);
+        assert!(!first.get(), "it got a request");
+        let counts = send_for(&mut router, &mut now, Duration::from_secs(2), |_| USUAL);
+        let all: usize = counts.iter().map(|(_, count)| count).sum();
+        let own = count_of(&counts, warmed_up);
+        assert!(own * 6 > all, "{own} of {all} after an answer of {slow:?}");
+    }
+}
+
+/// Guards against a score that a good answer raises: the old measurement counted in full again as
+/// soon as a new one was added, however much of it had been forgotten.
+#[test]
+fn a_good_answer_makes_no_endpoint_count_as_slower() {
+    let members = local_members(2);
+    let mut router = router(&members);
+    let mut now = clock::now();
+    let cured = &members[0].name;
+    let sick = |name: &Endpoint| if name == cured { 5 * USUAL } else { USUAL };
+    send_for(&mut router, &mut now, Duration::from_secs(2), sick);
+    now += Duration::from_mins(5);
+    let counts = send_for(&mut router, &mut now, Duration::from_secs(2), |_| USUAL);
+    let all: usize = counts.iter().map(|(_, count)| count).sum();
+    let own = count_of(&counts, cured);
+    assert!(own * 4 > all, "{own} of {all} after it was cured");
+}
+
 #[test]
 fn a_failing_endpoint_is_ejected_and_probed_by_one_request() {
     let service = service();
