fix: another entry's confirmation counts for later versions as well

Callers: entries cut off from the store, or just started, refused keyed requests while versions changed faster than entries poll each other, although another entry had confirmed the keys lately.

Cause: the confirmation counted only at entries with the same version. It states that nothing newer than that version had been accepted at its time; an entry with a later one therefore has all that had been accepted then.

The new test got 503 before and gets 200.

--- a/crates/gateway/src/knowledge/confirmation.rs
+++ b/crates/gateway/src/knowledge/confirmation.rs
@@ -9,18 +9,19 @@
 use crate::peer::State;
 
 impl SharedState {
-    /// Applies another entry's state of the store, and its confirmation if both
-    /// have the same version of the configuration.
+    /// Applies another entry's state of the store, and its confirmation if this entry has the
+    /// confirmed version of the configuration or a later one: nothing newer than the confirmed
+    /// one had been accepted at that time.
     pub(crate) fn apply_confirmation(&self, state: &State, from: SocketAddr, now: Instant) {
         self.note_position(state.known, now);
         let known = self.configuration.borrow().as_ref().map(|c| c.version);
         if known.is_some_and(|known| known < state.version) {
             self.lag.note_newer(state.version, from);
         }
-        let same = known == Some(state.version);
+        let is_covered = state.version > 0 && self.has_version(state.version);
         let age = state
             .proof_age
-            .filter(|_| same)
+            .filter(|_| is_covered)
             .map(|age| Duration::from_millis(age.into()));
         let confirmed = age.and_then(|age| self.polls.borrow().confirmed_at(state.round, age));
         if let Some(confirmed) = confirmed {
