fix: callers refused in an unsettled era are told when to return

Callers: after a return of the store from an older copy they were told to come back after 0.15 to 0.3 s, were refused again for up to two seconds, and had used their retry.

Cause: one refusal stood for an entry that is cut off, where another one may serve at once, and for an era of the store in which no entry can confirm the configuration yet, and all know until when.

Fix: the refusal names the time until the next attempt, with up to 0.3 s of spread. The request is still refused at once.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -60,8 +60,10 @@
     let resolved = match resolved {
         // The missing route or key may be in a newer configuration that this
         // entry has not received yet.
-        Err(Refusal::NoRoute | Refusal::NoKey) if !fresh => Err(Refusal::NotFresh),
-        Ok(resolved) if resolved.organisation.is_some() && !fresh => Err(Refusal::NotFresh),
+        Err(Refusal::NoRoute | Refusal::NoKey) if !fresh => Err(shared.refusal_not_fresh(now)),
+        Ok(resolved) if resolved.organisation.is_some() && !fresh => {
+            Err(shared.refusal_not_fresh(now))
+        }
         other => other,
     }
     .map_err(fail)?;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -57,6 +57,13 @@
     /// This entry's configuration is missing or may be outdated.
     #[display("the configuration is not known well enough")]
     NotFresh,
+    /// The store was restored from an older copy lately, so that the configuration can't be
+    /// confirmed yet.
+    #[display("the configuration is not confirmed yet")]
+    Unconfirmed {
+        /// The time until the next attempt to confirm it.
+        wait: Duration,
+    },
     /// No endpoint accepted the request, which has not run.
     #[display("no endpoint took the request")]
     NotRun,
@@ -98,6 +105,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::NotFresh
+            | Self::Unconfirmed { .. }
             | Self::NotRun
             | Self::Busy
             | Self::Throttled { .. }
@@ -117,6 +125,7 @@
             self,
             Self::SlowBody
                 | Self::NotFresh
+                | Self::Unconfirmed { .. }
                 | Self::NotRun
                 | Self::Busy
                 | Self::Throttled { .. }
@@ -136,7 +145,10 @@
             Self::Busy | Self::NotRun => spread_recovery(recovery(left), spread),
             // One request is admitted at that time; the others should arrive after it.
             Self::Throttled { wait } => wait.max(RETRY_AFTER).mul_f64(0.5 + spread),
-            // An earlier retry would be refused as well.
+            // An earlier retry would be refused as well: by all entries, since they share their
+            // confirmations.
+            Self::Unconfirmed { wait } => wait + RETRY_AFTER.mul_f64(draw.clamp(0.0, 1.0)),
+            // The same.
             Self::Held => quarantine::QUARANTINE_TIME,
             _ => RETRY_AFTER.mul_f64(spread),
         }
