fix: an entry polls the others as soon as it knows them

Callers: an entry that started soon after a return of the store from an older copy refused keyed requests for half a second, although others could have confirmed its configuration.

Cause: the first poll came at the start, when no entry is known, and the second 500 ms later. Entries are listed some milliseconds after the start.

Fix: the first listing of entries starts a poll.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -43,6 +43,7 @@
                 Err(error) => tracing::debug!(%error, "receiving a datagram failed"),
             },
             () = shared.notifications.pushed() => notifications::send_due(&shared, &socket, false, clock::now()),
+            () = shared.entries_listed.notified() => poll(&shared, &socket, false),
             _ = resubscribe_ticks.tick(), if has_missing => has_missing = subscribe_missing(&shared, &socket),
             _ = ticks.tick() => {
                 shared.tick(clock::now());
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -80,6 +80,8 @@
     answered: Notify,
     /// Notified when this entry is missing from a listing of entries.
     pub(crate) unregistered: Notify,
+    /// Notified when entries have been listed for the first time.
+    pub(crate) entries_listed: Notify,
     /// The era that the state was last adapted to.
     applied_era: Cell<Era>,
     /// Until when no answer of the store can confirm the configuration.
@@ -116,6 +118,7 @@
             store_health: RefCell::default(),
             answered: Notify::new(),
             unregistered: Notify::new(),
+            entries_listed: Notify::new(),
             applied_era: Cell::default(),
             unconfirmed_until: Cell::default(),
             unsettled: Notify::new(),
@@ -205,7 +208,11 @@
                 self.listed.set((true, self.listed.get().1));
             }
             Kind::Entries => {
-                self.listed.set((self.listed.get().0, true));
+                let (endpoints_listed, entries_listed) = self.listed.get();
+                self.listed.set((endpoints_listed, true));
+                if !entries_listed {
+                    self.entries_listed.notify_one();
+                }
                 if !named(&self.options.borrow().host) {
                     self.unregistered.notify_one();
                 }
