--- a/crates/route/src/decay.rs
+++ b/crates/route/src/decay.rs
@@ -4,11 +4,11 @@
 
 use cactusnotch_base::clock::Instant;
 
-/// A moment in time, and in the sequence of a service's samples.
+/// A moment in time, and in the sequence of a router's samples.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Moment {
     pub(crate) time: Instant,
-    /// How many samples of the service this entry has taken.
+    /// How many samples the router has taken, of all services: an endpoint may offer several.
     pub(crate) samples: u32,
 }
 
@@ -20,7 +20,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct Decay {
     pub(crate) half_life: Duration,
-    /// The number of samples of the service after which half of the weight is left.
+    /// The number of samples after which half of the weight is left.
     pub(crate) half_samples: f64,
 }
 
--- a/crates/route/src/options.rs
+++ b/crates/route/src/options.rs
@@ -22,8 +22,8 @@
     pub report_timeout: Option<Duration>,
     /// The half-life of a measured slowness.
     pub slowness_half_life: Duration,
-    /// The number of requests of a service, for each of its endpoints, after which a measured
-    /// slowness has lost half of its weight.
+    /// The number of requests for each endpoint after which a measured slowness has lost half of
+    /// its weight.
     pub slowness_half_requests: u32,
     /// The load up to which a preferred endpoint is chosen, as a multiple of the mean.
     pub affinity_bound: f64,
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -22,6 +22,8 @@
     /// The endpoints, sorted by name.
     rows: Vec<Row>,
     pools: Table<Service, Pool>,
+    /// How many times to the first token were measured, wrapping around.
+    samples: u32,
     candidates: Vec<Candidate>,
 }
 
@@ -30,8 +32,6 @@
 struct Pool {
     /// Positions in [`Router::rows`].
     members: Vec<usize>,
-    /// How many times to the first token were measured, wrapping around.
-    samples: u32,
     first: Average,
     step: Average,
     service_time: Average,
@@ -40,29 +40,13 @@
 }
 
 impl Pool {
-    fn reference(&self, options: &Options, now: Instant) -> Reference {
+    fn reference(&self, decay: Decay, moment: Moment) -> Reference {
         Reference {
             others: self.others,
             first: self.first.get().unwrap_or(1.0),
             step: self.step.get(),
-            decay: self.decay(options),
-            moment: self.moment(now),
-        }
-    }
-
-    fn decay(&self, options: &Options) -> Decay {
-        let endpoints = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
-        let half_samples = options.slowness_half_requests.saturating_mul(endpoints);
-        Decay {
-            half_life: options.slowness_half_life,
-            half_samples: f64::from(half_samples.max(1)),
-        }
-    }
-
-    const fn moment(&self, time: Instant) -> Moment {
-        Moment {
-            time,
-            samples: self.samples,
+            decay,
+            moment,
         }
     }
 
@@ -81,6 +65,7 @@
             options,
             rows: Vec::new(),
             pools: Table::new(),
+            samples: 0,
             candidates: Vec::new(),
         }
     }
@@ -237,9 +222,10 @@
 
     /// Prepares a selection among the endpoints of a service.
     fn select(&mut self, service: &Service, now: Instant) -> Option<(Selection<'_>, &[usize])> {
+        let (decay, moment) = (self.decay(), self.moment(now));
         let pool = self.pools.get_mut(service)?;
         let selection = Selection {
-            reference: pool.reference(&self.options, now),
+            reference: pool.reference(decay, moment),
             service_time: pool.service_time(&self.options),
             others_mean: &mut pool.others,
             options: &self.options,
@@ -284,16 +270,15 @@
             let own = &mut self.rows[at].own;
             own.backlog = own.backlog.saturating_sub(attempt.tokens);
         }
-        let Some(pool) = self.pools.get_mut(&attempt.service) else {
-            return;
-        };
-        pool.samples = pool.samples.wrapping_add(1);
-        let (decay, moment) = (pool.decay(&self.options), pool.moment(now));
+        self.samples = self.samples.wrapping_add(1);
+        let (decay, moment) = (self.decay(), self.moment(now));
         let ratio = attempt.slowness(now);
-        pool.first.add(ratio, decay, moment);
         if let Some(at) = position {
             self.rows[at].first.add(ratio, decay, moment);
         }
+        if let Some(pool) = self.pools.get_mut(&attempt.service) {
+            pool.first.add(ratio, decay, moment);
+        }
     }
 
     /// Records the end of an attempt.
@@ -306,20 +291,37 @@
         let End::Answered { pieces } = end else {
             return;
         };
-        let position = self.position(&attempt.endpoint);
-        let Some(pool) = self.pools.get_mut(&attempt.service) else {
-            return;
-        };
-        let (decay, moment) = (pool.decay(&self.options), pool.moment(now));
-        pool.service_time
-            .add(attempt.service_time(now), decay, moment);
-        let Some(step) = attempt.step(pieces, now) else {
-            return;
-        };
-        pool.step.add(step, decay, moment);
-        if let Some(at) = position {
+        let (decay, moment) = (self.decay(), self.moment(now));
+        let step = attempt.step(pieces, now);
+        if let (Some(step), Some(at)) = (step, self.position(&attempt.endpoint)) {
             self.rows[at].step.add(step, decay, moment);
         }
+        if let Some(pool) = self.pools.get_mut(&attempt.service) {
+            let time = attempt.service_time(now);
+            pool.service_time.add(time, decay, moment);
+            if let Some(step) = step {
+                pool.step.add(step, decay, moment);
+            }
+        }
+    }
+
+    fn decay(&self) -> Decay {
+        let endpoints = u32::try_from(self.rows.len()).unwrap_or(u32::MAX);
+        let half_samples = self
+            .options
+            .slowness_half_requests
+            .saturating_mul(endpoints);
+        Decay {
+            half_life: self.options.slowness_half_life,
+            half_samples: f64::from(half_samples.max(1)),
+        }
+    }
+
+    const fn moment(&self, time: Instant) -> Moment {
+        Moment {
+            time,
+            samples: self.samples,
+        }
     }
 
     fn position(&self, endpoint: &Endpoint) -> Option<usize> {
--- a/crates/route/tests/router.rs
+++ b/crates/route/tests/router.rs
@@ -500,6 +500,33 @@
     assert!(own * 4 > all, "{own} of {all} after it was cured");
 }
 
+/// Guards against a measurement that counts as old because the endpoint offers a second service,
+/// whose requests are counted from another start.
+#[test]
+fn a_measurement_of_one_service_counts_for_the_others_of_its_endpoint() {
+    let other = Service::Model(Model::new("summaries"));
+    let with_both = |mut member: Member| {
+        member.services.push(other.clone());
+        member
+    };
+    let members: Vec<_> = local_members(2).into_iter().map(with_both).collect();
+    let mut router = router(&members);
+    let mut now = clock::now();
+    let sick = |name: &Endpoint| {
+        if *name == members[0].name {
+            250 * USUAL
+        } else {
+            USUAL
+        }
+    };
+    send_for(&mut router, &mut now, Duration::from_secs(1), sick);
+    let rng = &mut StdRng::seed_from_u64(1);
+    for _ in 0..20 {
+        let choice = router.choose(&request(&other, &[], &[]), now, rng);
+        assert_eq!(choice.expect("serving").endpoint, members[1].name);
+    }
+}
+
 #[test]
 fn a_failing_endpoint_is_ejected_and_probed_by_one_request() {
     let service = service();
