--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -145,10 +145,9 @@
             Self::Busy | Self::NotRun => spread_recovery(recovery(left), spread),
             // One request is admitted at that time; the others should arrive after it.
             Self::Throttled { wait } => wait.max(RETRY_AFTER).mul_f64(0.5 + spread),
-            // An earlier retry would be refused as well: by all entries, since they share their
-            // confirmations.
+            // No entry can serve earlier, since entries share their confirmations.
             Self::Unconfirmed { wait } => wait + RETRY_AFTER.mul_f64(draw.clamp(0.0, 1.0)),
-            // The same.
+            // An earlier retry would be refused as well.
             Self::Held => quarantine::QUARANTINE_TIME,
             _ => RETRY_AFTER.mul_f64(spread),
         }
