--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -145,7 +145,7 @@
             Self::Busy | Self::NotRun => spread_recovery(recovery(left), spread),
             // One request is admitted at that time; the others should arrive after it.
             Self::Throttled { wait } => wait.max(RETRY_AFTER).mul_f64(0.5 + spread),
-            // No entry can serve earlier, since entries share their confirmations.
+            // Entries share their confirmations, so the others near this one have none either.
             Self::Unconfirmed { wait } => wait + RETRY_AFTER.mul_f64(draw.clamp(0.0, 1.0)),
             // An earlier retry would be refused as well.
             Self::Held => quarantine::QUARANTINE_TIME,
