Add a group of ranks and agents to the review's stand-ins

Cause: a case on expert maps needs model servers that make passes together, and the project's agents beside them. Change: a group of eight ranks with orders that may be carried out late, the agents as processes with the command of the deploy file, and a course.

--- a/review/standins/course.rs
+++ b/review/standins/course.rs
@@ -1,5 +1,6 @@
 //! The courses of the scripts.
 
+mod map_switch;
 mod not_run;
 mod slow_reader;
 mod stream_cut;
@@ -27,6 +28,7 @@
     ));
     let outcome = match name {
         "stream-cut" => stream_cut::run(&record, trouble),
+        "map-switch" => map_switch::run(&record, trouble),
         "not-run" => not_run::run(&record, trouble),
         "slow-reader" => slow_reader::run(&record, trouble),
         _ => Err(format!("there is no course {name}")),
--- a/review/standins/entry.rs
+++ b/review/standins/entry.rs
@@ -17,7 +17,7 @@
 pub const REGISTRY: u16 = 8224;
 pub const STORE: u16 = 8223;
 pub const SERVERS: u16 = 8228;
-const INTERNAL: (u16, u16) = (7340, 7355);
+pub const INTERNAL: (u16, u16) = (7340, 7355);
 
 /// Returns a loopback address at which all ports of a course are free.
 pub fn free_address() -> Option<Ipv4Addr> {
@@ -221,3 +221,52 @@
 "#
     )
 }
+
+/// Returns the settings file of an agent, as the platform writes it.
+pub fn side_settings_text(
+    machine: Ipv4Addr,
+    store: SocketAddr,
+    service: &str,
+    site: &Site,
+) -> String {
+    let (first, last) = INTERNAL;
+    let (zone, region, bounds, rates) = (site.zones[0], site.region, site.bounds, site.rates);
+    format!(
+        r#"NodeName = "side-{machine}"
+Role = "agent"
+MachineClass = "side"
+Serves = ["side"]
+Ip = "{machine}"
+Zone = "{zone}"
+Region = "{region}"
+InternalPortRange = [{first},{last}]
+SeedNodes = []
+Bootstrap = true
+InTolerance = false
+Discovery = "platform"
+Entry = "registry"
+HeartbeatMs = 1200
+app = "{machine}:{SERVERS}"
+Service = "{service}"
+[Zones]
+{zone} = "{region}"
+[Listen]
+[Limits]
+CpuQuota = 0.15
+CpuCores = 1
+MemoryMb = 128
+MaxFds = 2048
+LinkMbps = 20.0
+DiskMb = 0
+[Bounds]
+{bounds}
+[Platform]
+Address = "{store}"
+form = "objects"
+{rates}
+HistoryS = 20
+ValueBytes = 1048576
+TtlMinMs = 1000
+"#
+    )
+}
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -4,8 +4,10 @@
 //! `standin COURSE RECORD` runs a course and exits with 1 if the rule was broken, 0 if it held
 //! and 2 if the course could not run. `standin server ...` is a server in a process of its own.
 
+mod agent;
 mod course;
 mod entry;
+mod group;
 mod http;
 mod record;
 mod server;
