--- a/review/standins/course.rs
+++ b/review/standins/course.rs
@@ -7,6 +7,7 @@
 
 use std::path::Path;
 
+use self::stream_cut::Cut;
 use crate::record::Record;
 
 /// Whether the rule was broken, or why the course could not run.
@@ -27,7 +28,8 @@
         if trouble { "with" } else { "without" }
     ));
     let outcome = match name {
-        "stream-cut" => stream_cut::run(&record, trouble),
+        "stream-cut" => stream_cut::run(&record, trouble, Cut::Killed),
+        "stream-left" => stream_cut::run(&record, trouble, Cut::Left),
         "map-switch" => map_switch::run(&record, trouble),
         "not-run" => not_run::run(&record, trouble),
         "slow-reader" => slow_reader::run(&record, trouble),
--- a/review/standins/course/map_switch.rs
+++ b/review/standins/course/map_switch.rs
@@ -100,7 +100,7 @@
         store.put(
             "servers",
             &format!("i-{rank}"),
-            &server::registration(SERVICE, address, zone, 12),
+            &server::registration(SERVICE, address, zone, 12, group.born),
         );
     }
     store.put("config", "main", &engines());
--- a/review/standins/course/not_run.rs
+++ b/review/standins/course/not_run.rs
@@ -17,9 +17,11 @@
 const SERVICE: &str = "mostrador-app";
 const SERVERS: u16 = 6;
 const EPISODES: u32 = 5;
-/// The time that a request takes at its server; the longest on the site's sheet is 450 ms.
+/// How long a request waits in the queue of its server, which has six slots and a queue of 24.
+const QUEUED: Duration = Duration::from_millis(200);
+/// The time that it then runs; the longest of the site is 450 ms.
 const WORK: Duration = Duration::from_millis(400);
-const TIMEOUT_MS: u64 = 550;
+const TIMEOUT_MS: u64 = 800;
 const DEADLINE: Duration = Duration::from_millis(1_500);
 /// How long a server stays dark.
 const DARK: Duration = Duration::from_millis(4_000);
@@ -33,13 +35,13 @@
     let mut servers = Vec::new();
     for number in 0..SERVERS {
         let address = SocketAddr::from((ip, entry::SERVERS + number));
-        let server = Plain::start(address, &format!("i-{number}"), WORK, record);
+        let server = Plain::start(address, &format!("i-{number}"), QUEUED, WORK, record);
         let server = server.map_err(failed)?;
         let zone = entry::ARRIETA.zone(number);
         store.put(
             "servers",
             &server.id,
-            &server::registration(SERVICE, address, zone, 6),
+            &server::registration(SERVICE, address, zone, 6, server::now_ms()),
         );
         servers.push(server);
     }
@@ -85,10 +87,11 @@
         for server in servers.iter().filter(|_| attempt == 1) {
             server.cancel_darkness();
         }
-        if !PROMISES.contains(&status) || wait >= left / 3 {
+        if !PROMISES.contains(&status) {
             break;
         }
-        std::thread::sleep(wait);
+        let left = DEADLINE.saturating_sub(begun.elapsed());
+        std::thread::sleep(wait.min(left / 3));
     }
     if trouble {
         std::thread::sleep(DARK.saturating_sub(begun.elapsed()));
--- a/review/standins/course/slow_reader.rs
+++ b/review/standins/course/slow_reader.rs
@@ -128,7 +128,7 @@
         store.put(
             "servers",
             &id,
-            &server::registration(SERVICE, address, zone, 6),
+            &server::registration(SERVICE, address, zone, 6, server::now_ms()),
         );
     }
     let route = format!(
--- a/review/standins/course/stream_cut.rs
+++ b/review/standins/course/stream_cut.rs
@@ -2,7 +2,9 @@
 //!
 //! Six servers answer a resumable `streaming` route. Twelve clients get streams at once, and one
 //! of the six servers, a process of its own, is killed in the midst of them and started again
-//! later. This happens twice: soon after the streams have begun, for comparison, and later.
+//! later. This happens twice: soon after the streams have begun, for comparison, and later. In the
+//! course `stream-left` that server leaves instead: it says that it drains, serves for `DrainMs` and
+//! a little longer, and exits.
 
 use std::io::{BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -24,17 +26,37 @@
 /// The events of a stream and the pause before each.
 const EVENTS: u32 = 24;
 const PAUSE_MS: u64 = 100;
-/// The events after which a server is killed, in each episode.
-const KILLED_AFTER: [u32; 2] = [2, 10];
 /// The lapse of a silent server's registration: three heartbeat intervals.
 const LAPSE: Duration = Duration::from_millis(3 * 1_200);
+/// How long a server that drains goes on: `DrainMs`, and a little longer.
+const DRAINING: Duration = Duration::from_millis(2_000 + 100);
 /// How long a killed server is down.
 const DOWN: Duration = Duration::from_millis(4_500);
 
+/// How a server comes to its end in the midst of streams.
+#[derive(Clone, Copy)]
+pub enum Cut {
+    /// It is killed.
+    Killed,
+    /// It leaves, as planned.
+    Left,
+}
+
+impl Cut {
+    /// Returns the events of a stream after which it comes to that, in each episode.
+    fn episodes(self) -> &'static [u32] {
+        match self {
+            Self::Killed => &[2, 10],
+            Self::Left => &[1],
+        }
+    }
+}
+
 /// A server in a process of its own, which is killed when this is dropped.
 struct Server {
     id: String,
     port: u16,
+    registration: String,
     child: Child,
     /// The most events that it has sent of one stream.
     sent: Arc<AtomicU32>,
@@ -64,6 +86,7 @@
         let server = Self {
             id: id.to_owned(),
             port,
+            registration: String::new(),
             child,
             sent: Arc::clone(&sent),
         };
@@ -110,7 +133,7 @@
     }
 }
 
-pub fn run(record: &Record, trouble: bool) -> Outcome {
+pub fn run(record: &Record, trouble: bool, cut: Cut) -> Outcome {
     let ip = entry::free_address().ok_or("no free loopback address")?;
     let failed = |error: std::io::Error| error.to_string();
     let store = Store::start(SocketAddr::from((ip, entry::STORE))).map_err(failed)?;
@@ -135,7 +158,7 @@
     let entry = Entry::start(ip, &entry::ARRIETA)?;
     std::thread::sleep(Duration::from_secs(2));
     let mut broken = false;
-    for (episode, killed_after) in (1..).zip(KILLED_AFTER) {
+    for (episode, &after) in (1..).zip(cut.episodes()) {
         record.note(&format!("episode {episode}"));
         let clients: Vec<_> = (1..=CLIENTS)
             .map(|number| {
@@ -145,8 +168,8 @@
             })
             .collect();
         let begun = Instant::now();
-        let killed = trouble.then(|| kill_one(record, &store, &servers, killed_after));
-        let killed = killed.transpose()?;
+        let ended = trouble.then(|| end_one(record, &store, &servers, cut, after));
+        let ended = ended.transpose()?;
         for got in clients.into_iter().filter_map(|client| client.join().ok()) {
             if got.breaks_order() {
                 broken = true;
@@ -157,7 +180,7 @@
                 ));
             }
         }
-        if let Some(at) = killed {
+        if let Some(at) = ended {
             std::thread::sleep(DOWN.saturating_sub(begun.elapsed()));
             let (port, id) = (servers[at].port, format!("{}-again", servers[at].id));
             servers[at] = join_service(record, &store, ip, port, &id)?;
@@ -181,43 +204,56 @@
     port: u16,
     id: &str,
 ) -> Result<Server, String> {
-    let server = Server::start(record, ip, port, id)?;
+    let mut server = Server::start(record, ip, port, id)?;
     let zone = entry::ARRIETA.zone(port - entry::SERVERS);
     let address = SocketAddr::from((ip, port));
-    store.put(
-        "servers",
-        id,
-        &server::registration(SERVICE, address, zone, 12),
-    );
+    server.registration = server::registration(SERVICE, address, zone, 12, server::now_ms());
+    store.put("servers", id, &server.registration);
     Ok(server)
 }
 
-/// Kills the server that has first sent so many events of a stream; returns its index.
-fn kill_one(
+/// Ends the server that has first sent so many events of a stream; returns its index.
+fn end_one(
     record: &Record,
     store: &Store,
     servers: &[Server],
-    killed_after: u32,
+    cut: Cut,
+    after: u32,
 ) -> Result<usize, String> {
     let end = Instant::now() + Duration::from_secs(5);
-    loop {
-        let ready = |server: &Server| server.sent.load(Ordering::SeqCst) >= killed_after;
+    let ready = |server: &Server| server.sent.load(Ordering::SeqCst) >= after;
+    let at = loop {
         if let Some(at) = servers.iter().position(ready) {
-            let server = &servers[at];
+            break at;
+        }
+        if Instant::now() > end {
+            return Err("no server has sent enough events".to_owned());
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    };
+    let server = &servers[at];
+    let id = server.id.clone();
+    match cut {
+        Cut::Killed => {
             entry::send_signal(&server.child, entry::SIGKILL);
-            record.note(&format!("server {} is killed", server.id));
-            let (store, id) = (store.clone(), server.id.clone());
+            record.note(&format!("server {id} is killed"));
+            let store = store.clone();
             std::thread::spawn(move || {
                 std::thread::sleep(LAPSE);
                 store.delete("servers", &id);
             });
-            return Ok(at);
         }
-        if Instant::now() > end {
-            return Err("no server has sent enough events".to_owned());
+        Cut::Left => {
+            store.put("servers", &id, &server::drained(&server.registration));
+            record.note(&format!("server {id} says that it drains"));
+            std::thread::sleep(DRAINING);
+            // As its exit: the connections end, those of the streams as well.
+            entry::send_signal(&server.child, entry::SIGKILL);
+            record.note(&format!("server {id} exits"));
+            store.delete("servers", &id);
         }
-        std::thread::sleep(Duration::from_millis(5));
     }
+    Ok(at)
 }
 
 /// Gets one stream.
--- a/review/standins/group.rs
+++ b/review/standins/group.rs
@@ -11,6 +11,7 @@
 
 use crate::http::{self, Message};
 use crate::record::Record;
+use crate::server;
 
 pub const RANKS: usize = 8;
 pub const SETS: usize = 6;
@@ -73,6 +74,8 @@
 #[derive(Clone)]
 pub struct Group {
     pub state: Arc<Mutex<State>>,
+    /// When the servers started, in Unix milliseconds.
+    pub born: u128,
     record: Record,
 }
 
@@ -102,6 +105,7 @@
         };
         let group = Self {
             state: Arc::new(Mutex::new(state)),
+            born: server::now_ms(),
             record: record.clone(),
         };
         for (rank, address) in addresses.iter().enumerate() {
@@ -219,7 +223,7 @@
             value.map_or_else(String::new, |value| format!(",\"{name}\":{value}"))
         };
         format!(
-            "{{\"Stage\":\"unified\",\"Models\":[{{\"Name\":\"m\",\"Version\":1,\"Adapters\":[]}}],\"Busy\":false,\"Sequence\":{},\"Queued\":0,\"Active\":{},\"KvUsed\":0,\"KvTotal\":280000,\"Handles\":0,\"step\":{},\"Mapping\":{}{}{}{},\"group\":{{\"Name\":\"g-1\",\"epoch\":1,\"rank\":{at},\"Phase\":\"open\"}},\"size\":{RANKS},\"pace\":1.0}}",
+            "{{\"Stage\":\"unified\",\"Models\":[{{\"Name\":\"m\",\"Version\":1,\"Adapters\":[]}}],\"Busy\":false,\"Sequence\":{},\"Queued\":0,\"Active\":{},\"KvUsed\":0,\"KvTotal\":280000,\"Handles\":0,\"step\":{},\"Mapping\":{}{}{}{},\"group\":{{\"Name\":\"g-1\",\"epoch\":1,\"rank\":{at},\"Phase\":\"open\"}},\"size\":{RANKS},\"pace\":1.0,\"born\":{}}}",
             rank.sequence,
             u64::from(state.work > 0),
             state.step,
@@ -230,6 +234,7 @@
             ),
             optional("Armed", rank.armed.map(|(version, _)| version)),
             optional("held", rank.held),
+            self.born,
         )
     }
 
@@ -237,9 +242,10 @@
         let state = self.lock();
         let counts: Vec<_> = state.ranks[at].counts.iter().map(u64::to_string).collect();
         format!(
-            "{{\"step\":{},\"epoch\":1,\"Counts\":[{}]}}",
+            "{{\"step\":{},\"epoch\":1,\"Counts\":[{}],\"born\":{}}}",
             state.step,
-            counts.join(",")
+            counts.join(","),
+            self.born
         )
     }
 
@@ -252,9 +258,10 @@
             .map(|set| format!("{:?}", set[at]))
             .collect();
         format!(
-            "{{\"Mapping\":{{\"Version\":{},\"Experts\":[{}]}}}}",
+            "{{\"Mapping\":{{\"Version\":{},\"Experts\":[{}]}},\"born\":{}}}",
             rank.current,
-            own.join(",")
+            own.join(","),
+            self.born
         )
     }
 
--- a/review/standins/server.rs
+++ b/review/standins/server.rs
@@ -8,18 +8,35 @@
 use std::os::fd::AsRawFd;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use crate::http::{self, Message};
 use crate::record::Record;
 
-/// Returns what a server writes of itself into the store.
-pub fn registration(service: &str, address: SocketAddr, zone: &str, capacity: u32) -> String {
+/// Returns the time of day in Unix milliseconds.
+pub fn now_ms() -> u128 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_millis()
+}
+
+/// Returns what a server that started at `born` writes of itself into the store.
+pub fn registration(
+    service: &str,
+    address: SocketAddr,
+    zone: &str,
+    capacity: u32,
+    born: u128,
+) -> String {
     format!(
-        "{{\"Service\":\"{service}\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",\"Version\":\"v1\",\"Capacity\":{capacity},\"Phase\":\"ready\",\"ColdRemainingMs\":0,\"Sequence\":1}}"
+        "{{\"Service\":\"{service}\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",\"Version\":\"v1\",\"Capacity\":{capacity},\"Phase\":\"ready\",\"ColdRemainingMs\":0,\"Sequence\":1,\"born\":{born}}}"
     )
 }
 
+/// Returns what that server writes before it leaves.
+pub fn drained(registration: &str) -> String {
+    registration.replace("\"ready\"", "\"draining\"")
+}
+
 /// Returns the answer to a request that is for another instance or is a health check.
 fn aside(request: &Message, id: &str) -> Option<String> {
     if request.start[0] == "GET" && request.start[1] == "/healthz" {
@@ -107,6 +124,8 @@
     pub id: String,
     pub address: SocketAddr,
     listener: Arc<TcpListener>,
+    /// How long a request waits in the queue, and how long it then runs.
+    queued: Duration,
     work: Duration,
     dark: Arc<AtomicBool>,
     /// Whether it goes dark with the end of its next answer.
@@ -125,6 +144,7 @@
     pub fn start(
         address: SocketAddr,
         id: &str,
+        queued: Duration,
         work: Duration,
         record: &Record,
     ) -> std::io::Result<Self> {
@@ -132,6 +152,7 @@
             id: id.to_owned(),
             address,
             listener: Arc::new(TcpListener::bind(address)?),
+            queued,
             work,
             dark: Arc::default(),
             goes_dark: Arc::default(),
@@ -202,6 +223,7 @@
             }
             let attempt = request.header("Attempt-Id").unwrap_or_default().to_owned();
             let order = String::from_utf8_lossy(&request.body).into_owned();
+            std::thread::sleep(self.queued);
             self.record
                 .note(&format!("server {} runs {attempt} ({order})", self.id));
             self.ran
