fix: a request that has run is never refused as not run

Cause: whether an endpoint may be processing a request was kept in the lifecycle and once more in a flag that the driver set around four awaits. The deadline asked the flag. `Flight::receive` awaited the probe of the endpoint, which follows a response without a length, with the flag cleared, so that a deadline within the probe (250 ms for a silent host) was answered "not run".

Change: the flag is gone. `Lifecycle` alone states whether the request may have run, from the send on until a proof of the opposite, and every refusal passes `Lifecycle::checked`, which replaces a promise that isn't proved; so no await and no further reason to refuse can bring the fault back. The response is delivered too: a probe without an answer shows no crash, and takes at most half of the time left. What callers get for a response without a length whose endpoint is silent: 2xx and 5xx as the endpoint gave them, idempotent or not, before the deadline; an idempotent 5xx is tried elsewhere first if attempts are left, as before. If the endpoint's host refuses the probe, the response counts as cut off, as before: 502, or another attempt if the request is idempotent. A send whose connection is not open at the deadline is now refused as not run, which is true, and was 504.

`a_deadline_promises_nothing_while_an_endpoint_may_be_at_work` passed the flag, which is gone; it asks for the same without it, and the new property covers all moments.

--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -11,6 +11,7 @@
 use http::response::Parts;
 
 use crate::broken_runs::Unconfirmed;
+use crate::journal::millis;
 use crate::knowledge::SharedState;
 use crate::quarantine::{Accused, Crash};
 use crate::request::Call;
@@ -44,6 +45,10 @@
 
 /// Returns whether the end of a response is the crash of its endpoint. A response with neither a
 /// length nor chunks ends with its connection, as it does in a crash.
+///
+/// An endpoint that does not answer the probe has shown no crash, so the probe takes at most half
+/// of the time that is left and the response still reaches the caller before the deadline. The
+/// probe itself continues, for the record of crashes.
 pub(crate) async fn has_ended(
     shared: &Rc<SharedState>,
     call: &Call,
@@ -56,10 +61,22 @@
             .borrow()
             .takes_work(running.endpoint().as_str())
     };
-    match running.broken_run(clock::now()) {
-        // An endpoint that leaves may end after its last response.
-        Some(run) if is_unframed(head) && !is_leaving() => probe(shared, call, run).await,
-        Some(_) | None => false,
+    let now = clock::now();
+    // An endpoint that leaves may end after its last response.
+    let suspect = running.broken_run(now);
+    let Some(run) = suspect.filter(|_| is_unframed(head) && !is_leaving()) else {
+        return false;
+    };
+    let latest = now + call.deadline.saturating_duration_since(now) / 2;
+    tokio::select! {
+        biased;
+        has_crashed = probe(shared, call, run) => has_crashed,
+        () = shared.suspend_detector.wait_until(latest) => {
+            let (id, endpoint) = (call.head.id.as_deref(), running.endpoint().as_str());
+            let waited = millis(clock::now().saturating_duration_since(now));
+            tracing::info!(id, endpoint, waited_ms = waited, "response taken as complete, its endpoint has not answered the probe");
+            false
+        }
     }
 }
 
--- a/crates/gateway/src/decide.rs
+++ b/crates/gateway/src/decide.rs
@@ -36,8 +36,9 @@
     max_attempts: u32,
     sent: u32,
     /// Whether the last send is included in `sent` and its outcome is open.
-    sending: bool,
+    open: bool,
     unreachable: u32,
+    /// Whether a former send ended without a proof that the request has not run.
     uncertain: bool,
 }
 
@@ -49,7 +50,7 @@
             retry_policy,
             max_attempts,
             sent: 0,
-            sending: false,
+            open: false,
             unreachable: 0,
             uncertain: false,
         }
@@ -67,19 +68,27 @@
         self.sent < self.max_attempts
     }
 
-    /// Records that the request is being written to an endpoint.
+    /// Returns whether the request may have run: a send is open, or one ended without a proof
+    /// that the request has not run.
+    #[must_use]
+    pub const fn may_have_run(&self) -> bool {
+        self.open || self.uncertain
+    }
+
+    /// Records that the request is being written to an endpoint. The send stays open until
+    /// [`after_failure`](Self::after_failure) states how it ended.
     pub const fn record_send(&mut self) {
         self.sent += 1;
-        self.sending = true;
+        self.open = true;
     }
 
     /// Returns the next step after a failure. `affordable`, which returns whether the
     /// budget allows a retry and charges it, is called only if one is due.
     pub fn after_failure(&mut self, failure: Failure, affordable: impl FnOnce() -> bool) -> Next {
-        let was_sending = std::mem::take(&mut self.sending);
+        let was_open = std::mem::take(&mut self.open);
         match failure {
             Failure::Unsent => {
-                self.sent -= u32::from(was_sending);
+                self.sent -= u32::from(was_open);
                 self.unreachable += 1;
                 if self.unreachable <= UNREACHABLE_MAX {
                     return Next::Redirect;
@@ -98,21 +107,27 @@
     /// Returns the response when no endpoint is left to try.
     #[must_use]
     pub const fn exhausted(&self) -> Refusal {
-        if self.uncertain {
-            Refusal::Lost
+        self.checked(Refusal::NotRun)
+    }
+
+    /// Returns the response when the deadline has passed.
+    #[must_use]
+    pub const fn timed_out(&self) -> Refusal {
+        if self.may_have_run() {
+            Refusal::TimeUp
         } else {
             Refusal::NotRun
         }
     }
 
-    /// Returns the response when the deadline has passed. `sending` states whether an
-    /// endpoint may be processing the request.
+    /// Returns `refusal`, or one without a promise if `refusal` promises that the request has
+    /// not run although it may have.
     #[must_use]
-    pub const fn timed_out(&self, sending: bool) -> Refusal {
-        if sending || self.uncertain {
-            Refusal::TimeUp
+    pub const fn checked(&self, refusal: Refusal) -> Refusal {
+        if refusal.is_retryable() && self.may_have_run() {
+            Refusal::Lost
         } else {
-            Refusal::NotRun
+            refusal
         }
     }
 }
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -63,7 +63,6 @@
         lifecycle,
         tried: Vec::new(),
         waited: false,
-        sending: false,
         failure: None,
     };
     let deadline = flight.call.deadline;
@@ -73,7 +72,7 @@
         outcome = flight.drive::<D>() => Some(outcome),
         () = shared.suspend_detector.wait_until(deadline) => None,
     };
-    let outcome = outcome.unwrap_or_else(|| Err(flight.lifecycle.timed_out(flight.sending)));
+    let outcome = outcome.unwrap_or_else(|| Err(flight.lifecycle.timed_out()));
     match outcome {
         Ok(Answered::Whole(head, body)) => {
             flight.log(head.status.as_u16(), "whole");
@@ -98,8 +97,6 @@
     tried: Vec<name::Endpoint>,
     /// Whether the request has waited for a free slot.
     waited: bool,
-    /// Whether an endpoint may be processing the request.
-    sending: bool,
     /// An endpoint's error response, which is relayed unless another endpoint succeeds.
     /// The request has run, so it must not be reported as not run.
     failure: Option<(http::response::Parts, Bytes)>,
@@ -111,7 +108,7 @@
         loop {
             // Timers stand still while the host is suspended.
             if self.call.deadline.remaining().is_zero() {
-                return Err(self.lifecycle.timed_out(false));
+                return Err(self.lifecycle.timed_out());
             }
             let (endpoint, running) = match self.choose().await {
                 Ok(chosen) => chosen,
@@ -172,7 +169,6 @@
         let (before, tried) = (self.lifecycle.sent(), running.endpoint().clone());
         let movable = self.call.resolved.route.retry_policy == RetryPolicy::Resume
             && before + 1 < self.call.resolved.route.max_attempts;
-        self.sending = true;
         let last = self.call.head.last_event;
         let (shared, call) = (&self.shared, &self.call);
         let sent = tokio::select! {
@@ -180,7 +176,6 @@
             sent = exchange::send::<D>(shared, call, &mut self.lifecycle, endpoint, running, last) => Some(sent),
             () = exchange::wait_until_lost(shared, call, &self.tried, &tried), if movable => None,
         };
-        self.sending = false;
         sent.unwrap_or_else(|| {
             metrics::counter!(metric::GATEWAY_MOVED).increment(1);
             let unsent = self.lifecycle.sent() == before;
@@ -199,10 +194,7 @@
         if self.call.resolved.route.streaming && reply.head.status.is_success() {
             return Ok(Answered::Pieces(Box::new(reply), Bytes::new()));
         }
-        self.sending = true;
-        let read = answer::read(&mut reply.body).await;
-        self.sending = false;
-        let bytes = match read {
+        let bytes = match answer::read(&mut reply.body).await {
             Read::Whole(bytes) => bytes,
             Read::Prefix(bytes) => return Ok(Answered::Pieces(Box::new(reply), bytes)),
             Read::Broken(error) => {
@@ -220,7 +212,7 @@
             let cause = format!("the endpoint answered {status}");
             reply.lease.put_back(reply.keep_alive, clock::now());
             self.failure = Some((reply.head, bytes));
-            return Err(Failed::new(Failure::Refused, &cause));
+            return Err(Failed::new(Failure::Uncertain, &cause));
         }
         reply.running.record_piece(clock::now());
         if !status.is_server_error() {
@@ -290,13 +282,9 @@
 
     /// Probes whether the endpoint crashed during the request, before the request is sent
     /// to another one.
-    async fn probe_crash(&mut self, failed: &mut Failed) {
+    async fn probe_crash(&self, failed: &mut Failed) {
         if let Some(broken_run) = failed.broken_run.take() {
-            // If the deadline passes during the probe, the request still counts as
-            // possibly run.
-            self.sending = true;
             crash::probe(&self.shared, &self.call, broken_run).await;
-            self.sending = false;
         }
     }
 
@@ -378,8 +366,10 @@
         response
     }
 
-    /// Responds to a caller whose request no endpoint has completed.
+    /// Responds to a caller whose request no endpoint has completed. Whether the request may
+    /// have run decides about the promise in a refusal, wherever the refusal comes from.
     fn refuse<D: Dialect>(mut self, refusal: Refusal) -> Response<Outgoing> {
+        let refusal = self.lifecycle.checked(refusal);
         if let Some((head, body)) = self.failure.take() {
             let outcome = format!("error response of an endpoint relayed after: {refusal}");
             self.log(head.status.as_u16(), &outcome);
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -7,6 +7,11 @@
 use cactusnotch_gateway::route::RetryPolicy;
 
 const FAILURES: [Failure; 3] = [Failure::Unsent, Failure::Refused, Failure::Uncertain];
+const RETRY_POLICIES: [RetryPolicy; 3] = [
+    RetryPolicy::Never,
+    RetryPolicy::Idempotent,
+    RetryPolicy::Resume,
+];
 /// The longest sequence that is tried, which exceeds all limits on attempts.
 const LENGTH_MAX: usize = 7;
 
@@ -54,11 +59,7 @@
 
 #[test]
 fn not_run_is_said_only_if_no_send_is_in_doubt() {
-    for retry_policy in [
-        RetryPolicy::Never,
-        RetryPolicy::Idempotent,
-        RetryPolicy::Resume,
-    ] {
+    for retry_policy in RETRY_POLICIES {
         for max_attempts in 1..4 {
             walk(retry_policy, max_attempts, true, &|history, refusal| {
                 let uncertain = history.contains(&Failure::Uncertain);
@@ -107,12 +108,68 @@
     );
 }
 
+/// Guards against a promise that a request has not run while a send is open: it holds at each
+/// moment of a request, whatever is awaited then and whatever refusal interrupts it.
+#[test]
+fn no_refusal_at_any_moment_promises_what_is_not_proved() {
+    for retry_policy in RETRY_POLICIES {
+        for max_attempts in 1..4 {
+            let mut open = vec![(Lifecycle::new(retry_policy, max_attempts), Vec::new())];
+            while let Some((lifecycle, history)) = open.pop() {
+                check_promises(&lifecycle, &history, None);
+                let mut sent = lifecycle;
+                sent.record_send();
+                check_promises(&sent, &history, Some("open"));
+                for failure in FAILURES {
+                    let mut lifecycle = sent;
+                    let next = lifecycle.after_failure(failure, || true);
+                    let history: Vec<_> = history.iter().copied().chain([failure]).collect();
+                    check_promises(&lifecycle, &history, None);
+                    if !matches!(next, Next::Give(_)) {
+                        open.push((lifecycle, history));
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Checks what a caller is told if the request ends now, after sends that ended so and with
+/// the last one open.
+fn check_promises(lifecycle: &Lifecycle, history: &[Failure], last: Option<&str>) {
+    let is_proved = last.is_none() && !history.contains(&Failure::Uncertain);
+    let interruptions = [
+        Refusal::SlowBody,
+        Refusal::NotFresh,
+        Refusal::Unconfirmed {
+            wait: Duration::ZERO,
+        },
+        Refusal::NotRun,
+        Refusal::Busy,
+        Refusal::Throttled {
+            wait: Duration::ZERO,
+        },
+        Refusal::NoMemory,
+        Refusal::Held,
+        Refusal::Stopping,
+    ];
+    let interrupted = interruptions.map(|refusal| lifecycle.checked(refusal));
+    let answers = [lifecycle.timed_out(), lifecycle.exhausted()];
+    for answer in interrupted.into_iter().chain(answers) {
+        assert_eq!(
+            answer.is_retryable(),
+            is_proved,
+            "{answer} after {history:?}, last send {last:?}"
+        );
+    }
+}
+
 #[test]
 fn a_deadline_promises_nothing_while_an_endpoint_may_be_at_work() {
     let mut lifecycle = Lifecycle::new(RetryPolicy::Never, 1);
-    assert!(lifecycle.timed_out(false).is_retryable());
+    assert!(lifecycle.timed_out().is_retryable());
     lifecycle.record_send();
-    assert!(!lifecycle.timed_out(true).is_retryable());
+    assert!(!lifecycle.timed_out().is_retryable());
 }
 
 /// Guards against callers that return while a lasting overload still refuses them, and against
