fix: responses without a body are not probed

What callers saw: nothing wrong, but a response with status 204 or 304, or to HEAD, came a round trip later, or up to 250 ms later if its endpoint's host was silent.

Cause: a response with neither a length nor chunks was taken for one that ends with its connection. One without a body ends with its head, so there is nothing that a crash could have cut, and its endpoint need not be asked whether it lives.

Change: `crash::is_unframed` considers the status and the method. Such responses now also count as served, which clears a suspected request.

--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -7,8 +7,8 @@
 
 use cactusnotch_base::clock::{self, Instant};
 use cactusnotch_telemetry::metric;
-use http::header;
 use http::response::Parts;
+use http::{Method, StatusCode, header};
 
 use crate::broken_runs::Unconfirmed;
 use crate::journal::millis;
@@ -64,7 +64,7 @@
     let now = clock::now();
     // An endpoint that leaves may end after its last response.
     let suspect = running.broken_run(now);
-    let Some(run) = suspect.filter(|_| is_unframed(head) && !is_leaving()) else {
+    let Some(run) = suspect.filter(|_| is_unframed(call, head) && !is_leaving()) else {
         return false;
     };
     let latest = now + call.deadline.saturating_duration_since(now) / 2;
@@ -80,9 +80,16 @@
     }
 }
 
-/// Returns whether a response has neither a length nor chunks.
-pub(crate) fn is_unframed(head: &Parts) -> bool {
-    !head.headers.contains_key(header::CONTENT_LENGTH)
+/// Returns whether a response has a body with neither a length nor chunks, which ends with its
+/// connection.
+pub(crate) fn is_unframed(call: &Call, head: &Parts) -> bool {
+    let has_body = call.method != Method::HEAD
+        && !matches!(
+            head.status,
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+        );
+    has_body
+        && !head.headers.contains_key(header::CONTENT_LENGTH)
         && !head.headers.contains_key(header::TRANSFER_ENCODING)
 }
 
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -218,7 +218,7 @@
         if !status.is_server_error() {
             reply.running.record_complete();
         }
-        let is_framed = !crash::is_unframed(&reply.head);
+        let is_framed = !crash::is_unframed(&self.call, &reply.head);
         if is_framed && !status.is_server_error() {
             self.shared.note_served(&self.call);
         }
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -92,8 +92,8 @@
     pub(crate) async fn run<D: Dialect>(mut self, mut reply: Reply, first: Bytes) -> (End, Self) {
         self.resumable = self.call.resolved.route.retry_policy == RetryPolicy::Resume
             && is_open_stream(&reply.head);
-        let splits =
-            self.resumable || is_event_stream(&reply.head) && crash::is_unframed(&reply.head);
+        let is_unframed = crash::is_unframed(&self.call, &reply.head);
+        let splits = self.resumable || is_event_stream(&reply.head) && is_unframed;
         self.gaps = is_event_stream(&reply.head).then(|| Gaps::new(self.call.arrived));
         let mut events = splits.then(|| Splitter::new(self.call.head.last_event));
         if !first.is_empty() && self.sender.send(first).await.is_err() {
@@ -182,7 +182,7 @@
         }
         running.record_complete();
         // An end without framing shows nothing: a crash that is noticed late looks the same.
-        if !crash::is_unframed(&head) {
+        if !crash::is_unframed(&self.call, &head) {
             self.shared.note_served(&self.call);
             self.shared.note_parts_served(&self.call);
         }
