fix: no pass is held that a former leader may have released

Cause: an order to release a held group names nothing but a pass, and one without an answer may be carried out seconds later, after newer orders. Which passes had been released was known only to the process that had sent the releases (`released_step`). A new leader could hold the same pass again, which has not begun if the group had no work, and the late release then let the group go with only rank 0 armed. Three more places trusted a hold without knowing whose it is: a leader took any hold for that of its round, a new leader armed ranks for a hold that it found, and so did an agent that completes the round of a silent leader. A leader whose rank was armed took the absence of a hold for a proof that all ranks were.

Change: a leader names passes at most 8 ahead of the last one begun, none before the first pass, and none that a former leader can have named, that is up to 8 ahead of what it sees first. The round states the last pass that may have been released; a hold of that or an earlier pass isn't one of the round for anybody and is released. A hold that is found is completed only if rank 0 is armed, otherwise rank 0 reverts first, so that no late order arms it. Stages follow what all ranks report. Each order logs its term, version, pass and sequence, and a change of the hold the last order and its age.

Why it works: an order to release an unarmed group names a pass that its term named or found, and all of those are excluded for later terms; within a term each is excluded as it is sent. Nothing is remembered, waited for or written to the store.

--- a/crates/rebalance/src/agent.rs
+++ b/crates/rebalance/src/agent.rs
@@ -3,6 +3,7 @@
 mod due;
 mod finish;
 mod hear;
+mod hold;
 mod limit;
 mod orders;
 mod sockets;
@@ -103,6 +104,8 @@
     held: Option<(u64, u64, Vec<Vec<u16>>)>,
     last_counts: Option<(u64, Vec<u64>)>,
     last_order: Option<PendingOrder>,
+    /// The pass before which the own endpoint last reported a hold.
+    last_hold: Option<u64>,
     last_status: Option<Status>,
     /// The load that was last sent to entries.
     last_load: Option<peer::Load>,
@@ -149,6 +152,7 @@
             held: None,
             last_counts: None,
             last_order: None,
+            last_hold: None,
             last_status: None,
             last_load: None,
             due: Due::default(),
--- a/crates/rebalance/src/agent/finish.rs
+++ b/crates/rebalance/src/agent/finish.rs
@@ -80,6 +80,7 @@
             "completing a silent leader's round"
         );
         self.rank.member.update_round(round.clone());
+        let round_term = round.term;
         let request = datagram::encode(&Datagram::Finish(round));
         for &agent in &self.neighbours.agents {
             send_bytes(&sockets.agents, &request, agent);
@@ -90,7 +91,12 @@
         let result = endpoint.order(&order, state.sequence, place.epoch).await;
         tracing::info!(
             group = place.group,
+            epoch = place.epoch,
+            term = round_term,
             ?order,
+            held = state.maps.held,
+            step = state.maps.step,
+            sequence = state.sequence,
             confirmed = result.is_ok(),
             "order sent to the leader's endpoint"
         );
--- a/crates/rebalance/src/agent/orders.rs
+++ b/crates/rebalance/src/agent/orders.rs
@@ -48,6 +48,7 @@
         now: Instant,
     ) {
         self.rank.observe(place, &state.maps);
+        self.log_hold(place, &state, now);
         self.lead(place);
         self.read_held(place, &state).await;
         self.count(sockets, place, now).await;
@@ -65,6 +66,7 @@
                 _ => break,
             }
             self.rank.observe(place, &state.maps);
+            self.log_hold(place, &state, clock::now());
         }
         self.send_status(sockets, place, &state, clock::now());
         self.finish_round(sockets, place, &state, clock::now())
@@ -150,7 +152,19 @@
     /// Asks another rank's agent to hold the group at this agent's endpoint.
     fn request_hold(&self, sockets: &Sockets, place: &Place, state: &State, rank: u16, step: u64) {
         let agent = self.agent_of(rank);
-        tracing::info!(group = place.group, rank, step, agent = ?agent, "hold asked for");
+        let round = self.rank.coordinator.as_ref().map(Coordinator::round);
+        tracing::info!(
+            group = place.group,
+            term = round.map(|round| round.term),
+            version = round.map(|round| round.version),
+            rank,
+            pass = step,
+            step = state.maps.step,
+            released = round.map(|round| round.released),
+            sequence = state.sequence,
+            agent = ?agent,
+            "hold asked for"
+        );
         let Some(agent) = agent else {
             return;
         };
@@ -180,7 +194,9 @@
         let error = result.err().map(|error| error.to_string());
         tracing::info!(
             group = request.place.group,
-            step = request.step,
+            epoch = request.place.epoch,
+            term = self.rank.member.term(),
+            pass = request.step,
             sequence = request.sequence,
             confirmed = error.is_none(),
             error,
@@ -221,14 +237,29 @@
         match &result {
             Ok(()) => tracing::info!(
                 group = place.group,
+                epoch = place.epoch,
+                term = self.rank.member.term(),
                 order = name(order),
+                version = version(order),
+                pass = pass(order),
                 step = state.maps.step,
+                held = state.maps.held,
                 sequence = state.sequence,
                 "order begun"
             ),
-            Err(error) => {
-                tracing::info!(group = place.group, order = name(order), sequence = state.sequence, %error, "order not confirmed");
-            }
+            Err(error) => tracing::info!(
+                group = place.group,
+                epoch = place.epoch,
+                term = self.rank.member.term(),
+                order = name(order),
+                version = version(order),
+                pass = pass(order),
+                step = state.maps.step,
+                held = state.maps.held,
+                sequence = state.sequence,
+                %error,
+                "order not confirmed"
+            ),
         }
         match result {
             Ok(()) => true,
@@ -267,7 +298,23 @@
     }
 }
 
-const fn name(order: &Order) -> &'static str {
+/// Returns the version of the map that an order names.
+const fn version(order: &Order) -> Option<u64> {
+    match order {
+        Order::Prepare { version, .. } | Order::Arm { version, .. } => Some(*version),
+        Order::Hold { .. } | Order::Go { .. } => None,
+    }
+}
+
+/// Returns the pass that an order names.
+pub(super) const fn pass(order: &Order) -> Option<u64> {
+    match order {
+        Order::Arm { step, .. } | Order::Hold { step } | Order::Go { step } => Some(*step),
+        Order::Prepare { .. } => None,
+    }
+}
+
+pub(super) const fn name(order: &Order) -> &'static str {
     match order {
         Order::Prepare { .. } => "prepare",
         Order::Arm { .. } => "arm",
--- a/crates/rebalance/src/coordinator.rs
+++ b/crates/rebalance/src/coordinator.rs
@@ -60,9 +60,8 @@
     holder_offset: u16,
     /// When the group was last released because a rank was out of reach.
     released_at: Option<Instant>,
-    /// The last pass that the group was released into. A late order to release it must
-    /// never affect another hold of the same pass.
-    released_step: Option<u64>,
+    /// Whether the own endpoint's state has been evaluated under this term.
+    started: bool,
     arming: Arming,
     /// The limit of the group's running requests, under overload control.
     limit: Option<Limit>,
@@ -88,6 +87,7 @@
             base: 0,
             moves: Vec::new(),
             phase: Phase::Rest,
+            released: 0,
             asks_held: true,
             limit: None,
         };
@@ -102,7 +102,7 @@
             holders: Vec::new(),
             holder_offset: 0,
             released_at: None,
-            released_step: None,
+            started: false,
             arming: Arming::default(),
             limit: None,
             former: None,
@@ -155,6 +155,7 @@
     /// Advances as the status of the ranks allows; returns the order for the own endpoint,
     /// and what happened. `own` is the fresh state of the own endpoint.
     pub fn step(&mut self, own: &Maps, now: Instant) -> (Option<Order>, Option<Event>) {
+        self.exclude_former_holds(own);
         let mut event = self.confirm_hold(own, now);
         let pass = self.arming.observe(own.step, now);
         if let (Some(pass), Some((version, map))) = (pass, &self.map)
@@ -171,7 +172,7 @@
         }
         let order = self.order(own, now);
         if let Some(Order::Go { step }) = order {
-            self.released_step = self.released_step.max(Some(step));
+            self.round.released = self.round.released.max(step);
         }
         (order, event)
     }
@@ -227,6 +228,9 @@
             Stage::Idle => self.start_or_resolve(maps, own, now),
             Stage::Prepare { since } => {
                 if maps.iter().all(|maps| maps.prepared == Some(version)) {
+                    if self.hold_step(own, now).is_none() {
+                        return self.replace(maps, now);
+                    }
                     self.stage = Stage::Hold { requested: None };
                     self.round.phase = Phase::Commit;
                 } else if now.saturating_duration_since(since) > PREPARE_TIMEOUT {
@@ -241,7 +245,7 @@
                 None
             }
             Stage::Hold { .. } => {
-                let step = own.held?;
+                let step = own.held.filter(|&step| self.is_own_hold(step))?;
                 // All ranks have the map; its moves need not be sent again.
                 self.round.moves.clear();
                 self.arming.begin(now);
@@ -254,7 +258,8 @@
                 Some(Event::Held(step))
             }
             Stage::ArmOthers => {
-                if maps.iter().all(|maps| maps.armed == Some(version)) {
+                let follows = |maps: &Maps| maps.armed == Some(version) || maps.current == version;
+                if maps.iter().all(follows) {
                     self.arming.end(now);
                     self.stage = Stage::Release { armed: true };
                 }
@@ -266,7 +271,10 @@
                 }
                 None
             }
-            Stage::Confirm { .. } | Stage::Revert | Stage::ArmLeader | Stage::Switch => None,
+            Stage::Confirm { .. }
+            | Stage::Revert { .. }
+            | Stage::ArmLeader { .. }
+            | Stage::Switch => None,
         }
     }
 
@@ -283,7 +291,7 @@
     /// Resolves a hold that a former coordinator left, or begins a round.
     fn start_or_resolve(&mut self, maps: &[Maps], own: &Maps, now: Instant) -> Option<Event> {
         if let Some(step) = own.held {
-            return Some(self.resolve(maps, step));
+            return Some(self.resolve(own, step));
         }
         let settled = maps
             .iter()
@@ -330,47 +338,53 @@
         Some(Event::Began(plan))
     }
 
-    /// Resolves a hold that a former coordinator left. Ranks are armed only after all have
-    /// loaded the same map. If all have, arming is completed; otherwise none is armed and
-    /// the group is released.
-    fn resolve(&mut self, maps: &[Maps], step: u64) -> Event {
-        let loaded = |rank: &Maps| {
-            rank.armed
-                .or(rank.prepared)
-                .filter(|&version| version > rank.current)
-        };
-        let version = maps.first().and_then(loaded);
-        let same = version.is_some() && maps.iter().all(|rank| loaded(rank) == version);
-        match version {
-            Some(version) if same => {
-                self.round.version = version;
-                self.round.moves.clear();
-                self.round.phase = Phase::Meet { step };
-                self.next = None;
-                self.stage = Stage::ArmLeader;
-            }
-            _ => self.stage = Stage::Release { armed: false },
+    /// Resolves a hold that a former coordinator left. If rank 0 is armed for it, arming is
+    /// completed. Otherwise the group is released, after rank 0 has reverted to the map in
+    /// force: a former coordinator may have released the hold by an order that is not yet
+    /// carried out, so no rank may be armed for it, by a late order either.
+    fn resolve(&mut self, own: &Maps, step: u64) -> Event {
+        let newer = |version: &u64| *version > own.current;
+        if let Some(version) = own.armed {
+            self.round.version = version;
+            self.round.moves.clear();
+            self.round.phase = Phase::Arm { step };
+            self.next = None;
+            self.stage = Stage::ArmOthers;
+        } else if let Some(version) = own.prepared.filter(newer) {
+            self.round.version = version;
+            self.stage = Stage::Revert { step };
+        } else {
+            self.stage = Stage::Release { armed: false };
         }
         Event::HoldFound(step)
     }
 
     /// Returns the order that the own endpoint needs for the hold.
     ///
-    /// A hold that appears while ranks load, or after they were released, results from an
-    /// order that was carried out late. Either no rank is armed then or all are, and the
-    /// group may go on.
+    /// A hold that appears while ranks load, or before an own hold of the round, or after they
+    /// were released, results from an order that was carried out late. Either all ranks are
+    /// armed then, or none is and rank 0 has loaded the map of this round, for which no agent
+    /// arms it before that pass; so the group may go on.
     fn order(&self, own: &Maps, now: Instant) -> Option<Order> {
+        let loaded = |version| own.armed.is_none() && own.prepared.is_none_or(|it| it == version);
         match (self.stage, own.held) {
             // A group of one rank has no other that could hold it.
             (Stage::Hold { .. }, None) if self.place.size == 1 && self.lacks_hold(own) => {
-                Some(Order::Hold {
-                    step: self.hold_step(own, now),
-                })
+                let step = self.hold_step(own, now)?;
+                Some(Order::Hold { step })
+            }
+            (Stage::Revert { step } | Stage::ArmLeader { step }, Some(held)) if held == step => {
+                self.arm_or_revert(own, step)
+            }
+            (Stage::Prepare { .. }, Some(step)) if loaded(self.round.version) => {
+                Some(Order::Go { step })
             }
-            (Stage::Revert | Stage::ArmLeader, Some(step)) => self.arm_or_revert(own, step),
-            (Stage::Release { .. } | Stage::Prepare { .. } | Stage::Switch, Some(step)) => {
+            (Stage::Hold { .. }, Some(step))
+                if !self.is_own_hold(step) && loaded(self.round.version) =>
+            {
                 Some(Order::Go { step })
             }
+            (Stage::Release { .. } | Stage::Switch, Some(step)) => Some(Order::Go { step }),
             _ => None,
         }
     }
--- a/crates/rebalance/src/coordinator/arming.rs
+++ b/crates/rebalance/src/coordinator/arming.rs
@@ -9,8 +9,9 @@
 /// How many passes ahead the group is held while their duration is unknown: enough for the
 /// order to arrive before the pass begins.
 const PASSES_AHEAD: u64 = 2;
-/// The most passes ahead. Further ahead a round takes longer, and demand shifts meanwhile.
-const PASSES_AHEAD_MAX: u64 = 8;
+/// The most passes ahead. Further ahead a round takes longer, and demand shifts meanwhile. A new
+/// coordinator excludes as many passes, which former ones can have named.
+pub(super) const PASSES_AHEAD_MAX: u64 = 8;
 /// The time from reading the own endpoint's state until a hold that follows from it is
 /// confirmed: a message to another host, its order, and a call on this host.
 const HOLD_LATENCY: Duration = Duration::from_millis(15);
--- a/crates/rebalance/src/coordinator/hold.rs
+++ b/crates/rebalance/src/coordinator/hold.rs
@@ -4,6 +4,7 @@
 
 use cactusnotch_base::clock::Instant;
 
+use super::arming::PASSES_AHEAD_MAX;
 use super::{Coordinator, Event, Row, Stage};
 use crate::codec::Order;
 use crate::message::Phase;
@@ -29,6 +30,7 @@
         if !self.lacks_hold(own) || requested.is_some_and(recent) {
             return None;
         }
+        let step = self.hold_step(own, now)?;
         self.stage = Stage::Hold {
             requested: Some(now),
         };
@@ -40,7 +42,22 @@
         }
         let rank = 1 + u16::try_from(u64::from(self.holder_offset) % others).unwrap_or(0);
         self.holders.push(rank);
-        Some((rank, self.hold_step(own, now)))
+        Some((rank, step))
+    }
+
+    /// Excludes all passes that a former coordinator can have named. Each names passes at most
+    /// [`PASSES_AHEAD_MAX`] ahead, so those that it named before this one began are at most as
+    /// far ahead of the pass that this one sees first. Before the first pass none is named.
+    pub(super) fn exclude_former_holds(&mut self, own: &Maps) {
+        if !std::mem::replace(&mut self.started, true) && own.step > 0 {
+            self.round.released = own.step + PASSES_AHEAD_MAX;
+        }
+    }
+
+    /// Returns whether a hold before the pass is one of this round: no order to release it has
+    /// been sent.
+    pub(super) const fn is_own_hold(&self, step: u64) -> bool {
+        step > self.round.released
     }
 
     /// Returns whether the group has yet to be held for the round. Once this rank is armed,
@@ -49,10 +66,12 @@
         own.held.is_none() && own.armed.is_none() && own.current < self.round.version
     }
 
-    /// Returns the pass before which the group is held.
-    pub(super) fn hold_step(&self, own: &Maps, now: Instant) -> u64 {
-        let after = self.released_step.map_or(0, |step| step + 1);
-        (own.step + self.arming.passes_ahead(now)).max(after)
+    /// Returns the pass before which the group is to be held: one that no order to release the
+    /// group can name. `None` if the group has to make passes first.
+    pub(super) fn hold_step(&self, own: &Maps, now: Instant) -> Option<u64> {
+        let due = own.step + self.arming.passes_ahead(now);
+        let step = due.max(self.round.released + 1);
+        (own.step > 0 && step <= own.step + PASSES_AHEAD_MAX).then_some(step)
     }
 
     /// Returns the ranks to notify of the hold, if that is due: the agent of one of them
@@ -87,17 +106,24 @@
     pub(super) fn confirm_hold(&mut self, own: &Maps, now: Instant) -> Option<Event> {
         let version = self.round.version;
         match self.stage {
-            Stage::Confirm { .. } | Stage::Revert | Stage::ArmLeader
-                if own.armed == Some(version) =>
-            {
-                self.stage = own.held.map_or(Stage::Switch, |_| Stage::ArmOthers);
-                if let Some(step) = own.held {
+            // Another agent has armed this rank, and may have armed all others and released the
+            // group, which another hold may stall again.
+            Stage::Hold { .. } if own.armed == Some(version) => {
+                self.stage = Stage::ArmOthers;
+                if let Some(step) = own.held.filter(|&step| self.is_own_hold(step)) {
                     self.round.phase = Phase::Arm { step };
                 }
                 None
             }
+            Stage::Confirm { step, .. } | Stage::Revert { step } | Stage::ArmLeader { step }
+                if own.armed == Some(version) =>
+            {
+                self.stage = Stage::ArmOthers;
+                self.round.phase = Phase::Arm { step };
+                None
+            }
             Stage::Confirm { step, .. } if self.is_confirmed(step) => {
-                self.stage = Stage::ArmLeader;
+                self.stage = Stage::ArmLeader { step };
                 None
             }
             Stage::Confirm { step, since, .. } => {
@@ -106,12 +132,12 @@
                     self.arming.abandon();
                     self.holder_offset = self.holder_offset.wrapping_add(1);
                     self.released_at = Some(now);
-                    self.stage = Stage::Revert;
+                    self.stage = Stage::Revert { step };
                     Event::Released(step)
                 })
             }
-            Stage::Revert | Stage::ArmLeader
-                if own.prepared != Some(version) || own.held.is_none() =>
+            Stage::Revert { step } | Stage::ArmLeader { step }
+                if own.prepared != Some(version) || own.held != Some(step) =>
             {
                 self.stage = Stage::Release { armed: false };
                 self.round.version = reverted(version);
@@ -146,7 +172,7 @@
         if own.armed.is_some() {
             return None;
         }
-        if self.stage == Stage::ArmLeader {
+        if matches!(self.stage, Stage::ArmLeader { .. }) {
             return Some(Order::Arm { version, step });
         }
         let (_, map) = self.map.as_ref()?;
--- a/crates/rebalance/src/coordinator/stage.rs
+++ b/crates/rebalance/src/coordinator/stage.rs
@@ -19,12 +19,12 @@
         since: Instant,
         announced: Option<Instant>,
     },
-    /// The group is held and that rank is out of reach: this rank reverts to the map in
-    /// force.
-    Revert,
+    /// The group is held and is to be released unarmed: this rank reverts to the map in force
+    /// before.
+    Revert { step: u64 },
     /// The group is held, and this rank is being armed, before all others.
-    ArmLeader,
-    /// The group is held, and the other ranks are being armed.
+    ArmLeader { step: u64 },
+    /// This rank is armed, and the other ranks are being armed for the same pass.
     ArmOthers,
     /// The group is to be released; either all ranks are armed, or none is.
     Release { armed: bool },
--- a/crates/rebalance/src/message.rs
+++ b/crates/rebalance/src/message.rs
@@ -103,6 +103,10 @@
     pub moves: Vec<Move>,
     /// The phase of the round.
     pub phase: Phase,
+    /// The last pass that an order to release the group may still name, however late that
+    /// order is carried out. Only a hold before a later pass is one of the round.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub released: u64,
     /// Whether rank 0 lacks the map in force and asks which experts each rank holds.
     pub asks_held: bool,
     /// The limit of the group's running requests, if the group is under overload control.
@@ -186,3 +190,11 @@
     /// A relay forwards a message of rank 0.
     Relayed(Relayed),
 }
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the signature that serde asks for"
+)]
+const fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
--- a/crates/rebalance/src/takeover.rs
+++ b/crates/rebalance/src/takeover.rs
@@ -30,6 +30,8 @@
     last_pass: Option<(u64, Instant)>,
     /// The version that all ranks are to be armed with.
     version: Option<u64>,
+    /// The last pass that an order to release the group may still name.
+    released: u64,
     /// The pass before which the group is held, as each rank has confirmed it.
     confirmed: Vec<Option<u64>>,
     armed: Vec<bool>,
@@ -55,7 +57,9 @@
             }
         };
         let is_open = |round: &&Round| is_committed(round.phase) && maps.current < round.version;
-        let version = round.filter(is_open).map(|round| round.version);
+        let round = round.filter(is_open);
+        let version = round.map(|round| round.version);
+        self.released = round.map_or(0, |round| round.released);
         if self.version != version {
             self.version = version;
             self.confirmed = vec![None; usize::from(place.size)];
@@ -80,10 +84,10 @@
     }
 
     /// Returns the round that all ranks must follow, from the state of the leader's
-    /// endpoint; `None` if the group is not held there.
+    /// endpoint; `None` if the group is not held there for the round.
     #[must_use]
     pub fn round(&self, round: &Round, leader: &Maps) -> Option<Round> {
-        let step = leader.held?;
+        let step = self.own_hold(leader)?;
         let mut round = round.clone();
         round.phase = if leader.armed == self.version {
             Phase::Arm { step }
@@ -94,6 +98,12 @@
         Some(round)
     }
 
+    /// Returns the pass before which the group is held for the round, from the state of the
+    /// leader's endpoint. An order that the leader has sent may still release any other hold.
+    fn own_hold(&self, leader: &Maps) -> Option<u64> {
+        leader.held.filter(|&step| step > self.released)
+    }
+
     /// Returns whether all ranks but the leader have confirmed that the group is held.
     fn all_confirmed(&self, step: u64) -> bool {
         self.confirmed.iter().skip(1).all(|&met| met == Some(step))
@@ -103,7 +113,7 @@
     #[must_use]
     pub fn order(&self, leader: &Maps) -> Option<Order> {
         let version = self.version?;
-        let step = leader.held.filter(|_| leader.current < version)?;
+        let step = self.own_hold(leader).filter(|_| leader.current < version)?;
         if !self.all_confirmed(step) {
             return None;
         }
--- a/crates/rebalance/tests/datagrams.rs
+++ b/crates/rebalance/tests/datagrams.rs
@@ -74,6 +74,7 @@
             base: 3,
             moves: vec![step],
             phase: Phase::Arm { step: 9 },
+            released: 0,
             asks_held: false,
             limit: Some(Ceiling::FULL),
         }),
--- a/crates/rebalance/tests/relay.rs
+++ b/crates/rebalance/tests/relay.rs
@@ -204,6 +204,7 @@
         base: 4_294_967_297,
         moves,
         phase,
+        released: 0,
         asks_held: false,
         limit: Some(Ceiling::FULL),
     })
