--- a/crates/rebalance/tests/agreement.rs
+++ b/crates/rebalance/tests/agreement.rs
@@ -219,6 +219,13 @@
     run_idle(0..2_000, 4);
 }
 
+/// Guards against a group that stands for good, as it did with this seed: others had completed the
+/// round before its leader had seen the hold, and a late order held the group once more.
+#[test]
+fn a_group_goes_on_whose_round_others_have_completed_before_its_leader_saw_the_hold() {
+    run_idle(57_095..57_096, 1);
+}
+
 /// Does the same for the seeds that `MODEL_SEEDS` states, such as `0..100000`.
 #[test]
 #[ignore = "takes minutes; started by hand"]
