--- a/crates/rebalance/tests/agreement.rs
+++ b/crates/rebalance/tests/agreement.rs
@@ -226,7 +226,7 @@
     run_idle(57_095..57_096, 1);
 }
 
-/// Does the same for the seeds that `MODEL_SEEDS` states, such as `0..100000`.
+/// Plays groups that have no work at times with the seeds of `MODEL_SEEDS`, such as `0..100000`.
 #[test]
 #[ignore = "takes minutes; started by hand"]
 fn maps_agree_when_late_orders_meet_an_idle_group_under_many_seeds() {
