review: a stopping entry ends before it has written what it holds for callers

Cause: a request counts as in flight until its last piece is in the channel to the caller's connection, and the process ends when none is in flight.

--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -2,6 +2,8 @@
 
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::http::{Head, read_chunk, read_head};
@@ -34,7 +36,7 @@
 }
 
 /// How a client reads its answer.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Pace {
     /// The bytes that it reads in a second; as fast as it can if there is none.
     pub per_s: Option<usize>,
@@ -42,6 +44,8 @@
     pub window: Option<i32>,
     /// How long it does other things between the head of the answer and the rest.
     pub pause: Duration,
+    /// Has it read as fast as it can from the moment on at which this is set.
+    pub hurry: Arc<AtomicBool>,
 }
 
 pub struct Request<'a> {
@@ -112,7 +116,11 @@
             break;
         }
         answer.body.extend_from_slice(&piece[..read]);
-        if let Some(per_s) = request.pace.per_s {
+        if let Some(per_s) = request
+            .pace
+            .per_s
+            .filter(|_| !request.pace.hurry.load(Ordering::Relaxed))
+        {
             let due = Duration::from_secs_f64(answer.body.len() as f64 / per_s as f64);
             std::thread::sleep(due.saturating_sub(started.elapsed()));
         }
