--- a/review/standins-2/src/stop.rs
+++ b/review/standins-2/src/stop.rs
@@ -13,8 +13,8 @@
 use crate::client::{Answer, Pace, Request, send};
 use crate::site::{Process, Record, SIGTERM, Site, configuration, route, signal};
 
-/// What a client reads in a second: 7 Mbit/s.
-const PER_S: usize = 900_000;
+/// What a client reads in a second: 5 Mbit/s.
+const PER_S: usize = 650_000;
 const DEADLINE: Duration = Duration::from_secs(8);
 /// How long after its request an answer has to be handed on that fits into all buffers.
 const AT_ONCE: Duration = Duration::from_millis(400);
