review: a stream of long events begins again when it is resumed

Cause: the id of an event that is passed on in parts is not read. Change: case 7 of the review, a script; nothing is fixed.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod http;
+mod large;
 mod paused;
 mod server;
 mod site;
@@ -37,6 +38,7 @@
         if has_trouble { "yes" } else { "no" }
     ));
     let case = match name {
+        "large" => large::run,
         "paused" => paused::run,
         "unframed" => unframed::run,
         "stop" => stop::run,
