--- a/review/standins-2/src/unframed.rs
+++ b/review/standins-2/src/leave.rs
@@ -1,20 +1,24 @@
-//! A server crashes while it answers streams that have neither a length nor chunks.
+//! A server is taken away as planned while it answers streams that have neither a length nor
+//! chunks.
 
 use std::time::Duration;
 
-use crate::client::{Answer, Pace, Request, send};
-use crate::site::{Record, Site, configuration, route};
+use crate::client::{Pace, Request, send};
+use crate::site::{Record, Site, configuration, registration, route};
 
 const SERVERS: usize = 6;
 const STREAMS: usize = 24;
-const EVENTS: u64 = 24;
-const GAP_MS: u64 = 60;
+const EVENTS: u64 = 40;
+const GAP_MS: u64 = 100;
+/// How long a server serves on after the store has accepted that it drains: `DrainMs`, and a
+/// little longer.
+const SERVES_ON: Duration = Duration::from_millis(2_500);
 
 pub fn run(record: &Record, has_trouble: bool) -> bool {
     let mut site = Site::start(record.clone());
     let routes = [route("chat", "streaming", "hilo", 8000, true)];
-    site.store
-        .put("config", "main", &configuration(1, &routes, &["hilo"]));
+    let configuration = configuration(1, &routes, &["hilo"]);
+    site.store.put("config", "main", &configuration);
     let mut servers: Vec<_> = (1..=SERVERS)
         .map(|n| site.server(&format!("i-{n}"), "hilo", 12))
         .collect();
@@ -38,19 +42,37 @@
                     pace: Pace::default(),
                 };
                 let answer = send(address, &request);
-                record.note(&format!("client has {id}: {}", told(&answer)));
+                record.note(&format!(
+                    "client has {id}: status {}, {} events, {}, after {} ms",
+                    answer.status(),
+                    answer.events().len(),
+                    if answer.complete {
+                        "complete"
+                    } else {
+                        "not complete"
+                    },
+                    answer.took.as_millis()
+                ));
                 (id, answer)
             })
         })
         .collect();
-    std::thread::sleep(Duration::from_millis(900));
+    std::thread::sleep(Duration::from_millis(600));
     if has_trouble {
-        let crashed = servers
+        let leaving = servers
             .iter_mut()
             .max_by_key(|server| server.lines(&["runs"]).len())
             .expect("there are servers");
-        record.note(&format!("{} crashes (SIGKILL)", crashed.name));
-        crashed.end();
+        let draining = registration("hilo", leaving.address, 12, "draining");
+        site.store.put("servers", &leaving.name, &draining);
+        record.note(&format!(
+            "{} reports that it drains, the store has accepted it",
+            leaving.name
+        ));
+        std::thread::sleep(SERVES_ON);
+        site.store.delete("servers", &leaving.name);
+        record.note(&format!("{} exits", leaving.name));
+        leaving.end();
     }
     let mut broken = 0;
     for stream in streams {
@@ -70,21 +92,3 @@
     ));
     broken > 0
 }
-
-fn told(answer: &Answer) -> String {
-    format!(
-        "status {}, {} events, {}, after {} ms{}",
-        answer.status(),
-        answer.events().len(),
-        if answer.complete {
-            "complete"
-        } else {
-            "not complete"
-        },
-        answer.took.as_millis(),
-        answer
-            .error
-            .as_ref()
-            .map_or_else(String::new, |error| format!(", {error}"))
-    )
-}
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,12 +3,12 @@
 mod client;
 mod http;
 mod large;
+mod leave;
 mod paused;
 mod server;
 mod site;
 mod stop;
 mod store;
-mod unframed;
 
 use std::process::ExitCode;
 
@@ -40,7 +40,7 @@
     let case = match name {
         "large" => large::run,
         "paused" => paused::run,
-        "unframed" => unframed::run,
+        "leave" => leave::run,
         "stop" => stop::run,
         _ => return ExitCode::from(2),
     };
--- a/review/standins-2/src/paused.rs
+++ b/review/standins-2/src/paused.rs
@@ -6,9 +6,9 @@
 use crate::site::{Record, SIGTERM, Site, configuration, route, signal};
 
 const CLIENTS: usize = 8;
-const EVENTS: u64 = 60;
+const EVENTS: u64 = 48;
 const GAP_MS: u64 = 20;
-const PIECE: usize = 390;
+const PIECE: usize = 85;
 const DEADLINE: Duration = Duration::from_secs(8);
 
 pub fn run(record: &Record, has_trouble: bool) -> bool {
@@ -40,7 +40,7 @@
                     deadline: DEADLINE,
                     body: b"a prompt",
                     pace: Pace {
-                        window: Some(4096),
+                        window: Some(2048),
                         pause,
                         ..Pace::default()
                     },
