--- a/review/standins-2/src/leave.rs
+++ b/review/standins-2/src/leave.rs
@@ -63,7 +63,7 @@
             .iter_mut()
             .max_by_key(|server| server.lines(&["runs"]).len())
             .expect("there are servers");
-        let draining = registration("hilo", leaving.address, 12, "draining");
+        let draining = registration("hilo", leaving.address, 12, "draining", site.born);
         site.store.put("servers", &leaving.name, &draining);
         record.note(&format!(
             "{} reports that it drains, the store has accepted it",
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use crate::http::read_head;
 use crate::store::Store;
@@ -177,6 +177,8 @@
     pub store: Store,
     pub addresses: Addresses,
     pub record: Record,
+    /// When the servers started, in Unix milliseconds.
+    pub born: u128,
     folder: PathBuf,
 }
 
@@ -186,11 +188,13 @@
         let listener = TcpListener::bind((addresses.next(), 8223)).expect("the address is free");
         let folder =
             std::env::temp_dir().join(format!("cactusnotch-review-{}", std::process::id()));
+        let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         std::fs::create_dir_all(&folder).expect("a temporary folder");
         Self {
             store: Store::start(listener),
             addresses,
             record,
+            born: born.map_or(0, |born| born.as_millis()),
             folder,
         }
     }
@@ -205,7 +209,7 @@
         self.store.put(
             "servers",
             id,
-            &registration(service, address, capacity, "ready"),
+            &registration(service, address, capacity, "ready", self.born),
         );
         self.record
             .note(&format!("{id} of {service} registers at {address}"));
@@ -324,9 +328,15 @@
 }
 
 /// Returns a server's entry in the store.
-pub fn registration(service: &str, address: SocketAddr, capacity: u32, phase: &str) -> String {
+pub fn registration(
+    service: &str,
+    address: SocketAddr,
+    capacity: u32,
+    phase: &str,
+    born: u128,
+) -> String {
     format!(
-        r#"{{"Service":"{service}","Address":"{address}","Zone":"nave-telares","Version":"v1","Capacity":{capacity},"Phase":"{phase}","ColdRemainingMs":0,"Sequence":1}}"#
+        r#"{{"Service":"{service}","Address":"{address}","Zone":"nave-telares","Version":"v1","Capacity":{capacity},"Phase":"{phase}","ColdRemainingMs":0,"Sequence":1,"born":{born}}}"#
     )
 }
 
