fix: callers and endpoints that read slowly keep their connections

Callers that paused for over a second while reading a response, or read 10 KB a second through a small window, had their connections reset before the deadline; requests of 64 KB to an endpoint that began to read after 2.5 s failed with 502. The entry logged the responses as whole.

Cause: TCP_USER_TIMEOUT, set to a second to notice hosts that are gone, is also counted while a peer without room acknowledges each window probe.

The new crate tcp reads these figures while data is unacknowledged and extends the time-out while the peer answers. Callers may read until the deadline; what they have not read by then is cut off visibly and logged with the figures of the connection.

On the code before, callers_that_pause_or_read_slowly_get_whole_answers (200, not whole), a_server_that_pauses_before_it_reads_gets_the_whole_request (502) and an_answer_that_is_not_read_by_its_deadline_is_cut_off_and_logged (no such line) failed; they pass now.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -5,24 +5,48 @@
 use cactusnotch_overload::Class;
 use cactusnotch_telemetry::metric;
 
+use crate::delivery::CutOff;
 use crate::gaps::Gaps;
 use crate::journal::millis;
 use crate::knowledge::SharedState;
 use crate::refusal::Refusal;
 use crate::request::Call;
 
-/// Logs the outcome of a request that an endpoint was sought for; `gaps` are those of the
-/// events that its caller got.
+/// How a request that an endpoint was sought for ended.
+#[derive(Debug)]
+pub(crate) struct Ended {
+    pub(crate) status: u16,
+    pub(crate) outcome: String,
+    /// When its response was handed over to the caller's connection.
+    pub(crate) at: Instant,
+    /// How often it was resumed at another endpoint.
+    pub(crate) resumed: u32,
+    /// The gaps between the events that its caller was handed.
+    pub(crate) gaps: Option<Gaps>,
+}
+
+impl Ended {
+    /// Creates the end of a request whose response was handed over just now.
+    pub(crate) fn new(status: u16, outcome: String) -> Self {
+        Self {
+            status,
+            outcome,
+            at: clock::now(),
+            resumed: 0,
+            gaps: None,
+        }
+    }
+}
+
+/// Logs the outcome of a request that an endpoint was sought for.
 pub(crate) fn log_ended(
     shared: &SharedState,
     call: &Call,
     tried: &[name::Endpoint],
-    status: u16,
-    outcome: &str,
-    resumed: u32,
-    gaps: Option<&Gaps>,
+    ended: &Ended,
 ) {
-    let now = clock::now();
+    let now = ended.at;
+    let gaps = ended.gaps.as_ref();
     let longest = gaps.and_then(Gaps::longest);
     tracing::info!(
         id = call.head.id.as_deref(),
@@ -37,9 +61,9 @@
         key_age_ms = shared.freshness.borrow().age(now).map(millis),
         endpoint = tried.last().map(name::Endpoint::as_str),
         sends = tried.len(),
-        resumed,
-        status,
-        outcome,
+        resumed = ended.resumed,
+        status = ended.status,
+        outcome = ended.outcome,
         first_ms = gaps.and_then(Gaps::first).map(millis),
         max_gap_ms = longest.map(|gap| millis(gap.length)),
         max_gap_at_ms = longest.map(|gap| millis(gap.begun)),
@@ -54,6 +78,21 @@
     }
 }
 
+/// Logs that the connection of a caller ended before the caller had acknowledged a response that
+/// was complete.
+pub(crate) fn log_undelivered(call: &Call, cut_off: &CutOff) {
+    tracing::info!(
+        id = call.head.id.as_deref(),
+        unacknowledged_bytes = cut_off.unacknowledged,
+        unsent_bytes = cut_off.figures.unsent,
+        since_ack_ms = millis(cut_off.figures.since_acknowledgement),
+        unanswered_probes = cut_off.figures.unanswered_probes,
+        ms = millis(call.arrived.elapsed()),
+        "response cut off at the caller"
+    );
+    metrics::counter!(metric::GATEWAY_UNDELIVERED).increment(1);
+}
+
 /// Logs why a request was refused before an endpoint was selected.
 pub(crate) fn log_refused(
     shared: &SharedState,
--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cactusnotch_tcp as tcp;
 use derive_more::{Display, Error};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
@@ -14,7 +15,6 @@
 use tokio::task::AbortHandle;
 
 use crate::memory::ANSWER_BYTES;
-use crate::tcp;
 
 /// Why a call failed.
 #[derive(Debug, Display, Error)]
@@ -74,6 +74,7 @@
     pub async fn open(peer: SocketAddr, timeout: Duration) -> Result<Self, Error> {
         let failed = |error| Error::Connect { peer, error };
         let stream = tcp::connect(peer, timeout).await.map_err(failed)?;
+        let (stream, monitor) = tcp::Stream::new(stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER)
             .handshake(TokioIo::new(stream))
@@ -81,7 +82,10 @@
             .map_err(|error| failed(io::Error::other(error)))?;
         let driver = tokio::task::spawn_local(async move {
             // A failure of the connection is reported to the call in progress.
-            let _: Result<(), hyper::Error> = connection.await;
+            let _: Result<(), hyper::Error> = tokio::select! {
+                ended = connection => ended,
+                never = monitor.run() => match never {},
+            };
         });
         Ok(Self {
             peer,
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 
+use cactusnotch_tcp as tcp;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -10,6 +11,7 @@
 use tokio::sync::watch;
 
 use crate::configuration::Limits;
+use crate::delivery::{self, Delivery};
 use crate::dialect::Dialect;
 use crate::flight;
 use crate::knowledge::SharedState;
@@ -25,9 +27,14 @@
     limits: Option<Limits>,
     mut closing: watch::Receiver<bool>,
 ) {
+    let (stream, monitor) = tcp::Stream::new(stream);
+    let delivery = Delivery::default();
     let service = service_fn(|request| {
-        let shared = Rc::clone(&shared);
-        async move { Ok::<_, Infallible>(flight::handle::<D>(shared, request).await) }
+        let (shared, (tracker, receipt)) = (Rc::clone(&shared), delivery.open(&monitor));
+        async move {
+            let response = flight::handle::<D>(shared, request, receipt).await;
+            Ok::<_, Infallible>(response.map(|body| tracker.track(body)))
+        }
     });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new());
@@ -37,14 +44,14 @@
     }
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        _ = closing.wait_for(|closing| *closing) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let served = async {
+        tokio::select! {
+            ended = connection.as_mut() => ended,
+            _ = closing.wait_for(|closing| *closing) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
         }
     };
-    if let Err(error) = ended {
-        tracing::debug!(%error, "caller's connection ended");
-    }
+    delivery::serve(served, &delivery, &monitor).await;
 }
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use cactusnotch_base::clock::{self, Instant};
+use cactusnotch_tcp as tcp;
 use cactusnotch_telemetry::metric;
 use http::response::Parts;
 use http::{Method, StatusCode, header};
@@ -16,7 +17,6 @@
 use crate::quarantine::{Accused, Crash};
 use crate::request::Call;
 use crate::running::Running;
-use crate::tcp;
 
 /// The timeout of the connection attempt that probes an endpoint. A host without the
 /// process refuses the connection within a round trip; a host that doesn't respond
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use cactusnotch_tcp as tcp;
 use cactusnotch_telemetry::Exporter;
 use derive_more::{Display, Error};
 use tokio::net::UdpSocket;
@@ -16,7 +17,7 @@
 use crate::options::Options;
 use crate::store::{Codec, Kind};
 use crate::{
-    configuration_cache, gossip, record, registration, reload, renewal, server, stop, tcp, watcher,
+    configuration_cache, gossip, record, registration, reload, renewal, server, stop, watcher,
 };
 
 /// An error that stops an entry.
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -12,12 +12,13 @@
 use hyper::body::Incoming;
 use rand::Rng;
 
-use crate::account;
+use crate::account::{self, Ended};
 use crate::answer::{self, Read};
 use crate::body::Outgoing;
 use crate::caller_timeout::RETURNED_WAIT;
 use crate::crash;
 use crate::decide::{Failure, Lifecycle, Next};
+use crate::delivery::{Outcome, Receipt};
 use crate::dialect::Dialect;
 use crate::endpoint::Endpoint;
 use crate::exchange::{self, Failed, Reply, Unserved};
@@ -25,7 +26,7 @@
 use crate::intake;
 use crate::knowledge::SharedState;
 use crate::pieces;
-use crate::pump::Pump;
+use crate::pump::{self, Pump};
 use crate::refusal::Refusal;
 use crate::request::Call;
 use crate::response;
@@ -40,6 +41,7 @@
 pub(crate) async fn handle<D: Dialect>(
     shared: Rc<SharedState>,
     incoming: Request<Incoming>,
+    receipt: Receipt,
 ) -> Response<Outgoing> {
     let arrived = clock::now();
     let guard = InFlight::new(&shared);
@@ -47,6 +49,7 @@
         Ok(call) => call,
         Err((refusal, id)) => {
             account::log_refused(&shared, id.as_deref(), refusal, arrived);
+            receipt.set_due(arrived);
             let after = refusal.retry_after(Duration::ZERO, shared.rng.borrow_mut().random());
             return response::own::<D>(&shared, refusal, after);
         }
@@ -73,16 +76,31 @@
         () = shared.suspend_detector.wait_until(deadline) => None,
     };
     let outcome = outcome.unwrap_or_else(|| Err(flight.lifecycle.timed_out()));
+    receipt.set_due(deadline);
     match outcome {
         Ok(Answered::Whole(head, body)) => {
-            flight.log(head.status.as_u16(), "whole");
-            response::relayed(&shared, head, Outgoing::Whole(Some(body)))
+            let response = response::relayed(&shared, head, Outgoing::Whole(Some(body)));
+            let status = response.status().as_u16();
+            drop(guard);
+            tokio::task::spawn_local(async move {
+                receipt.written().await;
+                flight.log(&Ended::new(status, pump::End::Whole.to_string()));
+                follow(&receipt, &flight.call).await;
+            });
+            response
         }
-        Ok(Answered::Pieces(reply, first)) => flight.relay::<D>(*reply, first, guard),
+        Ok(Answered::Pieces(reply, first)) => flight.relay::<D>(*reply, first, guard, receipt),
         Err(refusal) => flight.refuse::<D>(refusal),
     }
 }
 
+/// Waits until a complete response has reached the caller.
+async fn follow(receipt: &Receipt, call: &Call) {
+    if let Outcome::CutOff(Some(cut_off)) = receipt.outcome().await {
+        account::log_undelivered(call, &cut_off);
+    }
+}
+
 /// An endpoint's response that is to be relayed.
 enum Answered {
     Whole(http::response::Parts, Bytes),
@@ -319,7 +337,13 @@
     }
 
     /// Starts to relay a stream or a long response.
-    fn relay<D: Dialect>(self, reply: Reply, first: Bytes, guard: InFlight) -> Response<Outgoing> {
+    fn relay<D: Dialect>(
+        self,
+        reply: Reply,
+        first: Bytes,
+        guard: InFlight,
+        receipt: Receipt,
+    ) -> Response<Outgoing> {
         let (sender, receiver) = pieces::channel();
         let head = reply.head.clone();
         let length = head.headers.get(header::CONTENT_LENGTH);
@@ -352,16 +376,27 @@
         };
         tokio::task::spawn_local(async move {
             let (end, pump) = pump.run::<D>(reply, first).await;
-            account::log_ended(
-                &pump.shared,
-                &pump.call,
-                &pump.tried,
-                status,
-                &end.to_string(),
-                pump.resumed,
-                pump.gaps.as_ref(),
-            );
-            drop(guard);
+            let Pump {
+                shared,
+                call,
+                tried,
+                sender,
+                resumed,
+                gaps,
+                ..
+            } = pump;
+            // The body ends with its sender.
+            drop((sender, guard));
+            receipt.written().await;
+            let ended = Ended {
+                resumed,
+                gaps,
+                ..Ended::new(status, end.to_string())
+            };
+            account::log_ended(&shared, &call, &tried, &ended);
+            if end == pump::End::Whole {
+                follow(&receipt, &call).await;
+            }
         });
         response
     }
@@ -372,25 +407,18 @@
         let refusal = self.lifecycle.checked(refusal);
         if let Some((head, body)) = self.failure.take() {
             let outcome = format!("error response of an endpoint relayed after: {refusal}");
-            self.log(head.status.as_u16(), &outcome);
+            self.log(&Ended::new(head.status.as_u16(), outcome));
             return response::relayed(&self.shared, head, Outgoing::Whole(Some(body)));
         }
-        self.log(refusal.status().as_u16(), &refusal.to_string());
+        let status = refusal.status().as_u16();
+        self.log(&Ended::new(status, refusal.to_string()));
         let remaining = self.call.deadline.remaining();
         let draw = self.shared.rng.borrow_mut().random();
         let after = refusal.retry_after(remaining, draw);
         response::own::<D>(&self.shared, refusal, after)
     }
 
-    fn log(&self, status: u16, outcome: &str) {
-        account::log_ended(
-            &self.shared,
-            &self.call,
-            &self.tried,
-            status,
-            outcome,
-            0,
-            None,
-        );
+    fn log(&self, ended: &Ended) {
+        account::log_ended(&self.shared, &self.call, &self.tried, ended);
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,7 +27,6 @@
 mod reported;
 pub mod route;
 pub mod store;
-pub mod tcp;
 
 mod account;
 pub mod admission;
@@ -41,6 +40,7 @@
 mod connection;
 mod crash;
 pub mod decide;
+mod delivery;
 pub mod evacuations;
 pub mod events;
 mod exchange;
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -164,8 +164,10 @@
                 Some(events) => events.push(&data),
                 None => data,
             };
-            if !data.is_empty() && self.hand_over(data).await.is_err() {
-                return PartEnd::End(End::CallerLeft);
+            if !data.is_empty()
+                && let Err(end) = self.hand_over(data).await
+            {
+                return PartEnd::End(end);
             }
             if self.resumable && self.should_move(running.endpoint()) {
                 metrics::counter!(metric::GATEWAY_MOVED).increment(1);
@@ -190,9 +192,13 @@
         PartEnd::End(End::Whole)
     }
 
-    /// Hands data to the caller's connection.
-    async fn hand_over(&mut self, data: Bytes) -> Result<(), Disconnected> {
-        self.sender.send(data).await?;
+    /// Hands data to the caller's connection, which takes it as the caller reads.
+    async fn hand_over(&mut self, data: Bytes) -> Result<(), End> {
+        tokio::select! {
+            biased;
+            sent = self.sender.send(data) => sent.map_err(|Disconnected| End::CallerLeft)?,
+            () = self.shared.suspend_detector.wait_until(self.call.deadline) => return Err(End::TimeUp),
+        }
         if let Some(gaps) = &mut self.gaps {
             gaps.record_event(clock::now());
         }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use cactusnotch_base::clock;
+use cactusnotch_tcp as tcp;
 use cactusnotch_telemetry::Exporter;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
@@ -18,9 +19,9 @@
 use tokio::sync::watch;
 
 use crate::connection;
+use crate::delivery::{self, Delivery};
 use crate::dialect::{AddressQuery, Dialect};
 use crate::knowledge::SharedState;
-use crate::tcp;
 
 /// How long callers cache a list of addresses: short enough to leave a stopping entry
 /// soon, long enough to keep the rate of queries low.
@@ -88,14 +89,16 @@
     stream: TcpStream,
     respond: impl Fn(&Request<Incoming>) -> Response<Full<Bytes>>,
 ) {
+    let (stream, monitor) = tcp::Stream::new(stream);
+    let delivery = Delivery::default();
     let service = service_fn(|request| {
-        let response = respond(&request);
+        let (tracker, receipt) = delivery.open(&monitor);
+        receipt.set_due(clock::now());
+        let response = respond(&request).map(|body| tracker.track(body));
         async move { Ok::<_, Infallible>(response) }
     });
     let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = connection.await {
-        tracing::debug!(%error, "connection ended");
-    }
+    delivery::serve(connection, &delivery, &monitor).await;
 }
 
 /// Returns the regions whose entries a caller may use; `None` for all. These are the
--- a/crates/gateway/src/tcp.rs
+++ b/crates/tcp/src/options.rs
@@ -7,10 +7,8 @@
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 use tokio::net::{TcpListener, TcpStream};
 
-/// How long sent data may stay unacknowledged before a connection counts as broken.
-/// Hosts behind a network partition don't respond at all. One second is far above any
-/// round trip within a region and below callers' time budgets.
-const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(1);
+use crate::liveness::UNACKNOWLEDGED_MAX;
+
 /// How long a connection may be idle before it is probed.
 const PROBE_AFTER: Duration = Duration::from_secs(1);
 /// The interval between probes of an idle connection.
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -122,6 +122,8 @@
         "Time that requests waited for free capacity until they started or ended.";
     GATEWAY_WAITING = "cactusnotch_gateway_waiting_requests", Gauge, Count, ["class"],
         "Requests that wait for free capacity.";
+    GATEWAY_UNDELIVERED = "cactusnotch_gateway_undelivered_total", Counter, Count, [],
+        "Complete responses whose callers' connections ended before they had acknowledged them.";
     GATEWAY_WAITED = "cactusnotch_gateway_waits_total", Counter, Count, [],
         "Callers refused before that waited at an entry until there was room, or in vain.";
     GROUP_LIMIT = "cactusnotch_group_limit_ratio", Gauge, Count, [],
