fix: a stopping entry ends when callers have its answers

Around a planned stop, callers that read slowly lost the end of answers which their endpoints had given in full. The entry logged in_flight 0 and ended.

Cause: a request was in flight until its answer was put into the channel to the caller's connection, not until the caller had it. Once the process had ended, nobody extended the time-out of connections whose callers had no room.

A request is now in flight until the caller has acknowledged the last byte or its connection has ended. At the end of the grace the kernel is told to keep what it holds until the deadline.

--- a/crates/gateway/src/delivery.rs
+++ b/crates/gateway/src/delivery.rs
@@ -11,6 +11,8 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::Notify;
 
+use crate::in_flight::InFlight;
+
 /// How long a peer that answers may take to read a response without a deadline, and at least to
 /// read one with a deadline.
 pub(crate) const READ_TIME: Duration = Duration::from_secs(2);
@@ -24,6 +26,7 @@
     delivery: &Delivery,
     monitor: &Monitor,
 ) {
+    let _remainder = Remainder { delivery, monitor };
     let served = tokio::select! {
         served = connection => Some(served),
         () = delivery.follow(monitor) => None,
@@ -73,6 +76,8 @@
     outcome: Cell<Option<Outcome>>,
     /// Wakes the receipt's owner.
     changed: Notify,
+    /// Counts the request as in flight until then.
+    in_flight: Cell<Option<InFlight>>,
 }
 
 /// Waits for the outcome of a response.
@@ -100,6 +105,7 @@
             written: Cell::new(None),
             outcome: Cell::new(None),
             changed: Notify::new(),
+            in_flight: Cell::new(None),
         });
         self.open.borrow_mut().push(Rc::clone(&undelivered));
         let tracker = Tracker {
@@ -182,18 +188,42 @@
             if applies {
                 response.outcome.set(Some(outcome));
                 response.changed.notify_one();
+                response.in_flight.set(None);
             }
             !applies
         });
     }
 }
 
+/// Has the kernel keep the rest of responses for the peer if the process ends before the peer has
+/// read them.
+struct Remainder<'a> {
+    delivery: &'a Delivery,
+    monitor: &'a Monitor,
+}
+
+impl Drop for Remainder<'_> {
+    fn drop(&mut self) {
+        let open = self.delivery.open.borrow();
+        let handed_over = open.iter().filter(|response| response.is_handed_over.get());
+        if let Some(due) = handed_over.filter_map(|response| response.due.get()).max() {
+            self.monitor.keep_for(due.remaining());
+        }
+    }
+}
+
 impl Receipt {
     /// Sets until when the peer may take to read the response.
     pub(crate) fn set_due(&self, due: Instant) {
         self.0.due.set(Some(due.max(clock::now() + READ_TIME)));
     }
 
+    /// Counts the request as in flight until the response has reached the peer or its connection
+    /// has ended.
+    pub(crate) fn hold(&self, in_flight: InFlight) {
+        self.0.in_flight.set(Some(in_flight));
+    }
+
     /// Waits until the kernel has taken the response or its connection has ended.
     pub(crate) async fn written(&self) {
         while self.0.written.get().is_none() && self.0.outcome.get().is_none() {
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -50,6 +50,7 @@
         Err((refusal, id)) => {
             account::log_refused(&shared, id.as_deref(), refusal, arrived);
             receipt.set_due(arrived);
+            receipt.hold(guard);
             let after = refusal.retry_after(Duration::ZERO, shared.rng.borrow_mut().random());
             return response::own::<D>(&shared, refusal, after);
         }
@@ -81,16 +82,19 @@
         Ok(Answered::Whole(head, body)) => {
             let response = response::relayed(&shared, head, Outgoing::Whole(Some(body)));
             let status = response.status().as_u16();
-            drop(guard);
             tokio::task::spawn_local(async move {
                 receipt.written().await;
                 flight.log(&Ended::new(status, pump::End::Whole.to_string()));
                 follow(&receipt, &flight.call).await;
+                drop(guard);
             });
             response
         }
         Ok(Answered::Pieces(reply, first)) => flight.relay::<D>(*reply, first, guard, receipt),
-        Err(refusal) => flight.refuse::<D>(refusal),
+        Err(refusal) => {
+            receipt.hold(guard);
+            flight.refuse::<D>(refusal)
+        }
     }
 }
 
@@ -386,7 +390,7 @@
                 ..
             } = pump;
             // The body ends with its sender.
-            drop((sender, guard));
+            drop(sender);
             receipt.written().await;
             let ended = Ended {
                 resumed,
@@ -397,6 +401,7 @@
             if end == pump::End::Whole {
                 follow(&receipt, &call).await;
             }
+            drop(guard);
         });
         response
     }
--- a/crates/tcp/src/monitor.rs
+++ b/crates/tcp/src/monitor.rs
@@ -99,6 +99,12 @@
         self.written_bytes().saturating_sub(figures.acknowledged)
     }
 
+    /// Has the kernel keep data for the peer for `time`, also after the process has ended.
+    pub fn keep_for(&self, time: Duration) {
+        // The kernel counts from the first retransmission on, which the time-out in force covers.
+        self.set_timeout(self.timeout.get() + time);
+    }
+
     /// Has the connection reset when it is closed, so that the peer can't take data that was cut
     /// off for a complete response.
     pub fn reset_on_close(&self) {
