fix: interim responses without end are refused

An endpoint that sent 100 Continue without end held its callers until their deadlines (504 after 6.0 s) and cost the entry a whole core meanwhile.

Cause: the HTTP library skips interim responses and nobody counted them.

At most 16 interim responses may precede a response now, on each connection that Channel opens: to endpoints, the store and other entries. Beyond, the connection is closed, the failure counts against the endpoint and the request may have run.

--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::task::AbortHandle;
 
+use crate::interim::Interim;
 use crate::memory::ANSWER_BYTES;
 
 /// Why a call failed.
@@ -41,6 +42,12 @@
         /// The cause.
         error: hyper::Error,
     },
+    /// The peer sent interim responses without end; it may have received the request.
+    #[display("{peer} sent interim responses without end")]
+    Interim {
+        /// The peer.
+        peer: SocketAddr,
+    },
     /// The body of the response failed or is too long.
     #[display("the answer of {peer} could not be read")]
     Body {
@@ -137,14 +144,24 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Unsent`] if nothing was written, and
-    /// [`Error::Exchange`] if the peer may have received the request.
+    /// Returns [`Error::Unsent`] if nothing was written, and [`Error::Exchange`] or
+    /// [`Error::Interim`] if the peer may have received the request. The connection can't be used
+    /// after the latter.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Error> {
         let peer = self.peer;
-        match self.sender.try_send_request(request).await {
+        let interim = Interim::count(&mut request);
+        let sent = tokio::select! {
+            biased;
+            () = interim.exceeded() => {
+                self.driver.abort();
+                return Err(Error::Interim { peer });
+            }
+            sent = self.sender.try_send_request(request) => sent,
+        };
+        match sent {
             Ok(response) => {
                 self.answered += 1;
                 Ok(response)
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -261,6 +261,10 @@
     };
     let response = channel.send(request).await.map_err(|error| match error {
         channel::Error::Unsent { .. } => Failed::new(Failure::Unsent, &error.to_string()),
+        channel::Error::Interim { .. } => {
+            running.record_failure();
+            Failed::new(Failure::Uncertain, &error.to_string())
+        }
         _ => Failed::broken(&mut running, &error.to_string()),
     })?;
     check::<D>(call, endpoint, response, lease, running)
