fix: a response without end is cut off at 4 MiB

An endpoint whose answer had no end, with a stated length of 10^11 bytes, chunks or neither, kept the entry relaying until the deadline: a whole core, and up to 1.5 GB for each caller.

Cause: only the deadline bounded a relayed response.

A response may have 4 MiB. A stated length above is refused with the head (502, or another endpoint where the request may be repeated); other bodies are cut off visibly. The endpoint's connection is closed and the failure counts.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -9,6 +9,10 @@
 /// kilobytes.
 const BUFFERED_MAX: usize = 64 * 1024;
 
+/// The most bytes of a response. Responses have a few kilobytes, streams some hundred; an endpoint
+/// in trouble may send bytes until its connection is closed.
+pub(crate) const RESPONSE_MAX: u64 = 4 << 20;
+
 /// The result of buffering a response.
 pub(crate) enum Read {
     /// The complete body.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -8,11 +8,12 @@
 use cactusnotch_overload::{Kind, Reach};
 use cactusnotch_route::{attempt::End, choice};
 use http::response::Parts;
-use http::{Response, StatusCode, header};
-use hyper::body::Incoming;
+use http::{Method, Response, StatusCode, header};
+use hyper::body::{Body, Incoming};
 use rand::Rng;
 
 use crate::admission::{self, Forecast, Targets};
+use crate::answer::RESPONSE_MAX;
 use crate::channel;
 use crate::crash::BrokenRun;
 use crate::decide::{Failure, Lifecycle};
@@ -333,6 +334,8 @@
         Some("an answer with a content encoding")
     } else if !info.signed {
         Some("an unsigned answer")
+    } else if call.method != Method::HEAD && body.size_hint().lower() > RESPONSE_MAX {
+        Some("an answer that is too long")
     } else {
         None
     };
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -376,6 +376,7 @@
             sender,
             resumable: false,
             resumed: 0,
+            received: first.len() as u64,
             gaps: None,
         };
         tokio::task::spawn_local(async move {
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -10,6 +10,7 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 
+use crate::answer::RESPONSE_MAX;
 use crate::crash;
 use crate::decide::{Failure, Lifecycle, Next};
 use crate::dialect::Dialect;
@@ -52,6 +53,8 @@
     pub(crate) resumable: bool,
     /// How often the stream was resumed at another endpoint.
     pub(crate) resumed: u32,
+    /// The number of bytes that endpoints have sent.
+    pub(crate) received: u64,
     /// When the caller was handed events; `None` unless the response is a stream of events.
     pub(crate) gaps: Option<Gaps>,
 }
@@ -156,6 +159,11 @@
                 }
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
+            self.received += data.len() as u64;
+            if self.received > RESPONSE_MAX {
+                running.record_failure();
+                return PartEnd::broken("the response is too long");
+            }
             running.record_piece(clock::now());
             if running.is_harmless(clock::now()) {
                 self.shared.note_parts_served(&self.call);
