--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -162,6 +162,13 @@
             self.received += data.len() as u64;
             if self.received > RESPONSE_MAX {
                 running.record_failure();
+                let (id, endpoint) = (self.call.head.id.as_deref(), running.endpoint().as_str());
+                tracing::info!(
+                    id,
+                    endpoint,
+                    bytes = self.received,
+                    "response is too long, cut off"
+                );
                 return PartEnd::broken("the response is too long");
             }
             running.record_piece(clock::now());
