--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -5,7 +5,7 @@
 use cactusnotch_overload::Class;
 use cactusnotch_telemetry::metric;
 
-use crate::delivery::CutOff;
+use crate::delivery::{Outcome, Receipt};
 use crate::gaps::Gaps;
 use crate::journal::millis;
 use crate::knowledge::SharedState;
@@ -78,9 +78,12 @@
     }
 }
 
-/// Logs that the connection of a caller ended before the caller had acknowledged a response that
-/// was complete.
-pub(crate) fn log_undelivered(call: &Call, cut_off: &CutOff) {
+/// Waits until a complete response has reached the caller. If the connection ends before the
+/// caller has acknowledged the response, that is logged.
+pub(crate) async fn follow(call: &Call, receipt: &Receipt) {
+    let Outcome::CutOff(Some(cut_off)) = receipt.outcome().await else {
+        return;
+    };
     tracing::info!(
         id = call.head.id.as_deref(),
         unacknowledged_bytes = cut_off.unacknowledged,
--- a/crates/gateway/src/delivery.rs
+++ b/crates/gateway/src/delivery.rs
@@ -14,7 +14,8 @@
 use cactusnotch_tcp::{CHECK_INTERVAL, Monitor};
 use tokio::sync::Notify;
 
-pub(crate) use outcome::{CutOff, Outcome};
+use outcome::CutOff;
+pub(crate) use outcome::Outcome;
 pub(crate) use receipt::Receipt;
 use remainder::Remainder;
 use tracked::Tracker;
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -8,7 +8,7 @@
 use cactusnotch_base::name;
 use cactusnotch_route::choice;
 use cactusnotch_telemetry::metric;
-use http::{Request, Response, header};
+use http::{Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use rand::Rng;
 
@@ -18,7 +18,7 @@
 use crate::caller_timeout::RETURNED_WAIT;
 use crate::crash;
 use crate::decide::{Failure, Lifecycle, Next};
-use crate::delivery::{Outcome, Receipt};
+use crate::delivery::Receipt;
 use crate::dialect::Dialect;
 use crate::endpoint::Endpoint;
 use crate::exchange::{self, Failed, Reply, Unserved};
@@ -26,7 +26,7 @@
 use crate::intake;
 use crate::knowledge::SharedState;
 use crate::pieces;
-use crate::pump::{self, Pump};
+use crate::pump::Pump;
 use crate::refusal::Refusal;
 use crate::request::Call;
 use crate::response;
@@ -81,11 +81,11 @@
     match outcome {
         Ok(Answered::Whole(head, body)) => {
             let response = response::relayed(&shared, head, Outgoing::Whole(Some(body)));
-            let status = response.status().as_u16();
+            let status = response.status();
             tokio::task::spawn_local(async move {
                 receipt.written().await;
-                flight.log(&Ended::new(status, pump::End::Whole.to_string()));
-                follow(&receipt, &flight.call).await;
+                flight.log(status, "whole");
+                account::follow(&flight.call, &receipt).await;
                 drop(guard);
             });
             response
@@ -98,13 +98,6 @@
     }
 }
 
-/// Waits until a complete response has reached the caller.
-async fn follow(receipt: &Receipt, call: &Call) {
-    if let Outcome::CutOff(Some(cut_off)) = receipt.outcome().await {
-        account::log_undelivered(call, &cut_off);
-    }
-}
-
 /// An endpoint's response that is to be relayed.
 enum Answered {
     Whole(http::response::Parts, Bytes),
@@ -360,19 +353,12 @@
                 remaining,
             },
         );
-        let Self {
-            shared,
-            call,
-            lifecycle,
-            tried,
-            ..
-        } = self;
         let status = response.status().as_u16();
         let pump = Pump {
-            shared,
-            call,
-            lifecycle,
-            tried,
+            shared: self.shared,
+            call: self.call,
+            lifecycle: self.lifecycle,
+            tried: self.tried,
             sender,
             resumable: false,
             resumed: 0,
@@ -380,28 +366,7 @@
             gaps: None,
         };
         tokio::task::spawn_local(async move {
-            let (end, pump) = pump.run::<D>(reply, first).await;
-            let Pump {
-                shared,
-                call,
-                tried,
-                sender,
-                resumed,
-                gaps,
-                ..
-            } = pump;
-            // The body ends with its sender.
-            drop(sender);
-            receipt.written().await;
-            let ended = Ended {
-                resumed,
-                gaps,
-                ..Ended::new(status, end.to_string())
-            };
-            account::log_ended(&shared, &call, &tried, &ended);
-            if end == pump::End::Whole {
-                follow(&receipt, &call).await;
-            }
+            pump.run::<D>(reply, first, status, &receipt).await;
             drop(guard);
         });
         response
@@ -413,18 +378,18 @@
         let refusal = self.lifecycle.checked(refusal);
         if let Some((head, body)) = self.failure.take() {
             let outcome = format!("error response of an endpoint relayed after: {refusal}");
-            self.log(&Ended::new(head.status.as_u16(), outcome));
+            self.log(head.status, &outcome);
             return response::relayed(&self.shared, head, Outgoing::Whole(Some(body)));
         }
-        let status = refusal.status().as_u16();
-        self.log(&Ended::new(status, refusal.to_string()));
+        self.log(refusal.status(), &refusal.to_string());
         let remaining = self.call.deadline.remaining();
         let draw = self.shared.rng.borrow_mut().random();
         let after = refusal.retry_after(remaining, draw);
         response::own::<D>(&self.shared, refusal, after)
     }
 
-    fn log(&self, ended: &Ended) {
-        account::log_ended(&self.shared, &self.call, &self.tried, ended);
+    fn log(&self, status: StatusCode, outcome: &str) {
+        let ended = Ended::new(status.as_u16(), outcome.to_owned());
+        account::log_ended(&self.shared, &self.call, &self.tried, &ended);
     }
 }
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -10,9 +10,11 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 
+use crate::account::{self, Ended};
 use crate::answer::RESPONSE_MAX;
 use crate::crash;
 use crate::decide::{Failure, Lifecycle, Next};
+use crate::delivery::Receipt;
 use crate::dialect::Dialect;
 use crate::endpoint::Endpoint;
 use crate::events::Splitter;
@@ -91,8 +93,32 @@
 }
 
 impl Pump {
-    /// Relays `reply`, after the bytes `first` that were already read.
-    pub(crate) async fn run<D: Dialect>(mut self, mut reply: Reply, first: Bytes) -> (End, Self) {
+    /// Relays `reply` with `status`, after the bytes `first` that were already read, and waits
+    /// until the response has reached the caller.
+    pub(crate) async fn run<D: Dialect>(
+        self,
+        reply: Reply,
+        first: Bytes,
+        status: u16,
+        receipt: &Receipt,
+    ) {
+        let (end, pump) = self.relay::<D>(reply, first).await;
+        // The body ends with its sender.
+        drop(pump.sender);
+        receipt.written().await;
+        let ended = Ended {
+            resumed: pump.resumed,
+            gaps: pump.gaps,
+            ..Ended::new(status, end.to_string())
+        };
+        account::log_ended(&pump.shared, &pump.call, &pump.tried, &ended);
+        if end == End::Whole {
+            account::follow(&pump.call, receipt).await;
+        }
+    }
+
+    /// Relays `reply`, after the bytes `first` that were already read, until it ends.
+    async fn relay<D: Dialect>(mut self, mut reply: Reply, first: Bytes) -> (End, Self) {
         self.resumable = self.call.resolved.route.retry_policy == RetryPolicy::Resume
             && is_open_stream(&reply.head);
         let is_unframed = crash::is_unframed(&self.call, &reply.head);
