fix: a reader whose acknowledgements are delayed counts as living

The time-out was extended only at checks at which the last segment had been acknowledged. New segments of a slow reader are acknowledged late, so that several checks in a row can fall between a segment and its acknowledgement. Suspected as the cause and not shown: the entry's log has no line about that connection.

A peer that was heard within the last second, since retransmissions were first seen, is extended as well.

a_peer_that_acknowledges_late_counts_as_living failed before (1 s after 1 s) and passes.

--- a/crates/tcp/src/liveness.rs
+++ b/crates/tcp/src/liveness.rs
@@ -54,8 +54,11 @@
         }
         match self.retry {
             Some(retry) if figures.acknowledged < retry.written => {
-                if figures.is_answered() {
-                    self.timeout = now.saturating_duration_since(retry.since) + EXTENSION;
+                let retrying = now.saturating_duration_since(retry.since);
+                // The last segment may be newer than the last acknowledgement.
+                let is_heard = figures.since_acknowledgement < retrying.min(UNACKNOWLEDGED_MAX);
+                if figures.is_answered() || is_heard {
+                    self.timeout = retrying + EXTENSION;
                 }
             }
             _ => *self = Self::new(),
--- a/crates/tcp/tests/liveness.rs
+++ b/crates/tcp/tests/liveness.rs
@@ -161,6 +161,32 @@
     assert_eq!(timeout, Duration::from_secs(1));
 }
 
+/// Guards against readers whose acknowledgements are delayed and that count as silent, since each
+/// check comes between a segment and its acknowledgement.
+#[test]
+fn a_peer_that_acknowledges_late_counts_as_living() {
+    let began = clock::now();
+    let mut liveness = Liveness::new();
+    let mut acknowledged = 10_000;
+    let mut timeout = Duration::ZERO;
+    for check in 0..20 {
+        let elapsed = CHECK_INTERVAL * check;
+        acknowledged += 1_000;
+        let figures = Figures {
+            in_flight: 1,
+            unsent: 30_000,
+            acknowledged,
+            retries: 1,
+            unanswered_probes: 0,
+            since_sent: millis(20),
+            since_acknowledgement: millis(120),
+        };
+        timeout = liveness.timeout(&figures, 64_000, began + elapsed);
+        assert!(timeout > elapsed, "{elapsed:?}: {timeout:?}");
+    }
+    assert!(timeout > CHECK_INTERVAL * 20);
+}
+
 /// Guards against figures of a platform that leaves them empty, which would count as delivered.
 #[test]
 fn figures_that_were_not_filled_in_are_none() {
