--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -116,14 +116,14 @@
         "Streams that were moved away from an endpoint far slower than others.";
     GATEWAY_THROTTLED = "cactusnotch_gateway_throttled_requests_total", Counter, Count, [],
         "Requests refused since all endpoints that could take them get no more for now, as they say themselves.";
+    GATEWAY_UNDELIVERED = "cactusnotch_gateway_undelivered_total", Counter, Count, [],
+        "Complete responses whose callers' connections ended before they had acknowledged them.";
     GATEWAY_UNREADABLE = "cactusnotch_gateway_unreadable_objects_total", Counter, Count, [],
         "Objects of the store that could not be read and name nothing to use, each counted once for each reason.";
     GATEWAY_WAIT = "cactusnotch_gateway_wait_seconds", Histogram, Seconds, ["class"],
         "Time that requests waited for free capacity until they started or ended.";
     GATEWAY_WAITING = "cactusnotch_gateway_waiting_requests", Gauge, Count, ["class"],
         "Requests that wait for free capacity.";
-    GATEWAY_UNDELIVERED = "cactusnotch_gateway_undelivered_total", Counter, Count, [],
-        "Complete responses whose callers' connections ended before they had acknowledged them.";
     GATEWAY_WAITED = "cactusnotch_gateway_waits_total", Counter, Count, [],
         "Callers refused before that waited at an entry until there was room, or in vain.";
     GROUP_LIMIT = "cactusnotch_group_limit_ratio", Gauge, Count, [],
