gateway: the log tells events from other bytes in a stream

Pieces without an id reached callers of streams, and nothing that an entry logs told an event from bytes that only end in an empty line. Each stream is now read beside the splitter, for the log alone: 'stream has bytes that are no event' names the endpoint, the reason, the events before it and the last id; 'stream resumed' describes the response that was joined; 'request ended' has the number of events and the last id; 'stream broken at its endpoint' names the endpoint. The metric cactusnotch_gateway_spoilt_streams_total counts them by cause.

--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -23,6 +23,10 @@
     pub(crate) resumed: u32,
     /// The gaps between the events that its caller was handed.
     pub(crate) gaps: Option<Gaps>,
+    /// The number of complete events of a stream.
+    pub(crate) events: Option<u64>,
+    /// The id of the last complete event of a stream.
+    pub(crate) last_event: Option<u64>,
 }
 
 impl Ended {
@@ -34,6 +38,8 @@
             at: clock::now(),
             resumed: 0,
             gaps: None,
+            events: None,
+            last_event: None,
         }
     }
 }
@@ -64,6 +70,8 @@
         resumed = ended.resumed,
         status = ended.status,
         outcome = ended.outcome,
+        events = ended.events,
+        last_event = ended.last_event,
         first_ms = gaps.and_then(Gaps::first).map(millis),
         max_gap_ms = longest.map(|gap| millis(gap.length)),
         max_gap_at_ms = longest.map(|gap| millis(gap.begun)),
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -364,6 +364,7 @@
             resumed: 0,
             received: first.len() as u64,
             gaps: None,
+            reader: None,
         };
         tokio::task::spawn_local(async move {
             pump.run::<D>(reply, first, status, &receipt).await;
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use cactusnotch_base::clock;
 use cactusnotch_base::name;
+use cactusnotch_events::{Ids, Reader};
 use cactusnotch_telemetry::metric;
 use http::header;
 use http::response::Parts;
@@ -58,6 +59,9 @@
     pub(crate) received: u64,
     /// When the caller was handed events; `None` unless the response is a stream of events.
     pub(crate) gaps: Option<Gaps>,
+    /// Tells events from other bytes, for the log; `None` unless the response is a stream of
+    /// events.
+    pub(crate) reader: Option<Reader>,
 }
 
 /// Returns whether a response is a stream of events.
@@ -108,6 +112,8 @@
         let ended = Ended {
             resumed: pump.resumed,
             gaps: pump.gaps,
+            events: pump.reader.as_ref().map(Reader::events),
+            last_event: pump.reader.as_ref().and_then(Reader::last),
             ..Ended::new(status, end.to_string())
         };
         account::log_ended(&pump.shared, &pump.call, &pump.tried, &ended);
@@ -123,6 +129,10 @@
         let is_unframed = crash::is_unframed(&self.call, &reply.head);
         let splits = self.resumable || is_event_stream(&reply.head) && is_unframed;
         self.gaps = is_event_stream(&reply.head).then(|| Gaps::new(self.call.arrived));
+        if self.call.resolved.route.streaming && is_event_stream(&reply.head) {
+            let last = self.call.head.last_event.filter(|_| self.resumable);
+            self.reader = Some(Reader::new(Ids::Increasing, last));
+        }
         let mut events = splits.then(|| Splitter::new(self.call.head.last_event));
         if !first.is_empty() && self.sender.send(first).await.is_err() {
             return (End::CallerLeft, self);
@@ -137,6 +147,9 @@
                 return (self.finish(End::Broken), self);
             };
             events.drop_partial();
+            if let Some(reader) = &mut self.reader {
+                reader.restart();
+            }
             match self.resume::<D>(events.last(), failed).await {
                 Some(next) => reply = next,
                 None => return (self.finish(End::Broken), self),
@@ -200,6 +213,7 @@
             if running.is_harmless(clock::now()) {
                 self.shared.note_parts_served(&self.call);
             }
+            self.check_events(&data, running.endpoint());
             let data = match events.as_deref_mut() {
                 Some(events) => events.push(&data),
                 None => data,
@@ -232,6 +246,32 @@
         PartEnd::End(End::Whole)
     }
 
+    /// Logs the first bytes that are no event.
+    fn check_events(&mut self, data: &Bytes, endpoint: &name::Endpoint) {
+        let Some(reader) = self
+            .reader
+            .as_mut()
+            .filter(|reader| reader.fault().is_none())
+        else {
+            return;
+        };
+        reader.push(data);
+        let Some(fault) = reader.fault() else {
+            return;
+        };
+        tracing::info!(
+            id = self.call.head.id.as_deref(),
+            endpoint = endpoint.as_str(),
+            events = reader.events(),
+            last_event = reader.last(),
+            held_bytes = reader.held(),
+            received_bytes = self.received,
+            %fault,
+            "stream has bytes that are no event"
+        );
+        metrics::counter!(metric::GATEWAY_SPOILT, "cause" => fault.label()).increment(1);
+    }
+
     /// Hands data to the caller's connection, which takes it as the caller reads.
     async fn hand_over(&mut self, data: Bytes) -> Result<(), End> {
         tokio::select! {
--- a/crates/gateway/src/pump/resume.rs
+++ b/crates/gateway/src/pump/resume.rs
@@ -1,6 +1,9 @@
 //! Resumes a broken stream at another endpoint.
 
 use cactusnotch_base::clock;
+use cactusnotch_base::name;
+use cactusnotch_events::Reader;
+use http::header;
 
 use crate::crash;
 use crate::decide::{Failure, Next};
@@ -40,10 +43,12 @@
             let id = self.call.head.id.as_deref();
             tracing::info!(
                 id,
+                endpoint = self.tried.last().map(name::Endpoint::as_str),
                 service,
                 content = %self.call.fingerprint(),
                 parts = self.call.shared_part_ids(),
                 after = last,
+                events = self.reader.as_ref().map(Reader::events),
                 cause = failure.cause,
                 next = ?next,
                 counted_requests = asked.map(|balance| balance.requests),
@@ -62,6 +67,7 @@
             match self.send::<D>(&endpoint, running, last).await? {
                 Ok(reply) if reply.head.status.is_success() => {
                     self.resumed += 1;
+                    self.log_resumed(&reply, last);
                     return Some(reply);
                 }
                 Ok(reply) => {
@@ -73,6 +79,27 @@
         }
     }
 
+    /// Logs the response that continues the stream.
+    fn log_resumed(&self, reply: &Reply, last: Option<u64>) {
+        let header = |name| {
+            reply
+                .head
+                .headers
+                .get(name)
+                .and_then(|value| value.to_str().ok())
+        };
+        tracing::info!(
+            id = self.call.head.id.as_deref(),
+            endpoint = reply.running.endpoint().as_str(),
+            after = last,
+            status = reply.head.status.as_u16(),
+            media_type = header(header::CONTENT_TYPE),
+            length = header(header::CONTENT_LENGTH),
+            transfer_encoding = header(header::TRANSFER_ENCODING),
+            "stream resumed"
+        );
+    }
+
     /// Selects an endpoint to resume the stream at; under overload control the stream waits for
     /// its turn.
     async fn choose(&self) -> Option<(Endpoint, Running)> {
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -108,6 +108,8 @@
         "Endpoints that this entry sends nothing to, since they have asked it for rest.";
     GATEWAY_RETRIES_DENIED = "cactusnotch_gateway_retries_denied_total", Counter, Count, [],
         "Times that the retry budget was asked for a further send of a request and had no credit.";
+    GATEWAY_SPOILT = "cactusnotch_gateway_spoilt_streams_total", Counter, Count, ["cause"],
+        "Streams in which an endpoint sent bytes that are no event, by cause.";
     GATEWAY_ERAS = "cactusnotch_gateway_store_eras_total", Counter, Count, [],
         "Times that the store was found to have come back from an older copy, or to have done so before the start.";
     GATEWAY_STREAM_GAP = "cactusnotch_gateway_stream_gap_seconds", Histogram, Seconds, [],
