fix: callers of streams get events and no other bytes

Callers saw a piece without an id where the next event was due.

All streams of events now pass the reader of crates/events. Complete events go on with their last byte, and from the first byte on that fits no event nothing does: the endpoint's connection is closed, the failure counts against it, a resumable stream goes on elsewhere after its last event, another is cut off visibly. An end by the framing counts only if nothing of an event is left over.

The splitter is gone; its tests run against the reader, with the same checks.

--- a/crates/gateway/tests/events.rs
+++ b/crates/events/tests/boundaries.rs
@@ -1,7 +1,7 @@
 //! Streams are split after complete events, however their bytes arrive.
 
 use bytes::Bytes;
-use cactusnotch_gateway::events::Splitter;
+use cactusnotch_events::{Ids, Reader};
 use proptest::prelude::*;
 
 fn stream(events: u64) -> Vec<u8> {
@@ -23,7 +23,7 @@
         let sent = stream(events);
         let mut rest = sent.as_slice();
         let mut cuts = cuts.into_iter().cycle();
-        let mut boundaries = Splitter::new(None);
+        let mut boundaries = Reader::new(Ids::Increasing, None);
         let mut passed = Vec::new();
         while !rest.is_empty() {
             let (piece, after) = rest.split_at(cuts.next().unwrap_or(1).min(rest.len()));
@@ -32,7 +32,7 @@
             passed.extend_from_slice(&whole);
             prop_assert!(passed.is_empty() || passed.ends_with(b"\n\n"));
         }
-        prop_assert!(!boundaries.is_partial());
+        prop_assert_eq!(boundaries.held(), 0);
         prop_assert_eq!(boundaries.last(), Some(events));
         prop_assert_eq!(passed, sent);
     }
@@ -44,9 +44,9 @@
     ) {
         let sent = stream(events);
         let cut = cut.min(sent.len());
-        let mut boundaries = Splitter::new(None);
+        let mut boundaries = Reader::new(Ids::Increasing, None);
         let mut passed = boundaries.push(&Bytes::copy_from_slice(&sent[..cut])).to_vec();
-        boundaries.drop_partial();
+        boundaries.restart();
         let last = boundaries.last().unwrap_or(0);
         let rest = &sent[stream(last).len()..];
         passed.extend_from_slice(&boundaries.push(&Bytes::copy_from_slice(rest)));
@@ -56,12 +56,12 @@
 
 #[test]
 fn a_stream_that_is_resumed_begins_at_the_callers_last_event() {
-    assert_eq!(Splitter::new(Some(12)).last(), Some(12));
+    assert_eq!(Reader::new(Ids::Increasing, Some(12)).last(), Some(12));
 }
 
 #[test]
 fn lines_may_end_in_a_carriage_return() {
-    let mut events = Splitter::new(None);
+    let mut events = Reader::new(Ids::Increasing, None);
     let whole = events.push(&Bytes::from_static(b"id: 4\r\ndata: a\r\n\r\nid: 5\r\n"));
     assert_eq!(&whole[..], b"id: 4\r\ndata: a\r\n\r\n");
     assert_eq!(events.last(), Some(4));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,7 +42,6 @@
 pub mod decide;
 mod delivery;
 pub mod evacuations;
-pub mod events;
 mod exchange;
 mod fleet;
 mod flight;
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use cactusnotch_base::clock;
 use cactusnotch_base::name;
-use cactusnotch_events::{Ids, Reader};
+use cactusnotch_events::{Fault, Ids, Reader};
 use cactusnotch_telemetry::metric;
 use http::header;
 use http::response::Parts;
@@ -19,7 +19,6 @@
 use crate::decide::{Failure, Lifecycle};
 use crate::delivery::Receipt;
 use crate::dialect::Dialect;
-use crate::events::Splitter;
 use crate::exchange::{self, Failed, Reply};
 use crate::gaps::Gaps;
 use crate::knowledge::SharedState;
@@ -59,8 +58,7 @@
     pub(crate) received: u64,
     /// When the caller was handed events; `None` unless the response is a stream of events.
     pub(crate) gaps: Option<Gaps>,
-    /// Tells events from other bytes, for the log; `None` unless the response is a stream of
-    /// events.
+    /// Passes on events and no other bytes; `None` unless the response is a stream of events.
     pub(crate) reader: Option<Reader>,
 }
 
@@ -126,37 +124,52 @@
     async fn relay<D: Dialect>(mut self, mut reply: Reply, first: Bytes) -> (End, Self) {
         self.resumable = self.call.resolved.route.retry_policy == RetryPolicy::Resume
             && is_open_stream(&reply.head);
-        let is_unframed = crash::is_unframed(&self.call, &reply.head);
-        let splits = self.resumable || is_event_stream(&reply.head) && is_unframed;
         self.gaps = is_event_stream(&reply.head).then(|| Gaps::new(self.call.arrived));
-        if self.call.resolved.route.streaming && is_event_stream(&reply.head) {
-            let last = self.call.head.last_event.filter(|_| self.resumable);
-            self.reader = Some(Reader::new(Ids::Increasing, last));
-        }
-        let mut events = splits.then(|| Splitter::new(self.call.head.last_event));
+        self.reader = self.reader_of(&reply.head);
+        let first = self.read_events(first);
         if !first.is_empty() && self.sender.send(first).await.is_err() {
             return (End::CallerLeft, self);
         }
         loop {
-            let mut failed = match self.relay_part(reply, events.as_mut()).await {
+            let mut failed = match self.relay_part(reply).await {
                 PartEnd::End(end) => return (self.finish(end), self),
                 PartEnd::Broken(failed) => failed,
             };
             self.probe_crash(&mut failed).await;
-            let Some(events) = events.as_mut().filter(|_| self.resumable) else {
+            let Some(reader) = self.reader.as_mut().filter(|_| self.resumable) else {
                 return (self.finish(End::Broken), self);
             };
-            events.drop_partial();
-            if let Some(reader) = &mut self.reader {
-                reader.restart();
-            }
-            match self.resume::<D>(events.last(), failed).await {
+            reader.restart();
+            let last = reader.last();
+            match self.resume::<D>(last, failed).await {
                 Some(next) => reply = next,
                 None => return (self.finish(End::Broken), self),
             }
         }
     }
 
+    /// Returns the reader of a response that is a stream of events. On other routes than those of
+    /// streams the reader only shows whether the end of a connection is the end of an event.
+    fn reader_of(&self, head: &Parts) -> Option<Reader> {
+        let route = &self.call.resolved.route;
+        let ids = match route.streaming {
+            true => Ids::Increasing,
+            false if crash::is_unframed(&self.call, head) => Ids::Free,
+            false => return None,
+        };
+        let continues = route.retry_policy == RetryPolicy::Resume;
+        let last = self.call.head.last_event.filter(|_| continues);
+        is_event_stream(head).then(|| Reader::new(ids, last))
+    }
+
+    /// Returns the part of the response that may be passed on.
+    fn read_events(&mut self, data: Bytes) -> Bytes {
+        match &mut self.reader {
+            Some(reader) => reader.push(&data),
+            None => data,
+        }
+    }
+
     /// Signals an incomplete response to the caller by closing the connection.
     fn finish(&self, end: End) -> End {
         if matches!(end, End::TimeUp | End::Broken) {
@@ -167,7 +180,7 @@
     }
 
     /// Relays the part of the response that one endpoint sends.
-    async fn relay_part(&mut self, reply: Reply, mut events: Option<&mut Splitter>) -> PartEnd {
+    async fn relay_part(&mut self, reply: Reply) -> PartEnd {
         let Reply {
             head,
             mut body,
@@ -213,29 +226,41 @@
             if running.is_harmless(clock::now()) {
                 self.shared.note_parts_served(&self.call);
             }
-            self.check_events(&data, running.endpoint());
-            let data = match events.as_deref_mut() {
-                Some(events) => events.push(&data),
-                None => data,
-            };
+            let data = self.read_events(data);
             if !data.is_empty()
                 && let Err(end) = self.hand_over(data).await
             {
                 return PartEnd::End(end);
             }
+            if let Some(fault) = self.reader.as_ref().and_then(Reader::fault) {
+                running.record_failure();
+                self.log_fault(fault, running.endpoint());
+                return PartEnd::broken(&fault.to_string());
+            }
             if self.resumable && self.should_move(running.endpoint()) {
                 metrics::counter!(metric::GATEWAY_MOVED).increment(1);
                 return PartEnd::broken("the endpoint is far slower than others");
             }
         }
-        if events.is_some_and(|events| events.is_partial()) {
-            let cause = "the stream ended within an event";
-            return PartEnd::Broken(Failed::broken(&mut running, cause));
-        }
+        let rest = match self
+            .reader
+            .as_mut()
+            .map_or(Ok(Bytes::new()), Reader::finish)
+        {
+            Ok(rest) => rest,
+            Err(fault) => {
+                return PartEnd::Broken(Failed::broken(&mut running, &fault.to_string()));
+            }
+        };
         if crash::has_ended(&self.shared, &self.call, &head, &running).await {
             running.record_failure();
             return PartEnd::broken("the endpoint ended with the stream");
         }
+        if !rest.is_empty()
+            && let Err(end) = self.hand_over(rest).await
+        {
+            return PartEnd::End(end);
+        }
         running.record_complete();
         // An end without framing shows nothing: a crash that is noticed late looks the same.
         if !crash::is_unframed(&self.call, &head) {
@@ -247,24 +272,13 @@
     }
 
     /// Logs the first bytes that are no event.
-    fn check_events(&mut self, data: &Bytes, endpoint: &name::Endpoint) {
-        let Some(reader) = self
-            .reader
-            .as_mut()
-            .filter(|reader| reader.fault().is_none())
-        else {
-            return;
-        };
-        reader.push(data);
-        let Some(fault) = reader.fault() else {
-            return;
-        };
+    fn log_fault(&self, fault: Fault, endpoint: &name::Endpoint) {
         tracing::info!(
             id = self.call.head.id.as_deref(),
             endpoint = endpoint.as_str(),
-            events = reader.events(),
-            last_event = reader.last(),
-            held_bytes = reader.held(),
+            events = self.reader.as_ref().map(Reader::events),
+            last_event = self.reader.as_ref().and_then(Reader::last),
+            dropped_bytes = self.reader.as_ref().map(Reader::held),
             received_bytes = self.received,
             %fault,
             "stream has bytes that are no event"
