fix: only a stream continues a stream

A caller whose stream moved to another endpoint got whatever that one answered with a 2xx status: a text, an empty 204, a part of another kind. The entry now joins a 200 of the type text/event-stream alone; what else comes counts as a failure of the endpoint and the stream looks for another. That its first event follows the last one is the reader's check.

--- a/crates/gateway/src/pump/resume.rs
+++ b/crates/gateway/src/pump/resume.rs
@@ -3,7 +3,8 @@
 use cactusnotch_base::clock;
 use cactusnotch_base::name;
 use cactusnotch_events::Reader;
-use http::header;
+use http::response::Parts;
+use http::{StatusCode, header};
 
 use crate::crash;
 use crate::decide::{Failure, Next};
@@ -11,10 +12,15 @@
 use crate::endpoint::Endpoint;
 use crate::exchange::{self, Failed, Reply};
 use crate::gaps::Gaps;
-use crate::pump::Pump;
+use crate::pump::{self, Pump};
 use crate::running::Running;
 use crate::waiting;
 
+/// Returns whether a response can continue a stream.
+fn continues(head: &Parts) -> bool {
+    head.status == StatusCode::OK && pump::is_event_stream(head)
+}
+
 impl Pump {
     /// Probes whether the endpoint crashed during the request.
     pub(super) async fn probe_crash(&self, failed: &mut Failed) {
@@ -65,13 +71,17 @@
             }
             self.tried.push(running.endpoint().clone());
             match self.send::<D>(&endpoint, running, last).await? {
-                Ok(reply) if reply.head.status.is_success() => {
+                Ok(reply) if continues(&reply.head) => {
                     self.resumed += 1;
                     self.log_resumed(&reply, last);
                     return Some(reply);
                 }
-                Ok(reply) => {
-                    let cause = format!("the endpoint answered {}", reply.head.status);
+                Ok(mut reply) => {
+                    if reply.head.status.is_success() {
+                        reply.running.record_failure();
+                    }
+                    let cause =
+                        format!("the endpoint answered {} and no stream", reply.head.status);
                     failure = Failed::new(Failure::Uncertain, &cause);
                 }
                 Err(failed) => failure = failed,
