fix: a stream isn't resumed within an event that its caller has a part of

Callers of streams with events of 150 KB got events twice in a complete answer. Nothing of the next event is written, and the caller may resume it by itself.

--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -136,11 +136,13 @@
                 PartEnd::Broken(failed) => failed,
             };
             self.probe_crash(&mut failed).await;
-            let Some(reader) = self.reader.as_mut().filter(|_| self.resumable) else {
+            if !self.may_continue() {
                 return (self.finish(End::Broken), self);
-            };
-            reader.restart();
-            let last = reader.last();
+            }
+            if let Some(reader) = &mut self.reader {
+                reader.restart();
+            }
+            let last = self.reader.as_ref().and_then(Reader::last);
             match self.resume::<D>(last, failed).await {
                 Some(next) => reply = next,
                 None => return (self.finish(End::Broken), self),
@@ -162,6 +164,12 @@
         is_event_stream(head).then(|| Reader::new(ids, last))
     }
 
+    /// Returns whether another endpoint may continue the stream now: its caller has no part of an
+    /// incomplete event.
+    fn may_continue(&self) -> bool {
+        self.resumable && self.reader.as_ref().is_some_and(Reader::is_resumable)
+    }
+
     /// Returns the part of the response that may be passed on.
     fn read_events(&mut self, data: Bytes) -> Bytes {
         match &mut self.reader {
@@ -196,7 +204,7 @@
                 frame = body.frame() => frame,
                 () = self.shared.suspend_detector.wait_until(deadline) => return PartEnd::End(End::TimeUp),
                 () = exchange::wait_until_lost(&self.shared, &self.call, &self.tried, running.endpoint()),
-                    if self.resumable && self.lifecycle.may_retry() =>
+                    if self.may_continue() && self.lifecycle.may_retry() =>
                 {
                     running.record_failure();
                     metrics::counter!(metric::GATEWAY_MOVED).increment(1);
@@ -237,7 +245,7 @@
                 self.log_fault(fault, running.endpoint());
                 return PartEnd::broken(&fault.to_string());
             }
-            if self.resumable && self.should_move(running.endpoint()) {
+            if self.may_continue() && self.should_move(running.endpoint()) {
                 metrics::counter!(metric::GATEWAY_MOVED).increment(1);
                 return PartEnd::broken("the endpoint is far slower than others");
             }
