fix: agents pass on events of their engines and no other bytes

The agent now reads the stream with the reader of crates/events, whose events need no ids there. The first bytes that are no event fail the run, and the answer breaks off as 'unknown'.

--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -175,6 +175,9 @@
             let detail = "an event exceeds the size limit".to_owned();
             return Err(Error::Failed { detail });
         }
+        if let Some(fault) = self.events.as_ref().and_then(Events::fault) {
+            return Err(failed(&fault));
+        }
         match self.body.frame().await {
             None => Ok(None),
             Some(Ok(frame)) => Ok(Some(frame.into_data().unwrap_or_default())),
--- a/crates/agent/src/events.rs
+++ b/crates/agent/src/events.rs
@@ -1,6 +1,7 @@
 //! Splits an event stream into events.
 
 use bytes::{Bytes, BytesMut};
+use cactusnotch_events::{Fault, Ids, Reader};
 
 /// The blank line that ends an event.
 const SEPARATOR: &[u8] = b"\n\n";
@@ -9,16 +10,27 @@
 const DONE: &[u8] = b"data: [DONE]";
 
 /// Splits the chunks of an event stream into complete events.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Events {
+    reader: Reader,
     buffer: BytesMut,
     done: bool,
 }
 
+impl Default for Events {
+    fn default() -> Self {
+        Self {
+            reader: Reader::new(Ids::Free, None),
+            buffer: BytesMut::new(),
+            done: false,
+        }
+    }
+}
+
 impl Events {
     /// Appends a chunk received from the endpoint.
-    pub(crate) fn push(&mut self, chunk: &[u8]) {
-        self.buffer.extend_from_slice(chunk);
+    pub(crate) fn push(&mut self, chunk: &Bytes) {
+        self.buffer.extend_from_slice(&self.reader.push(chunk));
     }
 
     /// Removes and returns the next complete event.
@@ -32,13 +44,18 @@
         Some(event)
     }
 
+    /// Returns why the bytes that follow the last event are none.
+    pub(crate) const fn fault(&self) -> Option<Fault> {
+        self.reader.fault()
+    }
+
     /// Returns whether the final event has been read and nothing follows it.
     pub(crate) fn is_done(&self) -> bool {
-        self.done && self.buffer.is_empty()
+        self.done && self.waiting() == 0
     }
 
     /// Returns the number of buffered bytes of an incomplete event.
     pub(crate) fn waiting(&self) -> usize {
-        self.buffer.len()
+        self.buffer.len() + self.reader.held()
     }
 }
--- a/crates/lab/tests/streams.rs
+++ b/crates/lab/tests/streams.rs
@@ -191,6 +191,35 @@
     }
 }
 
+/// Guards against pieces that no run made: an agent numbered whatever ended in an empty line and
+/// passed it on.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_of_an_engine_that_are_no_event_break_the_answer_off() {
+    let site = start(1, 1, 32);
+    for bytes in [
+        "garbage\n\n",
+        "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n",
+        "event: token\n\n",
+        "garbage",
+    ] {
+        let asks = (0..4).map(|number| ask(number, 2_000)).collect();
+        let addresses = site.callers();
+        let before = runs(&site).len();
+        let streams = tokio::spawn(async move { all(&addresses, asks).await });
+        let under_way = |site: &Site| {
+            let runs = runs(site);
+            runs.len() == before + 4 && runs[before..].iter().all(|run| run.tokens > 4)
+        };
+        wait(&site, under_way).await;
+        site.engines[0].spoil(Some(bytes));
+        for (ask, outcome) in streams.await.unwrap() {
+            let answer = broken(&ask, outcome);
+            assert_eq!(answer.stated.as_deref(), Some("unknown"), "{bytes:?}");
+        }
+        site.engines[0].spoil(None);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_goes_away_frees_its_slot() {
     let site = start(1, 1, 2);
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -143,6 +143,11 @@
         self.core.pace.send_modify(|pace| pace.frozen = false);
     }
 
+    /// Puts `bytes` before each further token of streams, or ends that.
+    pub fn spoil(&self, bytes: Option<&'static str>) {
+        *lock(&self.core.spoilt) = bytes;
+    }
+
     /// Sets what the engine says of itself from now on.
     pub fn need(&self, need: Need) {
         *lock(&self.core.need) = need;
--- a/crates/standins/src/engine/body.rs
+++ b/crates/standins/src/engine/body.rs
@@ -10,6 +10,7 @@
 
 use super::chat::Head;
 use super::core::Core;
+use crate::sync::lock;
 
 /// A stream of tokens as server-sent events, whose run is cancelled if it is
 /// dropped before its end.
@@ -37,7 +38,8 @@
 
 impl Stream {
     fn event(&mut self, token: Option<&str>) -> Bytes {
-        let mut event = format!("data: {}\n\n", self.head.chunk(token));
+        let spoilt = lock(&self.core.spoilt).unwrap_or_default();
+        let mut event = format!("{spoilt}data: {}\n\n", self.head.chunk(token));
         if token.is_none() {
             self.ended = true;
             event.push_str("data: [DONE]\n\n");
--- a/crates/standins/src/engine/core.rs
+++ b/crates/standins/src/engine/core.rs
@@ -30,6 +30,8 @@
     pub(crate) pace: watch::Sender<Pace>,
     /// What the engine says of itself.
     pub(crate) need: Mutex<Need>,
+    /// What is put before each token of a stream.
+    pub(crate) spoilt: Mutex<Option<&'static str>>,
     /// When completions were asked for.
     pub(crate) calls: Mutex<Vec<Instant>>,
     arrived: Notify,
@@ -47,6 +49,7 @@
             served: Mutex::new(Served::new(options)),
             pace: watch::channel(pace).0,
             need: Mutex::default(),
+            spoilt: Mutex::default(),
             calls: Mutex::default(),
             arrived: Notify::new(),
         }
