fix: an entry of an unnamed service leaves the server at its address

What callers saw: 503, no endpoint. Another writer's entry with the address of a live server counted as a later life at that address, whatever service it named, and the sound server was dropped until its own entry was created anew; broken runs there counted as crashes.

A server of a service that a later configuration names is used from then on.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -54,6 +54,9 @@
     data_centre: name::DataCentre,
     rows: Table<String, Row>,
     routers: Table<String, Router>,
+    /// The endpoints of services that the configuration doesn't name, by id. Another writer may
+    /// have registered them, so that they end no other endpoint.
+    unnamed: Table<String, Endpoint>,
     /// The services whose endpoints are ranks of groups, sorted.
     ranked: Vec<String>,
     /// The ranked services of which this entry uses only a subset of the endpoints, with a
@@ -77,6 +80,7 @@
             data_centre: name::DataCentre::new(data_centre),
             rows: Table::new(),
             routers: Table::new(),
+            unnamed: Table::new(),
             ranked: Vec::new(),
             subsets: Table::new(),
             next_expiry: None,
@@ -125,6 +129,11 @@
     /// seconds after the endpoint's termination, and requests sent there in the meantime
     /// are refused.
     pub(crate) fn insert(&mut self, mut endpoint: Endpoint, now: Instant) -> bool {
+        if !self.routers.contains(&endpoint.service) && !self.rows.contains(&endpoint.id) {
+            self.park(endpoint);
+            return false;
+        }
+        self.unnamed.remove(&endpoint.id);
         if !self.rows.contains(&endpoint.id) && self.terminated.is_unconfirmed(&endpoint, now) {
             tracing::info!(
                 endpoint = endpoint.id,
--- a/crates/gateway/src/fleet/lives.rs
+++ b/crates/gateway/src/fleet/lives.rs
@@ -83,6 +83,7 @@
     /// Drops the unconfirmed registrations that are missing from the store's listing, since these
     /// incarnations have terminated.
     pub(crate) fn drop_unlisted(&mut self, named: impl Fn(&str) -> bool) {
+        self.unnamed.retain(|_, endpoint| named(&endpoint.instance));
         self.terminated.retain(named);
     }
 
@@ -90,6 +91,8 @@
     /// `until` if the store may have lost the registration.
     pub(crate) fn remove(&mut self, instance: &str, until: Option<Instant>, now: Instant) {
         self.terminated.retain(|named| named != instance);
+        self.unnamed
+            .retain(|_, endpoint| endpoint.instance != instance);
         let incarnations = self.iter().filter(|endpoint| endpoint.instance == instance);
         let incarnations: Vec<_> = incarnations.map(|endpoint| endpoint.id.clone()).collect();
         for id in incarnations {
--- a/crates/gateway/src/fleet/members.rs
+++ b/crates/gateway/src/fleet/members.rs
@@ -5,8 +5,41 @@
 
 use super::Fleet;
 use super::row::Row;
+use crate::endpoint::Endpoint;
 
 impl Fleet {
+    /// Keeps an endpoint until the configuration names its service.
+    pub(super) fn park(&mut self, endpoint: Endpoint) {
+        if self.unnamed.get(&endpoint.id) == Some(&endpoint) {
+            return;
+        }
+        // Before the first configuration no service is named.
+        if !self.routers.is_empty() {
+            tracing::info!(
+                endpoint = endpoint.id,
+                service = endpoint.service,
+                address = %endpoint.address,
+                registered = %endpoint.registered,
+                "endpoint of an unnamed service not used"
+            );
+        }
+        self.unnamed.insert(endpoint.id.clone(), endpoint);
+    }
+
+    /// Removes and returns the endpoints of services that the configuration has come to name.
+    pub(crate) fn take_named(&mut self) -> Vec<Endpoint> {
+        let mut named = Vec::new();
+        let routers = &self.routers;
+        self.unnamed.retain(|_, endpoint| {
+            let is_named = routers.contains(&endpoint.service);
+            if is_named {
+                named.push(endpoint.clone());
+            }
+            !is_named
+        });
+        named
+    }
+
     /// Updates the members of a service's router and their states.
     pub(super) fn refresh(&mut self, service: &str) {
         let own = self.rows.values().filter(|row| row.is_used());
--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -241,22 +241,7 @@
         match item {
             Err(error) => self.report_unreadable(kind, &name, position, &error, now),
             Ok(Some(Item::Configuration(new))) => self.apply_configuration(*new, position),
-            Ok(Some(Item::Endpoint(endpoint))) => {
-                let (service, id) = (endpoint.service.clone(), endpoint.id.clone());
-                let address = endpoint.address;
-                let mut fleet = self.fleet.borrow_mut();
-                if fleet.insert(endpoint, now) {
-                    tracing::info!(
-                        endpoint = id,
-                        service,
-                        leaving = !fleet.takes_work(&id),
-                        %position,
-                        "endpoint known"
-                    );
-                    drop(fleet);
-                    self.confirm_crashes(address, &id, now);
-                }
-            }
+            Ok(Some(Item::Endpoint(endpoint))) => self.insert_endpoint(endpoint, position, now),
             Ok(Some(Item::Entry(entry))) => self.peers.borrow_mut().insert(entry),
             Ok(Some(Item::QuarantineRecord(record))) => self.apply_quarantine_record(&record, now),
             Ok(Some(Item::SettledEra(era))) => self.apply_settled_era(era, now),
@@ -336,6 +321,10 @@
         self.fleet
             .borrow_mut()
             .configure(new.services(), clock::now());
+        let named = self.fleet.borrow_mut().take_named();
+        for endpoint in named {
+            self.insert_endpoint(endpoint, position, clock::now());
+        }
         self.configure_groups(&new);
         self.time_budgets.borrow_mut().retain_routes(new.routes());
         tracing::info!(
--- a/crates/gateway/src/knowledge/changes.rs
+++ b/crates/gateway/src/knowledge/changes.rs
@@ -1,4 +1,4 @@
-//! Changes of endpoints that entries forward to each other.
+//! Changes of endpoints, and how entries forward them to each other.
 
 use std::time::Duration;
 
@@ -11,6 +11,24 @@
 use crate::store::{Change, Item, Kind};
 
 impl SharedState {
+    /// Applies an endpoint's registration.
+    pub(super) fn insert_endpoint(&self, endpoint: Endpoint, position: Position, now: Instant) {
+        let (service, id) = (endpoint.service.clone(), endpoint.id.clone());
+        let address = endpoint.address;
+        let mut fleet = self.fleet.borrow_mut();
+        if fleet.insert(endpoint, now) {
+            tracing::info!(
+                endpoint = id,
+                service,
+                leaving = !fleet.takes_work(&id),
+                %position,
+                "endpoint known"
+            );
+            drop(fleet);
+            self.confirm_crashes(address, &id, now);
+        }
+    }
+
     /// Applies changes of endpoints that another entry forwarded, unless
     /// earlier changes are missing here.
     pub(crate) fn apply_changes(&self, changes: Changes, now: Instant) {
