fix: an odd object of the store leaves the others of its kind

The product's own client decoded a list of objects as one value.

an_odd_object_leaves_the_others_of_its_kind and an_odd_object_is_read: red before (recursion limit exceeded), green now.

--- a/crates/objects/src/object.rs
+++ b/crates/objects/src/object.rs
@@ -2,6 +2,9 @@
 
 use cactusnotch_derive::{identifier, message, number, record};
 use derive_more::{Display, From, Into};
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::value::RawValue;
 
 /// The version of an object, or of the whole store; it only grows.
 #[number]
@@ -32,13 +35,42 @@
 
 /// An object as stored by the platform.
 #[message]
+#[serde(from = "Encoded")]
 pub struct Object {
     /// The path of the object.
     pub path: Path,
     /// The version of its last write, above zero.
     pub version: Version,
-    /// The value, at most a megabyte as JSON.
-    pub value: serde_json::Value,
+    /// The value, at most a megabyte as JSON; null if it is nested too deeply or has a number
+    /// that is too large.
+    pub value: Value,
+}
+
+/// An object whose value is not decoded, so that an odd value spoils no other object of a list.
+#[derive(Deserialize)]
+struct Encoded {
+    path: Path,
+    version: Version,
+    value: Box<RawValue>,
+}
+
+impl From<Encoded> for Object {
+    fn from(encoded: Encoded) -> Self {
+        let Encoded {
+            path,
+            version,
+            value,
+        } = encoded;
+        let value = serde_json::from_str(value.get()).unwrap_or_else(|error| {
+            tracing::warn!(%path, %version, %error, "object's value could not be decoded");
+            Value::Null
+        });
+        Self {
+            path,
+            version,
+            value,
+        }
+    }
 }
 
 /// The condition under which a write takes effect.
