--- a/crates/cactusnotch/tests/account.rs
+++ b/crates/cactusnotch/tests/account.rs
@@ -210,6 +210,35 @@
     );
 }
 
+/// Guards against a reader of logs that ends with a line that is nested deeply or has a number
+/// that is too large.
+#[test]
+fn odd_lines_are_passed_over() {
+    let deep = |depth: usize| "[".repeat(depth) + &"]".repeat(depth);
+    let recorded = std::fs::read_to_string(concat!(
+        env!("CARGO_MANIFEST_DIR"),
+        "/tests/account/entry.log"
+    ));
+    let recorded = recorded.unwrap();
+    let odd = format!(
+        "{{\"message\":\"request ended\",\"ms\":{}}}\n{}\n{{\"ms\":1e99999}}\n{{\"ms\":{}}}\n",
+        deep(200),
+        deep(300_000),
+        "9".repeat(100_000)
+    );
+    let path = std::env::temp_dir().join(format!("cactusnotch-odd-{}.log", std::process::id()));
+    std::fs::write(&path, odd + &recorded).unwrap();
+    let with_odd = account(&["--format", "json", path.to_str().unwrap()]);
+    std::fs::remove_file(&path).unwrap();
+    let plain = account(&["--format", "json", "account/entry.log"]);
+    let seconds = |text: &str| {
+        let value: serde_json::Value = serde_json::from_str(text).unwrap();
+        value["seconds"].clone()
+    };
+    assert_ne!(seconds(&plain), serde_json::Value::Null);
+    assert_eq!(seconds(&with_odd), seconds(&plain));
+}
+
 #[test]
 fn a_missing_file_is_named() {
     let output = Command::new(env!("CARGO_BIN_EXE_cactusnotch"))
