fix: a response without framing whose server is gone isn't complete

The entry asked whether the endpoint had ended only where the request could be to blame for a crash: the bound that protects requests from blame also decided whether the answer was whole, and a leaving endpoint was not asked about at all.

The two questions are apart now. Each response without framing is followed by a probe of its endpoint: if its host refuses the connection, the response isn't complete. A resumable stream goes on elsewhere, an idempotent request is sent again, others are cut off visibly. Only a probe within the former bound, of an endpoint that takes work, accuses the request. Responses with a length or chunks aren't probed, as before.

Not told apart: an endpoint that starts again at its address before the probe, a silent host, and a server that lives and ends its stream early.

--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -43,36 +43,38 @@
     })
 }
 
-/// Returns whether the end of a response is the crash of its endpoint. A response with neither a
-/// length nor chunks ends with its connection, as it does in a crash.
+/// Returns whether an endpoint has ended with its response. A response with neither a length nor
+/// chunks ends with its connection, whether it is complete or its endpoint crashed or left.
 ///
-/// An endpoint that does not answer the probe has shown no crash, so the probe takes at most half
-/// of the time that is left and the response still reaches the caller before the deadline. The
-/// probe itself continues, for the record of crashes.
+/// An endpoint that does not answer the probe has not shown that it has ended, so the probe takes
+/// at most half of the time that is left and the response still reaches the caller before the
+/// deadline. The probe itself continues, for the record of crashes.
 pub(crate) async fn has_ended(
     shared: &Rc<SharedState>,
     call: &Call,
     head: &Parts,
     running: &Running,
 ) -> bool {
-    let is_leaving = || {
-        !shared
-            .fleet
-            .borrow()
-            .takes_work(running.endpoint().as_str())
-    };
-    let now = clock::now();
-    // An endpoint that leaves may end after its last response.
-    let suspect = running.broken_run(now);
-    let Some(run) = suspect.filter(|_| is_unframed(call, head) && !is_leaving()) else {
+    if !is_unframed(call, head) {
         return false;
+    }
+    let endpoint = running.endpoint().as_str();
+    let now = clock::now();
+    // The request is not to blame if the endpoint was leaving, or had run it for long.
+    let takes_work = shared.fleet.borrow().takes_work(endpoint);
+    let suspect = running.broken_run(now).filter(|_| takes_work);
+    let probe = async {
+        match suspect {
+            Some(run) => probe(shared, call, run).await,
+            None => is_gone(running.address).await,
+        }
     };
     let latest = now + call.deadline.saturating_duration_since(now) / 2;
     tokio::select! {
         biased;
-        has_crashed = probe(shared, call, run) => has_crashed,
+        has_ended = probe => has_ended,
         () = shared.suspend_detector.wait_until(latest) => {
-            let (id, endpoint) = (call.head.id.as_deref(), running.endpoint().as_str());
+            let id = call.head.id.as_deref();
             let waited = millis(clock::now().saturating_duration_since(now));
             tracing::info!(id, endpoint, waited_ms = waited, "response taken as complete, its endpoint has not answered the probe");
             false
@@ -80,6 +82,12 @@
     }
 }
 
+/// Returns whether the host at `address` refuses connections: its process has ended.
+async fn is_gone(address: SocketAddr) -> bool {
+    let connected = tcp::connect(address, PROBE_TIMEOUT).await;
+    connected.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
+}
+
 /// Returns whether a response has a body with neither a length nor chunks, which ends with its
 /// connection.
 pub(crate) fn is_unframed(call: &Call, head: &Parts) -> bool {
