gateway: the log names why a response was cut off

A stream that can't be resumed and broke at its endpoint left 'request ended' with 'broken off' alone; the cause was logged on the way to another endpoint only. 'response broken off at its endpoint' has the endpoint, the cause, the events, the last id and the bytes received.

--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -137,6 +137,7 @@
             };
             self.probe_crash(&mut failed).await;
             if !self.may_continue() {
+                self.log_broken(&failed);
                 return (self.finish(End::Broken), self);
             }
             if let Some(reader) = &mut self.reader {
@@ -279,6 +280,19 @@
         PartEnd::End(End::Whole)
     }
 
+    /// Logs why a response is cut off that no other endpoint may continue.
+    fn log_broken(&self, failed: &Failed) {
+        tracing::info!(
+            id = self.call.head.id.as_deref(),
+            endpoint = self.tried.last().map(name::Endpoint::as_str),
+            events = self.reader.as_ref().map(Reader::events),
+            last_event = self.reader.as_ref().and_then(Reader::last),
+            received_bytes = self.received,
+            cause = failed.cause,
+            "response broken off at its endpoint"
+        );
+    }
+
     /// Logs the first bytes that are no event.
     fn log_fault(&self, fault: Fault, endpoint: &name::Endpoint) {
         tracing::info!(
