fix: a response in an unknown transfer coding is no response

What callers saw: a server whose Transfer-Encoding was spoilt (chunke, chunkedx, empty, gzip, chunked twice) and that closed its connection. Callers got a complete 200 whose body was the framing of the chunks ('4', 'done', '0' with their line ends) or a body in a coding that nobody had told them of. If the server kept its connection open, they got 504 at the deadline, 3 s, or a cut stream.

Cause: the HTTP library takes a body whose last coding it doesn't know for one that ends with its connection, and decodes the chunks of one whose last coding is chunked, whatever comes before. The entry then removes Transfer-Encoding as a field of one connection, so that nothing tells callers of the coding. The probe of unframed bodies was skipped, since the field was there.

Why this works: Channel checks the head before anybody reads the body, on connections to endpoints, to the store and between entries and agents. Only chunked, once and alone, is a coding that callers asked for. The connection is closed, the failure counts against the endpoint, and callers get 502 at once: the request may have run.

--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cactusnotch_head as head;
 use cactusnotch_tcp as tcp;
 use derive_more::{Display, Error};
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -48,6 +49,16 @@
         /// The peer.
         peer: SocketAddr,
     },
+    /// The head of the response is invalid, so that its body is unknown; the peer may have carried
+    /// out the request.
+    #[display("the answer of {peer} has an invalid head: {fault}")]
+    Head {
+        /// The peer.
+        peer: SocketAddr,
+        /// The cause.
+        #[error(source)]
+        fault: head::Fault,
+    },
     /// The body of the response failed or is too long.
     #[display("the answer of {peer} could not be read")]
     Body {
@@ -144,9 +155,9 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Unsent`] if nothing was written, and [`Error::Exchange`] or
-    /// [`Error::Interim`] if the peer may have received the request. The connection can't be used
-    /// after the latter.
+    /// Returns [`Error::Unsent`] if nothing was written, and [`Error::Exchange`],
+    /// [`Error::Interim`] or [`Error::Head`] if the peer may have received the request. The
+    /// connection can't be used after the last two.
     pub async fn send(
         &mut self,
         mut request: Request<Full<Bytes>>,
@@ -163,6 +174,7 @@
         };
         match sent {
             Ok(response) => {
+                self.check(response.headers())?;
                 self.answered += 1;
                 Ok(response)
             }
@@ -176,6 +188,15 @@
         }
     }
 
+    /// Checks the head of a response, and closes the connection if it is invalid.
+    fn check(&self, headers: &HeaderMap) -> Result<(), Error> {
+        let peer = self.peer;
+        head::check(headers).map_err(|fault| {
+            self.driver.abort();
+            Error::Head { peer, fault }
+        })
+    }
+
     /// Sends a request and reads the whole response, of at most `max_bytes`,
     /// within `timeout`.
     ///
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -262,7 +262,7 @@
     };
     let response = channel.send(request).await.map_err(|error| match error {
         channel::Error::Unsent { .. } => Failed::new(Failure::Unsent, &error.to_string()),
-        channel::Error::Interim { .. } => {
+        channel::Error::Interim { .. } | channel::Error::Head { .. } => {
             running.record_failure();
             Failed::new(Failure::Uncertain, &error.to_string())
         }
--- /dev/null
+++ b/crates/head/src/check.rs
@@ -0,0 +1,35 @@
+//! The check of a head.
+
+use http::header::{HeaderMap, HeaderValue, TRANSFER_ENCODING};
+
+use crate::fault::Fault;
+
+/// The only transfer coding that callers ask for.
+const CHUNKED: &[u8] = b"chunked";
+
+/// Checks that a response states at most one way to find the end of its body, and one that is
+/// known.
+///
+/// # Errors
+///
+/// Returns the first fault.
+pub fn check(headers: &HeaderMap) -> Result<(), Fault> {
+    check_coding(headers)
+}
+
+fn check_coding(headers: &HeaderMap) -> Result<(), Fault> {
+    let mut values = headers.get_all(TRANSFER_ENCODING).iter();
+    let Some(first) = values.next() else {
+        return Ok(());
+    };
+    match values.next() {
+        None if is_chunked(first) => Ok(()),
+        second => Err(Fault::Coding {
+            value: second.unwrap_or(first).clone(),
+        }),
+    }
+}
+
+fn is_chunked(value: &HeaderValue) -> bool {
+    value.as_bytes().eq_ignore_ascii_case(CHUNKED)
+}
--- /dev/null
+++ b/crates/head/src/fault.rs
@@ -0,0 +1,30 @@
+//! Why the head of a response is invalid.
+
+use derive_more::{Display, Error};
+use http::HeaderValue;
+
+/// Why the head of a response is invalid.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum Fault {
+    /// The body has another transfer coding than `chunked`, or several.
+    #[display("the transfer coding {} is not chunked alone", Excerpt(value))]
+    Coding {
+        /// The transfer coding.
+        value: HeaderValue,
+    },
+}
+
+/// The start of a header value, escaped.
+#[derive(Debug)]
+struct Excerpt<'a>(&'a HeaderValue);
+
+impl std::fmt::Display for Excerpt<'_> {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let bytes = self.0.as_bytes();
+        let start = &bytes[..bytes.len().min(EXCERPT_BYTES)];
+        write!(formatter, "\"{}\"", start.escape_ascii())
+    }
+}
+
+/// The length of an excerpt: endpoints in trouble may send long values.
+const EXCERPT_BYTES: usize = 64;
--- /dev/null
+++ b/crates/head/tests/check.rs
@@ -0,0 +1,53 @@
+//! Which heads are valid.
+
+use cactusnotch_head::{Fault, check};
+use http::header::{HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use proptest::prelude::*;
+
+fn headers(name: &HeaderName, values: &[&str]) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for value in values {
+        let value = HeaderValue::from_str(value).expect("a header value");
+        headers.append(name, value);
+    }
+    headers
+}
+
+#[test]
+fn chunked_alone_is_the_only_transfer_coding() {
+    for sound in [&[][..], &["chunked"], &["Chunked"], &["CHUNKED"]] {
+        let headers = headers(&TRANSFER_ENCODING, sound);
+        assert_eq!(check(&headers), Ok(()), "{sound:?}");
+    }
+    for spoilt in [
+        &[""][..],
+        &["chunke"],
+        &["chunked, chunked"],
+        &["gzip, chunked"],
+        &["chunked", "chunked"],
+        &["chunked", ""],
+        &["", "chunked"],
+    ] {
+        let headers = headers(&TRANSFER_ENCODING, spoilt);
+        assert!(check(&headers).is_err(), "{spoilt:?}");
+    }
+}
+
+/// Guards against an error that repeats a value of any length.
+#[test]
+fn a_fault_shows_the_start_of_its_value() {
+    let value = "x".repeat(10_000);
+    let fault = check(&headers(&TRANSFER_ENCODING, &[&value]));
+    let text = fault.expect_err("the coding is unknown").to_string();
+    assert!(text.contains("xxx") && text.len() < 200, "{text}");
+}
+
+proptest! {
+    #[test]
+    fn any_other_coding_is_a_fault(value in "[ -~]{0,12}") {
+        prop_assume!(!value.eq_ignore_ascii_case("chunked"));
+        let fault = check(&headers(&TRANSFER_ENCODING, &[&value]));
+        let is_coding = matches!(fault, Err(Fault::Coding { .. }));
+        prop_assert!(is_coding);
+    }
+}
