fix: a response that states the end of its body twice is no response

What callers saw: a server's head had both a Content-Length and Transfer-Encoding: chunked, or its length twice ('4, 4'). With a length of 2 beside chunks of 'done' callers got a complete 200 with the body 'do'; in builds with debug assertions the HTTP library panicked in the task of the caller's connection, which closed without an answer. '4, 4' reached callers as it was, a head that clients read in several ways.

Cause: of two statements the library follows one, the chunks, and leaves the other in the head. The entry passes the server's length on and frames the body itself by it, so that the body was cut to a length that was never its own.

Why this works: one statement at most is left to follow. The length has to be one number, and a head with both is refused where all heads are checked (crates/head), as RFC 9112 6.1 and 6.3 allow.

--- a/crates/head/src/fault.rs
+++ b/crates/head/src/fault.rs
@@ -12,6 +12,15 @@
         /// The transfer coding.
         value: HeaderValue,
     },
+    /// The length is stated several times, or isn't a number.
+    #[display("the length {} is not one number", Excerpt(value))]
+    Length {
+        /// The length.
+        value: HeaderValue,
+    },
+    /// The body has both a length and a transfer coding, and their ends may differ.
+    #[display("both a length and a transfer coding")]
+    Framings,
 }
 
 /// The start of a header value, escaped.
--- a/crates/head/tests/check.rs
+++ b/crates/head/tests/check.rs
@@ -1,7 +1,7 @@
 //! Which heads are valid.
 
 use cactusnotch_head::{Fault, check};
-use http::header::{HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use proptest::prelude::*;
 
 fn headers(name: &HeaderName, values: &[&str]) -> HeaderMap {
@@ -33,6 +33,33 @@
     }
 }
 
+#[test]
+fn a_length_is_one_number() {
+    for sound in ["0", "4", "0004", "18446744073709551615"] {
+        assert_eq!(check(&headers(&CONTENT_LENGTH, &[sound])), Ok(()));
+    }
+    for spoilt in [
+        &[""][..],
+        &["+4"],
+        &["4 4"],
+        &["4,"],
+        &["4, 4"],
+        &["4", "4"],
+        &["4", "2"],
+        &["4", ""],
+    ] {
+        let headers = headers(&CONTENT_LENGTH, spoilt);
+        assert!(check(&headers).is_err(), "{spoilt:?}");
+    }
+}
+
+#[test]
+fn a_length_beside_a_transfer_coding_is_a_fault() {
+    let mut both = headers(&CONTENT_LENGTH, &["4"]);
+    both.extend(headers(&TRANSFER_ENCODING, &["chunked"]));
+    assert_eq!(check(&both), Err(Fault::Framings));
+}
+
 /// Guards against an error that repeats a value of any length.
 #[test]
 fn a_fault_shows_the_start_of_its_value() {
