fix: a 204 with a length or chunks is no response

What callers saw: a server in trouble sent 204 with Content-Length: 4. On streaming routes callers got a 204 with that length and no body, for which a client that goes by the length waits (15 s here, until the entry closed the idle connection). On other routes, in builds with debug assertions, the connection was closed without an answer.

Cause: a 204 has no body whatever its fields say, so the library reads none, and the entry passed the length on beside the empty body.

Why this works: RFC 9110 8.6 and RFC 9112 6.1 allow neither field in a 204, so the head is spoilt at its status or at its framing, and which of both can't be told: it is refused like the others. A length of 0 says the same as the status and is passed on.

--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -8,7 +8,7 @@
 use cactusnotch_head as head;
 use cactusnotch_tcp as tcp;
 use derive_more::{Display, Error};
-use http::{HeaderMap, Request, Response};
+use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -174,7 +174,7 @@
         };
         match sent {
             Ok(response) => {
-                self.check(response.headers())?;
+                self.check(&response)?;
                 self.answered += 1;
                 Ok(response)
             }
@@ -189,9 +189,9 @@
     }
 
     /// Checks the head of a response, and closes the connection if it is invalid.
-    fn check(&self, headers: &HeaderMap) -> Result<(), Error> {
+    fn check<B>(&self, response: &Response<B>) -> Result<(), Error> {
         let peer = self.peer;
-        head::check(headers).map_err(|fault| {
+        head::check(response.status(), response.headers()).map_err(|fault| {
             self.driver.abort();
             Error::Head { peer, fault }
         })
--- a/crates/head/src/check.rs
+++ b/crates/head/src/check.rs
@@ -1,6 +1,7 @@
 //! The check of a head.
 
 use http::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use http::status::StatusCode;
 
 use crate::fault::Fault;
 
@@ -13,9 +14,10 @@
 /// # Errors
 ///
 /// Returns the first fault.
-pub fn check(headers: &HeaderMap) -> Result<(), Fault> {
+pub fn check(status: StatusCode, headers: &HeaderMap) -> Result<(), Fault> {
     check_coding(headers)?;
-    check_length(headers)
+    check_length(headers)?;
+    check_body(status, headers)
 }
 
 fn check_coding(headers: &HeaderMap) -> Result<(), Fault> {
@@ -47,6 +49,18 @@
     }
 }
 
+/// Checks that a status without a body states none.
+fn check_body(status: StatusCode, headers: &HeaderMap) -> Result<(), Fault> {
+    let has_length = headers
+        .get(CONTENT_LENGTH)
+        .is_some_and(|length| length.as_bytes().iter().any(|digit| *digit != b'0'));
+    let has_body = has_length || headers.contains_key(TRANSFER_ENCODING);
+    if status == StatusCode::NO_CONTENT && has_body {
+        return Err(Fault::Body);
+    }
+    Ok(())
+}
+
 fn is_number(value: &HeaderValue) -> bool {
     let digits = value.as_bytes();
     !digits.is_empty() && digits.iter().all(u8::is_ascii_digit)
--- a/crates/head/tests/check.rs
+++ b/crates/head/tests/check.rs
@@ -1,6 +1,7 @@
 //! Which heads are valid.
 
-use cactusnotch_head::{Fault, check};
+use cactusnotch_head::{Fault, check as check_with};
+use http::StatusCode;
 use http::header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use proptest::prelude::*;
 
@@ -13,6 +14,11 @@
     headers
 }
 
+/// Checks a head with the status 200.
+fn check(headers: &HeaderMap) -> Result<(), Fault> {
+    check_with(StatusCode::OK, headers)
+}
+
 #[test]
 fn chunked_alone_is_the_only_transfer_coding() {
     for sound in [&[][..], &["chunked"], &["Chunked"], &["CHUNKED"]] {
@@ -60,6 +66,16 @@
     assert_eq!(check(&both), Err(Fault::Framings));
 }
 
+#[test]
+fn a_status_without_a_body_states_none() {
+    let check = |headers: &HeaderMap| check_with(StatusCode::NO_CONTENT, headers);
+    assert_eq!(check(&HeaderMap::new()), Ok(()));
+    assert_eq!(check(&headers(&CONTENT_LENGTH, &["0"])), Ok(()));
+    assert_eq!(check(&headers(&CONTENT_LENGTH, &["4"])), Err(Fault::Body));
+    let chunked = headers(&TRANSFER_ENCODING, &["chunked"]);
+    assert_eq!(check(&chunked), Err(Fault::Body));
+}
+
 /// Guards against an error that repeats a value of any length.
 #[test]
 fn a_fault_shows_the_start_of_its_value() {
