fix: a 304 with a length reaches its caller

What callers saw: a sound 304 that states the length of what has not been modified. In builds with debug assertions the entry closed the connection without an answer.

Cause: the library compares a stated length with the body that it is given, which a 304 does not have. A release build sends the head as it is.

Why this works: the field is optional in a 304 and is left out.

an_answer_that_has_not_been_modified_is_passed_on failed before (debug build), and passes now.

--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http::{Response, header};
+use http::{Response, StatusCode, header};
 
 use crate::body::Outgoing;
 use crate::dialect::Dialect;
@@ -33,6 +33,10 @@
     *response.status_mut() = head.status;
     *response.headers_mut() = head.headers;
     request::strip_hop_by_hop(response.headers_mut());
+    if head.status == StatusCode::NOT_MODIFIED {
+        // It may state the length of what was not modified, which is not that of its own body.
+        response.headers_mut().remove(header::CONTENT_LENGTH);
+    }
     close_if_stopping(shared, &mut response);
     response
 }
