fix: a response whose status is no final one is no response

What callers saw: a server's status was 101, 600, 700 or 999. Callers got it as an answer: a 101 nobody had asked for, after which nothing on the connection is HTTP any more, or a status that HTTP doesn't have. 000 and others below 100 were refused before, by the library.

Cause: the library takes any three digits from 100 on, and 101 for the end of an exchange.

Why this works: a final response has a status from 200 to 599 (RFC 9110 15); others are refused where all heads are checked, and callers get 502 at once.

--- a/crates/head/src/check.rs
+++ b/crates/head/src/check.rs
@@ -1,10 +1,16 @@
 //! The check of a head.
 
+use std::ops::RangeInclusive;
+
 use http::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use http::status::StatusCode;
 
 use crate::fault::Fault;
 
+/// The statuses of final responses. Interim ones don't end an exchange, and nobody asks for
+/// another protocol (101).
+const FINAL: RangeInclusive<u16> = 200..=599;
+
 /// The only transfer coding that callers ask for.
 const CHUNKED: &[u8] = b"chunked";
 
@@ -15,11 +21,19 @@
 ///
 /// Returns the first fault.
 pub fn check(status: StatusCode, headers: &HeaderMap) -> Result<(), Fault> {
+    check_status(status)?;
     check_coding(headers)?;
     check_length(headers)?;
     check_body(status, headers)
 }
 
+fn check_status(status: StatusCode) -> Result<(), Fault> {
+    if FINAL.contains(&status.as_u16()) {
+        return Ok(());
+    }
+    Err(Fault::Status { status })
+}
+
 fn check_coding(headers: &HeaderMap) -> Result<(), Fault> {
     let mut values = headers.get_all(TRANSFER_ENCODING).iter();
     let Some(first) = values.next() else {
--- a/crates/head/src/fault.rs
+++ b/crates/head/src/fault.rs
@@ -1,11 +1,17 @@
 //! Why the head of a response is invalid.
 
 use derive_more::{Display, Error};
-use http::HeaderValue;
+use http::{HeaderValue, StatusCode};
 
 /// Why the head of a response is invalid.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub enum Fault {
+    /// The status isn't that of a final response.
+    #[display("the status {} is not that of a final response", status.as_u16())]
+    Status {
+        /// The status.
+        status: StatusCode,
+    },
     /// The body has another transfer coding than `chunked`, or several.
     #[display("the transfer coding {} is not chunked alone", Excerpt(value))]
     Coding {
--- a/crates/head/tests/check.rs
+++ b/crates/head/tests/check.rs
@@ -76,6 +76,15 @@
     assert_eq!(check(&chunked), Err(Fault::Body));
 }
 
+#[test]
+fn a_status_is_that_of_a_final_response() {
+    for code in 100..=999 {
+        let status = StatusCode::from_u16(code).expect("a status has three digits");
+        let is_final = check_with(status, &HeaderMap::new()).is_ok();
+        assert_eq!(is_final, (200..600).contains(&code), "{code}");
+    }
+}
+
 /// Guards against an error that repeats a value of any length.
 #[test]
 fn a_fault_shows_the_start_of_its_value() {
