fix: agents refuse answers of their endpoints that have a spoilt head

What callers of the product's own way saw: the same as those of the gateway. A plain service's transfer coding was spoilt, or its length stated twice, or its status 101 or 600; callers got a complete answer with the framing of the chunks as its body, or a 101.

Cause: the same, in the client that agents have for their endpoints, which is another one than the gateway's.

Why this works: the head is checked by the same crate before the answer begins. The run may have taken place, so callers get 502 and 'unknown'.

--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -1,6 +1,7 @@
 //! Calls to the agent's endpoint.
 
 use bytes::Bytes;
+use cactusnotch_head as head;
 use cactusnotch_ledger::Attempt;
 use cactusnotch_throttle::{Header, Headers};
 use cactusnotch_wire::{Call, Head};
@@ -93,14 +94,19 @@
         trace: &str,
     ) -> Result<Reply, Error> {
         let request = self.request(attempt, key, call, trace)?;
-        match self.client.request(request).await {
-            Ok(response) => Ok(Reply {
-                headers: read_headers(response.headers(), response.status()),
-                answer: Answer::new(response),
-            }),
-            Err(error) if error.is_connect() => Err(unstarted(&error)),
-            Err(error) => Err(failed(&error)),
-        }
+        let response = self.client.request(request).await;
+        let response = response.map_err(|error| {
+            if error.is_connect() {
+                unstarted(&error)
+            } else {
+                failed(&error)
+            }
+        })?;
+        head::check(response.status(), response.headers()).map_err(|fault| failed(&fault))?;
+        Ok(Reply {
+            headers: read_headers(response.headers(), response.status()),
+            answer: Answer::new(response),
+        })
     }
 
     fn request(
--- a/crates/lab/src/cluster.rs
+++ b/crates/lab/src/cluster.rs
@@ -134,10 +134,21 @@
     ///
     /// Fails if either cannot be started.
     pub async fn add_service(&mut self, options: &service::Options) -> Result<(), Failure> {
-        let number = self.services.len();
         let service = service::Service::start(options)
             .map_err(|error| Failure::new("start of a service", error))?;
-        let address = format!("http://{}", service.address());
+        self.add_service_agent(service.address()).await?;
+        self.services.push(service);
+        Ok(())
+    }
+
+    /// Starts an agent beside a plain service that listens at `service`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it cannot be started.
+    pub async fn add_service_agent(&mut self, service: SocketAddr) -> Result<(), Failure> {
+        let number = self.service_agents.len();
+        let address = format!("http://{service}");
         let options = agent::Options {
             endpoint: service_endpoint(number),
             ..self.agent(&format!("agent-service-{number}"), number, address)
@@ -145,7 +156,6 @@
         let agent = agent::Server::start(options, System)
             .await
             .map_err(|error| Failure::new("start of a service's agent", error))?;
-        self.services.push(service);
         self.service_agents.push(agent);
         Ok(())
     }
