fix: a store's response whose status is no final one is no refusal

What the product's own way saw: the object API answered a call with 101, 600 or 999. The client took it for a refusal, which says that a write has not taken effect; nobody knows what a server in trouble did before it answered so.

Cause: what is neither a success, a conflict nor a server error counted as a refusal.

Why this works: the head is checked by the crate that checks those of endpoints, and a spoilt one leaves the call unanswered, so that the caller reads before it writes again.

a_response_with_a_spoilt_head_is_no_answer failed before with 3 of 16 heads (101, 600, 999; get and put), and passes now. Spoilt lengths, lines, names and codings were unanswered before as well: the library refuses them, or the body is no JSON.

--- a/crates/objects/src/http.rs
+++ b/crates/objects/src/http.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cactusnotch_head as head;
 use serde::Deserialize;
 use serde_json::Value;
 use ureq::http::{Response, StatusCode};
@@ -129,10 +130,14 @@
     path: &Path,
     call: Result<Response<Body>, ureq::Error>,
 ) -> Result<Response<Body>, Error> {
-    call.map_err(|error| Error::Unanswered {
+    let unanswered = |detail| Error::Unanswered {
         path: path.clone(),
-        detail: error.to_string(),
-    })
+        detail,
+    };
+    let response = call.map_err(|error| unanswered(error.to_string()))?;
+    head::check(response.status(), response.headers())
+        .map_err(|fault| unanswered(fault.to_string()))?;
+    Ok(response)
 }
 
 fn read<T: serde::de::DeserializeOwned>(
--- a/crates/objects/tests/broken.rs
+++ b/crates/objects/tests/broken.rs
@@ -7,8 +7,9 @@
 use cactusnotch_base::clock;
 use cactusnotch_objects::Store;
 use cactusnotch_objects::http::{Client, Options};
-use cactusnotch_objects::object::Path;
+use cactusnotch_objects::object::{Condition, Path};
 use cactusnotch_objects::store::Error;
+use serde_json::Value;
 
 const INTERIM: &str = "HTTP/1.1 100 Continue\r\n\r\n";
 const BODY: &str = r#"{"version":1,"value":"a"}"#;
@@ -89,3 +90,49 @@
         println!("{first:?} {again:.20}: {took:?}");
     }
 }
+
+/// Guards against a response with a spoilt head that counts as another object than the store's,
+/// as none, or as a refusal of a call that may have taken effect.
+#[test]
+fn a_response_with_a_spoilt_head_is_no_answer() {
+    let length = format!("Content-Length: {}\r\n", BODY.len());
+    let chunk = format!("{:x}\r\n{BODY}\r\n0\r\n\r\n", BODY.len());
+    let fields = |status: u16, fields: &str, body: &str| {
+        format!("HTTP/1.1 {status:03} X\r\n{fields}\r\n{body}")
+    };
+    let mut spoilt = vec![
+        fields(200, "Content-Length: 4x\r\n", BODY),
+        fields(200, "Content-Length: 4, 25\r\n", BODY),
+        fields(200, "Content-Length: -1\r\n", BODY),
+        fields(200, "Content-Length: 2\r\n", BODY),
+        fields(200, "Content-Length\r\n", BODY),
+        fields(200, "Odd Name: x\r\n", BODY),
+        fields(200, "Odd\u{1}: x\r\n", BODY),
+        fields(200, "garbage\r\n", BODY),
+        fields(200, "Transfer-Encoding: chunke\r\n", &chunk),
+        fields(200, "Transfer-Encoding: chunkedx\r\n", &chunk),
+        fields(
+            200,
+            "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+            BODY,
+        ),
+    ];
+    spoilt.extend([0, 99, 101, 600, 999].map(|status| fields(status, &length, BODY)));
+    let mut taken = Vec::new();
+    for response in spoilt {
+        let sent = response.clone();
+        let client = start(move |stream| {
+            let _ = stream.write_all(sent.as_bytes());
+        });
+        let path = Path::new("kind", "name");
+        let got = client.get(&path);
+        if !matches!(got, Err(Error::Unanswered { .. })) {
+            taken.push(format!("{response:?}: {got:?}"));
+        }
+        let put = client.put(&path, &Value::Null, Condition::Always);
+        if !matches!(put, Err(Error::Unanswered { .. })) {
+            taken.push(format!("{response:?}: {put:?}"));
+        }
+    }
+    assert!(taken.is_empty(), "{}", taken.join("\n"));
+}
