fix: interim responses without end of an agent's endpoint are refused

What callers of the product's own way saw: an endpoint in trouble sent interim responses (100 Continue) until its caller closed. They got no answer within 20 s, and the agent read 1.2 GB in 4 s meanwhile.

Cause: the HTTP library skips any number of them; the bound that the gateway's connections have was not there.

Why this works: the same count, moved to crates/head: the seventeenth ends the call, and the connection is closed. Callers get 502.

Start lines and header lines without end were refused before as well.

--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -1,7 +1,7 @@
 //! Calls to the agent's endpoint.
 
 use bytes::Bytes;
-use cactusnotch_head as head;
+use cactusnotch_head::{self as head, Interim};
 use cactusnotch_ledger::Attempt;
 use cactusnotch_throttle::{Header, Headers};
 use cactusnotch_wire::{Call, Head};
@@ -93,8 +93,16 @@
         call: &Call,
         trace: &str,
     ) -> Result<Reply, Error> {
-        let request = self.request(attempt, key, call, trace)?;
-        let response = self.client.request(request).await;
+        let mut request = self.request(attempt, key, call, trace)?;
+        let interim = Interim::count(&mut request);
+        let response = tokio::select! {
+            biased;
+            () = interim.exceeded() => {
+                let detail = "it sent interim responses without end".to_owned();
+                return Err(Error::Failed { detail });
+            }
+            response = self.client.request(request) => response,
+        };
         let response = response.map_err(|error| {
             if error.is_connect() {
                 unstarted(&error)
--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cactusnotch_head as head;
+use cactusnotch_head::{self as head, Interim};
 use cactusnotch_tcp as tcp;
 use derive_more::{Display, Error};
 use http::{Request, Response};
@@ -15,7 +15,6 @@
 use hyper_util::rt::TokioIo;
 use tokio::task::AbortHandle;
 
-use crate::interim::Interim;
 use crate::memory::ANSWER_BYTES;
 
 /// Why a call failed.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -50,7 +50,6 @@
 mod gossip;
 mod in_flight;
 mod intake;
-mod interim;
 mod knowledge;
 mod lag;
 pub mod memory;
--- a/crates/gateway/src/interim.rs
+++ b/crates/head/src/interim.rs
@@ -1,4 +1,5 @@
-//! Bounds the interim responses (1xx) that precede a response.
+//! Bounds the interim responses (1xx) that precede a response, of which the HTTP library skips
+//! any number.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -12,14 +13,15 @@
 
 /// Counts the interim responses to a request.
 #[derive(Debug, Default)]
-pub(crate) struct Interim {
+pub struct Interim {
     count: AtomicU32,
     exceeded: Notify,
 }
 
 impl Interim {
     /// Counts the interim responses to `request`.
-    pub(crate) fn count<B>(request: &mut Request<B>) -> Arc<Self> {
+    #[must_use]
+    pub fn count<B>(request: &mut Request<B>) -> Arc<Self> {
         let interim = Arc::new(Self::default());
         let counted = Arc::clone(&interim);
         hyper::ext::on_informational(request, move |_| {
@@ -31,7 +33,7 @@
     }
 
     /// Waits until there are more than are allowed.
-    pub(crate) async fn exceeded(&self) {
+    pub async fn exceeded(&self) {
         self.exceeded.notified().await;
     }
 }
--- a/crates/head/src/lib.rs
+++ b/crates/head/src/lib.rs
@@ -8,6 +8,8 @@
 
 pub mod check;
 pub mod fault;
+pub mod interim;
 
 pub use check::check;
 pub use fault::Fault;
+pub use interim::Interim;
--- a/crates/lab/tests/spoilt_heads.rs
+++ b/crates/lab/tests/spoilt_heads.rs
@@ -1,19 +1,13 @@
 //! Plain services that spoil the heads of their answers, behind an agent.
 
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+mod plain;
+
+use std::io::{BufReader, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
-use cactusnotch_entry::Server;
-use cactusnotch_lab::Operator;
-use cactusnotch_lab::cluster::{Cluster, Options, service_endpoint};
-use cactusnotch_lab::operator::set;
-use cactusnotch_settings::{Id, Key, Route, Value};
+use plain::{ask, read_request, start};
 
-const MODEL: &str = "moe";
-const ORGANISATION: &str = "arrieta";
-const PATIENCE: Duration = Duration::from_secs(20);
 /// The body of a service's answer in chunks.
 const CHUNKED: &str = "4\r\ndone\r\n0\r\n\r\n";
 
@@ -58,26 +52,6 @@
 /// The answer that a service gives.
 type Answer = Arc<Mutex<(&'static str, &'static str)>>;
 
-/// Reads a request; returns whether there was one.
-fn read_request(reader: &mut impl BufRead) -> bool {
-    let mut length = 0;
-    loop {
-        let mut line = String::new();
-        if reader.read_line(&mut line).unwrap_or(0) == 0 {
-            return false;
-        }
-        let line = line.trim_end().to_ascii_lowercase();
-        if line.is_empty() {
-            break;
-        }
-        if let Some(value) = line.strip_prefix("content-length:") {
-            length = value.trim().parse().expect("a length");
-        }
-    }
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).is_ok()
-}
-
 /// Starts a service that gives `answer` to each request and closes.
 fn serve(answer: &Answer) -> SocketAddr {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
@@ -96,54 +70,6 @@
     address
 }
 
-/// Starts a system with one plain service at `service`; returns it with its callers' address.
-async fn start(service: SocketAddr) -> (Cluster, SocketAddr) {
-    let mut cluster = Cluster::start(&Options::default()).await.unwrap();
-    cluster.add_service_agent(service).await.unwrap();
-    let platform = cluster.platform_options();
-    let operators: Vec<_> = cluster.entries.iter().map(Server::operators).collect();
-    let settled = tokio::task::spawn_blocking(move || {
-        let mut operator = Operator::new(&platform);
-        operator.declare(ORGANISATION, MODEL, 2).unwrap();
-        let route = Route {
-            prefix: "/shop".to_owned(),
-            endpoints: vec![service_endpoint(0).to_string()],
-            repeatable: false,
-        };
-        let routes = Value::Routes(vec![route]);
-        let operations = vec![set(&Id::new(ORGANISATION), Key::Routes, routes)];
-        let revision = operator.edit("declare routes", operations).unwrap();
-        for address in operators {
-            operator
-                .wait(address, PATIENCE, |status| {
-                    status.revision == revision && status.serving() == 3
-                })
-                .unwrap();
-        }
-    });
-    settled.await.unwrap();
-    let callers = Server::callers(&cluster.entries[0]);
-    (cluster, callers)
-}
-
-/// Sends a request; returns what came until the connection was closed.
-fn ask(entry: SocketAddr) -> String {
-    let mut stream = TcpStream::connect(entry).expect("the entry listens");
-    stream
-        .set_read_timeout(Some(PATIENCE))
-        .expect("a time is set");
-    let request = format!(
-        "POST /shop/orders HTTP/1.1\r\nHost: a\r\nConnection: close\r\nOpenAI-Organization: {ORGANISATION}\r\nContent-Length: 2\r\n\r\n{{}}"
-    );
-    stream
-        .write_all(request.as_bytes())
-        .expect("the entry reads");
-    let mut answer = String::new();
-    // A connection that is reset is an answer that isn't whole.
-    let _ = stream.read_to_string(&mut answer);
-    answer
-}
-
 /// Guards against an answer with a spoilt head that an agent of the product's own way passes on.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_agent_passes_on_no_answer_with_a_spoilt_head() {
