--- a/crates/head/src/check.rs
+++ b/crates/head/src/check.rs
@@ -14,8 +14,8 @@
 /// The only transfer coding that callers ask for.
 const CHUNKED: &[u8] = b"chunked";
 
-/// Checks that a response states at most one way to find the end of its body, and one that is
-/// known.
+/// Checks that a response has a final status, and states at most one way to find the end of its
+/// body.
 ///
 /// # Errors
 ///
@@ -63,7 +63,7 @@
     }
 }
 
-/// Checks that a status without a body states none.
+/// Checks that a response without a body states none.
 fn check_body(status: StatusCode, headers: &HeaderMap) -> Result<(), Fault> {
     let has_length = headers
         .get(CONTENT_LENGTH)
--- a/crates/head/src/lib.rs
+++ b/crates/head/src/lib.rs
@@ -6,7 +6,7 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
-pub mod check;
+mod check;
 pub mod fault;
 pub mod interim;
 
