fix: a head whose lines end in different ways is no head

What callers saw: one byte of the field that states the length was a line feed, or the carriage return at its end was. The head ended there, and callers got the rest of it as a complete body: 'ontent-Length: 4', an empty line and 'done', or the right number of bytes from the wrong place.

Cause: the HTTP library takes a line feed alone for the end of a line, as it may. In a head whose other lines end in both bytes it is a byte that was lost or replaced, and what the library hands over is shaped by it, with no trace of it.

Evidence: a_spoilt_byte_of_the_framing_gives_no_other_complete_body replaces or removes each byte of the framing field (14 ways each) and failed with three heads. The others were refused, gave the right body, or read as another sound field. It passes now.

Why this works: head::Stream reads along between the socket and the library, from a request to the end of its response's head, interim heads included, and fails the connection at the first line that ends unlike those before it. A head that ends all its lines in a line feed is read as before.

--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -78,6 +79,7 @@
 pub struct Channel {
     peer: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    heads: Arc<head::Watch>,
     driver: AbortHandle,
     answered: u32,
 }
@@ -92,6 +94,7 @@
         let failed = |error| Error::Connect { peer, error };
         let stream = tcp::connect(peer, timeout).await.map_err(failed)?;
         let (stream, monitor) = tcp::Stream::new(stream);
+        let (stream, heads) = head::Stream::new(stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER)
             .handshake(TokioIo::new(stream))
@@ -107,6 +110,7 @@
         Ok(Self {
             peer,
             sender,
+            heads,
             driver: driver.abort_handle(),
             answered: 0,
         })
@@ -163,6 +167,7 @@
     ) -> Result<Response<Incoming>, Error> {
         let peer = self.peer;
         let interim = Interim::count(&mut request);
+        self.heads.expect_head();
         let sent = tokio::select! {
             biased;
             () = interim.exceeded() => {
@@ -179,9 +184,12 @@
             }
             Err(mut failure) => match failure.take_message() {
                 Some(_) => Err(Error::Unsent { peer }),
-                None => Err(Error::Exchange {
-                    peer,
-                    error: failure.into_error(),
+                None => Err(match self.heads.fault() {
+                    Some(fault) => Error::Head { peer, fault },
+                    None => Error::Exchange {
+                        peer,
+                        error: failure.into_error(),
+                    },
                 }),
             },
         }
--- a/crates/head/src/fault.rs
+++ b/crates/head/src/fault.rs
@@ -27,6 +27,9 @@
     /// The body has both a length and a transfer coding, and their ends may differ.
     #[display("both a length and a transfer coding")]
     Framings,
+    /// A line ends unlike those before it.
+    #[display("a line that ends unlike those before it")]
+    LineEnd,
     /// The status says that there is no body, and other fields that there is one.
     #[display("a body after a status without one")]
     Body,
--- a/crates/head/src/lib.rs
+++ b/crates/head/src/lib.rs
@@ -6,10 +6,17 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
-mod check;
 pub mod fault;
 pub mod interim;
+pub mod lines;
+pub mod stream;
+pub mod watch;
+
+mod check;
 
 pub use check::check;
 pub use fault::Fault;
 pub use interim::Interim;
+pub use lines::Lines;
+pub use stream::Stream;
+pub use watch::Watch;
