--- a/crates/lab/tests/spoilt_heads.rs
+++ b/crates/lab/tests/spoilt_heads.rs
@@ -100,3 +100,13 @@
         passed.join("\n")
     );
 }
+
+/// Guards against a head that a spoilt byte ends early, whose rest an agent passes on as the body.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_passes_on_no_rest_of_a_head_as_a_body() {
+    let early = "HTTP/1.1 200 OK\r\n\nontent-Length: 4\r\n";
+    let answer = Answer::new(Mutex::new((early, "done")));
+    let (_cluster, entry) = start(serve(&answer)).await;
+    let got = tokio::task::block_in_place(|| ask(entry));
+    assert!(got.starts_with("HTTP/1.1 502 "), "{got}");
+}
