--- a/crates/head/src/stream.rs
+++ b/crates/head/src/stream.rs
@@ -1,4 +1,4 @@
-//! A connection on which the heads of responses are read along.
+//! A connection that checks the line ends of the heads of responses.
 
 use std::io::{self, ErrorKind, IoSlice};
 use std::pin::Pin;
@@ -20,7 +20,7 @@
 }
 
 impl<S> Stream<S> {
-    /// Creates a connection over `inner`, and what its owner announces requests with.
+    /// Creates a connection over `inner`, and the state that its owner shares with it.
     pub fn new(inner: S) -> (Self, Arc<Watch>) {
         let watch = Arc::<Watch>::default();
         let stream = Self {
--- a/crates/head/src/watch.rs
+++ b/crates/head/src/watch.rs
@@ -1,10 +1,10 @@
-//! What a connection's owner and its [`Stream`](crate::Stream) tell each other.
+//! State that the owner of a connection shares with its [`Stream`](crate::Stream).
 
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use crate::fault::Fault;
 
-/// What a connection's owner and its [`Stream`](crate::Stream) tell each other.
+/// State that the owner of a connection shares with its [`Stream`](crate::Stream).
 #[derive(Debug, Default)]
 pub struct Watch {
     awaits_head: AtomicBool,
@@ -12,8 +12,7 @@
 }
 
 impl Watch {
-    /// Announces that the next bytes are the head of a response. A call belongs before each
-    /// request.
+    /// Marks the next bytes as the head of a response. The owner calls it before each request.
     pub fn expect_head(&self) {
         self.awaits_head.store(true, Ordering::Relaxed);
     }
