fix: a stream is known as one however its media type is written

What callers saw: with `Content-Type: Text/Event-Stream` a stream was relayed unread. Bytes that are no event reached its caller, and a break was not continued at another endpoint.

Cause: three places compared the start of the value in these letters (gateway, agent and entry of the product's own way). RFC 9110, 8.3.1: types have no case. The start alone also took `text/event-streams` for a stream.

Change: one function, `events::media::is_stream`, which compares the type without its parameters and without case, in all three places.

--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -1,6 +1,7 @@
 //! Calls to the agent's endpoint.
 
 use bytes::Bytes;
+use cactusnotch_events::media;
 use cactusnotch_head::{self as head, Interim};
 use cactusnotch_ledger::Attempt;
 use cactusnotch_throttle::{Header, Headers};
@@ -26,9 +27,6 @@
 /// The value of [`LEAVING`] for an endpoint that is leaving.
 const LEAVING_VALUE: &str = "1";
 
-/// The media type of an event stream.
-const EVENT_STREAM: &str = "text/event-stream";
-
 /// The media type of an answer without a `Content-Type`.
 const OCTET_STREAM: &str = "application/octet-stream";
 
@@ -153,7 +151,7 @@
             .and_then(|value: &HeaderValue| value.to_str().ok())
             .unwrap_or(OCTET_STREAM)
             .to_owned();
-        let streams = content_type.starts_with(EVENT_STREAM);
+        let streams = media::is_stream(content_type.as_bytes());
         Ok(Self {
             head: Some(Head {
                 status: status.as_u16(),
--- a/crates/entry/src/output.rs
+++ b/crates/entry/src/output.rs
@@ -4,6 +4,7 @@
 use cactusnotch_attempt::{Answer, Reason};
 use cactusnotch_base::Outcome;
 use cactusnotch_base::number::Sequence;
+use cactusnotch_events::media;
 use cactusnotch_ledger::message;
 use cactusnotch_wire::Head;
 use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
@@ -13,8 +14,6 @@
 use crate::body::{Body, Broken};
 use crate::problem::Problem;
 
-const EVENT_STREAM: &str = "text/event-stream";
-
 /// The response to a caller, written as pieces arrive.
 #[derive(Debug)]
 pub(crate) struct Output {
@@ -108,7 +107,7 @@
         let (sender, body) = Body::pieces();
         self.state = State::Open {
             sender,
-            numbers_events: head.content_type.starts_with(EVENT_STREAM),
+            numbers_events: media::is_stream(head.content_type.as_bytes()),
         };
         waiting.send(response(head, body)).is_ok()
     }
@@ -119,7 +118,7 @@
 fn resumed() -> Head {
     Head {
         status: StatusCode::OK.as_u16(),
-        content_type: EVENT_STREAM.to_owned(),
+        content_type: media::TYPE.to_owned(),
     }
 }
 
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod fault;
 pub mod ids;
+pub mod media;
 pub mod reader;
 
 mod block;
--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use cactusnotch_base::clock;
 use cactusnotch_base::name;
-use cactusnotch_events::{Fault, Ids, Reader};
+use cactusnotch_events::{Fault, Ids, Reader, media};
 use cactusnotch_telemetry::metric;
 use http::header;
 use http::response::Parts;
@@ -65,7 +65,7 @@
 /// Returns whether a response is a stream of events.
 fn is_event_stream(head: &Parts) -> bool {
     let kind = head.headers.get(header::CONTENT_TYPE);
-    let events = kind.is_some_and(|kind| kind.as_bytes().starts_with(EVENTS));
+    let events = kind.is_some_and(|kind| media::is_stream(kind.as_bytes()));
     head.status.is_success() && events
 }
 
@@ -76,9 +76,6 @@
     is_event_stream(head) && !head.headers.contains_key(header::CONTENT_LENGTH)
 }
 
-/// The media type of event streams.
-const EVENTS: &[u8] = b"text/event-stream";
-
 /// How one endpoint's part of a response ended.
 enum PartEnd {
     End(End),
