fix: a stream that begins with other bytes is cut off at once

What callers saw: on a route that isn't one of streams, an unframed response of the type of streams whose first 64 KB are no event gave a head and then nothing until the route's time was up (3.0 s), if its endpoint kept the connection open.

Cause: a fault of the reader was acted on after each piece that arrived during the relay, not after the bytes that had been read before it.

Evidence: `a_stream_that_begins_with_other_bytes_is_cut_off_soon` failed before for the unframed response ("after 3.0 s"); streams on their own routes have no bytes that are read before the relay and passed.

Change: the relay of a part begins with the same check that follows its pieces.

--- a/crates/gateway/src/pump.rs
+++ b/crates/gateway/src/pump.rs
@@ -25,6 +25,7 @@
 use crate::pieces::{Disconnected, Sender};
 use crate::request::Call;
 use crate::route::RetryPolicy;
+use crate::running::Running;
 
 /// How a response ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
@@ -195,6 +196,9 @@
             keep_alive,
         } = reply;
         let deadline = self.call.deadline;
+        if let Some(end) = self.check_fault(&mut running) {
+            return end;
+        }
         loop {
             let frame = tokio::select! {
                 biased;
@@ -238,10 +242,8 @@
             {
                 return PartEnd::End(end);
             }
-            if let Some(fault) = self.reader.as_ref().and_then(Reader::fault) {
-                running.record_failure();
-                self.log_fault(fault, running.endpoint());
-                return PartEnd::broken(&fault.to_string());
+            if let Some(end) = self.check_fault(&mut running) {
+                return end;
             }
             if self.may_continue() && self.should_move(running.endpoint()) {
                 metrics::counter!(metric::GATEWAY_MOVED).increment(1);
@@ -277,6 +279,14 @@
         PartEnd::End(End::Whole)
     }
 
+    /// Returns the end of a part in which bytes that are no event have arrived.
+    fn check_fault(&self, running: &mut Running) -> Option<PartEnd> {
+        let fault = self.reader.as_ref().and_then(Reader::fault)?;
+        running.record_failure();
+        self.log_fault(fault, running.endpoint());
+        Some(PartEnd::broken(&fault.to_string()))
+    }
+
     /// Logs why a response is cut off that no other endpoint may continue.
     fn log_broken(&self, failed: &Failed) {
         tracing::info!(
