fix: readers that are probed between two checks are not cut off

What callers saw: a reader of 10 KB a second with a window of 2 KB got some 24 of 64 KB of its answer and a reset after 2.4 s, long before its deadline.

Cause: `TCP_USER_TIMEOUT` counts from the first window probe until a window covers the next segment or all data is gone. The retries in `TCP_INFO`, by which the time-out is extended, return to 0 with the next round trip that a small window lets through. A check every 200 ms missed probes that were visible for 60 ms, and the kernel closed the connection a second after the first.

Evidence: `TCP_INFO` every 5 ms of such a connection (in the postmortem): closed at 1.29 s with 0 retries, nothing in flight, data acknowledged 170 ms before. Ruled out: the framing (the entry had handed over everything after 0.2 s), the deadline, the caller.

Change: a peer counts as probed, too, once it has had no room for 100 ms in all since no data waited for it (`tcpi_rwnd_limited`, Linux 4.10). The time-out is extended then only if the peer was heard within the last second.

Result: `a_peer_that_is_probed_between_checks_is_kept` failed before ("1.4s: closed after 1s").

--- a/crates/tcp/src/figures.rs
+++ b/crates/tcp/src/figures.rs
@@ -6,8 +6,8 @@
 use nix::sys::socket::getsockopt;
 use nix::sys::socket::sockopt::GetStruct;
 
-/// The length of the part of `struct tcp_info` that is read. Linux has it since 4.6.
-const INFO_BYTES: usize = 148;
+/// The length of the part of `struct tcp_info` that is read. Linux has it since 4.10.
+const INFO_BYTES: usize = 184;
 
 /// The option `TCP_INFO`, see tcp(7). Newer kernels write more if there is room for it.
 #[derive(Debug, Clone, Copy)]
@@ -30,8 +30,8 @@
     pub unsent: u32,
     /// Bytes that the peer has acknowledged (`tcpi_bytes_acked`).
     pub acknowledged: u64,
-    /// Consecutive retransmissions or window probes of the same data, whether answered or not
-    /// (`tcpi_backoff`).
+    /// Consecutive retransmissions or window probes of the same data, whether answered or not, since
+    /// a round trip was last measured (`tcpi_backoff`).
     pub retries: u8,
     /// Window and keep-alive probes since the last acknowledgement (`tcpi_probes`).
     pub unanswered_probes: u8,
@@ -39,6 +39,9 @@
     pub since_sent: Duration,
     /// The time since the last acknowledgement (`tcpi_last_ack_recv`).
     pub since_acknowledgement: Duration,
+    /// How long, in all, data could not be sent since the peer had no room
+    /// (`tcpi_rwnd_limited`).
+    pub window_limited: Duration,
 }
 
 impl Figures {
@@ -71,6 +74,7 @@
             unanswered_probes: byte(3)?,
             since_sent: Duration::from_millis(word(44)?.into()),
             since_acknowledgement: Duration::from_millis(word(56)?.into()),
+            window_limited: Duration::from_micros(long(176)?),
         })
     }
 
--- a/crates/tcp/src/liveness.rs
+++ b/crates/tcp/src/liveness.rs
@@ -13,6 +13,10 @@
 /// How long a connection is kept after its peer has answered a window probe.
 const EXTENSION: Duration = Duration::from_secs(2);
 
+/// How long a peer has no room before the kernel may have sent it a window probe: half of its
+/// shortest interval.
+const PROBED_AFTER: Duration = Duration::from_millis(100);
+
 /// The state of the decision how long a connection may wait for its peer (`TCP_USER_TIMEOUT`).
 ///
 /// The kernel counts the time-out from the first retransmission or window probe of data on,
@@ -23,9 +27,11 @@
 pub struct Liveness {
     retry: Option<Retry>,
     timeout: Duration,
+    /// How long the peer had had no room when no data waited for it last.
+    limited_before: Duration,
 }
 
-/// Data that was sent again, or waited for a window probe.
+/// Data that was sent again, or may have waited for a window probe.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Retry {
     /// When that was first seen.
@@ -42,13 +48,17 @@
         Self {
             retry: None,
             timeout: UNACKNOWLEDGED_MAX,
+            limited_before: Duration::ZERO,
         }
     }
 
     /// Returns the time-out of a connection to which `written` bytes were written and that has
     /// these figures at `now`.
     pub fn timeout(&mut self, figures: &Figures, written: u64, now: Instant) -> Duration {
-        if figures.retries > 0 {
+        // A probe can come and go between two checks: data that a small window lets through resets
+        // the retries, but not the time that the kernel counts.
+        let limited = figures.window_limited.saturating_sub(self.limited_before);
+        if figures.retries > 0 || limited >= PROBED_AFTER {
             let since = self.retry.map_or(now, |retry| retry.since);
             self.retry = Some(Retry { since, written });
         }
@@ -57,11 +67,18 @@
                 let retrying = now.saturating_duration_since(retry.since);
                 // The last segment may be newer than the last acknowledgement.
                 let is_heard = figures.since_acknowledgement < retrying.min(UNACKNOWLEDGED_MAX);
-                if figures.is_answered() || is_heard {
+                let is_answered = figures.retries > 0 && figures.is_answered();
+                if is_answered || is_heard {
                     self.timeout = retrying + EXTENSION;
                 }
             }
-            _ => *self = Self::new(),
+            _ => {
+                self.retry = None;
+                self.timeout = UNACKNOWLEDGED_MAX;
+            }
+        }
+        if figures.unsent == 0 || figures.acknowledged >= written {
+            self.limited_before = figures.window_limited;
         }
         self.timeout
     }
--- a/crates/tcp/tests/liveness.rs
+++ b/crates/tcp/tests/liveness.rs
@@ -84,6 +84,7 @@
             unanswered_probes: u8::from(is_closed && !answered),
             since_sent: now.saturating_sub(kernel.sent),
             since_acknowledgement: now.saturating_sub(acknowledged),
+            window_limited: if is_closed { now } else { Duration::ZERO },
         };
         kernel.timeout = liveness.timeout(&figures, WRITTEN, kernel.began + now);
     }
@@ -161,6 +162,53 @@
     assert_eq!(timeout, Duration::from_secs(1));
 }
 
+/// Guards against readers that are cut off although they read all the time, since each window probe
+/// is sent and answered between two checks: these are the figures of a reader of 7.6 KB a second.
+#[test]
+fn a_peer_that_is_probed_between_checks_is_kept() {
+    let began = clock::now();
+    let mut liveness = Liveness::new();
+    let mut timeout = Duration::from_secs(1);
+    for check in 1..40 {
+        let elapsed = CHECK_INTERVAL * check;
+        let figures = Figures {
+            in_flight: 0,
+            unsent: 62_000 - 1_500 * check,
+            acknowledged: 1_500 * u64::from(check),
+            retries: 0,
+            unanswered_probes: 0,
+            since_sent: millis(170),
+            since_acknowledgement: millis(130),
+            window_limited: elapsed * 9 / 10,
+        };
+        // The kernel counts from the first probe on, which it sent after 0.28 s.
+        let counted = elapsed.saturating_sub(millis(280));
+        assert!(timeout > counted, "{elapsed:?}: closed after {timeout:?}");
+        timeout = liveness.timeout(&figures, 64_000, began + elapsed);
+    }
+}
+
+/// Guards against hosts that are gone and are noticed later, since they had no room for moments
+/// while they read fast.
+#[test]
+fn moments_without_room_do_not_extend_the_time_out() {
+    let began = clock::now();
+    let mut liveness = Liveness::new();
+    for check in 1..100 {
+        let written = 100_000 * u64::from(check);
+        let figures = Figures {
+            acknowledged: written - 1_000,
+            in_flight: 1,
+            since_sent: millis(1),
+            since_acknowledgement: millis(1),
+            window_limited: millis(20) * check,
+            ..Figures::default()
+        };
+        let timeout = liveness.timeout(&figures, written, began + CHECK_INTERVAL * check);
+        assert_eq!(timeout, Duration::from_secs(1));
+    }
+}
+
 /// Guards against readers whose acknowledgements are delayed and that count as silent, since each
 /// check comes between a segment and its acknowledgement.
 #[test]
@@ -180,6 +228,7 @@
             unanswered_probes: 0,
             since_sent: millis(20),
             since_acknowledgement: millis(120),
+            ..Figures::default()
         };
         timeout = liveness.timeout(&figures, 64_000, began + elapsed);
         assert!(timeout > elapsed, "{elapsed:?}: {timeout:?}");
@@ -190,6 +239,6 @@
 /// Guards against figures of a platform that leaves them empty, which would count as delivered.
 #[test]
 fn figures_that_were_not_filled_in_are_none() {
-    assert_eq!(Figures::parse(&[0; 148]), None);
-    assert_eq!(Figures::parse(&[1; 104]), None);
+    assert_eq!(Figures::parse(&[0; 184]), None);
+    assert_eq!(Figures::parse(&[1; 183]), None);
 }
