fix: a connection that was reset holds no request until its deadline

What callers and operators saw: a caller that reset its connection before it had read its answer counted as in flight until its deadline (8.3 s), and a planned stop waited for it. The line "response cut off at the caller" came as late.

Cause: an idle connection of the HTTP library ends without an error when it is reset. The wait for the peer's acknowledgements then went on, since the kernel keeps the figures of a connection that it has closed.

Change: the wait also ends when the kernel has closed the connection (`tcpi_state`). It is cut off then, as before.

--- a/crates/gateway/src/delivery.rs
+++ b/crates/gateway/src/delivery.rs
@@ -78,9 +78,10 @@
         }
     }
 
-    /// Waits until the peer of a connection without further responses has acknowledged them.
+    /// Waits until the peer of a connection without further responses has acknowledged them, or
+    /// can't any more.
     pub(crate) async fn finish(&self, monitor: &Monitor) {
-        while !self.check(monitor) && !self.is_overdue(clock::now()) {
+        while !self.check(monitor) && !monitor.is_closed() && !self.is_overdue(clock::now()) {
             tokio::time::sleep(FINISH_INTERVAL).await;
         }
     }
--- a/crates/tcp/src/figures.rs
+++ b/crates/tcp/src/figures.rs
@@ -21,9 +21,14 @@
     GetStruct<[u8; INFO_BYTES]>
 );
 
+/// The state of a connection that was reset or has timed out (`TCP_CLOSE`).
+const CLOSED: u8 = 7;
+
 /// The kernel's figures of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Figures {
+    /// Whether the connection was reset or has timed out (`tcpi_state`).
+    pub is_closed: bool,
     /// Segments that were sent and not acknowledged (`tcpi_unacked`).
     pub in_flight: u32,
     /// Bytes that were not sent yet (`tcpi_notsent_bytes`).
@@ -65,8 +70,9 @@
             Some(u64::from_ne_bytes(bytes))
         };
         // The numbers of states (`tcpi_state`) begin with 1.
-        byte(0).filter(|state| *state != 0)?;
+        let state = byte(0).filter(|state| *state != 0)?;
         Some(Self {
+            is_closed: state == CLOSED,
             in_flight: word(24)?,
             unsent: word(144)?,
             acknowledged: long(120)?,
--- a/crates/tcp/src/monitor.rs
+++ b/crates/tcp/src/monitor.rs
@@ -87,6 +87,13 @@
         Some(figures)
     }
 
+    /// Returns whether the connection was reset or has timed out.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        let figures = Figures::read(&*self.shared.socket.borrow());
+        figures.is_some_and(|figures| figures.is_closed)
+    }
+
     /// Returns the number of bytes that the kernel has taken.
     #[must_use]
     pub fn written_bytes(&self) -> u64 {
--- a/crates/tcp/tests/liveness.rs
+++ b/crates/tcp/tests/liveness.rs
@@ -77,6 +77,7 @@
         };
         let is_closed = matches!(window, Window::Closed);
         let figures = Figures {
+            is_closed: false,
             in_flight: u32::from(!is_closed),
             unsent: 3_000,
             acknowledged: 2_000,
@@ -172,6 +173,7 @@
     for check in 1..40 {
         let elapsed = CHECK_INTERVAL * check;
         let figures = Figures {
+            is_closed: false,
             in_flight: 0,
             unsent: 62_000 - 1_500 * check,
             acknowledged: 1_500 * u64::from(check),
