fix: agents refuse a head that a line feed ends early

What callers saw: on the product's own way, an answer whose head had a line feed where a field begins was a complete 200 with the rest of the head as its body.

Cause: line ends are followed below the HTTP library, which needs to know when a head begins. The agents' pooled client owns its connections and doesn't tell: by the time that it names the connection of a request, the request is under way.

Change: each call opens a connection of its own over `head::Stream`, on which the first bytes are the head. A connect to an endpoint beside the agent is the price; a kept connection that the endpoint has closed is no cause of failures any more.

--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -2,7 +2,6 @@
 
 use bytes::Bytes;
 use cactusnotch_events::media;
-use cactusnotch_head::{self as head, Interim};
 use cactusnotch_ledger::Attempt;
 use cactusnotch_throttle::{Header, Headers};
 use cactusnotch_wire::{Call, Head};
@@ -11,10 +10,8 @@
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{HeaderMap, Request, Response, StatusCode};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
 
+use crate::connection::{self, Connection};
 use crate::events::Events;
 
 /// The header that carries the endpoint's rate limit, in requests a second.
@@ -48,7 +45,6 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Engine {
     base: String,
-    client: Client<HttpConnector, Full<Bytes>>,
 }
 
 /// The reply of the endpoint to a call.
@@ -71,15 +67,8 @@
 impl Engine {
     /// Creates a client of the endpoint at `base`.
     pub(crate) fn new(base: &str) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
         Self {
             base: base.trim_end_matches('/').to_owned(),
-            // The client repeats a request only if it found an idle connection
-            // closed before it wrote any of the request.
-            client: Client::builder(TokioExecutor::new())
-                .retry_canceled_requests(true)
-                .build(connector),
         }
     }
 
@@ -92,23 +81,10 @@
         trace: &str,
     ) -> Result<Reply, Error> {
         let mut request = self.request(attempt, key, call, trace)?;
-        let interim = Interim::count(&mut request);
-        let response = tokio::select! {
-            biased;
-            () = interim.exceeded() => {
-                let detail = "it sent interim responses without end".to_owned();
-                return Err(Error::Failed { detail });
-            }
-            response = self.client.request(request) => response,
-        };
-        let response = response.map_err(|error| {
-            if error.is_connect() {
-                unstarted(&error)
-            } else {
-                failed(&error)
-            }
-        })?;
-        head::check(response.status(), response.headers()).map_err(|fault| failed(&fault))?;
+        // A connection of its own tells where the head of the response begins.
+        let authority = connection::address(&mut request)?;
+        let connection = Connection::open(&authority).await?;
+        let response = connection.send(request).await?;
         Ok(Reply {
             headers: read_headers(response.headers(), response.status()),
             answer: Answer::new(response),
@@ -227,13 +203,13 @@
     }
 }
 
-fn unstarted(error: &impl std::fmt::Display) -> Error {
+pub(crate) fn unstarted(error: &impl std::fmt::Display) -> Error {
     Error::Unstarted {
         detail: error.to_string(),
     }
 }
 
-fn failed(error: &impl std::fmt::Display) -> Error {
+pub(crate) fn failed(error: &impl std::fmt::Display) -> Error {
     Error::Failed {
         detail: error.to_string(),
     }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+mod connection;
 mod engine;
 mod events;
 mod options;
