gateway: the log has what the probe after an unframed response showed

A response with neither a length nor chunks is complete only if its endpoint's process still runs. That was logged if the endpoint was unreachable or had not answered, not if it ran: a stream that was delivered as complete for that reason looked like one that was never probed.

--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/crash.rs
@@ -102,16 +102,30 @@
         }
     };
     let latest = now + call.deadline.saturating_duration_since(now) / 2;
-    tokio::select! {
+    let has_ended = tokio::select! {
         biased;
-        has_ended = probe => has_ended,
-        () = shared.suspend_detector.wait_until(latest) => {
-            let id = call.head.id.as_deref();
-            let waited = millis(clock::now().saturating_duration_since(now));
-            tracing::info!(id, endpoint, waited_ms = waited, "response taken as complete, its endpoint has not answered the probe");
-            false
-        }
+        has_ended = probe => Some(has_ended),
+        () = shared.suspend_detector.wait_until(latest) => None,
+    };
+    let id = call.head.id.as_deref();
+    let waited = millis(clock::now().saturating_duration_since(now));
+    if let Some(has_ended) = has_ended {
+        tracing::info!(
+            id,
+            endpoint,
+            waited_ms = waited,
+            has_ended,
+            "response without framing has ended, its endpoint was probed"
+        );
+        return has_ended;
     }
+    tracing::info!(
+        id,
+        endpoint,
+        waited_ms = waited,
+        "response taken as complete, its endpoint has not answered the probe"
+    );
+    false
 }
 
 /// Returns whether the process of an endpoint has ended.
