feat: listings of the store's objects leave lines and metrics

A listing left no line while it went on, and none that said how many pages it had read. The record of the incident could not tell a listing without end from a store that refuses or doesn't answer.

`listing goes on` names pages, objects and the last name, at each power of two from 16 pages on, so that the volume stays bounded. `objects listed` ends a listing, `objects not listed` a failed one, unless the store gave no answer to its first page, which its callers log. Two counters: pages and failed listings, by kind. No decision depends on them.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -52,6 +52,7 @@
 mod intake;
 mod knowledge;
 mod lag;
+mod listing;
 pub mod memory;
 mod notifications;
 pub mod outage;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -15,6 +15,7 @@
 use crate::channel;
 use crate::client::Client;
 use crate::content::Fingerprint;
+use crate::listing::Account;
 use crate::peer::Entry;
 use crate::{Configuration, Endpoint};
 
@@ -189,6 +190,22 @@
     EraEnded,
 }
 
+impl Error {
+    /// Returns whether the store gave no answer, or served no call at all.
+    #[must_use]
+    pub fn is_unavailable(&self) -> bool {
+        match self {
+            Self::Channel(_) => true,
+            Self::Refused(status) => is_unavailable(*status),
+            _ => false,
+        }
+    }
+}
+
+fn is_unavailable(status: StatusCode) -> bool {
+    status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS
+}
+
 /// A client of the store, which connects on demand.
 #[derive(Debug)]
 pub struct Store<C> {
@@ -216,7 +233,20 @@
     /// Returns an error if a call failed; [`Error::HistoryGone`] if the store was restored
     /// from an older copy between two pages.
     pub async fn list(&mut self, kind: Kind, stale: bool) -> Result<Answer, Error> {
+        let mut account = Account::new(kind, stale);
+        let result = self.pages(kind, stale, &mut account).await;
+        account.end(&result);
+        result
+    }
+
+    async fn pages(
+        &mut self,
+        kind: Kind,
+        stale: bool,
+        account: &mut Account,
+    ) -> Result<Answer, Error> {
         let mut listing = self.page(kind, None, stale).await?;
+        account.page(&listing);
         while listing.more {
             // A listing can't be continued after an object without a name.
             let named = |change: &&Change| !change.name.is_empty();
@@ -226,6 +256,7 @@
                 return Err(Error::Unreadable(Unreadable { kind, detail }));
             };
             let page = self.page(kind, Some(&after), stale).await?;
+            account.page(&page);
             if page.position.era() != listing.position.era() {
                 return Err(Error::HistoryGone);
             }
@@ -364,8 +395,7 @@
         if self.eras.observe(era, now) == Observation::Ended {
             return Err(Error::EraEnded);
         }
-        let is_unavailable = status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS;
-        if !is_unavailable {
+        if !is_unavailable(status) {
             self.eras.record_served(now);
         }
         match status {
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -149,6 +149,10 @@
         "Messages on the links between processes.";
     LINK_OPENED = "cactusnotch_link_opened_total", Counter, Count, [],
         "Links that have been opened.";
+    LISTING_PAGES = "cactusnotch_listing_pages_total", Counter, Count, ["kind"],
+        "Pages of listings that the platform's store answered, by kind of objects.";
+    LISTINGS_FAILED = "cactusnotch_listings_failed_total", Counter, Count, ["kind"],
+        "Listings that ended without all objects, by kind of objects.";
     LOG_LINES_DROPPED = "cactusnotch_log_lines_dropped_total", Counter, Count, [],
         "Log lines that were dropped since standard output was not read fast enough.";
     NODE_PLATFORM_FAILURES = "cactusnotch_node_platform_failures_total", Counter, Count, [],
