fix: names of objects reach the store as they are

What callers saw: 503 for everything from entries that had started, or listed again, while the list of servers held an object named `a00%7`, `a02&b=`, `a03+`, `a07#x` or `a05 b` where a page ends; agents found nobody; a process called the store 200 to 8,000 times a second. After `a01%41x` servers were passed over without an error.

Cause: the name was written into the query as it was, so that `&`, `+`, `#` and `%` meant something else there. A target that couldn't be parsed was replaced by the root of all objects.

Change: a target is built from encoded parts only (`percent-encoding`, which the lock file had already); one that is too long is an error and makes no call.

--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,5 +1,7 @@
 //! The client of the platform's store, used by entries and agents.
 
+mod codec;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
@@ -10,8 +12,10 @@
 use cactusnotch_position::eras::Observation;
 use cactusnotch_position::{Era, Eras, Position};
 use derive_more::{Display, Error};
-use http::{HeaderMap, Request, StatusCode};
+use http::StatusCode;
+use http::uri::InvalidUri;
 
+pub use self::codec::{Call, Codec};
 use crate::channel;
 use crate::client::Client;
 use crate::content::Fingerprint;
@@ -106,58 +110,6 @@
     pub more: bool,
 }
 
-/// Encoding of calls to the store and decoding of its answers.
-pub trait Codec: 'static {
-    /// Encodes the call that lists objects after the name `after`. A `stale` listing may be
-    /// seconds old.
-    fn list(kind: Kind, after: Option<&str>, stale: bool) -> Request<Bytes>;
-
-    /// Encodes the call that waits for changes after `from`.
-    fn watch(kind: Kind, from: Position, wait: Duration) -> Request<Bytes>;
-
-    /// Encodes the call that creates an entry's object.
-    fn create(entry: &Entry) -> Request<Bytes>;
-
-    /// Encodes the call that replaces an entry's object.
-    fn replace(entry: &Entry) -> Request<Bytes>;
-
-    /// Encodes the call that removes an entry's object.
-    fn remove(host: &str) -> Request<Bytes>;
-
-    /// Encodes the call that creates the record of a quarantined request.
-    fn create_quarantine(record: &QuarantineRecord) -> Request<Bytes>;
-
-    /// Encodes the call that removes the record of a quarantined request.
-    fn remove_quarantine(fingerprint: Fingerprint) -> Request<Bytes>;
-
-    /// Encodes the call that creates the record of a settled era.
-    fn create_settled_era(era: Era) -> Request<Bytes>;
-
-    /// Encodes the call that replaces the record of a settled era.
-    fn replace_settled_era(era: Era) -> Request<Bytes>;
-
-    /// Decodes the era from the headers of an answer; the first era if the store states none,
-    /// `None` if it can't be decoded.
-    fn era(head: &HeaderMap) -> Option<Era>;
-
-    /// Adds an era to the headers of an answer, in the store's format.
-    fn write_era(era: Era, head: &mut HeaderMap);
-
-    /// Decodes the answer to a listing, which was given in `era`.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the answer as a whole can't be decoded.
-    fn parse_listing(kind: Kind, era: Era, body: &[u8]) -> Result<Answer, Unreadable>;
-
-    /// Decodes the answer to a watch, which was given in `era`.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the answer as a whole can't be decoded.
-    fn parse_watch(kind: Kind, era: Era, body: &[u8]) -> Result<Answer, Unreadable>;
-}
-
 /// A decoded answer to a watch with its encoded form.
 #[derive(Debug)]
 pub struct WatchAnswer {
@@ -179,6 +131,9 @@
     /// The changes after the given position are no longer available.
     #[display("the store no longer has the changes after the given position")]
     HistoryGone,
+    /// The call has an invalid target, so it was not made.
+    #[display("the call's target is invalid: {_0}")]
+    Target(InvalidUri),
     /// The answer can't be decoded.
     #[display("unreadable answer: {_0}")]
     Unreadable(Unreadable),
@@ -314,7 +269,7 @@
     async fn watched(
         &mut self,
         kind: Kind,
-        call: Request<Bytes>,
+        call: Call,
         timeout: Duration,
     ) -> Result<WatchAnswer, Error> {
         let (era, body) = self.call(call, timeout).await?;
@@ -342,7 +297,7 @@
     }
 
     /// Creates an object, or replaces an existing one.
-    async fn put(&mut self, create: Request<Bytes>, replace: Request<Bytes>) -> Result<(), Error> {
+    async fn put(&mut self, create: Call, replace: Call) -> Result<(), Error> {
         match self.call(create, CALL_TIMEOUT).await {
             Err(Error::Refused(StatusCode::CONFLICT)) => {
                 self.call(replace, CALL_TIMEOUT).await.map(drop)
@@ -383,11 +338,8 @@
     }
 
     /// Makes a call; returns the body of a successful answer and its era.
-    async fn call(
-        &mut self,
-        request: Request<Bytes>,
-        timeout: Duration,
-    ) -> Result<(Era, Bytes), Error> {
+    async fn call(&mut self, request: Call, timeout: Duration) -> Result<(Era, Bytes), Error> {
+        let request = request.0.map_err(Error::Target)?;
         let answer = self.client.call(request, timeout).await;
         let answer = answer.map_err(Error::Channel)?;
         let era = C::era(answer.headers()).ok_or(Error::EraUnreadable)?;
