fix: a listing ends by its own proof, whatever the store answers

What callers saw: nothing but 503 from an entry whose listing went on for ever; the process called the store as fast as that answered and kept each page: 141,580 calls and 67 MB after 20 s in a debug build. The deployment's hosts have 128 and 260 MB.

Cause: `Store::list` went on while the store said that there was more. A page that ended where an earlier one did was asked for again without a pause. A listing that couldn't go on lost what it had read. A listing that was older than other entries' reports, or was answered with 410, was repeated at once.

Change: `listing::Pages`, without input or output, decides after each page. It has to end with a name that the listing hasn't gone on after yet (the platform promises no order, so none is asked for); pages, bytes and time are bounded; a name too long for a target is passed by its first bytes. A listing that ends earlier is cut: its objects are used, none is taken for removed, and the listing is repeated after pauses that double up to 2 s. Of the configuration one object suffices.

Result: `cactusnotch-gateway::listing` has each form of a page, and sound listings in any order with pages of any size.

--- a/crates/gateway/src/knowledge.rs
+++ b/crates/gateway/src/knowledge.rs
@@ -4,6 +4,7 @@
 mod confirmation;
 mod era;
 mod evacuations;
+mod listings;
 mod outage;
 mod retries;
 mod settings;
@@ -183,58 +184,6 @@
             && self.freshness.borrow().holds(now)
     }
 
-    /// Applies a complete listing of one kind of objects.
-    pub(crate) fn replace(
-        &self,
-        kind: Kind,
-        changes: Vec<Change>,
-        position: Position,
-        now: Instant,
-    ) {
-        let named = |name: &str| changes.iter().any(|change| change.name == name);
-        match kind {
-            Kind::Configuration => {}
-            Kind::Endpoints => {
-                let mut fleet = self.fleet.borrow_mut();
-                fleet.drop_unlisted(named);
-                let missing: Vec<_> = fleet
-                    .iter()
-                    .map(|endpoint| endpoint.instance.clone())
-                    .filter(|instance| !named(instance))
-                    .collect();
-                for instance in missing {
-                    tracing::info!(
-                        endpoint = instance,
-                        %position,
-                        "endpoint missing from the listing"
-                    );
-                    fleet.remove(&instance, self.outage.get().kept_until(now), now);
-                }
-                self.listed.set((true, self.listed.get().1));
-            }
-            Kind::Entries => {
-                let (endpoints_listed, entries_listed) = self.listed.get();
-                self.listed.set((endpoints_listed, true));
-                if !entries_listed {
-                    self.entries_listed.notify_one();
-                }
-                if !named(&self.options.borrow().host) {
-                    self.unregistered.notify_one();
-                }
-            }
-            Kind::Evacuations => {
-                self.replace_evacuations(&changes, position, now);
-                return;
-            }
-        }
-        for change in changes {
-            self.apply(kind, change, position, now);
-        }
-        if kind == Kind::Entries {
-            self.complete_records(now);
-        }
-    }
-
     /// Applies a change of one object.
     pub(crate) fn apply(&self, kind: Kind, change: Change, position: Position, now: Instant) {
         let Change { name, item } = change;
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -75,7 +75,11 @@
             Ok(listing) => {
                 let now = clock::now();
                 shared.note_store_answer(Kind::Entries, now);
-                shared.replace(Kind::Entries, listing.changes, listing.position, now);
+                if listing.cut.is_none() {
+                    shared.replace(Kind::Entries, listing.changes, listing.position, now);
+                } else {
+                    shared.merge(Kind::Entries, listing.changes, listing.position, now);
+                }
             }
             Err(error) => {
                 tracing::warn!(%error, "entries not listed");
--- a/crates/gateway/src/renewal.rs
+++ b/crates/gateway/src/renewal.rs
@@ -47,20 +47,26 @@
     } else {
         Err(Error::HistoryGone)
     };
-    let answer = match watched {
-        Err(Error::HistoryGone) => store.list(kind, false).await?,
+    let (changes, position) = match watched {
+        Err(Error::HistoryGone) => {
+            let listing = store.list(kind, false).await?;
+            match listing.cut {
+                Some(cut) if !listing.suffices(kind) => return Err(Error::Cut(cut)),
+                _ => (listing.changes, listing.position),
+            }
+        }
         Ok(WatchAnswer { answer, body }) => {
             if !answer.changes.is_empty() {
                 shared.configuration_cache.set(answer.position.era(), body);
             }
-            answer
+            (answer.changes, answer.position)
         }
         Err(error) => return Err(error),
     };
     let now = clock::now();
-    for change in answer.changes {
-        shared.apply(kind, change, answer.position, now);
+    for change in changes {
+        shared.apply(kind, change, position, now);
     }
-    shared.confirm_configuration(answer.position, sent_at);
+    shared.confirm_configuration(position, sent_at);
     Ok(())
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -19,7 +19,7 @@
 use crate::channel;
 use crate::client::Client;
 use crate::content::Fingerprint;
-use crate::listing::Account;
+use crate::listing::{Cut, Listing, Pages, Step};
 use crate::peer::Entry;
 use crate::{Configuration, Endpoint};
 
@@ -137,6 +137,12 @@
     /// The answer can't be decoded.
     #[display("unreadable answer: {_0}")]
     Unreadable(Unreadable),
+    /// The listing lacks objects that the store has.
+    #[display("the listing is incomplete: {_0}")]
+    Cut(Cut),
+    /// The listing is older than what other entries have reported of the store.
+    #[display("the listing is older than reports of other entries")]
+    Outdated,
     /// The answer's era can't be decoded, so its positions can't be ordered.
     #[display("the answer's era can't be read")]
     EraUnreadable,
@@ -155,6 +161,16 @@
             _ => false,
         }
     }
+
+    /// Returns whether only this call failed: the store is there.
+    #[must_use]
+    pub fn is_refusal(&self) -> bool {
+        match self {
+            Self::Refused(status) => !is_unavailable(*status),
+            Self::Unreadable(_) | Self::Target(_) | Self::Cut(_) | Self::Outdated => true,
+            Self::Channel(_) | Self::HistoryGone | Self::EraUnreadable | Self::EraEnded => false,
+        }
+    }
 }
 
 fn is_unavailable(status: StatusCode) -> bool {
@@ -181,46 +197,21 @@
         }
     }
 
-    /// Lists all objects of a kind, with the position of the listing.
+    /// Lists the objects of a kind. The listing is complete unless it was cut.
     ///
     /// # Errors
     ///
-    /// Returns an error if a call failed; [`Error::HistoryGone`] if the store was restored
-    /// from an older copy between two pages.
-    pub async fn list(&mut self, kind: Kind, stale: bool) -> Result<Answer, Error> {
-        let mut account = Account::new(kind, stale);
-        let result = self.pages(kind, stale, &mut account).await;
-        account.end(&result);
-        result
-    }
-
-    async fn pages(
-        &mut self,
-        kind: Kind,
-        stale: bool,
-        account: &mut Account,
-    ) -> Result<Answer, Error> {
-        let mut listing = self.page(kind, None, stale).await?;
-        account.page(&listing);
-        while listing.more {
-            // A listing can't be continued after an object without a name.
-            let named = |change: &&Change| !change.name.is_empty();
-            let after = listing.changes.iter().rfind(named);
-            let Some(after) = after.map(|change| change.name.clone()) else {
-                let detail = "page without an object name to continue after".to_owned();
-                return Err(Error::Unreadable(Unreadable { kind, detail }));
-            };
-            let page = self.page(kind, Some(&after), stale).await?;
-            account.page(&page);
-            if page.position.era() != listing.position.era() {
-                return Err(Error::HistoryGone);
+    /// Returns an error if a call failed, unless the store refused a page but the first;
+    /// [`Error::HistoryGone`] if the store was restored from an older copy between two pages.
+    pub async fn list(&mut self, kind: Kind, stale: bool) -> Result<Listing, Error> {
+        let mut pages = Pages::new(kind, stale, clock::now());
+        loop {
+            let page = self.page(kind, pages.after(), stale).await;
+            match pages.add(page, clock::now()) {
+                Step::Next(next) => pages = next,
+                Step::End(result) => return result,
             }
-            // A watch from the position of the first page returns changes made between two
-            // pages.
-            listing.more = page.more && !page.changes.is_empty();
-            listing.changes.extend(page.changes);
         }
-        Ok(listing)
     }
 
     async fn page(
--- a/crates/gateway/src/watcher.rs
+++ b/crates/gateway/src/watcher.rs
@@ -11,6 +11,7 @@
 use crate::endpoint::Endpoint;
 use crate::gossip;
 use crate::knowledge::SharedState;
+use crate::spacing::Spacing;
 use crate::store::{Change, Codec, Error, Item, Kind, Store, WatchAnswer};
 
 /// Maximum duration of one watch. A store that refuses a host may leave a watch hanging while
@@ -58,7 +59,11 @@
                 shared.note_store_answer(kind, clock::now());
                 follower.listed = false;
             }
-            Err(error) => shared.note_store_failure(kind, &error, clock::now()),
+            Err(error) => {
+                shared.note_store_failure(kind, &error, clock::now());
+                // A watch that is refused is replaced by listings, which are spaced.
+                follower.listed &= !error.is_refusal();
+            }
         }
     }
 }
@@ -73,6 +78,8 @@
     store: Store<C>,
     /// Whether the objects have been listed, so changes since then can be applied.
     listed: bool,
+    /// Spaces listings that the store answers.
+    spacing: Spacing,
     started: Instant,
 }
 
@@ -84,6 +91,7 @@
             kind,
             store: shared.store(),
             listed: false,
+            spacing: Spacing::default(),
             started: clock::now(),
         }
     }
@@ -134,14 +142,23 @@
 
     async fn list(&mut self) -> Result<(), Error> {
         self.shared.wait_for_store_slot().await;
+        tokio::time::sleep(self.spacing.left(clock::now())).await;
         let sent_at = clock::now();
-        let listing = self.store.list(self.kind, false).await?;
+        let listing = self.store.list(self.kind, false).await;
         let now = clock::now();
+        if !listing.as_ref().is_err_and(Error::is_unavailable) {
+            self.spacing.record(now);
+        }
+        let listing = listing?;
         self.shared.note_store_answer(self.kind, now);
         let position = listing.position;
         if position < self.known() {
             // Other entries have reported later changes in the meantime.
-            return Ok(());
+            return Err(Error::Outdated);
+        }
+        if !listing.suffices(self.kind) {
+            self.shared.merge(self.kind, listing.changes, position, now);
+            return listing.cut.map_or(Ok(()), |cut| Err(Error::Cut(cut)));
         }
         self.shared
             .replace(self.kind, listing.changes, position, now);
--- a/crates/rebalance/src/neighbours.rs
+++ b/crates/rebalance/src/neighbours.rs
@@ -79,9 +79,14 @@
                 }
             }
         }
-        let mut agents = Vec::new();
-        let mut data_centres = Vec::new();
-        for change in self.store.list(Kind::Endpoints, true).await?.changes {
+        let listing = self.store.list(Kind::Endpoints, true).await?;
+        let (mut agents, mut data_centres) = if listing.cut.is_some() {
+            // The agents that the listing lacks may still be there.
+            (self.agents.clone(), self.data_centres.clone())
+        } else {
+            (Vec::new(), Vec::new())
+        };
+        for change in listing.changes {
             if let Ok(Some(Item::Endpoint(endpoint))) = change.item
                 && endpoint.service == self.service
             {
@@ -94,6 +99,7 @@
         agents.dedup();
         self.agents = agents;
         data_centres.sort_unstable();
+        data_centres.dedup();
         self.data_centres = data_centres;
         Ok(())
     }
